--- a/adapters/peertwirp/configpeer/convert.go
+++ b/adapters/peertwirp/configpeer/convert.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/azurebarrow/azurebarrow/config"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 func replyOf(update config.Update) *FollowReply {
@@ -25,7 +25,7 @@
 	return message
 }
 
-func messageOfObject(object platform.Object) *Object {
+func messageOfObject(object objects.Object) *Object {
 	return &Object{
 		Name:     object.Name,
 		Uid:      object.UID,
@@ -56,8 +56,8 @@
 	return item
 }
 
-func objectOf(kind string, message *Object) platform.Object {
-	return platform.Object{
+func objectOf(kind string, message *Object) objects.Object {
+	return objects.Object{
 		Kind:     kind,
 		Name:     message.GetName(),
 		UID:      message.GetUid(),
--- a/adapters/platformhttp/client.go
+++ b/adapters/platformhttp/client.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 const (
@@ -53,38 +53,38 @@
 	}
 }
 
-// Get reads one object; platform.ErrNotFound if it is absent.
-func (c *Client) Get(ctx context.Context, kind, name string) (platform.Object, error) {
-	var object platform.Object
+// Get reads one object; objects.ErrNotFound if it is absent.
+func (c *Client) Get(ctx context.Context, kind, name string) (objects.Object, error) {
+	var object objects.Object
 	err := c.read(ctx, objectPath(kind, name), c.timeout, &object)
 	return object, err
 }
 
 // List reads all objects of a kind.
-func (c *Client) List(ctx context.Context, kind string) (platform.List, error) {
-	var list platform.List
+func (c *Client) List(ctx context.Context, kind string) (objects.List, error) {
+	var list objects.List
 	err := c.read(ctx, "/v1/objects/"+url.PathEscape(kind), c.timeout, &list)
 	return list, err
 }
 
 // Watch waits until an object of one of the kinds changed after the given revision, or for wait.
 // An empty list with a revision means that nothing changed. ErrTooOld asks for a new list.
-func (c *Client) Watch(ctx context.Context, kinds []string, after int64, wait time.Duration) (platform.List, error) {
+func (c *Client) Watch(ctx context.Context, kinds []string, after int64, wait time.Duration) (objects.List, error) {
 	query := url.Values{
 		"kinds":   {strings.Join(kinds, ",")},
 		"after":   {strconv.FormatInt(after, 10)},
 		"timeout": {wait.String()},
 	}
-	var list platform.List
+	var list objects.List
 	err := c.read(ctx, "/v1/watch?"+query.Encode(), wait+watchSlack, &list)
 	return list, err
 }
 
-// Put writes an object if its present revision is expected; platform.MustNotExist creates it. It
-// returns the stored object, a *platform.ConflictError, or an error that wraps
-// platform.ErrUnavailable (no effect) or platform.ErrUnknownOutcome.
-func (c *Client) Put(ctx context.Context, kind, name string, expected int64, value []byte) (platform.Object, error) {
-	var object platform.Object
+// Put writes an object if its present revision is expected; objects.MustNotExist creates it. It
+// returns the stored object, a *objects.ConflictError, or an error that wraps
+// objects.ErrUnavailable (no effect) or objects.ErrUnknownOutcome.
+func (c *Client) Put(ctx context.Context, kind, name string, expected int64, value []byte) (objects.Object, error) {
+	var object objects.Object
 	err := c.write(ctx, http.MethodPut, kind, name, expected, value, &object)
 	return object, err
 }
@@ -107,20 +107,20 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", objects.ErrUnavailable, err)
 	}
 	defer response.Body.Close()
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotFound:
-		return platform.ErrNotFound
+		return objects.ErrNotFound
 	case http.StatusGone:
-		return platform.ErrTooOld
+		return objects.ErrTooOld
 	default:
-		return fmt.Errorf("%w: status %d", platform.ErrUnavailable, response.StatusCode)
+		return fmt.Errorf("%w: status %d", objects.ErrUnavailable, response.StatusCode)
 	}
 	if err := decode(response.Body, into); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", objects.ErrUnavailable, err)
 	}
 	return nil
 }
@@ -135,7 +135,7 @@
 	// Without GetBody the transport can't send the write a second time by itself.
 	request.GetBody = nil
 	request.Header.Set("Content-Type", "application/json")
-	if expected == platform.MustNotExist {
+	if expected == objects.MustNotExist {
 		request.Header.Set("If-None-Match", "*")
 	} else {
 		request.Header.Set("If-Match", strconv.FormatInt(expected, 10))
@@ -148,11 +148,11 @@
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotFound:
-		return platform.ErrNotFound
+		return objects.ErrNotFound
 	case http.StatusConflict:
 		return conflict(response.Body, kind, name, expected)
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return fmt.Errorf("%w: status %d", platform.ErrUnavailable, response.StatusCode)
+		return fmt.Errorf("%w: status %d", objects.ErrUnavailable, response.StatusCode)
 	default:
 		return fmt.Errorf("platform: %s %s/%s: status %d", method, kind, name, response.StatusCode)
 	}
@@ -160,7 +160,7 @@
 		return nil
 	}
 	if err := decode(response.Body, into); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err)
+		return fmt.Errorf("%w: %w", objects.ErrUnknownOutcome, err)
 	}
 	return nil
 }
@@ -168,9 +168,9 @@
 // writeError tells a write that never left from one whose answer was lost.
 func writeError(err error) error {
 	if neverConnected(err) {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", objects.ErrUnavailable, err)
 	}
-	return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err)
+	return fmt.Errorf("%w: %w", objects.ErrUnknownOutcome, err)
 }
 
 func conflict(body io.Reader, kind, name string, expected int64) error {
@@ -178,9 +178,9 @@
 		Present int64 `json:"present"`
 	}
 	if err := decode(body, &present); err != nil {
-		return errors.Join(&platform.ConflictError{Kind: kind, Name: name, Expected: expected}, err)
+		return errors.Join(&objects.ConflictError{Kind: kind, Name: name, Expected: expected}, err)
 	}
-	return &platform.ConflictError{Kind: kind, Name: name, Expected: expected, Present: present.Present}
+	return &objects.ConflictError{Kind: kind, Name: name, Expected: expected, Present: present.Present}
 }
 
 func decode(body io.Reader, into any) error {
--- a/bench/experiments/config_operator.go
+++ b/bench/experiments/config_operator.go
@@ -11,7 +11,7 @@
 	"github.com/azurebarrow/azurebarrow/adapters/platformhttp"
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/config"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 const (
@@ -74,7 +74,7 @@
 func (o *operator) set(ctx context.Context, name string, serial int) error {
 	for ctx.Err() == nil {
 		present, err := o.client.Get(ctx, v1.KindCustomer, name)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, objects.ErrNotFound) {
 			time.Sleep(operatorRetry)
 			continue
 		}
--- a/bench/experiments/control_holder.go
+++ b/bench/experiments/control_holder.go
@@ -12,7 +12,7 @@
 	"github.com/azurebarrow/azurebarrow/config"
 	"github.com/azurebarrow/azurebarrow/control"
 	"github.com/azurebarrow/azurebarrow/membership"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 )
@@ -127,13 +127,13 @@
 }
 
 // Get implements control.Store.
-func (h *holder) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (h *holder) Get(ctx context.Context, kind, name string) (objects.Object, error) {
 	h.pass()
 	return h.store.Get(ctx, kind, name)
 }
 
 // Put implements control.Store.
-func (h *holder) Put(ctx context.Context, kind, name string, expected int64, value []byte) (platform.Object, error) {
+func (h *holder) Put(ctx context.Context, kind, name string, expected int64, value []byte) (objects.Object, error) {
 	h.pass()
 	return h.store.Put(ctx, kind, name, expected, value)
 }
--- a/cmd/azurebarrowctl/command/apply.go
+++ b/cmd/azurebarrowctl/command/apply.go
@@ -12,7 +12,7 @@
 
 	"github.com/azurebarrow/azurebarrow/adapters/platformhttp"
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 type applyCommand struct {
@@ -120,17 +120,17 @@
 // such as one in which only the status changed.
 func (a *applier) applyOne(ctx context.Context, document v1.Document, base storedResource, result *change) error {
 	expected := base
-	object, err := retry(ctx, func() (platform.Object, error) {
+	object, err := retry(ctx, func() (objects.Object, error) {
 		value, err := valueOf(document, expected)
 		if err != nil {
-			return platform.Object{}, backoff.Permanent(err)
+			return objects.Object{}, backoff.Permanent(err)
 		}
 		object, err := a.client.Put(ctx, result.Key.Kind, result.Key.Name, expected.object.Revision, value)
-		if err == nil || errors.Is(err, platform.ErrUnavailable) {
+		if err == nil || errors.Is(err, objects.ErrUnavailable) {
 			return object, err
 		}
-		if !platform.IsConflict(err) && !errors.Is(err, platform.ErrUnknownOutcome) {
-			return platform.Object{}, backoff.Permanent(err)
+		if !objects.IsConflict(err) && !errors.Is(err, objects.ErrUnknownOutcome) {
+			return objects.Object{}, backoff.Permanent(err)
 		}
 		return a.resolve(ctx, document, base, &expected, err)
 	})
@@ -155,28 +155,28 @@
 }
 
 // resolve finds out what a conflict or a lost answer means, by reading the object.
-func (a *applier) resolve(ctx context.Context, document v1.Document, base storedResource, expected *storedResource, cause error) (platform.Object, error) {
+func (a *applier) resolve(ctx context.Context, document v1.Document, base storedResource, expected *storedResource, cause error) (objects.Object, error) {
 	object, err := a.client.Get(ctx, document.Key().Kind, document.Key().Name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return platform.Object{}, errors.Join(cause, err)
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
+		return objects.Object{}, errors.Join(cause, err)
 	}
 	present := decodeStored(object)
-	conflict := (*platform.ConflictError)(nil)
+	conflict := (*objects.ConflictError)(nil)
 	if errors.As(cause, &conflict) && object.Revision < conflict.Present {
-		return platform.Object{}, fmt.Errorf("%w: a read is behind revision %d", platform.ErrUnavailable, conflict.Present)
+		return objects.Object{}, fmt.Errorf("%w: a read is behind revision %d", objects.ErrUnavailable, conflict.Present)
 	}
 	switch {
 	case present.document != nil && sameSpec(present.document.Resource, document.Resource):
 		return object, nil // an earlier try of this apply, or somebody with the same wish
 	case sameState(base, present):
 		*expected = present
-		return platform.Object{}, cause
+		return objects.Object{}, cause
 	}
 	raced := &raceError{expected: base.object.Revision, present: object.Revision}
 	if present.document != nil {
 		raced.fields = fieldChanges(present.document.Resource, document.Resource)
 	}
-	return platform.Object{}, backoff.Permanent(raced)
+	return objects.Object{}, backoff.Permanent(raced)
 }
 
 // sameState tells whether the stored spec is still the one that was compared.
@@ -239,8 +239,8 @@
 }
 
 func isRetriable(err error) bool {
-	lost := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknownOutcome)
-	return lost || platform.IsConflict(err)
+	lost := errors.Is(err, objects.ErrUnavailable) || errors.Is(err, objects.ErrUnknownOutcome)
+	return lost || objects.IsConflict(err)
 }
 
 const (
--- a/cmd/azurebarrowctl/command/command.go
+++ b/cmd/azurebarrowctl/command/command.go
@@ -14,7 +14,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/azurebarrow/azurebarrow/adapters/platformhttp"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 // Exit codes.
@@ -118,7 +118,7 @@
 		return ExitUsage
 	}
 	fmt.Fprintln(os.Stderr, "azurebarrowctl: "+err.Error())
-	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, objects.ErrUnavailable) || errors.Is(err, objects.ErrUnknownOutcome) {
 		return ExitUnavailable
 	}
 	return ExitFailed
--- a/cmd/azurebarrowctl/command/get.go
+++ b/cmd/azurebarrowctl/command/get.go
@@ -6,7 +6,7 @@
 	"strconv"
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 type getCommand struct {
@@ -35,7 +35,7 @@
 		return c.globals.printResources(stored)
 	}
 	object, err := client.Get(c.globals.ctx, kind, c.Args.Name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return fmt.Errorf("%s/%s: not found", kind, c.Args.Name)
 	}
 	if err != nil {
--- a/cmd/azurebarrowctl/command/helpers_test.go
+++ b/cmd/azurebarrowctl/command/helpers_test.go
@@ -12,7 +12,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/azurebarrow/azurebarrow/adapters/platformhttp"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 func arguments() []string { return os.Args[1:] }
@@ -55,7 +55,7 @@
 		return ExitFailed
 	}
 	present, err := client.Get(context.Background(), args[0], args[1])
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		return ExitFailed
 	}
 	if _, err := client.Put(context.Background(), args[0], args[1], present.Revision, value); err != nil {
--- a/cmd/azurebarrowctl/command/stored.go
+++ b/cmd/azurebarrowctl/command/stored.go
@@ -10,17 +10,17 @@
 
 	"github.com/azurebarrow/azurebarrow/adapters/platformhttp"
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 // storedResource is an object of the platform and the resource in it.
 type storedResource struct {
-	object platform.Object
+	object objects.Object
 	// document is nil when the value can't be read as a resource.
 	document *v1.Document
 }
 
-func decodeStored(object platform.Object) storedResource {
+func decodeStored(object objects.Object) storedResource {
 	key := v1.ResourceKey{Kind: object.Kind, Name: object.Name}
 	documents, _ := v1.Decode(key.String(), object.Value)
 	if len(documents) != 1 {
--- a/cmd/azurebarrowctl/command/watch.go
+++ b/cmd/azurebarrowctl/command/watch.go
@@ -10,7 +10,7 @@
 
 	"github.com/azurebarrow/azurebarrow/adapters/platformhttp"
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 // watchWait is how long one watch call waits for a change.
@@ -74,7 +74,7 @@
 	for !c.enough() {
 		list, err := client.Watch(ctx, kinds, after, watchWait)
 		switch {
-		case errors.Is(err, platform.ErrTooOld):
+		case errors.Is(err, objects.ErrTooOld):
 			if after, err = c.start(ctx, client, kinds); err != nil {
 				return err
 			}
@@ -101,7 +101,7 @@
 func (c *watchCommand) start(ctx context.Context, client *platformhttp.Client, kinds []string) (int64, error) {
 	var after int64
 	for i, kind := range kinds {
-		list, err := retry(ctx, func() (platform.List, error) { return client.List(ctx, kind) })
+		list, err := retry(ctx, func() (objects.List, error) { return client.List(ctx, kind) })
 		if err != nil {
 			return 0, err
 		}
@@ -126,7 +126,7 @@
 	Resource any    `json:"resource,omitempty"`
 }
 
-func (c *watchCommand) print(object platform.Object) error {
+func (c *watchCommand) print(object objects.Object) error {
 	c.printed++
 	stored := decodeStored(object)
 	if c.globals.Output == outputTable {
--- a/config/delta.go
+++ b/config/delta.go
@@ -1,6 +1,6 @@
 package config
 
-import "github.com/azurebarrow/azurebarrow/platform"
+import "github.com/azurebarrow/azurebarrow/objects"
 
 // Position tells up to which revision a holder knows every change of one kind.
 type Position struct {
@@ -15,9 +15,9 @@
 // Item is an object as one entry hands it to another.
 type Item struct {
 	// Object is the newest known state.
-	Object platform.Object
+	Object objects.Object
 	// Accepted is the last accepted state when Object was refused, else nil.
-	Accepted *platform.Object
+	Accepted *objects.Object
 }
 
 // Delta holds the changes of one kind up to a revision.
@@ -37,7 +37,7 @@
 }
 
 // deltaOf turns the answer of a list into a full Delta.
-func deltaOf(kind string, list platform.List) Delta {
+func deltaOf(kind string, list objects.List) Delta {
 	delta := Delta{Kind: kind, Revision: list.Revision, Full: true}
 	for _, object := range list.Items {
 		delta.Items = append(delta.Items, Item{Object: object})
@@ -46,7 +46,7 @@
 }
 
 // deltasOf splits the answer of a watch by kind. Every kind watched is known up to its revision.
-func deltasOf(kinds []string, list platform.List) []Delta {
+func deltasOf(kinds []string, list objects.List) []Delta {
 	deltas := make([]Delta, len(kinds))
 	index := map[string]int{}
 	for i, kind := range kinds {
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -9,14 +9,14 @@
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/membership"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 // fakePlatform keeps every change, so that stale reads can be answered as of any revision.
 type fakePlatform struct {
 	mu       sync.Mutex
 	revision int64
-	history  []platform.Object
+	history  []objects.Object
 	down     bool
 	staleAt  int64 // when not 0, reads answer as of this revision
 	calls    int
@@ -35,17 +35,17 @@
 
 func (f *fakePlatform) write(kind, name, value string) (revision int64) {
 	f.set(func() {
-		f.append(platform.Object{Kind: kind, Name: name, Value: []byte(value)})
+		f.append(objects.Object{Kind: kind, Name: name, Value: []byte(value)})
 		revision = f.revision
 	})
 	return revision
 }
 
 func (f *fakePlatform) remove(kind, name string) {
-	f.set(func() { f.append(platform.Object{Kind: kind, Name: name, Deleted: true}) })
+	f.set(func() { f.append(objects.Object{Kind: kind, Name: name, Deleted: true}) })
 }
 
-func (f *fakePlatform) append(object platform.Object) {
+func (f *fakePlatform) append(object objects.Object) {
 	f.revision++
 	object.Revision = f.revision
 	object.UID = "uid-" + object.Name
@@ -53,8 +53,8 @@
 }
 
 // at returns the newest objects of the kind as of revision, deleted ones included.
-func (f *fakePlatform) at(kind string, revision int64) map[string]platform.Object {
-	objects := map[string]platform.Object{}
+func (f *fakePlatform) at(kind string, revision int64) map[string]objects.Object {
+	objects := map[string]objects.Object{}
 	for _, object := range f.history {
 		if object.Kind == kind && object.Revision <= revision {
 			objects[object.Name] = object
@@ -70,14 +70,14 @@
 	return f.revision
 }
 
-func (f *fakePlatform) List(_ context.Context, kind string) (platform.List, error) {
+func (f *fakePlatform) List(_ context.Context, kind string) (objects.List, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
 	if f.down {
-		return platform.List{}, platform.ErrUnavailable
+		return objects.List{}, objects.ErrUnavailable
 	}
-	list := platform.List{Revision: f.readable()}
+	list := objects.List{Revision: f.readable()}
 	for _, object := range f.at(kind, f.readable()) {
 		if !object.Deleted {
 			list.Items = append(list.Items, object)
@@ -86,21 +86,21 @@
 	return list, nil
 }
 
-func (f *fakePlatform) Put(_ context.Context, kind, name string, expected int64, value []byte) (platform.Object, error) {
+func (f *fakePlatform) Put(_ context.Context, kind, name string, expected int64, value []byte) (objects.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
 	if f.down {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	if present := f.at(kind, f.revision)[name].Revision; present != expected {
-		return platform.Object{}, &platform.ConflictError{Expected: expected, Present: present}
+		return objects.Object{}, &objects.ConflictError{Expected: expected, Present: present}
 	}
-	f.append(platform.Object{Kind: kind, Name: name, Value: value})
+	f.append(objects.Object{Kind: kind, Name: name, Value: value})
 	return f.history[len(f.history)-1], nil
 }
 
-func (f *fakePlatform) Watch(ctx context.Context, kinds []string, after int64, wait time.Duration) (platform.List, error) {
+func (f *fakePlatform) Watch(ctx context.Context, kinds []string, after int64, wait time.Duration) (objects.List, error) {
 	f.mu.Lock()
 	f.calls++
 	f.mu.Unlock()
@@ -108,7 +108,7 @@
 	for {
 		f.mu.Lock()
 		down, changed := f.down, f.changed
-		list := platform.List{Revision: max(f.readable(), after)}
+		list := objects.List{Revision: max(f.readable(), after)}
 		for _, kind := range kinds {
 			for _, object := range f.at(kind, f.readable()) {
 				if object.Revision > after {
@@ -118,7 +118,7 @@
 		}
 		f.mu.Unlock()
 		if down {
-			return platform.List{}, platform.ErrUnavailable
+			return objects.List{}, objects.ErrUnavailable
 		}
 		if len(list.Items) > 0 {
 			return list, nil
@@ -128,7 +128,7 @@
 		case <-timeout:
 			return list, nil
 		case <-ctx.Done():
-			return platform.List{}, ctx.Err()
+			return objects.List{}, ctx.Err()
 		}
 	}
 }
--- a/config/ports.go
+++ b/config/ports.go
@@ -6,17 +6,17 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/membership"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 // Platform is the part of the platform's object API that the Manager uses.
 type Platform interface {
 	// List reads all objects of a kind; the answer may be stale.
-	List(ctx context.Context, kind string) (platform.List, error)
+	List(ctx context.Context, kind string) (objects.List, error)
 	// Watch waits until an object of the kinds changed after the revision, or for wait.
-	Watch(ctx context.Context, kinds []string, after int64, wait time.Duration) (platform.List, error)
+	Watch(ctx context.Context, kinds []string, after int64, wait time.Duration) (objects.List, error)
 	// Put writes an object if its present revision is the expected one.
-	Put(ctx context.Context, kind, name string, expected int64, value []byte) (platform.Object, error)
+	Put(ctx context.Context, kind, name string, expected int64, value []byte) (objects.Object, error)
 }
 
 // Peers reads the configuration of other entries.
--- a/config/record.go
+++ b/config/record.go
@@ -5,17 +5,17 @@
 	"reflect"
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 // record is what an entry knows of one object. Records are immutable.
 type record struct {
 	// newest is the newest state seen, accepted or not.
-	newest platform.Object
+	newest objects.Object
 	// findings tell why newest was refused; empty when it was accepted.
 	findings v1.Findings
 	// accepted is the last accepted state and the resource in it; document is nil when none was.
-	accepted platform.Object
+	accepted objects.Object
 	document *v1.Document
 	// specRevision is the revision that brought the accepted spec, as far as this entry saw it.
 	specRevision int64
@@ -32,7 +32,7 @@
 		following.accepted, following.document = r.accepted, r.document
 		following.specRevision = r.specRevision
 	}
-	candidates := []*platform.Object{item.Accepted}
+	candidates := []*objects.Object{item.Accepted}
 	if following.document == nil {
 		candidates = append(candidates, storedAccepted(item.Object))
 	}
@@ -50,7 +50,7 @@
 
 // storedAccepted returns the object with the last accepted spec that its status keeps, nil when it
 // keeps none. It serves entries that start when nobody remembers the last accepted revision.
-func storedAccepted(object platform.Object) *platform.Object {
+func storedAccepted(object objects.Object) *objects.Object {
 	var fields map[string]json.RawMessage
 	var status struct {
 		LastAccepted string `json:"lastAccepted"`
@@ -90,7 +90,7 @@
 	return following
 }
 
-func (r *record) accept(object platform.Object, document *v1.Document, findings v1.Findings) *record {
+func (r *record) accept(object objects.Object, document *v1.Document, findings v1.Findings) *record {
 	following := &record{
 		newest: object, findings: findings,
 		accepted: object, document: document,
@@ -102,7 +102,7 @@
 	return following
 }
 
-func (r *record) sameSpec(object platform.Object, document *v1.Document) bool {
+func (r *record) sameSpec(object objects.Object, document *v1.Document) bool {
 	if r == nil || r.document == nil || r.accepted.UID != object.UID {
 		return false
 	}
@@ -120,7 +120,7 @@
 
 // decodeObject reads and validates a stored object by itself. Findings that concern other
 // resources don't refuse it: the order in which related changes arrive must not matter.
-func decodeObject(object platform.Object) (*v1.Document, v1.Findings) {
+func decodeObject(object objects.Object) (*v1.Document, v1.Findings) {
 	key := v1.ResourceKey{Kind: object.Kind, Name: object.Name}
 	documents, findings := v1.Decode(key.String(), object.Value)
 	if len(findings) == 0 {
--- a/config/store.go
+++ b/config/store.go
@@ -8,7 +8,7 @@
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/internal/defect"
 	"github.com/azurebarrow/azurebarrow/invariant"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 // maxLoggedChanges bounds the changes of a kind that are kept for peers which follow.
@@ -137,7 +137,7 @@
 
 // isNewer tells whether object is newer than all that is known of its name. An absent object of a
 // revision that the kind already reflects was deleted since.
-func (k *kindState) isNewer(known *record, object platform.Object) bool {
+func (k *kindState) isNewer(known *record, object objects.Object) bool {
 	if defect.Enabled(defect.StaleConfiguration) {
 		return known == nil || known.newest.Revision != object.Revision
 	}
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -5,7 +5,7 @@
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/invariant"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 	"pgregory.net/rapid"
 )
 
@@ -71,7 +71,7 @@
 }
 
 func fullDelta(source *fakePlatform) Delta {
-	list := platform.List{Revision: source.revision}
+	list := objects.List{Revision: source.revision}
 	for _, object := range source.at(v1.KindModel, source.revision) {
 		if !object.Deleted {
 			list.Items = append(list.Items, object)
--- a/config/watch.go
+++ b/config/watch.go
@@ -6,7 +6,7 @@
 	"time"
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 const (
@@ -129,7 +129,7 @@
 // register writes this entry's own object. The write is conditional and returns the platform's
 // present revision, which a read need not: reads may be stale.
 func (m *Manager) register(ctx context.Context) error {
-	expected := platform.MustNotExist
+	expected := objects.MustNotExist
 	for {
 		registration := m.options.Registration
 		object, err := m.options.Platform.Put(ctx, KindEntry, registration.Name, expected, registration.encode())
@@ -137,7 +137,7 @@
 			m.registered.Store(object.Revision)
 			return nil
 		}
-		var conflict *platform.ConflictError
+		var conflict *objects.ConflictError
 		if !errors.As(err, &conflict) || conflict.Present == expected {
 			return err
 		}
@@ -206,7 +206,7 @@
 	call, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	list, err := m.options.Platform.Watch(call, v1.Kinds(), after, wait)
-	if errors.Is(err, platform.ErrTooOld) {
+	if errors.Is(err, objects.ErrTooOld) {
 		return true, m.relist(ctx)
 	}
 	if err != nil {
--- a/control/fake_test.go
+++ b/control/fake_test.go
@@ -10,52 +10,52 @@
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/config"
 	"github.com/azurebarrow/azurebarrow/membership"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 // fakeStore is the platform's object API without a network.
 type fakeStore struct {
 	mu       sync.Mutex
 	revision int64
-	objects  map[string]platform.Object
+	objects  map[string]objects.Object
 	// loseAnswers makes that many writes take effect without an answer.
 	loseAnswers int
 	down        bool
 	puts        int
 }
 
-func newFakeStore() *fakeStore { return &fakeStore{objects: map[string]platform.Object{}} }
+func newFakeStore() *fakeStore { return &fakeStore{objects: map[string]objects.Object{}} }
 
-func (f *fakeStore) Get(_ context.Context, kind, name string) (platform.Object, error) {
+func (f *fakeStore) Get(_ context.Context, kind, name string) (objects.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	object, ok := f.objects[kind+"/"+name]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objects.Object{}, objects.ErrNotFound
 	}
 	return object, nil
 }
 
-func (f *fakeStore) Put(_ context.Context, kind, name string, expected int64, value []byte) (platform.Object, error) {
+func (f *fakeStore) Put(_ context.Context, kind, name string, expected int64, value []byte) (objects.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.puts++
 	if f.down {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	present := f.objects[kind+"/"+name].Revision
 	if present != expected {
-		return platform.Object{}, &platform.ConflictError{Kind: kind, Name: name, Expected: expected, Present: present}
+		return objects.Object{}, &objects.ConflictError{Kind: kind, Name: name, Expected: expected, Present: present}
 	}
 	f.revision++
-	object := platform.Object{Kind: kind, Name: name, UID: "u", Revision: f.revision, Value: value}
+	object := objects.Object{Kind: kind, Name: name, UID: "u", Revision: f.revision, Value: value}
 	f.objects[kind+"/"+name] = object
 	if f.loseAnswers > 0 {
 		f.loseAnswers--
-		return platform.Object{}, platform.ErrUnknownOutcome
+		return objects.Object{}, objects.ErrUnknownOutcome
 	}
 	return object, nil
 }
--- a/control/lease.go
+++ b/control/lease.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 const (
@@ -29,9 +29,9 @@
 // Store is the part of the platform's object API that leases and the status writer use.
 type Store interface {
 	// Get reads one object; the answer may be stale.
-	Get(ctx context.Context, kind, name string) (platform.Object, error)
+	Get(ctx context.Context, kind, name string) (objects.Object, error)
 	// Put writes an object if its present revision is the expected one.
-	Put(ctx context.Context, kind, name string, expected int64, value []byte) (platform.Object, error)
+	Put(ctx context.Context, kind, name string, expected int64, value []byte) (objects.Object, error)
 }
 
 // leaseValue is the stored form of a lease.
@@ -169,7 +169,7 @@
 	l.mu.Unlock()
 	sentAt := time.Now()
 	object, err := l.put(ctx, revision)
-	if platform.IsConflict(err) {
+	if objects.IsConflict(err) {
 		// Another holder, or this entry's earlier renewal of which the answer was lost.
 		l.drop()
 		return l.look(ctx)
@@ -193,7 +193,7 @@
 func (l *Lease) look(ctx context.Context) error {
 	now := time.Now()
 	object, err := l.store.Get(ctx, KindLease, l.name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		return err
 	}
 	var value leaseValue
@@ -264,13 +264,13 @@
 	return nil
 }
 
-func (l *Lease) put(ctx context.Context, expected int64) (platform.Object, error) {
+func (l *Lease) put(ctx context.Context, expected int64) (objects.Object, error) {
 	value := leaseValue{Holder: l.holder, Nonce: l.nextNonce(), DurationMs: l.duration.Milliseconds()}
 	sentAt := time.Now()
 	object, err := l.store.Put(ctx, KindLease, l.name, expected, encodeLease(value))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var conflict *platform.ConflictError
+	var conflict *objects.ConflictError
 	switch {
 	case err == nil:
 		l.seen = observation{revision: object.Revision, value: value, since: sentAt}
@@ -278,7 +278,7 @@
 	case errors.As(err, &conflict) && conflict.Present > l.seen.revision:
 		// Somebody wrote meanwhile; the value is unknown, so that it counts as a holder's.
 		l.seen = observation{revision: conflict.Present, value: leaseValue{Holder: "unknown"}, since: time.Now()}
-	case errors.Is(err, platform.ErrUnknownOutcome):
+	case errors.Is(err, objects.ErrUnknownOutcome):
 		l.pending = pendingWrite{nonce: value.Nonce, sentAt: sentAt}
 	}
 	return object, err
--- a/control/status.go
+++ b/control/status.go
@@ -15,7 +15,7 @@
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/config"
 	"github.com/azurebarrow/azurebarrow/membership"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 const (
@@ -219,7 +219,7 @@
 	// After a conflict or a lost answer the watch brings the newest object, and the next Step
 	// compares anew.
 	w.observe(Event{Kind: EventNoStatus, Subject: state.Key.String(), Err: err})
-	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, objects.ErrUnavailable) || errors.Is(err, objects.ErrUnknownOutcome) {
 		w.restUntil = time.Now().Add(statusRest)
 		return false
 	}
--- a/idempotency/cluster_test.go
+++ b/idempotency/cluster_test.go
@@ -13,15 +13,15 @@
 	"github.com/matryer/is"
 
 	"github.com/azurebarrow/azurebarrow/membership"
-	"github.com/azurebarrow/azurebarrow/platform"
-	"github.com/azurebarrow/azurebarrow/platform/budget"
+	"github.com/azurebarrow/azurebarrow/objects"
+	"github.com/azurebarrow/azurebarrow/objects/budget"
 )
 
 // fakeStore is a platform with latency, lost answers and outages.
 type fakeStore struct {
 	mu        sync.Mutex
 	random    *rand.Rand
-	objects   map[string]platform.Object
+	objects   map[string]objects.Object
 	revision  int64
 	latency   time.Duration
 	lostShare float64 // of the writes' answers
@@ -31,7 +31,7 @@
 }
 
 func newFakeStore(seed uint64) *fakeStore {
-	return &fakeStore{random: rand.New(rand.NewPCG(seed, 1)), objects: map[string]platform.Object{}, latency: 3 * time.Millisecond}
+	return &fakeStore{random: rand.New(rand.NewPCG(seed, 1)), objects: map[string]objects.Object{}, latency: 3 * time.Millisecond}
 }
 
 func (s *fakeStore) set(change func(*fakeStore)) {
@@ -54,31 +54,31 @@
 		return errors.New("no answer")
 	}
 	if down {
-		return platform.ErrUnavailable
+		return objects.ErrUnavailable
 	}
 	return nil
 }
 
-func (s *fakeStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *fakeStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
 	if err := s.enter(ctx); err != nil {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	object, ok := s.objects[kind+"/"+name]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objects.Object{}, objects.ErrNotFound
 	}
 	return object, nil
 }
 
-func (s *fakeStore) List(ctx context.Context, kind string) (platform.List, error) {
+func (s *fakeStore) List(ctx context.Context, kind string) (objects.List, error) {
 	if err := s.enter(ctx); err != nil {
-		return platform.List{}, platform.ErrUnavailable
+		return objects.List{}, objects.ErrUnavailable
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var list platform.List
+	var list objects.List
 	for _, object := range s.objects {
 		if object.Kind == kind {
 			list.Items = append(list.Items, object)
@@ -87,22 +87,22 @@
 	return list, nil
 }
 
-func (s *fakeStore) Put(ctx context.Context, kind, name string, expected int64, value []byte) (platform.Object, error) {
+func (s *fakeStore) Put(ctx context.Context, kind, name string, expected int64, value []byte) (objects.Object, error) {
 	if err := s.enter(ctx); err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.puts++
 	present := s.objects[kind+"/"+name].Revision
 	if present != expected {
-		return platform.Object{}, &platform.ConflictError{Kind: kind, Name: name, Expected: expected, Present: present}
+		return objects.Object{}, &objects.ConflictError{Kind: kind, Name: name, Expected: expected, Present: present}
 	}
 	s.revision++
-	object := platform.Object{Kind: kind, Name: name, Revision: s.revision, Value: append([]byte(nil), value...)}
+	object := objects.Object{Kind: kind, Name: name, Revision: s.revision, Value: append([]byte(nil), value...)}
 	s.objects[kind+"/"+name] = object
 	if s.random.Float64() < s.lostShare {
-		return platform.Object{}, platform.ErrUnknownOutcome
+		return objects.Object{}, objects.ErrUnknownOutcome
 	}
 	return object, nil
 }
@@ -111,7 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.objects[kind+"/"+name].Revision != expected {
-		return &platform.ConflictError{Kind: kind, Name: name, Expected: expected}
+		return &objects.ConflictError{Kind: kind, Name: name, Expected: expected}
 	}
 	delete(s.objects, kind+"/"+name)
 	return nil
@@ -354,7 +354,7 @@
 		is.Equal(reply.Verdict, VerdictCorrupt)
 		c.store.set(func(s *fakeStore) { // the head is lost, an archive is left
 			delete(s.objects, KindHead+"/"+HeadName(0))
-			s.objects[KindArchive+"/x"] = platform.Object{Kind: KindArchive, Name: HeadName(0) + "-x", Revision: 1}
+			s.objects[KindArchive+"/x"] = objects.Object{Kind: KindArchive, Name: HeadName(0) + "-x", Revision: 1}
 		})
 		_, reply = claimAt(c, "e1", "k")
 		is.Equal(reply.Verdict, VerdictCorrupt)
@@ -419,12 +419,12 @@
 	cut bool
 }
 
-func (s *cutStore) Put(ctx context.Context, kind, name string, expected int64, value []byte) (platform.Object, error) {
+func (s *cutStore) Put(ctx context.Context, kind, name string, expected int64, value []byte) (objects.Object, error) {
 	s.mu.Lock()
 	cut := s.cut
 	s.mu.Unlock()
 	if cut {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	return s.fakeStore.Put(ctx, kind, name, expected, value)
 }
@@ -492,7 +492,7 @@
 		c.store.set(func(s *fakeStore) {
 			for name, revision := range map[string]int64{"-left-behind": headRevision - 1, "-of-the-next-owner": headRevision + 1} {
 				full := HeadName(0) + name
-				s.objects[KindArchive+"/"+full] = platform.Object{Kind: KindArchive, Name: full, Revision: revision}
+				s.objects[KindArchive+"/"+full] = objects.Object{Kind: KindArchive, Name: full, Revision: revision}
 			}
 		})
 		o := c.ledgers["e0"].owners[0]
--- a/idempotency/commit.go
+++ b/idempotency/commit.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
-	"github.com/azurebarrow/azurebarrow/platform"
-	"github.com/azurebarrow/azurebarrow/platform/budget"
+	"github.com/azurebarrow/azurebarrow/objects"
+	"github.com/azurebarrow/azurebarrow/objects/budget"
 )
 
 // serve loads the shard if need be, decides on the operations and makes the decisions durable.
@@ -77,11 +77,11 @@
 			o.apply(batch, object.Revision)
 			return nil
 		}
-		var conflict *platform.ConflictError
+		var conflict *objects.ConflictError
 		if errors.As(err, &conflict) {
 			return o.resolve(ctx, batch, conflict.Present, operations)
 		}
-		ambiguous = ambiguous || !errors.Is(err, platform.ErrUnavailable)
+		ambiguous = ambiguous || !errors.Is(err, objects.ErrUnavailable)
 		if o.health.Down() {
 			o.refuse(operations, Reply{Verdict: VerdictUnavailable})
 			if !ambiguous {
@@ -96,13 +96,13 @@
 
 // put writes the head once. The time-out grows with the attempts, so that a platform that is only
 // slow gets through in the end.
-func (o *owner) put(ctx context.Context, expected int64, value []byte, attempt int) (platform.Object, error) {
+func (o *owner) put(ctx context.Context, expected int64, value []byte, attempt int) (objects.Object, error) {
 	timeout := min(o.options.WriteTimeout<<min(attempt, 4), maxWriteTimeout)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	start := time.Now()
 	object, err := o.options.Store.Put(ctx, KindHead, HeadName(o.number), expected, value)
-	if err == nil || platform.IsConflict(err) {
+	if err == nil || objects.IsConflict(err) {
 		o.health.Succeeded(time.Since(start))
 	} else {
 		o.health.Failed(time.Since(start), err)
@@ -156,7 +156,7 @@
 
 // readPresent reads the head that a conflict has told of.
 func (o *owner) readPresent(ctx context.Context, expected, present int64) (Head, int64, error) {
-	if present == 0 && expected != platform.MustNotExist {
+	if present == 0 && expected != objects.MustNotExist {
 		cause := errors.New("the head was deleted while it was in use")
 		return Head{}, 0, &ContentError{Kind: KindHead, Name: HeadName(o.number), Cause: cause}
 	}
--- a/idempotency/ledger.go
+++ b/idempotency/ledger.go
@@ -11,7 +11,7 @@
 
 	"github.com/azurebarrow/azurebarrow/internal/defect"
 	"github.com/azurebarrow/azurebarrow/membership"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 // Ledger is an entry's access to the ledger, and its part in serving it.
@@ -244,7 +244,7 @@
 	defer cancel()
 	start := time.Now()
 	_, err := l.options.Store.Get(ctx, KindHead, HeadName(0))
-	if err == nil || errors.Is(err, platform.ErrNotFound) {
+	if err == nil || errors.Is(err, objects.ErrNotFound) {
 		l.health.Succeeded(time.Since(start))
 	}
 }
--- a/idempotency/load.go
+++ b/idempotency/load.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 // ownedElsewhereError tells that another entry owns the shard.
@@ -61,7 +61,7 @@
 
 func (o *owner) load(ctx context.Context) (*Shard, error) {
 	head, revision, err := o.readHead(ctx, o.present)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return o.create(ctx)
 	}
 	if err != nil {
@@ -93,7 +93,7 @@
 	if err := o.confirmShards(ctx); err != nil {
 		return nil, err
 	}
-	return NewShard(platform.MustNotExist, EmptyHead(o.number, o.options.Shards), nil), nil
+	return NewShard(objects.MustNotExist, EmptyHead(o.number, o.options.Shards), nil), nil
 }
 
 // firstShard is the shard whose head must exist before any other one's.
@@ -107,7 +107,7 @@
 		return nil
 	}
 	object, err := o.get(ctx, KindHead, HeadName(firstShard))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		object, err = o.createFirst(ctx)
 	}
 	if err != nil {
@@ -119,15 +119,15 @@
 
 // createFirst writes the empty head of the first shard. A conflict means that another entry was
 // first; the operations that wait are tried again by their callers.
-func (o *owner) createFirst(ctx context.Context) (platform.Object, error) {
+func (o *owner) createFirst(ctx context.Context) (objects.Object, error) {
 	value, err := EmptyHead(firstShard, o.options.Shards).Encode()
 	if err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	object, err := o.options.Store.Put(ctx, KindHead, HeadName(firstShard), platform.MustNotExist, value)
-	if platform.IsConflict(err) {
+	object, err := o.options.Store.Put(ctx, KindHead, HeadName(firstShard), objects.MustNotExist, value)
+	if objects.IsConflict(err) {
 		return o.get(ctx, KindHead, HeadName(firstShard))
 	}
 	return object, err
@@ -185,15 +185,15 @@
 			return Head{}, 0, ctx.Err()
 		}
 	}
-	return Head{}, 0, fmt.Errorf("%w: the platform shows no revision as new as %d", platform.ErrUnavailable, minimum)
+	return Head{}, 0, fmt.Errorf("%w: the platform shows no revision as new as %d", objects.ErrUnavailable, minimum)
 }
 
-func (o *owner) get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (o *owner) get(ctx context.Context, kind, name string) (objects.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	start := time.Now()
 	object, err := o.options.Store.Get(ctx, kind, name)
-	if err == nil || errors.Is(err, platform.ErrNotFound) {
+	if err == nil || errors.Is(err, objects.ErrNotFound) {
 		return object, err
 	}
 	o.health.Failed(time.Since(start), err)
@@ -207,7 +207,7 @@
 	for i, ref := range refs {
 		group.Go(func() error {
 			object, err := o.get(ctx, KindArchive, ref.Name)
-			if errors.Is(err, platform.ErrNotFound) {
+			if errors.Is(err, objects.ErrNotFound) {
 				return fmt.Errorf("%w: %s", errArchiveMissing, ref.Name)
 			}
 			if err != nil {
--- a/idempotency/maintenance.go
+++ b/idempotency/maintenance.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/azurebarrow/azurebarrow/platform"
-	"github.com/azurebarrow/azurebarrow/platform/budget"
+	"github.com/azurebarrow/azurebarrow/objects"
+	"github.com/azurebarrow/azurebarrow/objects/budget"
 )
 
 // maintenance moves records from the head to archives, merges archives and drops expired ones. It
@@ -136,7 +136,7 @@
 }
 
 // delete removes an archive; one that stays is found by the next owner.
-func (m *maintenance) delete(ctx context.Context, o *owner, object platform.Object) {
+func (m *maintenance) delete(ctx context.Context, o *owner, object objects.Object) {
 	if o.options.Budget.Acquire(ctx, budget.Outcomes) != nil {
 		return
 	}
@@ -221,7 +221,7 @@
 			return nil, false
 		}
 		writeCtx, cancel := context.WithTimeout(ctx, archiveTimeout)
-		_, err = o.options.Store.Put(writeCtx, KindArchive, name, platform.MustNotExist, value)
+		_, err = o.options.Store.Put(writeCtx, KindArchive, name, objects.MustNotExist, value)
 		cancel()
 		if err != nil {
 			return nil, false
--- a/idempotency/options.go
+++ b/idempotency/options.go
@@ -5,16 +5,16 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/membership"
-	"github.com/azurebarrow/azurebarrow/platform"
-	"github.com/azurebarrow/azurebarrow/platform/budget"
+	"github.com/azurebarrow/azurebarrow/objects"
+	"github.com/azurebarrow/azurebarrow/objects/budget"
 )
 
 // Store is the port to the platform's object API. An error that is neither a conflict, nor
-// platform.ErrNotFound, nor platform.ErrUnavailable leaves the outcome of a write unknown.
+// objects.ErrNotFound, nor objects.ErrUnavailable leaves the outcome of a write unknown.
 type Store interface {
-	Get(ctx context.Context, kind, name string) (platform.Object, error)
-	List(ctx context.Context, kind string) (platform.List, error)
-	Put(ctx context.Context, kind, name string, expected int64, value []byte) (platform.Object, error)
+	Get(ctx context.Context, kind, name string) (objects.Object, error)
+	List(ctx context.Context, kind string) (objects.List, error)
+	Put(ctx context.Context, kind, name string, expected int64, value []byte) (objects.Object, error)
 	Delete(ctx context.Context, kind, name string, expected int64) error
 }
 
--- a/idempotency/owner.go
+++ b/idempotency/owner.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/azurebarrow/azurebarrow/platform/budget"
+	"github.com/azurebarrow/azurebarrow/objects/budget"
 )
 
 // pendingOperation is an operation and the way back to who asked for it.
--- a/idempotency/segment.go
+++ b/idempotency/segment.go
@@ -7,7 +7,7 @@
 	"io"
 	"time"
 
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 // Kinds of the ledger's objects in the platform.
@@ -166,7 +166,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > objects.MaxValueBytes {
 		return nil, fmt.Errorf("head of shard %d has %d bytes, more than the platform keeps", h.Shard, len(value))
 	}
 	return value, nil
--- a/membership/directory.go
+++ b/membership/directory.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 // KindEntry is the kind of the platform's objects that name the entries.
@@ -13,7 +13,7 @@
 // Objects is the port to the platform's objects.
 type Objects interface {
 	// List returns the objects of a kind.
-	List(ctx context.Context, kind string) (platform.List, error)
+	List(ctx context.Context, kind string) (objects.List, error)
 	// Delete removes an object whose revision is still the expected one.
 	Delete(ctx context.Context, kind, name string, expected int64) error
 }
--- a/node_services.go
+++ b/node_services.go
@@ -15,7 +15,7 @@
 	"github.com/azurebarrow/azurebarrow/adapters/servicehttp"
 	"github.com/azurebarrow/azurebarrow/idempotency"
 	"github.com/azurebarrow/azurebarrow/membership"
-	"github.com/azurebarrow/azurebarrow/platform/budget"
+	"github.com/azurebarrow/azurebarrow/objects/budget"
 	"github.com/azurebarrow/azurebarrow/service"
 )
 
--- a/platform/platform.go
+++ b/objects/objects.go
@@ -1,9 +1,9 @@
-// Package platform holds the types of the platform's object API as the core packages see it.
+// Package objects holds the types of the platform's object API as the core packages see it.
 //
 // The API keeps objects by kind and name. Every write gives the object a new revision, taken from
 // one counter of the whole store; a write is conditional on the revision that the writer has read.
 // The interfaces that use these types live in the packages that consume them.
-package platform
+package objects
 
 import (
 	"encoding/json"
--- a/service/fakes_test.go
+++ b/service/fakes_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/azurebarrow/azurebarrow/idempotency"
 	"github.com/azurebarrow/azurebarrow/membership"
-	"github.com/azurebarrow/azurebarrow/platform"
-	"github.com/azurebarrow/azurebarrow/platform/budget"
+	"github.com/azurebarrow/azurebarrow/objects"
+	"github.com/azurebarrow/azurebarrow/objects/budget"
 )
 
 // memoryStore is a platform that may be down.
@@ -19,38 +19,38 @@
 	mu       sync.Mutex
 	down     bool
 	revision int64
-	objects  map[string]platform.Object
+	objects  map[string]objects.Object
 }
 
-func (s *memoryStore) Get(_ context.Context, kind, name string) (platform.Object, error) {
+func (s *memoryStore) Get(_ context.Context, kind, name string) (objects.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	object, ok := s.objects[kind+name]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objects.Object{}, objects.ErrNotFound
 	}
 	return object, nil
 }
 
-func (s *memoryStore) List(context.Context, string) (platform.List, error) {
-	return platform.List{}, nil
+func (s *memoryStore) List(context.Context, string) (objects.List, error) {
+	return objects.List{}, nil
 }
 
-func (s *memoryStore) Put(_ context.Context, kind, name string, expected int64, value []byte) (platform.Object, error) {
+func (s *memoryStore) Put(_ context.Context, kind, name string, expected int64, value []byte) (objects.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	present := s.objects[kind+name].Revision
 	if present != expected {
-		return platform.Object{}, &platform.ConflictError{Expected: expected, Present: present}
+		return objects.Object{}, &objects.ConflictError{Expected: expected, Present: present}
 	}
 	s.revision++
-	s.objects[kind+name] = platform.Object{Kind: kind, Name: name, Revision: s.revision, Value: value}
+	s.objects[kind+name] = objects.Object{Kind: kind, Name: name, Revision: s.revision, Value: value}
 	return s.objects[kind+name], nil
 }
 
@@ -144,7 +144,7 @@
 func newWorld(t *testing.T, targets fakeDirectory, change func(*Options)) *world {
 	t.Helper()
 	w := &world{
-		store:     &memoryStore{objects: map[string]platform.Object{}},
+		store:     &memoryStore{objects: map[string]objects.Object{}},
 		transport: &fakeTransport{targets: map[string]fakeTarget{}, runs: map[string]int{}},
 	}
 	w.addEntry(targets, change)
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
 	"golang.org/x/time/rate"
 )
@@ -92,7 +92,7 @@
 
 func conditionOf(r *http.Request) (condition, error) {
 	if r.Header.Get("If-None-Match") == "*" {
-		return condition{revision: platform.MustNotExist}, nil
+		return condition{revision: objects.MustNotExist}, nil
 	}
 	match := r.Header.Get("If-Match")
 	if match == "" {
@@ -106,7 +106,7 @@
 }
 
 func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objects.MaxValueBytes))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
@@ -115,14 +115,14 @@
 		http.Error(w, "value is not JSON", http.StatusBadRequest)
 		return
 	}
-	p.write(w, r, func(c condition) (platform.Object, error) { return p.store.put(keyOf(r), value, c) })
+	p.write(w, r, func(c condition) (objects.Object, error) { return p.store.put(keyOf(r), value, c) })
 }
 
 func (p *Platform) serveDelete(w http.ResponseWriter, r *http.Request) {
-	p.write(w, r, func(c condition) (platform.Object, error) { return p.store.remove(keyOf(r), c) })
+	p.write(w, r, func(c condition) (objects.Object, error) { return p.store.remove(keyOf(r), c) })
 }
 
-func (p *Platform) write(w http.ResponseWriter, r *http.Request, apply func(condition) (platform.Object, error)) {
+func (p *Platform) write(w http.ResponseWriter, r *http.Request, apply func(condition) (objects.Object, error)) {
 	wanted, err := conditionOf(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -146,8 +146,8 @@
 	Present int64 `json:"present"`
 }
 
-func (p *Platform) answerWrite(w http.ResponseWriter, object platform.Object, err error) {
-	var conflict *platform.ConflictError
+func (p *Platform) answerWrite(w http.ResponseWriter, object objects.Object, err error) {
+	var conflict *objects.ConflictError
 	switch {
 	case errors.As(err, &conflict):
 		p.count(&p.stats.Conflicts)
@@ -193,7 +193,7 @@
 			return
 		}
 		if len(items) > 0 || ctx.Err() != nil {
-			p.answerWatch(w, platform.List{Revision: max(revision, after), Items: items})
+			p.answerWatch(w, objects.List{Revision: max(revision, after), Items: items})
 			return
 		}
 		select {
@@ -204,13 +204,13 @@
 }
 
 // answerWatch refuses an answer that an outage has overtaken.
-func (p *Platform) answerWatch(w http.ResponseWriter, list platform.List) {
+func (p *Platform) answerWatch(w http.ResponseWriter, list objects.List) {
 	if _, on := p.faults.On(fault.Outage, "/v1/watch"); on {
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return
 	}
 	if list.Items == nil {
-		list.Items = []platform.Object{}
+		list.Items = []objects.Object{}
 	}
 	fault.WriteJSON(w, http.StatusOK, list)
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
 	"golang.org/x/time/rate"
 )
@@ -107,7 +107,7 @@
 }
 
 // Put writes an object unconditionally and without a rate, for set-up.
-func (p *Platform) Put(kind, name string, value json.RawMessage) platform.Object {
+func (p *Platform) Put(kind, name string, value json.RawMessage) objects.Object {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	object, _ := p.store.put(objectKey{kind, name}, value, condition{any: true})
@@ -116,7 +116,7 @@
 }
 
 // Objects returns the objects of a kind, without counting a call.
-func (p *Platform) Objects(kind string) []platform.Object {
+func (p *Platform) Objects(kind string) []objects.Object {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.store.list(kind).Items
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
 	"github.com/matryer/is"
 )
@@ -28,17 +28,17 @@
 	return standin, client{t, server.URL}
 }
 
-func (c client) put(name, header, value string) (int, platform.Object, error) {
+func (c client) put(name, header, value string) (int, objects.Object, error) {
 	request, _ := http.NewRequest(http.MethodPut, c.url+"/v1/objects/Lease/"+name, strings.NewReader(`{"v":1}`))
 	if header != "" {
 		request.Header.Set(header, value)
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return 0, platform.Object{}, err
+		return 0, objects.Object{}, err
 	}
 	defer response.Body.Close()
-	var object platform.Object
+	var object objects.Object
 	_ = json.NewDecoder(response.Body).Decode(&object)
 	return response.StatusCode, object, nil
 }
@@ -76,9 +76,9 @@
 	standin, c := start(t, DefaultOptions())
 	first := standin.Put("Lease", "a", json.RawMessage(`1`))
 	standin.Put("Other", "b", json.RawMessage(`1`))
-	answered := make(chan platform.List)
+	answered := make(chan objects.List)
 	go func() {
-		var list platform.List
+		var list objects.List
 		c.get(fmt.Sprintf("/v1/watch?kinds=Lease&after=%d&timeout=20s", first.Revision), &list)
 		answered <- list
 	}()
@@ -94,7 +94,7 @@
 	for i := range 20 {
 		standin.Put("Lease", fmt.Sprint(i), json.RawMessage(`1`))
 	}
-	is.Equal(c.get("/v1/watch?kinds=Lease&after=1&timeout=1ms", &platform.List{}), http.StatusGone)
+	is.Equal(c.get("/v1/watch?kinds=Lease&after=1&timeout=1ms", &objects.List{}), http.StatusGone)
 }
 
 func TestLostAnswerTakesEffect(t *testing.T) {
@@ -115,9 +115,9 @@
 	status, _, _ = c.put("a", "", "")
 	is.Equal(status, http.StatusTooManyRequests)
 	standin.Apply(fault.Fault{Kind: fault.Outage, For: v1.Duration(time.Hour)})
-	is.Equal(c.get("/v1/objects/Lease", &platform.List{}), http.StatusServiceUnavailable)
+	is.Equal(c.get("/v1/objects/Lease", &objects.List{}), http.StatusServiceUnavailable)
 	standin.Faults().Clear()
-	is.Equal(c.get("/v1/objects/Lease", &platform.List{}), http.StatusOK)
+	is.Equal(c.get("/v1/objects/Lease", &objects.List{}), http.StatusOK)
 	is.Equal(standin.Stats().Puts, int64(2))
 }
 
@@ -127,7 +127,7 @@
 	old := standin.Put("Lease", "a", json.RawMessage(`1`))
 	standin.Apply(fault.Fault{Kind: fault.Stale})
 	standin.Put("Lease", "a", json.RawMessage(`2`))
-	var object platform.Object
+	var object objects.Object
 	is.Equal(c.get("/v1/objects/Lease/a", &object), http.StatusOK)
 	is.Equal(object.Revision, old.Revision)
 	status, written, _ := c.put("a", "If-Match", fmt.Sprint(old.Revision+1))
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strings"
 
-	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/objects"
 )
 
 type objectKey struct{ kind, name string }
@@ -16,31 +16,31 @@
 type store struct {
 	revision int64
 	uids     int64
-	objects  map[objectKey]platform.Object
-	events   []platform.Object
+	objects  map[objectKey]objects.Object
+	events   []objects.Object
 	kept     int
 	// compacted is the revision of the newest change that was forgotten.
 	compacted int64
 }
 
 func newStore(kept int) *store {
-	return &store{objects: map[objectKey]platform.Object{}, kept: kept}
+	return &store{objects: map[objectKey]objects.Object{}, kept: kept}
 }
 
-func (s *store) get(key objectKey) (platform.Object, bool) {
+func (s *store) get(key objectKey) (objects.Object, bool) {
 	object, exists := s.objects[key]
 	return object, exists
 }
 
-func (s *store) list(kind string) platform.List {
-	items := []platform.Object{}
+func (s *store) list(kind string) objects.List {
+	items := []objects.Object{}
 	for key, object := range s.objects {
 		if key.kind == kind {
 			items = append(items, object)
 		}
 	}
-	slices.SortFunc(items, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
-	return platform.List{Revision: s.revision, Items: items}
+	slices.SortFunc(items, func(a, b objects.Object) int { return strings.Compare(a.Name, b.Name) })
+	return objects.List{Revision: s.revision, Items: items}
 }
 
 // condition is what a write demands of the present object.
@@ -55,17 +55,17 @@
 	if c.any || c.revision == present {
 		return nil
 	}
-	return &platform.ConflictError{Kind: key.kind, Name: key.name, Expected: c.revision, Present: present}
+	return &objects.ConflictError{Kind: key.kind, Name: key.name, Expected: c.revision, Present: present}
 }
 
-func (s *store) put(key objectKey, value json.RawMessage, c condition) (platform.Object, error) {
+func (s *store) put(key objectKey, value json.RawMessage, c condition) (objects.Object, error) {
 	if err := s.check(key, c); err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	object, exists := s.objects[key]
 	if !exists {
 		s.uids++
-		object = platform.Object{Kind: key.kind, Name: key.name, UID: fmt.Sprintf("uid-%d", s.uids)}
+		object = objects.Object{Kind: key.kind, Name: key.name, UID: fmt.Sprintf("uid-%d", s.uids)}
 	}
 	s.revision++
 	object.Revision = s.revision
@@ -75,13 +75,13 @@
 	return object, nil
 }
 
-func (s *store) remove(key objectKey, c condition) (platform.Object, error) {
+func (s *store) remove(key objectKey, c condition) (objects.Object, error) {
 	object, exists := s.objects[key]
 	if !exists {
-		return object, platform.ErrNotFound
+		return object, objects.ErrNotFound
 	}
 	if err := s.check(key, c); err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	s.revision++
 	object.Revision = s.revision
@@ -91,7 +91,7 @@
 	return object, nil
 }
 
-func (s *store) record(object platform.Object) {
+func (s *store) record(object objects.Object) {
 	s.events = append(s.events, object)
 	if s.kept > 0 && len(s.events) > s.kept {
 		dropped := len(s.events) - s.kept/2
@@ -101,18 +101,18 @@
 }
 
 // after returns the last change of each object of the kinds since a revision.
-func (s *store) after(revision int64, kinds []string) []platform.Object {
-	start, _ := slices.BinarySearchFunc(s.events, revision+1, func(object platform.Object, wanted int64) int {
+func (s *store) after(revision int64, kinds []string) []objects.Object {
+	start, _ := slices.BinarySearchFunc(s.events, revision+1, func(object objects.Object, wanted int64) int {
 		return int(object.Revision - wanted)
 	})
-	last := map[objectKey]platform.Object{}
+	last := map[objectKey]objects.Object{}
 	for _, object := range s.events[start:] {
 		if slices.Contains(kinds, object.Kind) {
 			last[objectKey{object.Kind, object.Name}] = object
 		}
 	}
 	items := slices.Collect(maps.Values(last))
-	slices.SortFunc(items, func(a, b platform.Object) int { return int(a.Revision - b.Revision) })
+	slices.SortFunc(items, func(a, b objects.Object) int { return int(a.Revision - b.Revision) })
 	return items
 }
 
