--- a/metrics.go
+++ b/adapters/metrics/metrics.go
@@ -1,4 +1,5 @@
-package azurebarrow
+// Package metrics holds an entry's metrics and the endpoint that shows them.
+package metrics
 
 import (
 	"context"
@@ -14,9 +15,9 @@
 // metricsInterval is how often values are read and tally reports its scopes.
 const metricsInterval = time.Second
 
-// metrics holds the entry's metrics and the endpoint that shows them. Values are read from the parts
+// Set holds the metrics and the endpoint that shows them. Values are read from the parts
 // that own them, so that the hot paths know nothing of metrics.
-type metrics struct {
+type Set struct {
 	scope    tally.Scope
 	closer   io.Closer
 	reporter prometheus.Reporter
@@ -37,7 +38,8 @@
 	read   func() float64
 }
 
-func newMetrics() *metrics {
+// New returns a set without metrics.
+func New() *Set {
 	// A registry of its own lets several entries run in one process.
 	registry := prom.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
@@ -48,21 +50,21 @@
 		// Tally's own metrics have dots in their names, which Prometheus refuses.
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, metricsInterval)
-	return &metrics{scope: scope, closer: closer, reporter: reporter}
+	return &Set{scope: scope, closer: closer, reporter: reporter}
 }
 
-// count shows a value that only grows. Call it before run.
-func (m *metrics) count(name string, read func() int64) {
+// Count shows a value that only grows. Call it before Run.
+func (m *Set) Count(name string, read func() int64) {
 	m.counters = append(m.counters, counter{metric: m.scope.Counter(name), read: read})
 }
 
-// show shows a value that goes up and down. Call it before run.
-func (m *metrics) show(name string, read func() float64) {
+// Show shows a value that goes up and down. Call it before Run.
+func (m *Set) Show(name string, read func() float64) {
 	m.gauges = append(m.gauges, gauge{metric: m.scope.Gauge(name), read: read})
 }
 
-// run reads every value at each interval until ctx ends.
-func (m *metrics) run(ctx context.Context) error {
+// Run reads every value at each interval until ctx ends.
+func (m *Set) Run(ctx context.Context) error {
 	defer m.closer.Close()
 	ticker := time.NewTicker(metricsInterval)
 	defer ticker.Stop()
@@ -76,7 +78,7 @@
 	}
 }
 
-func (m *metrics) update() {
+func (m *Set) update() {
 	for i := range m.counters {
 		counter := &m.counters[i]
 		value := counter.read()
@@ -88,4 +90,10 @@
 	}
 }
 
-func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
+// Histogram returns a histogram of durations. Call it before Run.
+func (m *Set) Histogram(name string, buckets tally.DurationBuckets) tally.Histogram {
+	return m.scope.Histogram(name, buckets)
+}
+
+// Handler serves the metrics as text.
+func (m *Set) Handler() http.Handler { return m.reporter.HTTPHandler() }
--- /dev/null
+++ b/adapters/passthrough/handler.go
@@ -0,0 +1,389 @@
+// Package passthrough serves callers whose requests and answers are opaque bytes. It finds the route
+// and the customer, reads the request, hands it to the relay of streams or the forwarder of plain
+// calls, and writes what they return. What may be repeated and where it goes is decided there.
+package passthrough
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
+	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/service"
+)
+
+// Options are the parts that a Handler uses.
+type Options struct {
+	Snapshot  func() *directory.Snapshot
+	Relay     *generation.Relay
+	Forwarder *service.Forwarder
+	// Draining tells that the entry is about to stop: callers are asked to close their connections.
+	Draining func() bool
+	// Accepting tells whether new work may begin; it may not in the last part of a shutdown.
+	Accepting func() bool
+	// Log receives one event for each decision about a request.
+	Log func(event string, fields ...generation.Field)
+	// Observe is told of each answered request.
+	Observe func(Observation)
+}
+
+// Observation is what became of one request.
+type Observation struct {
+	Class  directory.Class
+	Status int
+	Took   time.Duration
+}
+
+// Handler serves callers. It implements http.Handler.
+type Handler struct{ options Options }
+
+// NewHandler returns a Handler.
+func NewHandler(options Options) *Handler { return &Handler{options: options} }
+
+const (
+	// defaultWait bounds requests of callers that don't say how long they wait.
+	defaultWait = 30 * time.Second
+	// bodyTimeout bounds the reading of a body from a caller that sends nothing more.
+	bodyTimeout = 5 * time.Second
+	// defaultBodyBytes bounds bodies while the configuration sets no limit.
+	defaultBodyBytes = 4 << 20
+	// startRetryAfter is when a caller may come back to an entry that has just started: it needs a
+	// few round trips to the store.
+	startRetryAfter = 300 * time.Millisecond
+)
+
+// request is one request of a caller on its way.
+type request struct {
+	handler  *Handler
+	header   platform.CallerHeader
+	http     *http.Request
+	writer   http.ResponseWriter
+	arrived  time.Time
+	deadline time.Time
+	route    *directory.Route
+	service  string
+	customer string
+	snapshot *directory.Snapshot
+	body     []byte
+	status   int
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	call := &request{
+		handler: h, http: r, writer: w, arrived: time.Now(),
+		header: platform.DecodeCallerHeader(r.Header), snapshot: h.options.Snapshot(),
+	}
+	if h.options.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	// Answers carry what the target sent, and nothing that net/http would add.
+	w.Header()["Date"] = nil
+	w.Header()["Content-Type"] = nil
+	if refusal := call.admit(); refusal != nil {
+		call.refuse(refusal)
+		return
+	}
+	if call.route.Class == directory.Stream {
+		call.relay()
+		return
+	}
+	call.forward()
+}
+
+// refusal is an answer of this entry's own.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+}
+
+// admit checks the request and reads its body; nil if it may go on.
+func (c *request) admit() *refusal {
+	if !c.snapshot.Ready() {
+		return &refusal{http.StatusServiceUnavailable, "no configuration or targets known yet", startRetryAfter}
+	}
+	if !c.handler.options.Accepting() {
+		return &refusal{http.StatusServiceUnavailable, "entry is stopping", startRetryAfter}
+	}
+	configuration := c.snapshot.Configuration
+	c.route = configuration.Match(hostOf(c.http.Host), pathOf(c.http))
+	if c.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: "no route"}
+	}
+	if configuration.NeedsKeys && !c.route.Public {
+		customer, known := configuration.Customers[c.header.Key]
+		if !known {
+			return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
+		}
+		c.customer = customer.Name
+	}
+	wait := c.header.Left
+	if wait == 0 {
+		wait = defaultWait
+	}
+	if c.route.Timeout > 0 {
+		wait = min(wait, c.route.Timeout)
+	}
+	c.deadline = c.arrived.Add(wait)
+	c.service = c.route.PickService(rand.Float64())
+	return c.readBody(configuration.Limits.BodyBytes)
+}
+
+func hostOf(host string) string {
+	name, _, err := net.SplitHostPort(host)
+	if err != nil {
+		return host
+	}
+	return name
+}
+
+// pathOf returns the path as the caller sent it.
+func pathOf(r *http.Request) string {
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return r.URL.EscapedPath()
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
+func (c *request) readBody(limit int64) *refusal {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if c.http.ContentLength == 0 {
+		return nil
+	}
+	control := http.NewResponseController(c.writer)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // without one the server's own bounds hold
+	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.http.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body larger than " + strconv.FormatInt(limit, 10)}
+	case err != nil:
+		return &refusal{status: http.StatusBadRequest, reason: "body: " + err.Error()}
+	}
+	c.body = body
+	return nil
+}
+
+// refuse writes an answer of this entry's own.
+func (c *request) refuse(r *refusal) {
+	if r.retryAfter > 0 {
+		seconds := strconv.FormatFloat(r.retryAfter.Seconds(), 'f', -1, 64)
+		c.writer.Header().Set("Retry-After", seconds)
+	}
+	c.writer.Header().Set("Content-Length", "0")
+	c.writer.WriteHeader(r.status)
+	c.ended(r.status, r.reason)
+}
+
+// ended logs and observes the end of the request.
+func (c *request) ended(status int, reason string) {
+	took := time.Since(c.arrived)
+	fields := []generation.Field{
+		{Key: "request", Value: c.header.RequestID}, {Key: "status", Value: status}, {Key: "reason", Value: reason},
+		{Key: "took", Value: took}, {Key: "left_at_arrival", Value: c.header.Left},
+	}
+	if c.snapshot.Ready() {
+		fields = append(fields, generation.Field{Key: "configuration", Value: c.snapshot.Configuration.Version},
+			generation.Field{Key: "targets_revision", Value: c.snapshot.TargetsRevision})
+	}
+	class := directory.AtMostOnce
+	if c.route != nil {
+		class = c.route.Class
+		fields = append(fields, generation.Field{Key: "route", Value: c.route.Name}, generation.Field{Key: "service", Value: c.service})
+	}
+	c.handler.options.Log("request-ended", fields...)
+	c.handler.options.Observe(Observation{Class: class, Status: status, Took: took})
+}
+
+// abort breaks the caller's connection off, so that what it got does not look complete.
+func (c *request) abort(reason string) {
+	c.ended(0, reason)
+	panic(http.ErrAbortHandler)
+}
+
+// outgoing is the request as it goes to targets. It is the payload of relays and forwards.
+type outgoing struct {
+	call *request
+}
+
+// encode returns the request for one send.
+func (o *outgoing) encode(header platform.TargetHeader) *targethttp.Request {
+	header.Customer = o.call.customer
+	r := o.call.http
+	uri := r.RequestURI
+	if !strings.HasPrefix(uri, "/") {
+		uri = r.URL.RequestURI()
+	}
+	return &targethttp.Request{
+		Method:   r.Method,
+		URI:      uri,
+		Host:     r.Host,
+		Header:   header.Encode(r.Header),
+		Body:     o.call.body,
+		Framed:   r.ContentLength != 0 || r.Header.Get("Content-Length") != "",
+		IDHeader: platform.RequestIDHeader,
+		ID:       o.call.header.RequestID,
+	}
+}
+
+// answer is a target's answer with its whole body.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// write passes an answer on.
+func (c *request) write(a *answer) {
+	c.copyHeader(a.header)
+	c.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	if length := a.header.Get("Content-Length"); c.http.Method == http.MethodHead && length != "" {
+		c.writer.Header().Set("Content-Length", length)
+	}
+	c.writer.WriteHeader(a.status)
+	if _, err := c.writer.Write(a.body); err != nil && c.http.Method != http.MethodHead {
+		c.abort("caller can't be written to: " + err.Error())
+	}
+	c.ended(a.status, "answer of the target")
+}
+
+func (c *request) copyHeader(header http.Header) {
+	into := c.writer.Header()
+	for name, values := range platform.CallerAnswerHeader(header) {
+		into[name] = values
+	}
+}
+
+// forward passes a plain call on.
+func (c *request) forward() {
+	result, err := c.handler.options.Forwarder.Do(c.http.Context(), &service.Forward{
+		ID:          c.header.RequestID,
+		Service:     c.service,
+		Repeatable:  c.route.Repeatable(),
+		MaxAttempts: c.route.MaxAttempts,
+		Deadline:    c.deadline,
+		Objective:   c.route.LatencyObjective,
+		Payload:     &outgoing{call: c},
+	})
+	var notRun *service.NotRunError
+	switch {
+	case err == nil:
+		c.write(result.(*answer))
+	case errors.As(err, &notRun):
+		c.refuse(&refusal{http.StatusServiceUnavailable, notRun.Error(), notRun.RetryAfter})
+	case errors.Is(err, context.Canceled):
+		c.abort("caller gone")
+	case errors.Is(err, context.DeadlineExceeded):
+		c.refuse(&refusal{status: http.StatusGatewayTimeout, reason: err.Error()})
+	default:
+		c.refuse(&refusal{status: http.StatusBadGateway, reason: err.Error()})
+	}
+}
+
+// relay passes a stream on.
+func (c *request) relay() {
+	lastEvent := int64(-1)
+	if id, err := strconv.ParseInt(c.header.LastEvent, 10, 64); err == nil {
+		lastEvent = id
+	}
+	affinity := ""
+	if parts := c.header.Prompt; len(parts) > 0 {
+		affinity = parts[len(parts)-1].ID
+	}
+	sink := &sink{call: c, control: http.NewResponseController(c.writer)}
+	err := c.handler.options.Relay.Run(c.http.Context(), &generation.RelayRequest{
+		ID:                  c.header.RequestID,
+		Fingerprint:         c.fingerprint(),
+		Service:             c.service,
+		Spec:                c.snapshot.Configuration.Services[c.service].Engine,
+		PromptTokens:        c.header.PromptTokens,
+		OutputTokens:        c.header.OutputTokens,
+		Affinity:            affinity,
+		LastEvent:           lastEvent,
+		Deadline:            c.deadline,
+		FirstEventObjective: c.route.LatencyObjective,
+		GapObjective:        c.route.GapObjective,
+		MaxAttempts:         c.route.MaxAttempts,
+		Resumable:           c.route.Resumable,
+		Payload:             &outgoing{call: c},
+	}, sink)
+	if err == nil {
+		c.ended(sink.status, "stream complete")
+		return
+	}
+	if sink.status != 0 || errors.Is(err, generation.ErrCallerGone) {
+		c.abort(err.Error())
+	}
+	c.refuseStream(err)
+}
+
+// refuseStream answers a stream of which the caller has nothing.
+func (c *request) refuseStream(err error) {
+	var answered *generation.RelayAnswerError
+	var givenUp *generation.GivenUpError
+	var poison *generation.PoisonError
+	switch {
+	case errors.As(err, &answered):
+		c.write(answered.Answer.(*answer))
+	case errors.As(err, &givenUp) && !givenUp.Started:
+		c.refuse(&refusal{http.StatusServiceUnavailable, givenUp.Cause.Error(), givenUp.RetryAfter})
+	case errors.As(err, &poison):
+		c.refuse(&refusal{status: http.StatusBadGateway, reason: err.Error()})
+	case errors.Is(err, generation.ErrRelayDeadline):
+		c.refuse(&refusal{status: http.StatusGatewayTimeout, reason: err.Error()})
+	default:
+		c.refuse(&refusal{status: http.StatusBadGateway, reason: err.Error()})
+	}
+}
+
+// fingerprint identifies what runs: path, caller and body.
+func (c *request) fingerprint() string {
+	sum := sha256.New()
+	for _, part := range []string{c.http.Method, c.http.RequestURI, c.customer, string(c.body)} {
+		_, _ = sum.Write([]byte(strconv.Itoa(len(part)) + ":" + part)) // never fails
+	}
+	return hex.EncodeToString(sum.Sum(nil))
+}
+
+// sink writes a stream to its caller. It implements generation.RelaySink.
+type sink struct {
+	call    *request
+	control *http.ResponseController
+	status  int
+}
+
+// Begin implements generation.RelaySink.
+func (s *sink) Begin(head any) error {
+	first := head.(*answer)
+	s.call.copyHeader(first.header)
+	s.status = first.status
+	if err := s.control.SetWriteDeadline(s.call.deadline); err != nil {
+		return err
+	}
+	s.call.writer.WriteHeader(first.status)
+	return nil
+}
+
+// Event implements generation.RelaySink.
+func (s *sink) Event(event generation.RelayEvent) error {
+	if _, err := s.call.writer.Write(event.Bytes); err != nil {
+		return err
+	}
+	return s.control.Flush()
+}
--- /dev/null
+++ b/adapters/passthrough/targets.go
@@ -0,0 +1,176 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
+	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/service"
+)
+
+// Targets sends opaque requests to targets. It implements generation.RelayEngine and service.Sender.
+type Targets struct {
+	pool     *targethttp.Pool
+	snapshot func() *directory.Snapshot
+}
+
+// NewTargets returns the ports to the targets.
+func NewTargets(pool *targethttp.Pool, snapshot func() *directory.Snapshot) *Targets {
+	return &Targets{pool: pool, snapshot: snapshot}
+}
+
+// PoolKey names a target's incarnation among the connections.
+func PoolKey(target *directory.Target) string { return target.ID + "@" + target.Address }
+
+const (
+	// maxAnswerBytes bounds an answer that is read as a whole.
+	maxAnswerBytes = 16 << 20
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 256 << 10
+	// noLastEvent leaves the caller's own last event in the header.
+	noLastEvent = -1
+)
+
+var (
+	errUnsigned    = errors.New("the answer is not a target's")
+	errTooLarge    = errors.New("the answer is larger than the bound")
+	errNotRun      = errors.New("target did not run the request")
+	errMisdirected = errors.New("another target has the address")
+)
+
+// Reach implements generation.RelayEngine.
+func (t *Targets) Reach(ctx context.Context, target *directory.Target) error {
+	return t.pool.Reach(ctx, PoolKey(target), target.Address)
+}
+
+// Open implements generation.RelayEngine.
+func (t *Targets) Open(ctx context.Context, attempt generation.RelayAttempt) (generation.RelayStream, error) {
+	header := platform.TargetHeader{Instance: attempt.Target.ID, Left: attempt.Left}
+	if attempt.LastEvent != noLastEvent {
+		header.LastEvent = strconv.FormatInt(attempt.LastEvent, 10)
+	}
+	if attempt.Backup != nil {
+		header.Backup = attempt.Backup.Address
+	}
+	if attempt.Copy != nil {
+		header.CopyHolder, header.CopyRun = attempt.Copy.Address, attempt.Request.ID
+	}
+	request := attempt.Request.Payload.(*outgoing).encode(header)
+	received, err := t.pool.Do(ctx, PoolKey(attempt.Target), attempt.Target.Address, request)
+	if err != nil {
+		var notSent *targethttp.NotSentError
+		if errors.As(err, &notSent) {
+			return nil, &generation.RelayRefusedError{Unreachable: ctx.Err() == nil, Cause: err}
+		}
+		return nil, err
+	}
+	switch platform.JudgeAnswer(received.Status, received.Header) {
+	case platform.Succeeded:
+		return newStream(received), nil
+	case platform.NotRun:
+		received.Close()
+		return nil, &generation.RelayRefusedError{Cause: errNotRun}
+	case platform.Misdirected:
+		received.Close()
+		return nil, &generation.RelayRefusedError{Misdirected: true, Cause: errMisdirected}
+	case platform.Failed:
+		whole, err := readAnswer(received)
+		if err != nil {
+			return nil, err
+		}
+		return nil, &generation.RelayAnswerError{Answer: whole, Status: whole.status}
+	}
+	received.Close()
+	return nil, errUnsigned
+}
+
+// readAnswer reads an answer to its end.
+func readAnswer(received *targethttp.Answer) (*answer, error) {
+	defer received.Close()
+	body, err := io.ReadAll(io.LimitReader(received.Body, maxAnswerBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, errTooLarge
+	}
+	return &answer{status: received.Status, header: received.Header, body: body}, nil
+}
+
+// Send implements service.Sender.
+func (t *Targets) Send(ctx context.Context, target service.Target, call *service.Forward) service.Sent {
+	header := platform.TargetHeader{Instance: target.Name, Left: time.Until(call.Deadline)}
+	request := call.Payload.(*outgoing).encode(header)
+	received, err := t.pool.Do(ctx, target.Name+"@"+target.Address, target.Address, request)
+	if err != nil {
+		var notSent *targethttp.NotSentError
+		if errors.As(err, &notSent) {
+			return service.Sent{Verdict: service.SendNotRun, Err: err}
+		}
+		return service.Sent{Verdict: service.SendUnknown, Err: err}
+	}
+	verdict := platform.JudgeAnswer(received.Status, received.Header)
+	switch verdict {
+	case platform.NotRun:
+		received.Close()
+		return service.Sent{Verdict: service.SendNotRun, Err: errNotRun}
+	case platform.Misdirected:
+		received.Close()
+		return service.Sent{Verdict: service.SendMisdirected, Err: errMisdirected}
+	case platform.Unsigned:
+		received.Close()
+		return service.Sent{Verdict: service.SendUnknown, Err: errUnsigned}
+	}
+	whole, err := readAnswer(received)
+	if err != nil {
+		return service.Sent{Verdict: service.SendUnknown, Err: err}
+	}
+	if verdict == platform.Failed {
+		return service.Sent{Verdict: service.SendFailed, Answer: whole}
+	}
+	return service.Sent{Verdict: service.SendAnswered, Answer: whole}
+}
+
+// stream reads the events of an answer. It implements generation.RelayStream.
+type stream struct {
+	received *targethttp.Answer
+	scanner  *eventScanner
+}
+
+func newStream(received *targethttp.Answer) *stream {
+	return &stream{received: received, scanner: newEventScanner(received.Body)}
+}
+
+// Head implements generation.RelayStream.
+func (s *stream) Head() any { return &answer{status: s.received.Status, header: s.received.Header} }
+
+// Next implements generation.RelayStream.
+func (s *stream) Next() (generation.RelayEvent, error) {
+	event, err := s.scanner.next()
+	if err == nil {
+		return event, nil
+	}
+	if err == io.EOF {
+		s.received.Close()
+	}
+	return generation.RelayEvent{}, err
+}
+
+// Close implements generation.RelayStream.
+func (s *stream) Close() { s.received.Close() }
+
+// Targets implements service.Directory.
+func (t *Targets) Targets(name string) []service.Target {
+	open := t.snapshot().Open(name)
+	targets := make([]service.Target, 0, len(open))
+	for _, target := range open {
+		targets = append(targets, service.Target{Name: target.ID, Address: target.Address, Concurrency: target.Slots})
+	}
+	return targets
+}
--- /dev/null
+++ b/adapters/targethttp/pool.go
@@ -0,0 +1,213 @@
+// Package targethttp keeps HTTP/1.1 connections to targets and sends requests over them, each once.
+//
+// It reports whether a byte of a request may have left, never repeats one, and matches answers to
+// requests by their ID: a target may send a second answer late, where the next one is expected.
+package targethttp
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Options are the settings of a Pool. Zero values take the defaults.
+type Options struct {
+	// DialTimeout bounds the connecting to a target.
+	DialTimeout time.Duration
+	// IdleTimeout is how long an idle connection is kept when the target does not say.
+	IdleTimeout time.Duration
+	// IdlePerTarget is the number of idle connections kept to a target.
+	IdlePerTarget int
+}
+
+// Defaults of Options.
+const (
+	// DefaultDialTimeout is many round trips of a region; a lost packet costs a try elsewhere.
+	DefaultDialTimeout   = 200 * time.Millisecond
+	DefaultIdleTimeout   = 4 * time.Second
+	DefaultIdlePerTarget = 8
+)
+
+// Probes of the operating system on connections to targets.
+const (
+	keepAlive       = time.Second
+	keepAliveProbes = 2
+)
+
+// NotSentError proves that no byte of a request has left this process.
+type NotSentError struct{ Cause error }
+
+// Error implements error.
+func (e *NotSentError) Error() string { return fmt.Sprintf("request not sent: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// Pool keeps idle connections by target. It is safe for concurrent use.
+type Pool struct {
+	options Options
+	dialer  net.Dialer
+
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	dialed int64
+}
+
+// NewPool returns a pool without connections.
+func NewPool(options Options) *Pool {
+	if options.DialTimeout == 0 {
+		options.DialTimeout = DefaultDialTimeout
+	}
+	if options.IdleTimeout == 0 {
+		options.IdleTimeout = DefaultIdleTimeout
+	}
+	if options.IdlePerTarget == 0 {
+		options.IdlePerTarget = DefaultIdlePerTarget
+	}
+	return &Pool{
+		options: options,
+		dialer: net.Dialer{
+			Timeout: options.DialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveProbes,
+			},
+		},
+		idle: map[string][]*conn{},
+	}
+}
+
+// conn is a connection that carries one request at a time.
+type conn struct {
+	net.Conn
+	key    string
+	reader *bufio.Reader
+	// expires is when the idle connection is not used any more.
+	expires time.Time
+}
+
+// readerBytes holds a few events of a stream.
+const readerBytes = 4 << 10
+
+// Dialed returns the number of connections opened since the start.
+func (p *Pool) Dialed() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialed
+}
+
+// Reach opens a connection to the target and keeps it for a later request. It fails if the target
+// does not accept one in time.
+func (p *Pool) Reach(ctx context.Context, key, address string) error {
+	c, err := p.dial(ctx, key, address)
+	if err != nil {
+		return err
+	}
+	c.expires = time.Now().Add(p.options.IdleTimeout)
+	p.put(c)
+	return nil
+}
+
+// get returns an idle connection or a new one. The key names the target's incarnation.
+func (p *Pool) get(ctx context.Context, key, address string) (*conn, error) {
+	for {
+		c := p.takeIdle(key)
+		if c == nil {
+			return p.dial(ctx, key, address)
+		}
+		if time.Now().Before(c.expires) && c.quiet() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) takeIdle(key string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[key]
+	if len(conns) == 0 {
+		delete(p.idle, key)
+		return nil
+	}
+	last := conns[len(conns)-1]
+	p.idle[key] = conns[:len(conns)-1]
+	return last
+}
+
+func (p *Pool) dial(ctx context.Context, key, address string) (*conn, error) {
+	opened, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	p.dialed++
+	p.mu.Unlock()
+	return &conn{Conn: opened, key: key, reader: bufio.NewReaderSize(opened, readerBytes)}, nil
+}
+
+// put keeps a connection for the next request.
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.key]) >= p.options.IdlePerTarget {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.key] = append(p.idle[c.key], c)
+}
+
+// Sweep closes connections that have been idle for too long, and those of targets that keep does
+// not name.
+func (p *Pool) Sweep(keep func(key string) bool) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
+			if now.Before(c.expires) && keep(key) {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
+		}
+		p.idle[key] = kept
+		if len(kept) == 0 {
+			delete(p.idle, key)
+		}
+	}
+}
+
+// Forget closes the idle connections to a target that was lost.
+func (p *Pool) Forget(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[key] {
+		_ = c.Close()
+	}
+	delete(p.idle, key)
+}
+
+// quiet tells whether the idle connection is open and has sent nothing. Bytes that came unasked
+// belong to no request.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, err := syscall.Read(int(fd), one[:])
+		open = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && open
+}
--- a/admin.go
+++ b/admin.go
@@ -11,7 +11,7 @@
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", n.serveReady)
 	mux.HandleFunc("GET /burn", n.serveBurn)
-	mux.Handle("GET /metrics", n.metrics.handler())
+	mux.Handle("GET /metrics", n.metrics.Handler())
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return mux
--- /dev/null
+++ b/admission/sharedretry.go
@@ -0,0 +1,109 @@
+package admission
+
+import (
+	"sync"
+	"time"
+)
+
+// SharedRetryLimits bound the sends beyond the first of all entries together.
+type SharedRetryLimits struct {
+	// Ratio is the part of a service's requests that may be sent again within a window.
+	Ratio float64
+	// Slack is the number of such sends that is always allowed within a window.
+	Slack float64
+	// Window is the span over which both count.
+	Window time.Duration
+}
+
+const (
+	// retryBuckets divide a window; the oldest one still counts as a whole.
+	retryBuckets = 10
+	// ratioMargin is the part of the ratio that an entry uses: requests and sends fall into
+	// different windows, and some retries are seen by the target only.
+	ratioMargin = 0.6
+	// slackMargin is the same for the slack.
+	slackMargin = 0.7
+)
+
+// SharedRetries keeps this entry's part of the retry budget of each service without asking the
+// others: a share of its own requests, and its even part of the slack. It is safe for concurrent use.
+type SharedRetries struct {
+	limits  SharedRetryLimits
+	entries func() int
+	now     func() time.Time
+
+	mu       sync.Mutex
+	services map[string]*retryWindow
+}
+
+// NewSharedRetries returns an unused budget. entries returns the number of entries that share the
+// slack, or a bound above it; now is the clock, nil means time.Now.
+func NewSharedRetries(limits SharedRetryLimits, entries func() int, now func() time.Time) *SharedRetries {
+	if now == nil {
+		now = time.Now
+	}
+	return &SharedRetries{limits: limits, entries: entries, now: now, services: map[string]*retryWindow{}}
+}
+
+// Earn counts a request for a service.
+func (s *SharedRetries) Earn(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.window(service).at(s.now()).requests++
+}
+
+// Spend takes a send beyond the first; false when there is none left.
+func (s *SharedRetries) Spend(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	window := s.window(service)
+	bucket := window.at(s.now())
+	requests, sends := window.sums()
+	slack := s.limits.Slack * slackMargin / float64(max(1, s.entries()))
+	if float64(sends+1) > ratioMargin*s.limits.Ratio*float64(requests)+max(1, slack) {
+		return false
+	}
+	bucket.sends++
+	return true
+}
+
+func (s *SharedRetries) window(service string) *retryWindow {
+	window := s.services[service]
+	if window == nil {
+		window = &retryWindow{step: s.limits.Window / retryBuckets}
+		s.services[service] = window
+	}
+	return window
+}
+
+// retryWindow counts requests and sends in a ring of buckets.
+type retryWindow struct {
+	step    time.Duration
+	buckets [retryBuckets + 1]retryBucket
+	current int64
+}
+
+type retryBucket struct{ requests, sends int }
+
+// at advances the ring and returns the bucket of now.
+func (w *retryWindow) at(now time.Time) *retryBucket {
+	step := now.UnixNano() / int64(max(1, w.step))
+	for w.current < step {
+		if step-w.current > int64(len(w.buckets)) {
+			w.buckets = [retryBuckets + 1]retryBucket{}
+			w.current = step
+			break
+		}
+		w.current++
+		w.buckets[w.current%int64(len(w.buckets))] = retryBucket{}
+	}
+	return &w.buckets[w.current%int64(len(w.buckets))]
+}
+
+func (w *retryWindow) sums() (requests, sends int) {
+	for _, bucket := range w.buckets {
+		requests += bucket.requests
+		sends += bucket.sends
+	}
+	return requests, sends
+}
--- a/azurebarrow.go
+++ b/azurebarrow.go
@@ -14,6 +14,7 @@
 
 	"github.com/azurebarrow/azurebarrow/adapters/callerhttp"
 	"github.com/azurebarrow/azurebarrow/adapters/enginestatus"
+	"github.com/azurebarrow/azurebarrow/adapters/metrics"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/peermembership"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/peerquota"
@@ -42,7 +43,7 @@
 	settings settings.Settings
 	options  Options
 	log      *logrus.Entry
-	metrics  *metrics
+	metrics  *metrics.Set
 	draining atomic.Bool
 
 	// incarnation tells this start of the process from others of the same name.
@@ -73,7 +74,7 @@
 		settings:    s,
 		options:     options,
 		log:         options.Log.WithField("entry", s.Name),
-		metrics:     newMetrics(),
+		metrics:     metrics.New(),
 		incarnation: uint64(time.Now().UnixNano()),
 	}
 	node.build()
@@ -129,7 +130,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	var group run.Group
 	n.servers.addTo(&group)
-	n.addActor(&group, n.metrics.run)
+	n.addActor(&group, n.metrics.Run)
 	n.addActor(&group, n.members.Run)
 	n.addActor(&group, n.configuration.Run)
 	n.addActor(&group, n.engineStatus.Run)
--- a/cmd/azurebarrow/commands.go
+++ b/cmd/azurebarrow/commands.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -13,6 +14,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/azurebarrow/azurebarrow"
+	"github.com/azurebarrow/azurebarrow/adapters/eventlog"
+	"github.com/azurebarrow/azurebarrow/entry"
+	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/invariant"
 	"github.com/azurebarrow/azurebarrow/settings"
 )
@@ -64,6 +68,9 @@
 		}
 		return errFindings
 	}
+	if loaded.Interface == settings.InterfacePassthrough {
+		return c.runPassthrough(loaded)
+	}
 	log := newLogger(loaded.Log)
 	invariant.SetReporter(func(v *invariant.Violation) {
 		log.WithFields(logrus.Fields{"entry": loaded.Name, "invariant": v.Invariant, "detail": v.Detail}).Error("invariant violated")
@@ -78,6 +85,41 @@
 	return node.Run(ctx)
 }
 
+// logFlush bounds the wait for the last lines of the log.
+const logFlush = 200 * time.Millisecond
+
+// runPassthrough runs an entry with the passthrough interface.
+func (c *runCommand) runPassthrough(loaded settings.Settings) error {
+	log := eventlog.New(os.Stdout, loaded.Log.Level)
+	defer log.Flush(logFlush)
+	node, err := entry.New(loaded, entry.Options{Log: log.Event})
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for range reloads {
+			c.reload(loaded, log.Event)
+		}
+	}()
+	return node.Run(ctx)
+}
+
+// reload reads the settings again and tells what is different: addresses and bounds hold from the
+// start of a process.
+func (c *runCommand) reload(before settings.Settings, log func(string, ...generation.Field)) {
+	after, findings, err := settings.Load(c.Settings)
+	if err != nil || len(findings) > 0 {
+		log("settings-refused", generation.Field{Key: "error", Value: err}, generation.Field{Key: "findings", Value: findings})
+		return
+	}
+	c.override(&after)
+	log("settings-reloaded", generation.Field{Key: "changed", Value: !reflect.DeepEqual(before, after)})
+}
+
 func (c *runCommand) override(s *settings.Settings) {
 	for _, each := range []struct {
 		flag    string
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,220 @@
+// Package entry puts an entry with the passthrough interface together: it serves opaque requests by
+// the routes of the platform's configuration. A program of one's own embeds one by New and Run.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/oklog/run"
+
+	"github.com/azurebarrow/azurebarrow/adapters/metrics"
+	"github.com/azurebarrow/azurebarrow/adapters/passthrough"
+	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
+	"github.com/azurebarrow/azurebarrow/admission"
+	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/routing"
+	"github.com/azurebarrow/azurebarrow/service"
+	"github.com/azurebarrow/azurebarrow/settings"
+)
+
+// Options are what an embedder may replace.
+type Options struct {
+	// Log receives one event for each decision; nil discards them.
+	Log func(event string, fields ...generation.Field)
+}
+
+// Entry is one entry with the passthrough interface.
+type Entry struct {
+	settings  settings.Settings
+	log       func(event string, fields ...generation.Field)
+	directory *directory.Manager
+	pool      *targethttp.Pool
+	relay     *generation.Relay
+	front     *front
+	ready     listening
+	admin     listening
+	metrics   *metrics.Set
+	counts    counts
+
+	// stopping is when SIGTERM came, in nanoseconds since started; 0 before.
+	stopping  atomic.Int64
+	started   time.Time
+	accepting atomic.Bool
+	running   atomic.Int64
+}
+
+// listening is an HTTP server with its open listener.
+type listening struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// assumedEntries divides the slack of the retry budget while the number of entries is not known.
+const assumedEntries = 8
+
+// New returns an entry that listens and is not serving yet. The settings must have passed their check.
+func New(s settings.Settings, options Options) (*Entry, error) {
+	if options.Log == nil {
+		options.Log = func(string, ...generation.Field) {}
+	}
+	e := &Entry{settings: s.WithDefaults(), log: options.Log, metrics: metrics.New(), started: time.Now()}
+	e.accepting.Store(true)
+	e.buildDirectory()
+	handler := e.buildServing()
+	e.registerMetrics()
+	if err := e.listen(handler); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+func (e *Entry) buildDirectory() {
+	store := platform.NewStore(e.settings.Platform.URL)
+	e.directory = directory.NewManager(directory.Options{
+		Configurations: store.Configurations(e.logUnusable),
+		Targets:        store.Targets(e.logUnusable),
+		Observe:        e.observeDirectory,
+	})
+}
+
+// buildServing returns the handler of callers.
+func (e *Entry) buildServing() http.Handler {
+	e.pool = targethttp.NewPool(targethttp.Options{})
+	targets := passthrough.NewTargets(e.pool, e.directory.Snapshot)
+	bounds := e.settings.Passthrough
+	retries := admission.NewSharedRetries(admission.SharedRetryLimits{
+		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
+	}, func() int { return assumedEntries }, nil)
+	e.relay = generation.NewRelay(generation.RelayOptions{
+		Engine: targets,
+		Placer: routing.NewPlacement(routing.PlacementOptions{
+			AvailabilityZone: e.settings.AvailabilityZone,
+			Seed:             uint64(time.Now().UnixNano()),
+		}),
+		Budget:  retries,
+		Targets: func(name string) []*directory.Target { return e.directory.Snapshot().Open(name) },
+		Log:     e.log,
+	})
+	forwarder := service.NewForwarder(service.ForwarderOptions{
+		Sender:    targets,
+		Directory: targets,
+		Budget:    retries,
+		Seed:      uint64(time.Now().UnixNano()),
+		Log:       e.logSend,
+	})
+	handler := passthrough.NewHandler(passthrough.Options{
+		Snapshot:  e.directory.Snapshot,
+		Relay:     e.relay,
+		Forwarder: forwarder,
+		Draining:  func() bool { return e.stopping.Load() != 0 },
+		Accepting: e.accepting.Load,
+		Log:       e.log,
+		Observe:   e.counts.observe,
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.running.Add(1)
+		defer e.running.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
+
+func (e *Entry) listen(callers http.Handler) error {
+	var err error
+	if e.front, err = newFront(e.settings.CallerAddress, callers); err != nil {
+		return merry.Prepend(err, "callerAddress")
+	}
+	if err := e.ready.open(e.settings.Passthrough.ReadyAddress, e.readyHandler()); err != nil {
+		return merry.Prepend(err, "passthrough.readyAddress")
+	}
+	if err := e.admin.open(e.settings.AdminAddress, e.adminHandler()); err != nil {
+		return merry.Prepend(err, "adminAddress")
+	}
+	return nil
+}
+
+func (l *listening) open(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	l.listener = listener
+	l.server = &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	return nil
+}
+
+func (l *listening) addTo(group *run.Group) {
+	group.Add(func() error { return l.server.Serve(l.listener) }, func(error) { _ = l.server.Close() })
+}
+
+// Run serves until ctx ends, then shuts down gracefully within the grace of the settings.
+func (e *Entry) Run(ctx context.Context) error {
+	var group run.Group
+	group.Add(e.front.run, func(error) { e.front.close() })
+	e.ready.addTo(&group)
+	e.admin.addTo(&group)
+	addActor(&group, e.metrics.Run)
+	addActor(&group, e.directory.Run)
+	addActor(&group, e.maintain)
+	drainCtx, cancel := context.WithCancel(ctx)
+	group.Add(func() error { <-drainCtx.Done(); return e.drain() }, func(error) { cancel() })
+	e.log("entry-started", generation.Field{Key: "name", Value: e.settings.Name},
+		generation.Field{Key: "zone", Value: e.settings.AvailabilityZone},
+		generation.Field{Key: "callers", Value: e.settings.CallerAddress},
+		generation.Field{Key: "store", Value: e.settings.Platform.URL})
+	err := group.Run()
+	e.log("entry-stopped", generation.Field{Key: "error", Value: err}, generation.Field{Key: "running", Value: e.running.Load()})
+	return err
+}
+
+// addActor runs a job for as long as the entry runs.
+func addActor(group *run.Group, job func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error { return job(ctx) }, func(error) { cancel() })
+}
+
+// drain shuts down gracefully.
+func (e *Entry) drain() error {
+	began := time.Now()
+	e.stopping.Store(max(1, int64(began.Sub(e.started))))
+	e.log("entry-draining", generation.Field{Key: "running", Value: e.running.Load()})
+	for {
+		switch drainPhaseAt(time.Since(began), e.settings.Passthrough.StopGrace, e.running.Load()) {
+		case drainOver:
+			return nil
+		case drainFinishing:
+			e.accepting.Store(false)
+		}
+		time.Sleep(drainPoll)
+	}
+}
+
+// isReady tells whether the entry may take connections.
+func (e *Entry) isReady() bool {
+	return e.stopping.Load() == 0 && e.directory.Snapshot().Ready()
+}
+
+func (e *Entry) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !e.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return mux
+}
+
+func (e *Entry) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.metrics.Handler())
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	return mux
+}
--- a/node_metrics.go
+++ b/node_metrics.go
@@ -6,10 +6,10 @@
 // a label, so that their number does not grow with customers, targets or entries.
 func (n *Node) registerMetrics() {
 	m := n.metrics
-	m.count("invariant_violations", invariant.Violations)
-	m.show("entries_live", func() float64 { return float64(len(n.members.Live())) })
-	m.show("configuration_revision", func() float64 { return float64(n.configuration.Snapshot().Revision) })
-	m.show("targets_leaving", func() float64 { return float64(len(n.control.leaving.Names())) })
+	m.Count("invariant_violations", invariant.Violations)
+	m.Show("entries_live", func() float64 { return float64(len(n.members.Live())) })
+	m.Show("configuration_revision", func() float64 { return float64(n.configuration.Snapshot().Revision) })
+	m.Show("targets_leaving", func() float64 { return float64(len(n.control.leaving.Names())) })
 	n.registerGenerationMetrics()
 	n.registerJournalMetrics()
 }
@@ -17,30 +17,30 @@
 func (n *Node) registerGenerationMetrics() {
 	m := n.metrics
 	stats := n.generations.Stats()
-	m.show("generations_running", func() float64 { return float64(n.generations.Running()) })
-	m.count("attempts", stats.Attempts.Load)
-	m.count("attempts_speculative", stats.Speculative.Load)
-	m.count("streams_attached", stats.Attached.Load)
-	m.count("streams_broken", stats.Broken.Load)
-	m.count("suspicions", stats.Suspicions.Load)
-	m.count("suspicions_false", stats.FalseSuspicions.Load)
-	m.count("tokens_accepted", stats.Accepted.Load)
-	m.count("tokens_stray", stats.Stray.Load)
-	m.count("tokens_duplicate", stats.Duplicate.Load)
-	m.count("tokens_lost_race", stats.Lost.Load)
-	m.count("tokens_mismatched", stats.Mismatch.Load)
-	m.count("stream_gaps", stats.Gap.Load)
-	m.count("generations_superseded", stats.Superseded.Load)
-	m.count("generations_taken_over", stats.Takeovers.Load)
-	m.count("generations_degraded", stats.Degraded.Load)
-	m.count("poison_refused", stats.PoisonRefused.Load)
+	m.Show("generations_running", func() float64 { return float64(n.generations.Running()) })
+	m.Count("attempts", stats.Attempts.Load)
+	m.Count("attempts_speculative", stats.Speculative.Load)
+	m.Count("streams_attached", stats.Attached.Load)
+	m.Count("streams_broken", stats.Broken.Load)
+	m.Count("suspicions", stats.Suspicions.Load)
+	m.Count("suspicions_false", stats.FalseSuspicions.Load)
+	m.Count("tokens_accepted", stats.Accepted.Load)
+	m.Count("tokens_stray", stats.Stray.Load)
+	m.Count("tokens_duplicate", stats.Duplicate.Load)
+	m.Count("tokens_lost_race", stats.Lost.Load)
+	m.Count("tokens_mismatched", stats.Mismatch.Load)
+	m.Count("stream_gaps", stats.Gap.Load)
+	m.Count("generations_superseded", stats.Superseded.Load)
+	m.Count("generations_taken_over", stats.Takeovers.Load)
+	m.Count("generations_degraded", stats.Degraded.Load)
+	m.Count("poison_refused", stats.PoisonRefused.Load)
 }
 
 func (n *Node) registerJournalMetrics() {
 	m := n.metrics
 	stats := n.recovery.journal.Stats()
-	m.count("journal_batches", stats.Batches.Load)
-	m.count("journal_operations", stats.Operations.Load)
-	m.count("journal_tokens", stats.Tokens.Load)
-	m.count("journal_replicas_dropped", stats.ReplicasDropped.Load)
+	m.Count("journal_batches", stats.Batches.Load)
+	m.Count("journal_operations", stats.Operations.Load)
+	m.Count("journal_tokens", stats.Tokens.Load)
+	m.Count("journal_replicas_dropped", stats.ReplicasDropped.Load)
 }
--- a/node_recovery.go
+++ b/node_recovery.go
@@ -68,9 +68,9 @@
 		"recovery_degraded":        generated.Degraded.Load,
 		"recovery_poison_refused":  generated.PoisonRefused.Load,
 	} {
-		n.metrics.count(name, read)
+		n.metrics.Count(name, read)
 	}
-	n.metrics.show("journal_held_bytes", func() float64 { return float64(n.recovery.store.Bytes()) })
+	n.metrics.Show("journal_held_bytes", func() float64 { return float64(n.recovery.store.Bytes()) })
 }
 
 // mount adds the handler of the peer protocol.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,6 +19,10 @@
 	PeerAddress   string `yaml:"peerAddress"`
 	AdminAddress  string `yaml:"adminAddress"`
 
+	// Interface is the interface towards callers, InterfaceNative when empty.
+	Interface   string      `yaml:"interface"`
+	Passthrough Passthrough `yaml:"passthrough"`
+
 	Platform Platform `yaml:"platform"`
 	VMList   VMList   `yaml:"vmList"`
 	// Peers are entries known beforehand; others are found through the platform and the peers.
@@ -102,6 +106,12 @@
 	if s.Log.Level == "" {
 		s.Log.Level = DefaultLogLevel
 	}
+	if s.Interface == "" {
+		s.Interface = InterfaceNative
+	}
+	if s.Interface == InterfacePassthrough {
+		s.Passthrough = s.Passthrough.withDefaults()
+	}
 	return s
 }
 
@@ -158,6 +168,13 @@
 		}
 		checkAddress(add, field+".address", peer.Address)
 	}
+	switch s.Interface {
+	case "", InterfaceNative:
+	case InterfacePassthrough:
+		s.Passthrough.validate(add)
+	default:
+		add("interface", "%q is neither %s nor %s", s.Interface, InterfaceNative, InterfacePassthrough)
+	}
 	s.Limits.validate(add)
 	s.Ledger.validate(add)
 	switch s.Log.Level {
