Use an engine that is met at its predecessor's address

Change: a 421 names the engine that answered; if its own report shows that it can only belong to the same service, it is used as a provisional target until its entry comes. Ruled out: sending without naming the engine (the address may have gone to another service).

--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -78,7 +78,9 @@
 		return nil, &generation.RelayRefusedError{Cause: errNotRun}
 	case platform.Misdirected:
 		received.Close()
-		return nil, &generation.RelayRefusedError{Misdirected: true, Cause: errMisdirected}
+		return nil, &generation.RelayRefusedError{
+			Misdirected: true, Found: platform.Responder(received.Header), Cause: errMisdirected,
+		}
 	case platform.Failed:
 		whole, err := readAnswer(received)
 		if err != nil {
@@ -122,7 +124,7 @@
 		return service.Sent{Verdict: service.SendNotRun, Err: errNotRun}
 	case platform.Misdirected:
 		received.Close()
-		t.dispute(call.Service, target)
+		t.dispute(call.Service, target, platform.Responder(received.Header))
 		return service.Sent{Verdict: service.SendMisdirected, Err: errMisdirected}
 	case platform.Unsigned:
 		received.Close()
@@ -139,10 +141,10 @@
 }
 
 // dispute reports that another target answered at the address.
-func (t *Targets) dispute(name string, target service.Target) {
+func (t *Targets) dispute(name string, target service.Target, found string) {
 	for _, known := range t.directory.Snapshot().Targets[name] {
 		if known.ID == target.Name && known.Address == target.Address {
-			t.directory.Dispute(known)
+			t.directory.Dispute(known, found)
 		}
 	}
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -106,6 +106,8 @@
 	Backups bool
 	// EventTokens is the number of tokens in one event.
 	EventTokens int
+	// Models are the models that the engines run.
+	Models []string
 }
 
 // Customer is one caller of the system.
@@ -192,11 +194,17 @@
 	Leaving bool
 	// Gone targets have lost their entry in the platform's store.
 	Gone bool
+	// Provisional targets have no entry yet: they were met at the address of their predecessor.
+	Provisional bool
 }
 
-// SameIncarnation tells whether two entries speak of the same start of the same process.
+// SameIncarnation tells whether two entries speak of the same start of the same process. Of a
+// provisional one the start is not known.
 func (t *Target) SameIncarnation(other *Target) bool {
-	return t.ID == other.ID && t.Born == other.Born && t.Address == other.Address
+	if t.ID != other.ID || t.Address != other.Address {
+		return false
+	}
+	return t.Born == other.Born || t.Provisional || other.Provisional
 }
 
 // Snapshot is what an entry believes at one moment.
--- a/directory/manager.go
+++ b/directory/manager.go
@@ -25,6 +25,9 @@
 	EventTargetGone      EventKind = "target-gone"
 	EventTargetForgotten EventKind = "target-forgotten"
 	EventTargetDisputed  EventKind = "target-not-at-its-address"
+	EventTargetAdopted   EventKind = "target-adopted"
+	// EventSuccessorUnknown: what answered at a target's address can't be used.
+	EventSuccessorUnknown EventKind = "successor-unknown"
 )
 
 // Event reports a change of what the entry believes.
@@ -45,6 +48,8 @@
 type Options struct {
 	Configurations Source[Configuration]
 	Targets        Source[Target]
+	// Identifier asks what runs at an address; nil when nobody may ask.
+	Identifier Identifier
 	// Observe is told of every event; nil discards them.
 	Observe func(Event)
 }
@@ -110,26 +115,6 @@
 	m.targets.requestList()
 }
 
-// Dispute takes back a target that is not at its address: another one answered there, so that this
-// incarnation is over. It never blocks; a dispute that finds the queue full is raised again by the
-// next request that meets it.
-func (m *Manager) Dispute(target *Target) {
-	select {
-	case m.updates <- func(time.Time) { m.dispute(target) }:
-	default:
-	}
-}
-
-func (m *Manager) dispute(target *Target) {
-	known := m.known[target.ID]
-	if known == nil || !known.SameIncarnation(target) || m.disputed[target.ID] != nil {
-		return
-	}
-	m.disputed[target.ID] = target
-	m.report(EventTargetDisputed, target)
-	m.publish()
-}
-
 // Run follows the store until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,6 +80,7 @@
 	e.directory = directory.NewManager(directory.Options{
 		Configurations: store.Configurations(e.logUnusable),
 		Targets:        store.Targets(e.logUnusable),
+		Identifier:     platform.NewEngines(),
 		Observe:        e.observeDirectory,
 	})
 }
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -19,7 +19,7 @@
 	// Targets returns the targets of a service that may get new work.
 	Targets func(service string) []*directory.Target
 	// Dispute is told of targets that another one answered for; nil when nobody asks.
-	Dispute func(target *directory.Target)
+	Dispute func(target *directory.Target, found string)
 	// Suspects keeps the deaths charged to fingerprints; nil keeps them in this entry only.
 	Suspects Suspects
 	// Log receives events; nil discards them.
@@ -44,7 +44,7 @@
 		options.Suspects = newLocalSuspects()
 	}
 	if options.Dispute == nil {
-		options.Dispute = func(*directory.Target) {}
+		options.Dispute = func(*directory.Target, string) {}
 	}
 	return &Relay{options: options, watches: newTargetWatches()}
 }
@@ -311,7 +311,7 @@
 	case errors.As(err, &refused) && refused.Unreachable:
 		run.relay.options.Placer.Lost(target)
 	case errors.As(err, &refused) && refused.Misdirected:
-		run.relay.options.Dispute(target)
+		run.relay.options.Dispute(target, refused.Found)
 		run.relay.options.Placer.Lost(target)
 	default:
 		run.relay.options.Placer.Refused(target)
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -79,8 +79,9 @@
 
 // RelayRefusedError proves that a target did not run an attempt.
 type RelayRefusedError struct {
-	// Misdirected: another target has the address.
+	// Misdirected: another target has the address; Found is its ID, empty when unknown.
 	Misdirected bool
+	Found       string
 	// Unreachable: nothing was sent.
 	Unreachable bool
 	Cause       error
