--- a/generation/relay.go
+++ b/generation/relay.go
@@ -299,7 +299,8 @@
 	default:
 		run.mayHaveRun = true
 	}
-	if send.Backup != nil && run.copyAt == nil && !slices.Contains(run.exclude, send.Backup.ID) {
+	// Engines copy a run's memory from its first event on.
+	if send.Backup != nil && a.events > 0 && !slices.Contains(run.exclude, send.Backup.ID) {
 		run.copyAt = send.Backup
 	}
 }
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -125,7 +125,7 @@
 func (p *Placement) Place(query generation.RelayQuery) *directory.Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	preferred := preferredEngine(query)
+	preferred := p.preferredEngine(query)
 	return p.cheapest(query, func(engine *directory.Target) time.Duration {
 		cost := p.cost(engine, query)
 		if engine.AvailabilityZone != p.options.AvailabilityZone {
@@ -203,14 +203,18 @@
 	return len(recent) >= zoneLossEngines
 }
 
-// preferredEngine returns the ID of the engine that the hash of the prompt names first.
-func preferredEngine(query generation.RelayQuery) string {
+// preferredEngine returns the ID of the engine that the hash of the prompt names first among those
+// of this availability zone: a caller that comes back reaches an entry of the same one.
+func (p *Placement) preferredEngine(query generation.RelayQuery) string {
 	if query.Affinity == "" {
 		return ""
 	}
 	var best string
 	var highest uint64
 	for _, engine := range query.Engines {
+		if engine.AvailabilityZone != p.options.AvailabilityZone {
+			continue
+		}
 		weight := xxhash.Sum64String(query.Affinity + "/" + engine.ID)
 		if best == "" || weight > highest {
 			best, highest = engine.ID, weight
