--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -30,8 +30,10 @@
 	Forwarder *service.Forwarder
 	// Draining tells that the entry is about to stop: callers are asked to close their connections.
 	Draining func() bool
-	// Accepting tells whether new work may begin; it may not in the last part of a shutdown.
-	Accepting func() bool
+	// Accepts tells whether a request of the class may begin; it may not if a shutdown would cut it.
+	Accepts func(class directory.Class) bool
+	// Await waits until a snapshot is ready, at most for the given time.
+	Await func(ctx context.Context, limit time.Duration)
 	// Log receives one event for each decision about a request.
 	Log func(event string, fields ...generation.Field)
 	// Observe is told of each answered request.
@@ -58,8 +60,13 @@
 	bodyTimeout = 5 * time.Second
 	// defaultBodyBytes bounds bodies while the configuration sets no limit.
 	defaultBodyBytes = 4 << 20
-	// startRetryAfter is when a caller may come back to an entry that has just started: it needs a
-	// few round trips to the store.
+	// startPatience is how long a request waits for an entry that has just started, which needs a few
+	// round trips to the store. It is short against the objectives of plain calls.
+	startPatience = 40 * time.Millisecond
+	// stopRetryAfter is when a caller may come back after an entry that stops: at once, since it
+	// reaches another one.
+	stopRetryAfter = 20 * time.Millisecond
+	// startRetryAfter is when a caller may come back while the store does not answer.
 	startRetryAfter = 300 * time.Millisecond
 )
 
@@ -112,10 +119,11 @@
 // admit checks the request and reads its body; nil if it may go on.
 func (c *request) admit() *refusal {
 	if !c.snapshot.Ready() {
-		return &refusal{http.StatusServiceUnavailable, "no configuration or targets known yet", startRetryAfter}
+		c.handler.options.Await(c.http.Context(), startPatience)
+		c.snapshot = c.handler.options.Snapshot()
 	}
-	if !c.handler.options.Accepting() {
-		return &refusal{http.StatusServiceUnavailable, "entry is stopping", startRetryAfter}
+	if !c.snapshot.Ready() {
+		return &refusal{http.StatusServiceUnavailable, "no configuration or targets known yet", startRetryAfter}
 	}
 	configuration := c.snapshot.Configuration
 	c.route = configuration.Match(hostOf(c.http.Host), pathOf(c.http))
@@ -129,6 +137,9 @@
 		}
 		c.customer = customer.Name
 	}
+	if !c.handler.options.Accepts(c.route.Class) {
+		return &refusal{http.StatusServiceUnavailable, "entry is stopping", stopRetryAfter}
+	}
 	wait := c.header.Left
 	if wait == 0 {
 		wait = defaultWait
--- a/directory/manager.go
+++ b/directory/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,6 +66,9 @@
 type Manager struct {
 	options  Options
 	snapshot atomic.Pointer[Snapshot]
+	// ready is closed once the snapshot is ready.
+	ready     chan struct{}
+	readyOnce sync.Once
 	// updates carries the work of the goroutine that owns the state.
 	updates chan func(now time.Time)
 
@@ -89,6 +93,7 @@
 	m := &Manager{
 		options: options,
 		updates: make(chan func(time.Time), queuedUpdates),
+		ready:   make(chan struct{}),
 		known:   map[string]*Target{},
 		gone:    map[string]time.Time{},
 
@@ -109,6 +114,17 @@
 // Snapshot returns what the entry believes now.
 func (m *Manager) Snapshot() *Snapshot { return m.snapshot.Load() }
 
+// Await waits until the snapshot is ready, at most for the given time.
+func (m *Manager) Await(ctx context.Context, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-m.ready:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Refresh lists everything anew, after a pause of the process in which changes may have been missed.
 func (m *Manager) Refresh() {
 	m.configurations.requestList()
@@ -288,6 +304,9 @@
 		slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
 	}
 	m.snapshot.Store(next)
+	if next.Ready() {
+		m.readyOnce.Do(func() { close(m.ready) })
+	}
 }
 
 // latestAtAddress returns the target of each address that started last. Entries of its predecessors
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,11 +43,8 @@
 	metrics   *metrics.Set
 	counts    counts
 
-	// stopping is when SIGTERM came, in nanoseconds since started; 0 before.
-	stopping  atomic.Int64
-	started   time.Time
-	accepting atomic.Bool
-	running   atomic.Int64
+	shutdown *shutdown
+	running  atomic.Int64
 }
 
 // listening is an HTTP server with its open listener.
@@ -64,8 +61,8 @@
 	if options.Log == nil {
 		options.Log = func(string, ...generation.Field) {}
 	}
-	e := &Entry{settings: s.WithDefaults(), log: options.Log, metrics: metrics.New(), started: time.Now()}
-	e.accepting.Store(true)
+	e := &Entry{settings: s.WithDefaults(), log: options.Log, metrics: metrics.New()}
+	e.shutdown = newShutdown(e.settings.Passthrough.StopGrace)
 	e.buildDirectory()
 	handler := e.buildServing()
 	e.registerMetrics()
@@ -115,10 +112,11 @@
 		Snapshot:  e.directory.Snapshot,
 		Relay:     e.relay,
 		Forwarder: forwarder,
-		Draining:  func() bool { return e.stopping.Load() != 0 },
-		Accepting: e.accepting.Load,
+		Await:     e.directory.Await,
+		Draining:  e.shutdown.stopping,
+		Accepts:   func(class directory.Class) bool { return e.shutdown.accepts(class, time.Now()) },
 		Log:       e.log,
-		Observe:   e.counts.observe,
+		Observe:   e.observeRequest,
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.running.Add(1)
@@ -183,23 +181,17 @@
 
 // drain shuts down gracefully.
 func (e *Entry) drain() error {
-	began := time.Now()
-	e.stopping.Store(max(1, int64(began.Sub(e.started))))
+	e.shutdown.begin(time.Now())
 	e.log("entry-draining", generation.Field{Key: "running", Value: e.running.Load()})
-	for {
-		switch drainPhaseAt(time.Since(began), e.settings.Passthrough.StopGrace, e.running.Load()) {
-		case drainOver:
-			return nil
-		case drainFinishing:
-			e.accepting.Store(false)
-		}
+	for !e.shutdown.over(time.Now(), e.running.Load()) {
 		time.Sleep(drainPoll)
 	}
+	return nil
 }
 
 // isReady tells whether the entry may take connections.
 func (e *Entry) isReady() bool {
-	return e.stopping.Load() == 0 && e.directory.Snapshot().Ready()
+	return !e.shutdown.stopping() && e.directory.Snapshot().Ready()
 }
 
 func (e *Entry) readyHandler() http.Handler {
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -44,6 +44,13 @@
 	c.callLatency.RecordDuration(o.Took)
 }
 
+func (e *Entry) observeRequest(o passthrough.Observation) {
+	e.counts.observe(o)
+	if o.Class == directory.Stream && o.Status == http.StatusOK {
+		e.shutdown.streamEnded(o.Took)
+	}
+}
+
 // registerMetrics lists the entry's metrics; docs/OPERATIONS.md is their catalogue.
 func (e *Entry) registerMetrics() {
 	m := e.metrics
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -1,41 +1,95 @@
 package entry
 
-import "time"
+import (
+	"sync"
+	"time"
+
+	"github.com/azurebarrow/azurebarrow/directory"
+)
 
 // The shares of the time between SIGTERM and SIGKILL.
 const (
-	// acceptShare is the part in which new work still begins: the platform takes seconds to send
-	// new connections elsewhere, and callers use the ones they have.
-	acceptShare = 0.375
+	// callShare is the part in which plain calls still begin: they take milliseconds, and callers
+	// use the connections that they have until they are told to close them.
+	callShare = 0.85
 	// finishShare is the part after which the work that is left is broken off, so that its callers
 	// learn it before the process is killed.
 	finishShare = 0.94
-	// noticeShare is the part for which the process lives on even if it has nothing to do.
-	noticeShare = 0.45
+	// noticeShare is the part for which the process lives on even if it has nothing to do: the
+	// platform takes two seconds to send new connections elsewhere.
+	noticeShare = 0.35
 	// drainPoll is the time between looks at the work that is left.
 	drainPoll = 50 * time.Millisecond
 )
 
-// drainPhase is the state of a graceful shutdown.
-type drainPhase int
+// shutdown decides what a stopping entry still takes on. It answers a rolling restart under load:
+// new work begins for as long as it can be expected to end in time, so that neither a refusal nor a
+// broken stream costs a caller its retry. It is safe for concurrent use.
+type shutdown struct {
+	grace time.Duration
+
+	mu sync.Mutex
+	// began is zero until the entry is told to stop.
+	began time.Time
+	// streams follows how long streams take.
+	streams time.Duration
+}
 
 const (
-	// drainAccepting: not ready any more, and new work still begins.
-	drainAccepting drainPhase = iota
-	// drainFinishing: new work is refused, the old goes on.
-	drainFinishing
-	// drainOver: the process ends.
-	drainOver
+	// firstStreamTime is assumed until a stream has ended.
+	firstStreamTime = 6 * time.Second
+	// streamTimeWeight is the share of the newest duration in the moving mean.
+	streamTimeWeight = 0.1
+	// streamTimeMargin is the multiple of the mean that a stream is expected to take at most.
+	streamTimeMargin = 1.2
 )
 
-// drainPhaseAt returns the phase of a shutdown that began a while ago with that many requests left.
-func drainPhaseAt(since, grace time.Duration, running int64) drainPhase {
-	part := float64(since) / float64(grace)
-	switch {
-	case part >= finishShare, part >= noticeShare && running == 0:
-		return drainOver
-	case part >= acceptShare:
-		return drainFinishing
+func newShutdown(grace time.Duration) *shutdown {
+	return &shutdown{grace: grace, streams: firstStreamTime}
+}
+
+// begin starts the shutdown.
+func (s *shutdown) begin(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.began.IsZero() {
+		s.began = now
+	}
+}
+
+// stopping tells whether the shutdown has begun.
+func (s *shutdown) stopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.began.IsZero()
+}
+
+// streamEnded takes the duration of a complete stream into the mean.
+func (s *shutdown) streamEnded(took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams += time.Duration(streamTimeWeight * float64(took-s.streams))
+}
+
+// accepts tells whether a request of the class may begin now.
+func (s *shutdown) accepts(class directory.Class, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.began.IsZero() {
+		return true
+	}
+	since := now.Sub(s.began)
+	if class != directory.Stream {
+		return since < time.Duration(callShare*float64(s.grace))
 	}
-	return drainAccepting
+	expected := time.Duration(streamTimeMargin * float64(s.streams))
+	return since+expected < time.Duration(finishShare*float64(s.grace))
+}
+
+// over tells whether the process should end, with that many requests running.
+func (s *shutdown) over(now time.Time, running int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	part := float64(now.Sub(s.began)) / float64(s.grace)
+	return part >= finishShare || part >= noticeShare && running == 0
 }
--- a/internal/importrule_test.go
+++ b/internal/importrule_test.go
@@ -14,9 +14,12 @@
 const module = "github.com/azurebarrow/azurebarrow/"
 
 // outerDirectories may import anything; every other package is core.
-var outerDirectories = []string{"adapters", "cmd", "standin", "test", "bench", "internal"}
+var outerDirectories = []string{"adapters", "bench", "cmd", "entry", "internal", "platform", "standin", "test"}
 
-var forbiddenInCore = []string{module + "adapters", module + "standin", module + "cmd", module + "bench", "net/http", "github.com/sirupsen/logrus"}
+var forbiddenInCore = []string{
+	module + "adapters", module + "bench", module + "cmd", module + "entry", module + "platform", module + "standin",
+	"net/http", "github.com/sirupsen/logrus",
+}
 
 func isOuter(path string) bool {
 	first, _, nested := strings.Cut(filepath.ToSlash(path), "/")
