--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -83,7 +83,6 @@
 	customer string
 	snapshot *directory.Snapshot
 	body     []byte
-	status   int
 }
 
 // ServeHTTP implements http.Handler.
