Divide the engines among the entries

Change: every entry prefers engines of its own in each availability zone, by place in the sorted lists, and pays 350 ms for others; 0.9 of the retry budget's ratio is used instead of 0.6.

--- a/admission/sharedretry.go
+++ b/admission/sharedretry.go
@@ -20,9 +20,9 @@
 	retryBuckets = 10
 	// ratioMargin is the part of the ratio that an entry uses: requests and sends fall into
 	// different windows, and some retries are seen by the target only.
-	ratioMargin = 0.6
+	ratioMargin = 0.9
 	// slackMargin is the same for the slack.
-	slackMargin = 0.7
+	slackMargin = 0.8
 )
 
 // SharedRetries keeps this entry's part of the retry budget of each service without asking the
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -141,7 +141,10 @@
 		Engine: targets,
 		Placer: routing.NewPlacement(routing.PlacementOptions{
 			AvailabilityZone: e.settings.AvailabilityZone,
-			Seed:             uint64(time.Now().UnixNano()),
+			Entries: func() (membership.Peer, []membership.Peer) {
+				return e.members.Self(), e.members.Live()
+			},
+			Seed: rand.Uint64(),
 		}),
 		Budget:  retries,
 		Targets: func(name string) []*directory.Target { return e.directory.Snapshot().Open(name) },
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -10,6 +10,7 @@
 
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/membership"
 )
 
 // Placement chooses engines for streams by the memory that their prompts and copies take, and by the
@@ -17,8 +18,8 @@
 // whole availability zones at once: places in a batch never run out there, memory does, and a prompt
 // that is read beside another one takes twice as long.
 //
-// It knows this entry's own streams exactly and nothing of other entries' ones, whose choices it
-// leaves to chance. It implements generation.RelayPlacer and is safe for concurrent use.
+// It knows this entry's own streams exactly and nothing of other entries' ones. Each entry therefore
+// prefers engines of its own, and pays for the uncertainty at the others. It implements generation.RelayPlacer and is safe for concurrent use.
 type Placement struct {
 	options PlacementOptions
 
@@ -33,7 +34,9 @@
 type PlacementOptions struct {
 	// AvailabilityZone is the entry's own.
 	AvailabilityZone string
-	Model            PlacementModel
+	// Entries returns this entry and the live ones, which share the engines; nil means that it is alone.
+	Entries func() (self membership.Peer, live []membership.Peer)
+	Model   PlacementModel
 	// Seed makes the choices repeatable.
 	Seed uint64
 	// Now is the clock; nil means time.Now.
@@ -48,6 +51,8 @@
 	Neighbour time.Duration
 	// CrossZone is the cost of an engine in another availability zone.
 	CrossZone time.Duration
+	// Unowned is the cost of an engine that another entry prefers: what that one may have placed there.
+	Unowned time.Duration
 	// FullMemory is the cost of an engine without room: it would preempt a stream.
 	FullMemory time.Duration
 	// Chance is the longest random cost, which spreads the choices of entries that don't know of
@@ -66,6 +71,7 @@
 	PrefillTokensPerSecond: 5000,
 	Neighbour:              60 * time.Millisecond,
 	CrossZone:              150 * time.Millisecond,
+	Unowned:                350 * time.Millisecond,
 	FullMemory:             4 * time.Second,
 	Chance:                 60 * time.Millisecond,
 	Recent:                 3 * time.Second,
@@ -126,8 +132,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	preferred := p.preferredEngine(query)
+	owned := p.ownership(query)
 	return p.cheapest(query, func(engine *directory.Target) time.Duration {
 		cost := p.cost(engine, query)
+		if !owned.has(engine) {
+			cost += p.options.Model.Unowned
+		}
 		if engine.AvailabilityZone != p.options.AvailabilityZone {
 			cost += p.options.Model.CrossZone
 		}
@@ -144,8 +154,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	query.Exclude = append(slices.Clone(query.Exclude), engine.ID)
+	owned := p.ownership(query)
 	return p.cheapest(query, func(candidate *directory.Target) time.Duration {
 		cost := p.cost(candidate, query)
+		if !owned.has(candidate) {
+			cost += p.options.Model.Unowned
+		}
 		if candidate.AvailabilityZone == engine.AvailabilityZone {
 			cost += p.options.Model.FullMemory
 		}
@@ -153,6 +167,16 @@
 	})
 }
 
+// ownership returns the engines of the query that this entry owns; all if it is alone.
+func (p *Placement) ownership(query generation.RelayQuery) ownership {
+	if p.options.Entries == nil {
+		self := membership.Peer{AvailabilityZone: p.options.AvailabilityZone}
+		return newOwnership(self, []membership.Peer{self}, query.Engines)
+	}
+	self, live := p.options.Entries()
+	return newOwnership(self, live, query.Engines)
+}
+
 func (p *Placement) cheapest(query generation.RelayQuery, costOf func(*directory.Target) time.Duration) *directory.Target {
 	var best *directory.Target
 	var lowest time.Duration
