Share the retry budget by totals; look for copies by address

Change: entries report their use to one of them, by rendezvous hash, which answers with the totals; an entry may take a tenth of what is left on top of its even part.

--- /dev/null
+++ b/adapters/peertwirp/retrypeer/retrypeer.go
@@ -0,0 +1,62 @@
+// Package retrypeer carries the use of the shared retry budget between entries over Twirp.
+package retrypeer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/azurebarrow/azurebarrow/admission"
+	"github.com/azurebarrow/azurebarrow/membership"
+)
+
+// Client implements admission.RetryPeers.
+type Client struct{ http HTTPClient }
+
+// NewClient returns a client that calls through client.
+func NewClient(client HTTPClient) *Client { return &Client{http: client} }
+
+// Report implements admission.RetryPeers.
+func (c *Client) Report(ctx context.Context, peer membership.Peer, entry string, uses []admission.RetryUse) ([]admission.RetryUse, error) {
+	client := NewRetryProtobufClient("http://"+peer.Address, c.http)
+	answer, err := client.Report(ctx, &ReportRequest{Entry: entry, Uses: usesToWire(uses)})
+	if err != nil {
+		return nil, merry.Prependf(err, "retry use at %s", peer.Address)
+	}
+	return usesFromWire(answer.GetTotals()), nil
+}
+
+func usesToWire(uses []admission.RetryUse) []*Use {
+	list := make([]*Use, 0, len(uses))
+	for _, use := range uses {
+		list = append(list, &Use{Service: use.Service, Requests: int64(use.Requests), Sends: int64(use.Sends)})
+	}
+	return list
+}
+
+func usesFromWire(wire []*Use) []admission.RetryUse {
+	uses := make([]admission.RetryUse, 0, len(wire))
+	for _, use := range wire {
+		uses = append(uses, admission.RetryUse{
+			Service: use.GetService(), Requests: int(use.GetRequests()), Sends: int(use.GetSends()),
+		})
+	}
+	return uses
+}
+
+// server implements Retry over the totals of an entry.
+type server struct{ totals *admission.RetryTotals }
+
+// NewHandler returns the path and the handler that take reports.
+func NewHandler(totals *admission.RetryTotals) (string, http.Handler) {
+	handler := NewRetryServer(&server{totals: totals})
+	return handler.PathPrefix(), handler
+}
+
+// Report implements Retry.
+func (s *server) Report(_ context.Context, request *ReportRequest) (*ReportResponse, error) {
+	totals := s.totals.Report(request.GetEntry(), usesFromWire(request.GetUses()), time.Now())
+	return &ReportResponse{Totals: usesToWire(totals)}, nil
+}
--- a/admission/sharedretry.go
+++ b/admission/sharedretry.go
@@ -25,8 +25,10 @@
 	slackMargin = 0.8
 )
 
-// SharedRetries keeps this entry's part of the retry budget of each service without asking the
-// others: a share of its own requests, and its even part of the slack. It is safe for concurrent use.
+// SharedRetries keeps this entry's part of the retry budget of each service: a share of its own
+// requests, its even part of the slack, and some of what all entries together have left, as far as
+// that is known. It answers the loss of many targets at once, which hits entries unevenly. It is safe
+// for concurrent use.
 type SharedRetries struct {
 	limits  SharedRetryLimits
 	entries func() int
@@ -59,14 +61,38 @@
 	window := s.window(service)
 	bucket := window.at(s.now())
 	requests, sends := window.sums()
-	slack := s.limits.Slack * slackMargin / float64(max(1, s.entries()))
-	if float64(sends+1) > ratioMargin*s.limits.Ratio*float64(requests)+max(1, slack) {
+	if float64(sends+1) > s.evenPart(requests)+s.common(window) {
 		return false
 	}
 	bucket.sends++
 	return true
 }
 
+// evenPart is what the entry may send again whatever the others do.
+func (s *SharedRetries) evenPart(requests int) float64 {
+	slack := s.limits.Slack * slackMargin / float64(max(1, s.entries()))
+	return ratioMargin*s.limits.Ratio*float64(requests) + max(1, slack)
+}
+
+const (
+	// totalAge is how old the totals of all entries may be.
+	totalAge = 2 * time.Second
+	// commonShare is the part of what all have left that one entry may take between two totals.
+	commonShare = 0.1
+	// commonMargin is the part of the whole budget that is given out in common.
+	commonMargin = 0.8
+)
+
+// common is what the entry may take of what all entries together have left.
+func (s *SharedRetries) common(window *retryWindow) float64 {
+	if window.totalAt.IsZero() || s.now().Sub(window.totalAt) > totalAge {
+		return 0
+	}
+	whole := s.limits.Ratio*float64(window.total.Requests) + s.limits.Slack
+	left := commonMargin*whole - float64(window.total.Sends)
+	return max(0, commonShare*left)
+}
+
 func (s *SharedRetries) window(service string) *retryWindow {
 	window := s.services[service]
 	if window == nil {
@@ -81,6 +107,9 @@
 	step    time.Duration
 	buckets [retryBuckets + 1]retryBucket
 	current int64
+	// total is the use of all entries as of totalAt.
+	total   RetryUse
+	totalAt time.Time
 }
 
 type retryBucket struct{ requests, sends int }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/azurebarrow/azurebarrow/adapters/passthrough"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/directorypeer"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/peermembership"
+	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/retrypeer"
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
 	"github.com/azurebarrow/azurebarrow/admission"
 	"github.com/azurebarrow/azurebarrow/directory"
@@ -42,12 +43,16 @@
 	directory *directory.Manager
 	pool      *targethttp.Pool
 	relay     *generation.Relay
-	front     *front
-	ready     listening
-	peers     listening
-	admin     listening
-	metrics   *metrics.Set
-	counts    counts
+	retries   *admission.SharedRetries
+	// retryTotals adds up the retries of all entries if this one is asked to.
+	retryTotals *admission.RetryTotals
+	peerClient  *http.Client
+	front       *front
+	ready       listening
+	peers       listening
+	admin       listening
+	metrics     *metrics.Set
+	counts      counts
 
 	shutdown *shutdown
 	running  atomic.Int64
@@ -67,7 +72,7 @@
 	if options.Log == nil {
 		options.Log = func(string, ...generation.Field) {}
 	}
-	e := &Entry{settings: s.WithDefaults(), log: options.Log, metrics: metrics.New()}
+	e := &Entry{settings: s.WithDefaults(), log: options.Log, metrics: metrics.New(), retryTotals: admission.NewRetryTotals()}
 	e.shutdown = newShutdown(e.settings.Passthrough.StopGrace)
 	e.buildMembership()
 	e.buildDirectory()
@@ -102,13 +107,13 @@
 
 func (e *Entry) buildDirectory() {
 	dialer := net.Dialer{Timeout: peerDialTimeout}
-	peers := &http.Client{Transport: &http.Transport{
+	e.peerClient = &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout,
 	}}
 	e.directory = directory.NewManager(directory.Options{
 		Store:      platform.NewStore(e.settings.Platform.URL),
 		Decoder:    platform.Decoder{},
-		Peers:      directorypeer.NewClient(peers),
+		Peers:      directorypeer.NewClient(e.peerClient),
 		View:       e.members,
 		Identifier: platform.NewEngines(),
 		Observe:    e.observeDirectory,
@@ -126,6 +131,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peermembership.NewHandler(e.members))
 	mux.Handle(directorypeer.NewHandler(e.directory.Feed()))
+	mux.Handle(retrypeer.NewHandler(e.retryTotals))
 	return mux
 }
 
@@ -134,7 +140,7 @@
 	e.pool = targethttp.NewPool(targethttp.Options{})
 	targets := passthrough.NewTargets(e.pool, e.directory)
 	bounds := e.settings.Passthrough
-	retries := admission.NewSharedRetries(admission.SharedRetryLimits{
+	e.retries = admission.NewSharedRetries(admission.SharedRetryLimits{
 		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
 	}, func() int { return max(leastEntries, len(e.members.Live())) }, nil)
 	e.relay = generation.NewRelay(generation.RelayOptions{
@@ -146,7 +152,7 @@
 			},
 			Seed: rand.Uint64(),
 		}),
-		Budget:  retries,
+		Budget:  e.retries,
 		Targets: func(name string) []*directory.Target { return e.directory.Snapshot().Open(name) },
 		Dispute: e.directory.Dispute,
 		Log:     e.log,
@@ -154,7 +160,7 @@
 	forwarder := service.NewForwarder(service.ForwarderOptions{
 		Sender:    targets,
 		Directory: targets,
-		Budget:    retries,
+		Budget:    e.retries,
 		Seed:      uint64(time.Now().UnixNano()),
 		Log:       e.logSend,
 	})
@@ -217,6 +223,9 @@
 	addActor(&group, e.members.Run)
 	addActor(&group, e.directory.Run)
 	addActor(&group, e.maintain)
+	addActor(&group, func(ctx context.Context) error {
+		return e.retries.Share(ctx, retrypeer.NewClient(e.peerClient), e.members)
+	})
 	drainCtx, cancel := context.WithCancel(ctx)
 	group.Add(func() error { <-drainCtx.Done(); return e.drain() }, func(error) { cancel() })
 	e.log("entry-started", generation.Field{Key: "name", Value: e.settings.Name},
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -178,7 +178,8 @@
 	query := run.query()
 	if run.copyAt != nil {
 		for _, target := range query.Engines {
-			if target.SameIncarnation(run.copyAt) {
+			// An engine that started again meanwhile may have got the copy since.
+			if target.Address == run.copyAt.Address {
 				return target
 			}
 		}
