Look for copies where the engine started before them; use more of the common budget

Cause: 310 of 380 copies that were looked for at an engine that had started again did not exist. Change: an engine at the holder's address counts if it was known at most 0.7 s after the copy began; a quarter of the common budget and nine tenths of the whole may be used.

--- a/admission/sharedretry.go
+++ b/admission/sharedretry.go
@@ -78,9 +78,9 @@
 	// totalAge is how old the totals of all entries may be.
 	totalAge = 2 * time.Second
 	// commonShare is the part of what all have left that one entry may take between two totals.
-	commonShare = 0.1
+	commonShare = 0.25
 	// commonMargin is the part of the whole budget that is given out in common.
-	commonMargin = 0.8
+	commonMargin = 0.9
 )
 
 // common is what the entry may take of what all entries together have left.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -194,6 +194,8 @@
 	Leaving bool
 	// Gone targets have lost their entry in the platform's store.
 	Gone bool
+	// Seen is when this entry learned of the incarnation.
+	Seen time.Time
 	// Provisional targets have no entry yet: they were met at the address of their predecessor.
 	Provisional bool
 }
--- a/directory/manager.go
+++ b/directory/manager.go
@@ -273,6 +273,10 @@
 		return
 	}
 	before := m.known[target.ID]
+	target.Seen = now
+	if before != nil && before.SameIncarnation(target) {
+		target.Seen = before.Seen
+	}
 	m.known[target.ID] = target
 	if disputed := m.disputed[target.ID]; disputed != nil && !disputed.SameIncarnation(target) {
 		delete(m.disputed, target.ID)
--- a/directory/successor.go
+++ b/directory/successor.go
@@ -65,6 +65,7 @@
 	}
 	m.known[successor.ID] = successor
 	m.adopted[successor.ID] = now
+	successor.Seen = now
 	m.report(EventTargetAdopted, successor)
 	m.publish()
 }
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -68,7 +68,9 @@
 	// copyAt holds a copy of the run's memory; nil for none. freeCopy stops counting it.
 	copyAt   *directory.Target
 	freeCopy func()
-	exclude  []string
+	// copySince is when the copy was asked for.
+	copySince time.Time
+	exclude   []string
 	// charged tells that a target's death was charged to the request.
 	charged bool
 	// answer is the last failure that a target answered.
@@ -178,8 +180,7 @@
 	query := run.query()
 	if run.copyAt != nil {
 		for _, target := range query.Engines {
-			// An engine that started again meanwhile may have got the copy since.
-			if target.Address == run.copyAt.Address {
+			if holdsCopy(target, run.copyAt, run.copySince) {
 				return target
 			}
 		}
@@ -193,6 +194,18 @@
 	return target
 }
 
+// unseenFor is how long an engine that started again may be unknown to this entry.
+const unseenFor = 700 * time.Millisecond
+
+// holdsCopy tells whether the target has the copy that was asked for at holder: engines are named by
+// their addresses in this, so that the one which started there before the copy began has got it.
+func holdsCopy(target, holder *directory.Target, since time.Time) bool {
+	if target.SameIncarnation(holder) {
+		return true
+	}
+	return target.Address == holder.Address && target.Seen.Before(since.Add(unseenFor))
+}
+
 func (run *relayRun) dropCopy() {
 	run.copyAt = nil
 	run.freeCopy()
@@ -209,7 +222,9 @@
 	watch  *targetWatch
 	gaps   health.Gaps
 	// events counts those that this attempt has sent.
-	events   int
+	events int
+	// sent is when the attempt began.
+	sent     time.Time
 	progress time.Time
 	messages chan relayMessage
 }
@@ -241,7 +256,7 @@
 	}
 	run.sends++
 	a := &relayAttempt{
-		run: run, target: target, cancel: cancel, progress: time.Now(), messages: make(chan relayMessage),
+		run: run, target: target, cancel: cancel, sent: time.Now(), progress: time.Now(), messages: make(chan relayMessage),
 		placed: options.Placer.Begin(target, query.Size, unread), watch: run.relay.watches.enter(target),
 	}
 	defer run.relay.watches.leave(a.watch)
@@ -303,6 +318,7 @@
 	// Engines copy a run's memory from its first event on.
 	if send.Backup != nil && a.events > 0 && !slices.Contains(run.exclude, send.Backup.ID) {
 		run.copyAt = send.Backup
+		run.copySince = a.sent
 	}
 }
 
