Order a stream's copy anew when its holder is lost; spend retries by what they save

Change: an attempt looks every 0.2 s whether its copy's holder lives, and has the engine copy the run to another one, brought up to date every 1.2 s; resumes from copies may use the whole budget, restarts 0.85 and rereads 0.7 of it; a send that did not leave is given back.

--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -59,7 +61,7 @@
 		header.Backup = attempt.Backup.Address
 	}
 	if attempt.Copy != nil {
-		header.CopyHolder, header.CopyRun = attempt.Copy.Address, attempt.Request.ID
+		header.CopySource, header.CopyName = attempt.Copy.Source, attempt.Copy.Name
 	}
 	request := attempt.Request.Payload.(*outgoing).encode(header)
 	received, err := t.pool.Do(ctx, PoolKey(attempt.Target), attempt.Target.Address, request)
@@ -92,6 +94,43 @@
 	return nil, errUnsigned
 }
 
+// Copy implements generation.RelayEngine.
+func (t *Targets) Copy(ctx context.Context, source *directory.Target, run string, to *directory.Target) (string, error) {
+	call, err := platform.NewCopyCall(source.ID, run, to.Address)
+	if err != nil {
+		return "", err
+	}
+	body, err := t.order(ctx, source, call)
+	if err != nil {
+		return "", err
+	}
+	return platform.DecodeCopyAnswer(body)
+}
+
+// Free implements generation.RelayEngine.
+func (t *Targets) Free(ctx context.Context, source *directory.Target, name string) error {
+	_, err := t.order(ctx, source, platform.NewFreeCall(source.ID, name))
+	return err
+}
+
+// order calls an engine's own interface and returns the body of its answer.
+func (t *Targets) order(ctx context.Context, target *directory.Target, call platform.Call) ([]byte, error) {
+	received, err := t.pool.Do(ctx, PoolKey(target), target.Address, &targethttp.Request{
+		Method: call.Method, URI: call.Path, Host: target.Address, Header: call.Header, Body: call.Body,
+	})
+	if err != nil {
+		return nil, err
+	}
+	whole, err := readAnswer(received)
+	if err != nil {
+		return nil, err
+	}
+	if whole.status >= http.StatusMultipleChoices {
+		return nil, fmt.Errorf("%s %s: status %d", call.Method, call.Path, whole.status)
+	}
+	return whole.body, nil
+}
+
 // readAnswer reads an answer to its end.
 func readAnswer(received *targethttp.Answer) (*answer, error) {
 	defer received.Close()
--- a/admission/sharedretry.go
+++ b/admission/sharedretry.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/azurebarrow/azurebarrow/generation"
 )
 
 // SharedRetryLimits bound the sends beyond the first of all entries together.
@@ -54,20 +56,36 @@
 	s.window(service).at(s.now()).requests++
 }
 
-// Spend takes a send beyond the first; false when there is none left.
-func (s *SharedRetries) Spend(service string) bool {
+// urgencyShares are the parts of the budget that sends of an urgency may use up.
+var urgencyShares = map[generation.RetryUrgency]float64{
+	generation.RetryResume:  1,
+	generation.RetryRestart: 0.85,
+	generation.RetryReread:  0.7,
+}
+
+// Spend takes a send beyond the first; false when there is none left for its urgency.
+func (s *SharedRetries) Spend(service string, urgency generation.RetryUrgency) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	window := s.window(service)
 	bucket := window.at(s.now())
 	requests, sends := window.sums()
-	if float64(sends+1) > s.evenPart(requests)+s.common(window) {
+	share := urgencyShares[urgency]
+	if float64(sends+1) > max(1, share*(s.evenPart(requests)+s.common(window))) {
 		return false
 	}
 	bucket.sends++
 	return true
 }
 
+// Refund gives a send back that has not left this process.
+func (s *SharedRetries) Refund(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	bucket := s.window(service).at(s.now())
+	bucket.sends = max(0, bucket.sends-1)
+}
+
 // evenPart is what the entry may send again whatever the others do.
 func (s *SharedRetries) evenPart(requests int) float64 {
 	slack := s.limits.Slack * slackMargin / float64(max(1, s.entries()))
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -104,6 +104,8 @@
 	MemoryTokens int
 	// Backups tells that a run's memory can be copied to another engine while it grows.
 	Backups bool
+	// Moves tells that it can be copied on order as well.
+	Moves bool
 	// EventTokens is the number of tokens in one event.
 	EventTokens int
 	// Models are the models that the engines run.
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -65,12 +65,11 @@
 	sends, ran int
 	// mayHaveRun tells that some target may have run the request.
 	mayHaveRun bool
-	// copyAt holds a copy of the run's memory; nil for none. freeCopy stops counting it.
-	copyAt   *directory.Target
+	// copied is the copy of the run's memory from which the next attempt goes on; nil for none.
+	// freeCopy stops counting the backup of the latest attempt.
+	copied   *RelayCopy
 	freeCopy func()
-	// copySince is when the copy was asked for.
-	copySince time.Time
-	exclude   []string
+	exclude  []string
 	// charged tells that a target's death was charged to the request.
 	charged bool
 	// answer is the last failure that a target answered.
@@ -94,7 +93,7 @@
 		if target == nil {
 			return run.failure(ErrNoTarget)
 		}
-		if run.sends > 0 && !r.options.Budget.Spend(request.Service) {
+		if run.sends > 0 && !r.options.Budget.Spend(request.Service, run.urgency()) {
 			return run.failure(errBudgetSpent)
 		}
 		ending, err := run.attempt(ctx, target)
@@ -122,6 +121,17 @@
 	run.relay.options.Log(event, fields...)
 }
 
+// urgency tells what the next send saves.
+func (run *relayRun) urgency() RetryUrgency {
+	switch {
+	case run.copied != nil:
+		return RetryResume
+	case run.begun:
+		return RetryReread
+	}
+	return RetryRestart
+}
+
 // checkSuspect refuses a request that killed too many targets.
 func (run *relayRun) checkSuspect() error {
 	deaths := run.relay.options.Suspects.Deaths(run.request.Fingerprint)
@@ -165,11 +175,15 @@
 	return &GivenUpError{Started: run.mayHaveRun, RetryAfter: retryAfter, Cause: cause}
 }
 
+func (run *relayRun) size() StreamSize {
+	return StreamSize{Prompt: run.request.PromptTokens, Output: run.request.OutputTokens}
+}
+
 func (run *relayRun) query() RelayQuery {
 	return RelayQuery{
 		Engines:  run.relay.options.Targets(run.request.Service),
 		Spec:     run.request.Spec,
-		Size:     StreamSize{Prompt: run.request.PromptTokens, Output: run.request.OutputTokens},
+		Size:     run.size(),
 		Affinity: run.request.Affinity,
 		Exclude:  run.exclude,
 	}
@@ -178,11 +192,9 @@
 // choose returns the target of the next attempt: the holder of the copy, or the cheapest.
 func (run *relayRun) choose() *directory.Target {
 	query := run.query()
-	if run.copyAt != nil {
-		for _, target := range query.Engines {
-			if holdsCopy(target, run.copyAt, run.copySince) {
-				return target
-			}
+	if run.copied != nil {
+		if target := run.find(run.copied); target != nil {
+			return target
 		}
 		run.dropCopy()
 	}
@@ -194,20 +206,8 @@
 	return target
 }
 
-// unseenFor is how long an engine that started again may be unknown to this entry.
-const unseenFor = 700 * time.Millisecond
-
-// holdsCopy tells whether the target has the copy that was asked for at holder: engines are named by
-// their addresses in this, so that the one which started there before the copy began has got it.
-func holdsCopy(target, holder *directory.Target, since time.Time) bool {
-	if target.SameIncarnation(holder) {
-		return true
-	}
-	return target.Address == holder.Address && target.Seen.Before(since.Add(unseenFor))
-}
-
 func (run *relayRun) dropCopy() {
-	run.copyAt = nil
+	run.copied = nil
 	run.freeCopy()
 	run.freeCopy = func() {}
 }
@@ -227,6 +227,7 @@
 	sent     time.Time
 	progress time.Time
 	messages chan relayMessage
+	copier   *copier
 }
 
 // relayMessage is what the goroutine that reads an attempt's stream reports.
@@ -241,7 +242,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	options := run.relay.options
-	from := run.copyAt
+	from := run.copied
 	send := RelayAttempt{
 		Request: run.request, Target: target, LastEvent: run.last, Copy: from, Left: time.Until(run.request.Deadline),
 	}
@@ -261,17 +262,21 @@
 	}
 	defer run.relay.watches.leave(a.watch)
 	defer a.placed.Ended()
+	var backup *RelayCopy
 	if send.Backup != nil {
 		run.freeCopy = options.Placer.AddCopy(send.Backup, query.Size)
+		backup = &RelayCopy{Holder: send.Backup, Source: send.Backup.Address, Name: run.request.ID, since: a.sent}
 	}
+	a.copier = newCopier(a, backup)
 	run.log("attempt-sent", Field{"target", target.ID}, Field{"address", target.Address}, Field{"zone", target.AvailabilityZone},
-		Field{"after_event", run.last}, Field{"copy_at", idOf(from)}, Field{"backup", idOf(send.Backup)})
+		Field{"after_event", run.last}, Field{"copy_at", idOf(from.holder())}, Field{"backup", idOf(send.Backup)})
 	run.relay.stats.Attempts.Add(1)
 	go a.read(attemptCtx, send)
 	ending, err := a.follow(ctx)
 	// The target stops at once: its connection is closed before another one continues the stream.
 	cancel()
-	run.settle(a, send, ending, err)
+	a.copier.end(ending == endingComplete)
+	run.settle(a, ending, err)
 	return ending, err
 }
 
@@ -283,7 +288,7 @@
 }
 
 // settle takes the end of an attempt into account.
-func (run *relayRun) settle(a *relayAttempt, send RelayAttempt, ending relayEnding, err error) {
+func (run *relayRun) settle(a *relayAttempt, ending relayEnding, err error) {
 	placer := run.relay.options.Placer
 	switch ending {
 	case endingRefused:
@@ -316,9 +321,9 @@
 		run.mayHaveRun = true
 	}
 	// Engines copy a run's memory from its first event on.
-	if send.Backup != nil && a.events > 0 && !slices.Contains(run.exclude, send.Backup.ID) {
-		run.copyAt = send.Backup
-		run.copySince = a.sent
+	latest := a.copier.latest()
+	if latest != nil && a.events > 0 && !slices.Contains(run.exclude, latest.Holder.ID) {
+		run.copied = latest
 	}
 }
 
@@ -327,6 +332,9 @@
 	var refused *RelayRefusedError
 	switch {
 	case errors.As(err, &refused) && refused.Unreachable:
+		if run.sends > 1 {
+			run.relay.options.Budget.Refund(run.request.Service)
+		}
 		run.relay.options.Placer.Lost(target)
 	case errors.As(err, &refused) && refused.Misdirected:
 		run.relay.options.Dispute(target, refused.Found)
@@ -384,11 +392,14 @@
 		case <-look:
 			look = nil
 			lastLook = time.Now()
+		case result := <-a.copier.results:
+			a.copier.take(result, time.Now())
 		case <-timer.C:
 		case <-ctx.Done():
 			return endingOf(ctx), ctx.Err()
 		}
 		now := time.Now()
+		a.copier.check(ctx, now)
 		patience := relayPatience(a.run.request, a.events > 0, &a.gaps)
 		silence := now.Sub(a.progress)
 		if silence >= patience.stall {
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -52,8 +52,8 @@
 	LastEvent int64
 	// Backup is the engine that keeps a copy of the run's memory; nil for none.
 	Backup *directory.Target
-	// Copy is the engine whose copy the target continues from; nil for none.
-	Copy *directory.Target
+	// Copy is the copy that the target continues from; nil for none.
+	Copy *RelayCopy
 	// Left is the time that the target may take.
 	Left time.Duration
 }
@@ -73,6 +73,10 @@
 	// *RelayRefusedError, a *RelayAnswerError, or any other after which the target may have run the
 	// attempt.
 	Open(ctx context.Context, attempt RelayAttempt) (RelayStream, error)
+	// Copy has source copy the memory of a run to another engine, and returns the copy's name at source.
+	Copy(ctx context.Context, source *directory.Target, run string, to *directory.Target) (name string, err error)
+	// Free drops a copy that was made by Copy.
+	Free(ctx context.Context, source *directory.Target, name string) error
 	// Reach tells whether the target accepts a connection.
 	Reach(ctx context.Context, target *directory.Target) error
 }
@@ -125,12 +129,30 @@
 	ErrRelayDeadline = errors.New("generation: deadline passed")
 )
 
+// RetryUrgency tells what a send beyond the first saves. When little of the budget is left, it goes to
+// the sends that save most.
+type RetryUrgency int
+
+// Urgencies, the most urgent first.
+const (
+	// RetryResume continues a stream from a copy: the caller notices nothing, and no work is repeated.
+	RetryResume RetryUrgency = iota
+	// RetryRestart sends a request again of which the caller has nothing yet. It would come back
+	// itself, as a new request.
+	RetryRestart
+	// RetryReread continues a stream by reading its prompt again, which takes so long that the caller
+	// has the rest late in any case.
+	RetryReread
+)
+
 // RetryBudget is the port to the budget of sends beyond the first, which all entries share.
 type RetryBudget interface {
 	// Earn counts a request for a service.
 	Earn(service string)
-	// Spend takes a send beyond the first; false when there is none left.
-	Spend(service string) bool
+	// Spend takes a send beyond the first; false when there is none left for its urgency.
+	Spend(service string, urgency RetryUrgency) bool
+	// Refund gives a send back that has not left this process.
+	Refund(service string)
 }
 
 // StreamSize is the size of one stream, in tokens.
--- a/service/forward.go
+++ b/service/forward.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/azurebarrow/azurebarrow/generation"
 )
 
 // Forward is one attempt of a caller at a plain call whose content is opaque. Nothing of it is
@@ -61,17 +63,11 @@
 	Send(ctx context.Context, target Target, call *Forward) Sent
 }
 
-// RetryBudget is the budget of sends beyond the first, which all entries share.
-type RetryBudget interface {
-	Earn(service string)
-	Spend(service string) bool
-}
-
 // ForwarderOptions are the ports of a Forwarder.
 type ForwarderOptions struct {
 	Sender    Sender
 	Directory Directory
-	Budget    RetryBudget
+	Budget    generation.RetryBudget
 	// Seed makes random choices repeatable.
 	Seed uint64
 	// Log receives one event for each decision; nil discards them.
@@ -213,7 +209,7 @@
 
 // again sends the call once more if its state and the budget allow.
 func (w *forwarding) again(ctx context.Context) bool {
-	return w.state.maySendAgain() && w.forwarder.options.Budget.Spend(w.call.Service) && w.send(ctx)
+	return w.state.maySendAgain() && w.forwarder.options.Budget.Spend(w.call.Service, generation.RetryRestart) && w.send(ctx)
 }
 
 // hedge asks a second target when the first one is late.
@@ -222,7 +218,7 @@
 		return
 	}
 	w.hedged = true
-	if w.forwarder.options.Budget.Spend(w.call.Service) {
+	if w.forwarder.options.Budget.Spend(w.call.Service, generation.RetryRestart) {
 		w.send(ctx)
 	}
 }
