Never use again an engine that has left

Its entry went before that of its predecessor at the same address; the predecessor came back into use, met 421, and the engine found there was adopted. Change: a predecessor is taken back for good, and a target that ever had an entry is not adopted.

--- a/directory/feed.go
+++ b/directory/feed.go
@@ -157,6 +157,14 @@
 	return now.Sub(f.kinds[kind].confirmed)
 }
 
+// knew tells whether an object is there or was removed a short time ago.
+func (f *Feed) knew(kind, name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, known := f.kinds[kind].items[name]
+	return known
+}
+
 // Age returns the time since the store is known to have had nothing newer of any kind.
 func (f *Feed) Age(now time.Time) time.Duration {
 	f.mu.Lock()
--- a/directory/manager.go
+++ b/directory/manager.go
@@ -282,6 +282,7 @@
 		delete(m.disputed, target.ID)
 	}
 	delete(m.gone, target.ID)
+	m.retirePredecessors(target)
 	switch {
 	case target.Leaving && (before == nil || !before.Leaving):
 		m.report(EventTargetLeaving, target)
@@ -290,6 +291,16 @@
 	}
 }
 
+// retirePredecessors takes back the targets that ran at the address before. Their entries may outlive
+// that of the new one.
+func (m *Manager) retirePredecessors(target *Target) {
+	for id, known := range m.known {
+		if id != target.ID && known.Address == target.Address && startedLater(target, known) {
+			m.disputed[id] = known
+		}
+	}
+}
+
 // lose marks a target whose entry is gone. One that was leaving is forgotten at once.
 func (m *Manager) lose(id string, now time.Time) {
 	target := m.known[id]
--- a/directory/successor.go
+++ b/directory/successor.go
@@ -59,8 +59,10 @@
 	m.post(ctx, func(now time.Time) { m.adopt(&successor, now) })
 }
 
+// adopt uses a target that has no entry. One that had an entry has left: it may serve on for a while,
+// but gets no new work.
 func (m *Manager) adopt(successor *Target, now time.Time) {
-	if m.known[successor.ID] != nil {
+	if m.known[successor.ID] != nil || m.feed.knew(KindTarget, successor.ID) {
 		return
 	}
 	m.known[successor.ID] = successor
