Wait for the writer of a request before its connection is given up

Cause: TestConnectionIsUsedAgain failed once of three beside load: the answer was read before the goroutine that writes had run again, and the connection was closed. Change: up to 5 ms of patience once the answer is read.

--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -180,12 +180,18 @@
 	return n == 0 && err == io.EOF
 }
 
+// writerPatience is the wait for the goroutine that writes, which may not have run since its last
+// byte left.
+const writerPatience = 5 * time.Millisecond
+
 // requestWritten tells whether the whole request has left; a target may answer before.
 func (e *exchange) requestWritten() bool {
+	timer := time.NewTimer(writerPatience)
+	defer timer.Stop()
 	select {
 	case err := <-e.written:
 		return err == nil
-	default:
+	case <-timer.C:
 		return false
 	}
 }
--- a/directory/sync.go
+++ b/directory/sync.go
@@ -43,8 +43,6 @@
 	peerTimeout = 250 * time.Millisecond
 	// staleAfter is the age from which a peer's word is no longer relied on: two watches of the peer.
 	staleAfter = 1300 * time.Millisecond
-	// directFor is how long an entry reads the store itself after its peers were of no use.
-	directFor = 2 * time.Second
 	// peerPause is the pause between looks of an entry that reads the store itself.
 	peerPause = 200 * time.Millisecond
 )
