Share deaths between entries; pass priorities on; split attempts and copies

Change: charges and clearances go to all entries as membership notices; the rank of the customer or route goes to engines; state of targets that are gone is swept.

--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -81,6 +81,8 @@
 	route    *directory.Route
 	service  string
 	customer string
+	// priority is the customer's, which precedes the route's; nil when it has none.
+	priority *int
 	snapshot *directory.Snapshot
 	body     []byte
 }
@@ -135,6 +137,7 @@
 			return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
 		}
 		c.customer = customer.Name
+		c.priority = customer.Priority
 	}
 	if !c.handler.options.Accepts(c.route.Class) {
 		return &refusal{http.StatusServiceUnavailable, "entry is stopping", stopRetryAfter}
@@ -227,6 +230,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// rank returns the request's rank at engines.
+func (c *request) rank() *int {
+	if c.priority != nil {
+		return c.priority
+	}
+	return &c.route.Priority
+}
+
 // outgoing is the request as it goes to targets. It is the payload of relays and forwards.
 type outgoing struct {
 	call *request
@@ -362,13 +373,16 @@
 	}
 }
 
+// fingerprintBytes is the length of a fingerprint; entries tell each other of them.
+const fingerprintBytes = 12
+
 // fingerprint identifies what runs: path, caller and body.
 func (c *request) fingerprint() string {
 	sum := sha256.New()
 	for _, part := range []string{c.http.Method, c.http.RequestURI, c.customer, string(c.body)} {
 		_, _ = sum.Write([]byte(strconv.Itoa(len(part)) + ":" + part)) // never fails
 	}
-	return hex.EncodeToString(sum.Sum(nil))
+	return hex.EncodeToString(sum.Sum(nil)[:fingerprintBytes])
 }
 
 // sink writes a stream to its caller. It implements generation.RelaySink.
--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -53,7 +53,8 @@
 
 // Open implements generation.RelayEngine.
 func (t *Targets) Open(ctx context.Context, attempt generation.RelayAttempt) (generation.RelayStream, error) {
-	header := platform.TargetHeader{Instance: attempt.Target.ID, Left: attempt.Left}
+	payload := attempt.Request.Payload.(*outgoing)
+	header := platform.TargetHeader{Instance: attempt.Target.ID, Left: attempt.Left, Priority: payload.call.rank()}
 	if attempt.LastEvent != noLastEvent {
 		header.LastEvent = strconv.FormatInt(attempt.LastEvent, 10)
 	}
@@ -63,7 +64,7 @@
 	if attempt.Copy != nil {
 		header.CopySource, header.CopyName = attempt.Copy.Source, attempt.Copy.Name
 	}
-	request := attempt.Request.Payload.(*outgoing).encode(header)
+	request := payload.encode(header)
 	received, err := t.pool.Do(ctx, PoolKey(attempt.Target), attempt.Target.Address, request)
 	if err != nil {
 		var notSent *targethttp.NotSentError
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,11 +42,14 @@
 	members   *membership.Manager
 	directory *directory.Manager
 	pool      *targethttp.Pool
+	placement *routing.Placement
 	relay     *generation.Relay
+	forwarder *service.Forwarder
 	retries   *admission.SharedRetries
 	// retryTotals adds up the retries of all entries if this one is asked to.
 	retryTotals *admission.RetryTotals
 	peerClient  *http.Client
+	suspects    *sharedSuspects
 	front       *front
 	ready       listening
 	peers       listening
@@ -72,7 +75,7 @@
 	if options.Log == nil {
 		options.Log = func(string, ...generation.Field) {}
 	}
-	e := &Entry{settings: s.WithDefaults(), log: options.Log, metrics: metrics.New(), retryTotals: admission.NewRetryTotals()}
+	e := &Entry{settings: s.WithDefaults(), log: options.Log, metrics: metrics.New(), retryTotals: admission.NewRetryTotals(), suspects: newSharedSuspects()}
 	e.shutdown = newShutdown(e.settings.Passthrough.StopGrace)
 	e.buildMembership()
 	e.buildDirectory()
@@ -99,10 +102,13 @@
 			AvailabilityZone: e.settings.AvailabilityZone,
 			Incarnation:      uint64(time.Now().UnixNano()),
 		},
-		Prober: peermembership.NewProber(&http.Client{Transport: peermembership.NewTransport()}),
-		Seeds:  seeds,
-		Seed:   rand.Uint64(),
+		Prober:   peermembership.NewProber(&http.Client{Transport: peermembership.NewTransport()}),
+		Seeds:    seeds,
+		Seed:     rand.Uint64(),
+		OnNotice: e.suspects.take,
 	})
+	// A request does not wait for the goroutine that owns the membership.
+	e.suspects.broadcast = func(notice membership.Notice) { go e.members.Broadcast(notice) }
 }
 
 func (e *Entry) buildDirectory() {
@@ -143,21 +149,23 @@
 	e.retries = admission.NewSharedRetries(admission.SharedRetryLimits{
 		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow,
 	}, func() int { return max(leastEntries, len(e.members.Live())) }, nil)
+	e.placement = routing.NewPlacement(routing.PlacementOptions{
+		AvailabilityZone: e.settings.AvailabilityZone,
+		Entries: func() (membership.Peer, []membership.Peer) {
+			return e.members.Self(), e.members.Live()
+		},
+		Seed: rand.Uint64(),
+	})
 	e.relay = generation.NewRelay(generation.RelayOptions{
-		Engine: targets,
-		Placer: routing.NewPlacement(routing.PlacementOptions{
-			AvailabilityZone: e.settings.AvailabilityZone,
-			Entries: func() (membership.Peer, []membership.Peer) {
-				return e.members.Self(), e.members.Live()
-			},
-			Seed: rand.Uint64(),
-		}),
-		Budget:  e.retries,
-		Targets: func(name string) []*directory.Target { return e.directory.Snapshot().Open(name) },
-		Dispute: e.directory.Dispute,
-		Log:     e.log,
+		Engine:   targets,
+		Placer:   e.placement,
+		Budget:   e.retries,
+		Targets:  func(name string) []*directory.Target { return e.directory.Snapshot().Open(name) },
+		Dispute:  e.directory.Dispute,
+		Suspects: e.suspects,
+		Log:      e.log,
 	})
-	forwarder := service.NewForwarder(service.ForwarderOptions{
+	e.forwarder = service.NewForwarder(service.ForwarderOptions{
 		Sender:    targets,
 		Directory: targets,
 		Budget:    e.retries,
@@ -167,7 +175,7 @@
 	handler := passthrough.NewHandler(passthrough.Options{
 		Snapshot:  e.directory.Snapshot,
 		Relay:     e.relay,
-		Forwarder: forwarder,
+		Forwarder: e.forwarder,
 		Await:     e.directory.Await,
 		Draining:  e.shutdown.stopping,
 		Accepts:   func(class directory.Class) bool { return e.shutdown.accepts(class, time.Now()) },
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -46,8 +46,11 @@
 	}
 }
 
-// sweep closes the idle connections to targets that are gone.
+// sweep forgets what belongs to targets that are gone, and closes idle connections to them.
 func (e *Entry) sweep() {
+	e.placement.Sweep()
+	e.forwarder.Sweep()
+	e.suspects.deaths.Sweep(time.Now())
 	known := map[string]bool{}
 	for _, targets := range e.directory.Snapshot().Targets {
 		for _, target := range targets {
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -217,7 +217,6 @@
 	run    *relayRun
 	target *directory.Target
 	stream RelayStream
-	cancel context.CancelFunc
 	placed Placed
 	watch  *targetWatch
 	gaps   health.Gaps
@@ -241,43 +240,55 @@
 func (run *relayRun) attempt(ctx context.Context, target *directory.Target) (relayEnding, error) {
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	options := run.relay.options
-	from := run.copied
+	send := run.prepare(target)
+	a := run.begin(send)
+	defer run.relay.watches.leave(a.watch)
+	defer a.placed.Ended()
+	run.log("attempt-sent", Field{"target", target.ID}, Field{"address", target.Address}, Field{"zone", target.AvailabilityZone},
+		Field{"after_event", run.last}, Field{"copy_at", idOf(send.Copy.holder())}, Field{"backup", idOf(send.Backup)})
+	go a.read(attemptCtx, send)
+	ending, err := a.follow(ctx)
+	// The target stops at once: its connection is closed before another one continues the stream.
+	cancel()
+	a.copier.end(ending == endingComplete)
+	run.settle(a, ending, err)
+	return ending, err
+}
+
+// prepare returns the next send: from the copy of the run's memory, if there is one, and with a
+// backup of its own.
+func (run *relayRun) prepare(target *directory.Target) RelayAttempt {
 	send := RelayAttempt{
-		Request: run.request, Target: target, LastEvent: run.last, Copy: from, Left: time.Until(run.request.Deadline),
-	}
-	unread := run.request.PromptTokens
-	if from != nil {
-		unread = 0
+		Request: run.request, Target: target, LastEvent: run.last, Copy: run.copied, Left: time.Until(run.request.Deadline),
 	}
 	run.dropCopy()
-	query := run.query()
 	if run.request.Spec != nil && run.request.Spec.Backups {
-		send.Backup = options.Placer.Backup(query, target)
+		send.Backup = run.relay.options.Placer.Backup(run.query(), target)
 	}
-	run.sends++
+	return send
+}
+
+// begin counts an attempt and what it takes at its target and at the holder of its backup.
+func (run *relayRun) begin(send RelayAttempt) *relayAttempt {
+	placer := run.relay.options.Placer
+	unread := run.request.PromptTokens
+	if send.Copy != nil {
+		unread = 0
+	}
+	now := time.Now()
 	a := &relayAttempt{
-		run: run, target: target, cancel: cancel, sent: time.Now(), progress: time.Now(), messages: make(chan relayMessage),
-		placed: options.Placer.Begin(target, query.Size, unread), watch: run.relay.watches.enter(target),
+		run: run, target: send.Target, sent: now, progress: now, messages: make(chan relayMessage),
+		placed: placer.Begin(send.Target, run.size(), unread), watch: run.relay.watches.enter(send.Target),
 	}
-	defer run.relay.watches.leave(a.watch)
-	defer a.placed.Ended()
 	var backup *RelayCopy
 	if send.Backup != nil {
-		run.freeCopy = options.Placer.AddCopy(send.Backup, query.Size)
-		backup = &RelayCopy{Holder: send.Backup, Source: send.Backup.Address, Name: run.request.ID, since: a.sent}
+		run.freeCopy = placer.AddCopy(send.Backup, run.size())
+		backup = &RelayCopy{Holder: send.Backup, Source: send.Backup.Address, Name: run.request.ID, since: now}
 	}
 	a.copier = newCopier(a, backup)
-	run.log("attempt-sent", Field{"target", target.ID}, Field{"address", target.Address}, Field{"zone", target.AvailabilityZone},
-		Field{"after_event", run.last}, Field{"copy_at", idOf(from.holder())}, Field{"backup", idOf(send.Backup)})
+	run.sends++
 	run.relay.stats.Attempts.Add(1)
-	go a.read(attemptCtx, send)
-	ending, err := a.follow(ctx)
-	// The target stops at once: its connection is closed before another one continues the stream.
-	cancel()
-	a.copier.end(ending == endingComplete)
-	run.settle(a, ending, err)
-	return ending, err
+	return a
 }
 
 func idOf(target *directory.Target) string {
--- a/generation/relaycopy.go
+++ b/generation/relaycopy.go
@@ -45,11 +45,13 @@
 	attempt *relayAttempt
 	// backup is what the attempt was sent with, ordered the latest copy that was ordered.
 	backup, ordered *RelayCopy
-	// orders are the copies ordered so far, freed at the end.
+	// results carries the outcome of the order that is under way.
 	results  chan copyResult
 	ordering bool
-	next     time.Time
-	free     func()
+	// next is the time of the next look.
+	next time.Time
+	// free stops counting the ordered copy at its holder.
+	free func()
 }
 
 type copyResult struct {
@@ -73,24 +75,24 @@
 		return
 	}
 	c.next = now.Add(copyCheck)
-	run := c.attempt.run
-	if c.ordered == nil && run.find(c.backup) != nil {
-		return
-	}
-	var to *directory.Target
-	if c.ordered != nil && now.Sub(c.ordered.since) < copyRefresh {
-		return
-	}
-	if c.ordered != nil {
-		to = run.find(c.ordered)
+	if to := c.due(now); to != nil {
+		c.order(ctx, to)
 	}
-	if to == nil {
-		to = run.relay.options.Placer.Backup(run.query(), c.attempt.target)
+}
+
+// due returns the engine to which a copy should be ordered now; nil for none.
+func (c *copier) due(now time.Time) *directory.Target {
+	run := c.attempt.run
+	switch {
+	case c.ordered == nil && run.find(c.backup) != nil:
+		return nil
+	case c.ordered != nil && now.Sub(c.ordered.since) < copyRefresh:
+		return nil
 	}
-	if to == nil {
-		return
+	if holder := run.find(c.ordered); holder != nil {
+		return holder
 	}
-	c.order(ctx, to)
+	return run.relay.options.Placer.Backup(run.query(), c.attempt.target)
 }
 
 // order has the engine copy the run's memory, apart from the goroutine that follows the attempt.
--- a/generation/relaywatch.go
+++ b/generation/relaywatch.go
@@ -17,10 +17,9 @@
 
 // targetWatch is the watch over one incarnation of a target while streams are open there.
 type targetWatch struct {
-	key    string
-	users  int
-	look   chan struct{} // closed when the look that is under way ends
-	failed error         // why the last look failed
+	key   string
+	users int
+	look  chan struct{} // closed when the look that is under way ends
 	// lost is closed when the target is found not to answer.
 	lost   chan struct{}
 	isLost bool
@@ -84,7 +83,6 @@
 		}
 		w.mu.Lock()
 		watch.look = nil
-		watch.failed = err
 		w.mu.Unlock()
 		close(ended)
 	}()
--- a/health/deaths.go
+++ b/health/deaths.go
@@ -109,6 +109,15 @@
 	return names
 }
 
+// Sweep forgets the charges that have expired.
+func (d *Deaths) Sweep(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for fingerprint := range d.charges {
+		d.expire(fingerprint, now)
+	}
+}
+
 func (d *Deaths) expire(fingerprint string, now time.Time) {
 	charges := d.charges[fingerprint]
 	if len(charges) == 0 {
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -73,3 +73,17 @@
 	d.Clear("f")
 	is.Equal(d.Count("f", now.Add(time.Minute)), 0)
 }
+
+func TestSweepForgetsExpiredCharges(t *testing.T) {
+	is := is.New(t)
+	deaths := NewDeaths()
+	now := time.Unix(1000, 0)
+	deaths.Charge("once", "t1", now)
+	for i, target := range []string{"t2", "t3", "t4"} {
+		deaths.Charge("often", target, now.Add(time.Duration(i)*time.Minute))
+	}
+	deaths.Sweep(now.Add(chargeExpiry + 3*time.Minute))
+	is.Equal(len(deaths.charges), 1) // a refusal is kept for longer
+	deaths.Sweep(now.Add(refusalExpiry + time.Hour))
+	is.Equal(len(deaths.charges), 0)
+}
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -298,11 +298,28 @@
 
 // drop forgets an engine of which nothing is known any more.
 func (p *Placement) drop(engine *directory.Target, state *engineState) {
-	if state.streams == 0 && state.copied < 1 && !p.options.Now().Before(state.avoidUntil) {
+	if state.idle(p.options.Now()) {
 		delete(p.engines, engineKey(engine))
 	}
 }
 
+// Sweep forgets the engines of which nothing is known any more.
+func (p *Placement) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Now()
+	for key, state := range p.engines {
+		if state.idle(now) {
+			delete(p.engines, key)
+		}
+	}
+}
+
+// idle tells whether the state holds nothing that a choice depends on.
+func (s *engineState) idle(now time.Time) bool {
+	return s.streams == 0 && s.copied < 1 && !now.Before(s.avoidUntil)
+}
+
 // AddCopy counts a copy of a stream's memory at its holder until release is called.
 func (p *Placement) AddCopy(holder *directory.Target, size generation.StreamSize) (release func()) {
 	p.mu.Lock()
--- a/routing/placement_test.go
+++ b/routing/placement_test.go
@@ -204,3 +204,19 @@
 		is.True(late*2 < baseline)
 	}
 }
+
+func TestSweepForgetsIdleEngines(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	engines := engineFleet(3)
+	p := NewPlacement(PlacementOptions{AvailabilityZone: "a", Seed: 1, Now: func() time.Time { return now }})
+	p.Lost(engines[0])
+	placed := p.Begin(engines[1], draftSize, 0)
+	p.Sweep()
+	is.Equal(len(p.engines), 2)
+	now = now.Add(lossPenalty)
+	p.Sweep()
+	is.Equal(len(p.engines), 1) // a stream is there
+	placed.Ended()
+	is.Equal(len(p.engines), 0)
+}
--- a/service/forward.go
+++ b/service/forward.go
@@ -299,6 +299,30 @@
 	}()
 }
 
+// Sweep forgets targets that are gone and have no call under way.
+func (f *Forwarder) Sweep() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, pool := range f.pools {
+		pool.sweep()
+	}
+}
+
+// sweep forgets targets that the directory does not name.
+func (p *pool) sweep() {
+	named := map[string]bool{}
+	for _, target := range p.directory.Targets(p.deployment) {
+		named[target.Name] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, state := range p.state {
+		if !named[name] && state.running == 0 {
+			delete(p.state, name)
+		}
+	}
+}
+
 func (f *Forwarder) pool(service string) *pool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/service/forward_test.go
+++ b/service/forward_test.go
@@ -149,3 +149,14 @@
 		})
 	}
 }
+
+func TestSweepForgetsTargetsThatAreGone(t *testing.T) {
+	is := is.New(t)
+	f := NewForwarder(ForwarderOptions{Directory: twoTargets{}, Budget: freeRetries{}})
+	pool := f.pool("records")
+	pool.stateOf("gone")
+	pool.stateOf("busy").running = 1
+	pool.stateOf("a")
+	f.Sweep()
+	is.Equal(len(pool.state), 2)
+}
