--- a/entry/entry.go
+++ b/entry/entry.go
@@ -239,6 +239,8 @@
 	e.log("entry-started", generation.Field{Key: "name", Value: e.settings.Name},
 		generation.Field{Key: "zone", Value: e.settings.AvailabilityZone},
 		generation.Field{Key: "callers", Value: e.settings.CallerAddress},
+		generation.Field{Key: "peers", Value: e.settings.PeerAddress},
+		generation.Field{Key: "admin", Value: e.settings.AdminAddress},
 		generation.Field{Key: "store", Value: e.settings.Platform.URL})
 	err := group.Run()
 	e.log("entry-stopped", generation.Field{Key: "error", Value: err}, generation.Field{Key: "running", Value: e.running.Load()})
