--- a/generation/relay.go
+++ b/generation/relay.go
@@ -262,7 +262,7 @@
 		Request: run.request, Target: target, LastEvent: run.last, Copy: run.copied, Left: time.Until(run.request.Deadline),
 	}
 	run.dropCopy()
-	if run.request.Spec != nil && run.request.Spec.Backups {
+	if run.request.Resumable && run.request.Spec != nil && run.request.Spec.Backups {
 		send.Backup = run.relay.options.Placer.Backup(run.query(), target)
 	}
 	return send
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -339,7 +339,8 @@
 		err := f.relay.Run(t.Context(), request, &recordingSink{})
 		var givenUp *GivenUpError
 		is.True(errors.As(err, &givenUp))
-		is.True(givenUp.Started) // it may have run: no promise that it did not
+		is.True(givenUp.Started)                    // it may have run: no promise that it did not
+		is.True(f.engine.attempts[1].Backup == nil) // a copy would be of no use
 		is.Equal(len(f.engine.attempts), 2)
 	})
 }
