--- a/entry/loopback_test.go
+++ b/entry/loopback_test.go
@@ -109,7 +109,6 @@
 	mu sync.Mutex
 	// dieAfter breaks each stream off after that event; 0 never.
 	dieAfter int
-	runs     []string
 }
 
 const loopEvents = 12
