--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -27,9 +27,6 @@
 	return &Targets{pool: pool, directory: manager}
 }
 
-// PoolKey names a target's incarnation among the connections.
-func PoolKey(target *directory.Target) string { return target.ID + "@" + target.Address }
-
 const (
 	// maxAnswerBytes bounds an answer that is read as a whole.
 	maxAnswerBytes = 16 << 20
@@ -48,7 +45,7 @@
 
 // Reach implements generation.RelayEngine.
 func (t *Targets) Reach(ctx context.Context, target *directory.Target) error {
-	return t.pool.Reach(ctx, PoolKey(target), target.Address)
+	return t.pool.Reach(ctx, target.Key(), target.Address)
 }
 
 // Open implements generation.RelayEngine.
@@ -65,7 +62,7 @@
 		header.CopySource, header.CopyName = attempt.Copy.Source, attempt.Copy.Name
 	}
 	request := payload.encode(header)
-	received, err := t.pool.Do(ctx, PoolKey(attempt.Target), attempt.Target.Address, request)
+	received, err := t.pool.Do(ctx, attempt.Target.Key(), attempt.Target.Address, request)
 	if err != nil {
 		var notSent *targethttp.NotSentError
 		if errors.As(err, &notSent) {
@@ -116,7 +113,7 @@
 
 // order calls an engine's own interface and returns the body of its answer.
 func (t *Targets) order(ctx context.Context, target *directory.Target, call platform.Call) ([]byte, error) {
-	received, err := t.pool.Do(ctx, PoolKey(target), target.Address, &targethttp.Request{
+	received, err := t.pool.Do(ctx, target.Key(), target.Address, &targethttp.Request{
 		Method: call.Method, URI: call.Path, Host: target.Address, Header: call.Header, Body: call.Body,
 	})
 	if err != nil {
@@ -149,7 +146,8 @@
 func (t *Targets) Send(ctx context.Context, target service.Target, call *service.Forward) service.Sent {
 	header := platform.TargetHeader{Instance: target.Name, Left: time.Until(call.Deadline)}
 	request := call.Payload.(*outgoing).encode(header)
-	received, err := t.pool.Do(ctx, target.Name+"@"+target.Address, target.Address, request)
+	key := (&directory.Target{ID: target.Name, Address: target.Address}).Key()
+	received, err := t.pool.Do(ctx, key, target.Address, request)
 	if err != nil {
 		var notSent *targethttp.NotSentError
 		if errors.As(err, &notSent) {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -202,6 +202,9 @@
 	Provisional bool
 }
 
+// Key names the incarnation among the targets that this entry deals with.
+func (t *Target) Key() string { return t.ID + "@" + t.Address }
+
 // SameIncarnation tells whether two entries speak of the same start of the same process. Of a
 // provisional one the start is not known.
 func (t *Target) SameIncarnation(other *Target) bool {
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -6,7 +6,6 @@
 
 	"golang.org/x/sys/unix"
 
-	"github.com/azurebarrow/azurebarrow/adapters/passthrough"
 	"github.com/azurebarrow/azurebarrow/generation"
 )
 
@@ -54,7 +53,7 @@
 	known := map[string]bool{}
 	for _, targets := range e.directory.Snapshot().Targets {
 		for _, target := range targets {
-			known[passthrough.PoolKey(target)] = true
+			known[target.Key()] = true
 		}
 	}
 	e.pool.Sweep(func(key string) bool { return known[key] })
--- a/generation/relaywatch.go
+++ b/generation/relaywatch.go
@@ -29,13 +29,11 @@
 	return &targetWatches{watches: map[string]*targetWatch{}}
 }
 
-func incarnationKey(target *directory.Target) string { return target.ID + "@" + target.Address }
-
 // enter returns the watch over the target for one more stream.
 func (w *targetWatches) enter(target *directory.Target) *targetWatch {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	key := incarnationKey(target)
+	key := target.Key()
 	watch := w.watches[key]
 	if watch == nil || watch.isLost {
 		watch = &targetWatch{key: key, lost: make(chan struct{})}
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -195,7 +195,7 @@
 // cost returns what the engine's own state costs a stream.
 func (p *Placement) cost(engine *directory.Target, query generation.RelayQuery) time.Duration {
 	model := p.options.Model
-	state := p.engines[engineKey(engine)]
+	state := p.engines[engine.Key()]
 	now := p.options.Now()
 	var cost time.Duration
 	if p.zoneSuspected(engine.AvailabilityZone, now) {
@@ -247,10 +247,8 @@
 	return best
 }
 
-func engineKey(engine *directory.Target) string { return engine.ID + "@" + engine.Address }
-
 func (p *Placement) state(engine *directory.Target) *engineState {
-	key := engineKey(engine)
+	key := engine.Key()
 	state := p.engines[key]
 	if state == nil {
 		state = &engineState{}
@@ -299,7 +297,7 @@
 // drop forgets an engine of which nothing is known any more.
 func (p *Placement) drop(engine *directory.Target, state *engineState) {
 	if state.idle(p.options.Now()) {
-		delete(p.engines, engineKey(engine))
+		delete(p.engines, engine.Key())
 	}
 }
 
@@ -362,7 +360,7 @@
 func (p *Placement) Alive(engine *directory.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	state, known := p.engines[engineKey(engine)]
+	state, known := p.engines[engine.Key()]
 	if known && state.lost {
 		state.lost = false
 		state.avoidUntil = time.Time{}
