--- a/admission/retrytotals.go
+++ b/admission/retrytotals.go
@@ -71,8 +71,10 @@
 	reportTimeout = 300 * time.Millisecond
 )
 
-// Share keeps the totals of all entries known to the budget until ctx ends.
-func (s *SharedRetries) Share(ctx context.Context, peers RetryPeers, members Members) error {
+// Share keeps the totals of all entries known to the budget until ctx ends. observe is told when the
+// entry that adds up is lost, with the error, and when it answers again, with nil.
+func (s *SharedRetries) Share(ctx context.Context, peers RetryPeers, members Members, observe func(adder string, err error)) error {
+	lost := false
 	for {
 		live := members.Live()
 		timer := time.NewTimer(max(reportInterval, time.Duration(len(live))*reportSpacing))
@@ -83,16 +85,22 @@
 		case <-timer.C:
 		}
 		adder := membership.Rank(live, "retries")[0]
-		s.report(ctx, peers, adder, members.Self().Name)
+		err := s.report(ctx, peers, adder, members.Self().Name)
+		if (err != nil) != lost {
+			lost = err != nil
+			observe(adder.Name, err)
+		}
 	}
 }
 
-func (s *SharedRetries) report(ctx context.Context, peers RetryPeers, adder membership.Peer, entry string) {
+// report tells this entry's use. Without an answer the totals grow old, and the entry keeps to its
+// even part.
+func (s *SharedRetries) report(ctx context.Context, peers RetryPeers, adder membership.Peer, entry string) error {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	totals, err := peers.Report(ctx, adder, entry, s.uses())
 	if err != nil {
-		return // the totals grow old, and the entry keeps to its even part
+		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -101,6 +109,7 @@
 		window := s.window(total.Service)
 		window.total, window.totalAt, window.sinceTotal = total, now, 0
 	}
+	return nil
 }
 
 // uses returns this entry's use of the last window.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -191,7 +191,7 @@
 
 func (e *Entry) listen(callers http.Handler) error {
 	var err error
-	if e.front, err = newFront(e.settings.CallerAddress, callers); err != nil {
+	if e.front, err = newFront(e.settings.CallerAddress, callers, e.log); err != nil {
 		return merry.Prepend(err, "callerAddress")
 	}
 	if err := e.ready.open(e.settings.Passthrough.ReadyAddress, e.readyHandler()); err != nil {
@@ -232,7 +232,7 @@
 	addActor(&group, e.directory.Run)
 	addActor(&group, e.maintain)
 	addActor(&group, func(ctx context.Context) error {
-		return e.retries.Share(ctx, retrypeer.NewClient(e.peerClient), e.members)
+		return e.retries.Share(ctx, retrypeer.NewClient(e.peerClient), e.members, e.logRetryTotals)
 	})
 	drainCtx, cancel := context.WithCancel(ctx)
 	group.Add(func() error { <-drainCtx.Done(); return e.drain() }, func(error) { cancel() })
--- a/entry/front.go
+++ b/entry/front.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/generation"
 )
 
 const (
@@ -28,6 +29,7 @@
 type front struct {
 	listener net.Listener
 	handler  http.Handler
+	log      func(event string, fields ...generation.Field)
 
 	mu      sync.Mutex
 	limits  directory.Limits
@@ -42,12 +44,12 @@
 	conns *handedConns
 }
 
-func newFront(address string, handler http.Handler) (*front, error) {
+func newFront(address string, handler http.Handler, log func(string, ...generation.Field)) (*front, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	f := &front{listener: listener, handler: handler}
+	f := &front{listener: listener, handler: handler, log: log}
 	f.apply(directory.Limits{})
 	return f, nil
 }
@@ -89,6 +91,7 @@
 			return nil
 		}
 		if err != nil {
+			f.log("accept-failed", generation.Field{Key: "error", Value: err})
 			time.Sleep(acceptPause)
 			continue
 		}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -100,6 +100,15 @@
 	e.log(string(event.Kind), fields...)
 }
 
+// logRetryTotals notes that the entry which adds up the retries was lost or answers again.
+func (e *Entry) logRetryTotals(adder string, err error) {
+	if err != nil {
+		e.log("retry-totals-lost", generation.Field{Key: "peer", Value: adder}, generation.Field{Key: "error", Value: err})
+		return
+	}
+	e.log("retry-totals-regained", generation.Field{Key: "peer", Value: adder})
+}
+
 func (e *Entry) logSend(event string, call *service.Forward, target string, sent service.Sent) {
 	fields := []generation.Field{
 		{Key: "request", Value: call.ID}, {Key: "service", Value: call.Service}, {Key: "target", Value: target},
