--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -182,16 +182,6 @@
 	}
 }
 
-// Forget closes the idle connections to a target that was lost.
-func (p *Pool) Forget(key string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[key] {
-		_ = c.Close()
-	}
-	delete(p.idle, key)
-}
-
 // quiet tells whether the idle connection is open and has sent nothing. Bytes that came unasked
 // belong to no request.
 func (c *conn) quiet() bool {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -170,15 +170,6 @@
 	return nil
 }
 
-// Routes returns the number of routes.
-func (c *Configuration) Routes() int {
-	count := 0
-	for _, ofHost := range c.routes {
-		count += len(ofHost)
-	}
-	return count
-}
-
 // Target is one incarnation of an engine or service instance.
 type Target struct {
 	// ID names the target; one that starts again may keep it.
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -98,7 +98,7 @@
 		}
 		ending, err := run.attempt(ctx, target)
 		situation := relaySituation{
-			ending: ending, begun: run.begun, resumable: request.Resumable,
+			ending: ending, resumable: request.Resumable,
 			ran: run.ran, maxAttempts: request.MaxAttempts, sends: run.sends, left: time.Until(request.Deadline),
 		}
 		step := nextStep(situation)
--- a/generation/relaydecide.go
+++ b/generation/relaydecide.go
@@ -34,9 +34,7 @@
 
 // relaySituation is what the choice of the next step depends on.
 type relaySituation struct {
-	ending relayEnding
-	// begun tells that the caller has the head and an event.
-	begun     bool
+	ending    relayEnding
 	resumable bool
 	// ran counts the attempts that a target may have run, without those whose target was lost.
 	ran, maxAttempts int
