Ask for shared limits by the peak of use since the last renewal

A trace shows borrowers that renew at the instant at which requests had just ended: they asked for 6 instead of 10, the lender gave their places to others at once, and these had them only after their own next renewal.

Change: a borrower asks by the peak of its use since the last renewal. A unit test that failed first.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -374,3 +374,24 @@
 	is.True(retries > 0)
 	is.True(retries <= 100)
 }
+
+// TestDemandIsThePeakOfUse: requests that end just before a renewal are followed by others; a grant
+// that shrinks with each such moment wanders between the entries and leaves places unused.
+func TestDemandIsThePeakOfUse(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{Concurrency: testLimit}
+	start := time.Now()
+	q := &quota{concurrency: 6, until: start.Add(grantTime), renewed: start}
+	for range 6 {
+		is.True(q.admit(Request{}, limits, start) == nil)
+	}
+	for range 4 {
+		q.done(Request{}, 0, limits, start)
+	}
+	renewed := start.Add(renewInterval)
+	demand := q.demand("c", limits, renewed)
+	is.Equal(demand.InUse, 2)
+	is.Equal(demand.Wanted, 6+spareConcurrency)
+	// Use that stays low is what the next renewal asks by.
+	is.Equal(q.demand("c", limits, renewed.Add(renewInterval)).Wanted, 2+spareConcurrency)
+}
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -11,6 +11,8 @@
 	rate        float64
 	until       time.Time
 	inUse       int
+	// peak is the most in use at once since the last renewal.
+	peak int
 	// refused counts the requests refused for concurrency since the last renewal.
 	refused int
 	// wantedTokens sums the tokens asked for since the last renewal.
@@ -79,6 +81,7 @@
 		return &RefusedError{Reason: ReasonTokenRate, RetryAfter: q.untilTokens()}
 	}
 	q.inUse++
+	q.peak = max(q.peak, q.inUse)
 	if limits.TokensPerSecond > 0 {
 		q.tokens -= float64(request.Tokens)
 	}
@@ -102,19 +105,21 @@
 	}
 }
 
-// demand says what the entry wants for the next time and starts counting anew.
+// demand says what the entry wants for the next time and starts counting anew. It asks by the peak of
+// use: the use at this instant may be low only because some requests have just ended.
 func (q *quota) demand(customer string, limits Limits, now time.Time) Demand {
 	elapsed := math.Max(now.Sub(q.renewed).Seconds(), 0.1)
 	rate := q.wantedTokens / elapsed * spareRate
 	demand := Demand{
 		Customer:        customer,
 		InUse:           q.inUse,
-		Wanted:          min(q.inUse+q.refused+spareConcurrency, max(limits.Concurrency, 1)),
+		Wanted:          min(q.peak+q.refused+spareConcurrency, max(limits.Concurrency, 1)),
 		HeldConcurrency: q.concurrency,
 		WantedRate:      math.Min(rate+leastRateShare*limits.TokensPerSecond, limits.TokensPerSecond),
 		HeldRate:        q.rate,
 		HeldFor:         q.until.Sub(now),
 	}
 	q.refused, q.wantedTokens, q.renewed = 0, 0, now
+	q.peak = q.inUse
 	return demand
 }
