Tell deaths by fingerprints, ahead of other news

A trace by half seconds shows that every cut entry is found dead by somebody after 5 s; the rest of the time goes by until the news has come round, 64 deltas of 42 bytes, each sent up to 24 times within 2,048 bytes a second. Ruled out: holding news of mere suspicions back (13 to 15 s). Besides, in the minute after a start the news of joins takes all bytes, so that a message pushed for a death could go without it.

Change: a death travels as the 64-bit fingerprint of the incarnation; an eighth of a second's bytes is kept for deaths. The news of a death beside joins is a unit test that failed first.

--- a/adapters/peertwirp/peermembership/convert.go
+++ b/adapters/peertwirp/peermembership/convert.go
@@ -73,12 +73,21 @@
 	return list
 }
 
+func convertFingerprints[To, From ~uint64](list []From) []To {
+	converted := make([]To, len(list))
+	for i, fingerprint := range list {
+		converted[i] = To(fingerprint)
+	}
+	return converted
+}
+
 func messageToWire(message membership.Message) *rpc.Message {
 	wire := &rpc.Message{
 		Protocol: message.Protocol,
 		From:     peerToWire(message.From),
 		Deltas:   deltasToWire(message.Deltas),
 		Notices:  noticesToWire(message.Notices),
+		Dead:     convertFingerprints[uint64](message.Dead),
 	}
 	if request := message.PageRequest; request != nil {
 		wire.PageRequest = &rpc.PageRequest{After: request.After, MaxBytes: int32(request.MaxBytes)}
@@ -95,6 +104,7 @@
 		From:     peerFromWire(wire.GetFrom()),
 		Deltas:   deltasFromWire(wire.GetDeltas()),
 		Notices:  noticesFromWire(wire.GetNotices()),
+		Dead:     convertFingerprints[membership.Fingerprint](wire.GetDead()),
 	}
 	if request := wire.GetPageRequest(); request != nil {
 		message.PageRequest = &membership.PageRequest{
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -9,6 +9,10 @@
 // retransmitFactor times the logarithm of the fleet's size is how often one delta is sent.
 const retransmitFactor = 3
 
+// urgentReserveBytes is the part of a second's gossip that only news of entries that are gone may use:
+// without it the joins of a fleet that starts hold such news up. It carries 32 deaths.
+const urgentReserveBytes = 32 * fingerprintBytes
+
 // budget is a token bucket of bytes or messages that holds a second's worth.
 type budget struct {
 	perSecond float64
@@ -44,7 +48,11 @@
 
 func (r *rumors) addDelta(delta Delta) {
 	key := "peer/" + delta.Peer.Name
-	r.byKey[key] = &rumor{key: key, delta: &delta, bytes: delta.encodedBytes()}
+	bytes := delta.encodedBytes()
+	if delta.State == StateDead {
+		bytes = fingerprintBytes
+	}
+	r.byKey[key] = &rumor{key: key, delta: &delta, bytes: bytes}
 }
 
 func (r *rumors) addNotice(notice Notice) {
@@ -54,26 +62,40 @@
 
 func noticeKey(notice Notice) string { return "notice/" + string(notice.Kind) + "/" + notice.Subject }
 
-// pick takes the least sent rumors up to maxBytes, counts them as sent, drops those that were sent
-// often enough for a fleet of the given size, and returns the bytes used.
-func (r *rumors) pick(maxBytes, fleet int) (deltas []Delta, notices []Notice, used int) {
+// pick adds the least sent rumors to message, up to maxBytes, counts them as sent, drops those that were
+// sent often enough for a fleet of the given size, and returns the bytes used.
+func (r *rumors) pick(message *Message, maxBytes, fleet int) (used int) {
 	limit := retransmitFactor * bits.Len(uint(fleet))
 	for _, rumor := range r.ordered() {
-		if used+rumor.bytes > maxBytes {
+		allowed := maxBytes
+		if !rumor.urgent() {
+			allowed -= urgentReserveBytes
+		}
+		if used+rumor.bytes > allowed {
 			continue
 		}
 		used += rumor.bytes
-		if rumor.delta != nil {
-			deltas = append(deltas, *rumor.delta)
-		} else {
-			notices = append(notices, *rumor.notice)
-		}
+		rumor.addTo(message)
 		rumor.sent++
 		if rumor.sent >= limit {
 			delete(r.byKey, rumor.key)
 		}
 	}
-	return deltas, notices, used
+	return used
+}
+
+// urgent tells whether r says that an entry is gone.
+func (r *rumor) urgent() bool { return r.delta != nil && r.delta.State >= StateDead }
+
+func (r *rumor) addTo(message *Message) {
+	switch {
+	case r.notice != nil:
+		message.Notices = append(message.Notices, *r.notice)
+	case r.delta.State == StateDead:
+		message.Dead = append(message.Dead, fingerprintOf(r.delta.Peer))
+	default:
+		message.Deltas = append(message.Deltas, *r.delta)
+	}
 }
 
 func (r *rumors) ordered() []*rumor {
--- a/membership/manager.go
+++ b/membership/manager.go
@@ -217,8 +217,7 @@
 		o.greet(ctx, now, joiningProbesPerTick)
 	}
 	o.probes++
-	silent := o.probes%silentProbeEvery == 0
-	peer, ok := o.table.nextToProbe(silent, o.random)
+	peer, ok := o.table.nextToProbe(o.probes%silentProbeEvery == 0, o.random)
 	if !ok {
 		return
 	}
@@ -308,10 +307,8 @@
 		return message
 	}
 	allowed := o.budget.take(now, o.options.MaxDeltaBytes)
-	deltas, notices, used := o.rumors.pick(allowed, len(o.table.members)+1)
+	used := o.rumors.pick(&message, allowed, len(o.table.members)+1)
 	o.budget.spend(used)
-	message.Deltas = append(message.Deltas, deltas...)
-	message.Notices = notices
 	return message
 }
 
@@ -333,6 +330,9 @@
 	for _, delta := range message.Deltas {
 		o.take(delta, now)
 	}
+	for _, dead := range o.table.named(message.Dead) {
+		o.take(Delta{Peer: dead, State: StateDead}, now)
+	}
 	for _, notice := range message.Notices {
 		o.takeNotice(notice)
 	}
--- a/membership/manager_test.go
+++ b/membership/manager_test.go
@@ -259,6 +259,9 @@
 	for i := 1; i < 1000; i++ {
 		o.take(Delta{Peer: testPeer(i % 999), State: StateAlive}, now)
 	}
+	for i := 500; i < 900; i++ {
+		o.take(Delta{Peer: testPeer(i), State: StateDead}, now)
+	}
 	total := 0
 	const seconds = 10
 	for range seconds * 100 {
@@ -268,6 +271,7 @@
 		for _, delta := range message.Deltas {
 			used += delta.encodedBytes()
 		}
+		used += len(message.Dead) * fingerprintBytes
 		is.True(used <= DefaultMaxDeltaBytes)
 		total += used
 	}
@@ -292,3 +296,22 @@
 		is.Equal(float64(live)/wait.Seconds(), 1.0) // readings a second of all entries together
 	}
 }
+
+// TestNewsOfADeathIsNotHeldUpByJoins: the news of a fleet that has just started takes all bytes of gossip for
+// a minute, and a death must still be told with the next message.
+func TestNewsOfADeathIsNotHeldUpByJoins(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(NewManager(Options{Self: testPeer(0)}))
+	now := time.Now()
+	for i := 1; i < fleet; i++ {
+		o.take(Delta{Peer: testPeer(i), State: StateAlive}, now)
+	}
+	now = now.Add(time.Second)
+	for range 8 {
+		o.compose(testPeer(1), now)
+	}
+	victim := testPeer(2)
+	o.take(Delta{Peer: victim, State: StateDead}, now)
+	message := o.compose(testPeer(1), now)
+	is.Equal(message.Dead, []Fingerprint{fingerprintOf(victim)})
+}
--- a/membership/message.go
+++ b/membership/message.go
@@ -54,9 +54,12 @@
 // Message is a probe or the answer to one.
 type Message struct {
 	// Protocol is the lowest version that understands the message.
-	Protocol    uint32
-	From        Peer
-	Deltas      []Delta
+	Protocol uint32
+	From     Peer
+	Deltas   []Delta
+	// Dead names incarnations that died, by their fingerprints. A loss of many entries at once would
+	// fill the bounds of gossip many times over with deltas in full.
+	Dead        []Fingerprint
 	Notices     []Notice
 	PageRequest *PageRequest
 	Page        *Page
--- a/membership/state.go
+++ b/membership/state.go
@@ -1,5 +1,11 @@
 package membership
 
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // State is what an entry believes of a peer.
 type State uint8
 
@@ -23,6 +29,20 @@
 	State State
 }
 
+// Fingerprint identifies one incarnation of a peer in few bytes. A receiver that does not know the
+// incarnation passes it over, and a peer that is hit by a collision contradicts it.
+type Fingerprint uint64
+
+// fingerprintBytes is the encoded size of a Fingerprint.
+const fingerprintBytes = 8
+
+func fingerprintOf(peer Peer) Fingerprint {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(peer.Name)
+	_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, peer.Incarnation))
+	return Fingerprint(digest.Sum64())
+}
+
 // Supersedes tells whether d is newer than former, so that it replaces it. A higher incarnation
 // always wins; at the same one the graver state wins, so that every entry that received the same
 // deltas, in whatever order, believes the same.
--- a/membership/table.go
+++ b/membership/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 )
@@ -9,6 +10,8 @@
 // member is what the table holds of one peer.
 type member struct {
 	delta Delta
+	// fingerprint is that of the incarnation in delta.
+	fingerprint Fingerprint
 	// listed tells that the directory or the seeds name the peer.
 	listed bool
 	// changed is when the state last changed.
@@ -93,6 +96,9 @@
 	liveChanged := answers(m.delta.State) != answers(delta.State) || m.delta.Peer != delta.Peer ||
 		delta.State == StateLeft
 	joined := m.delta.State == StateUnknown && answers(delta.State)
+	if m.delta.Peer != delta.Peer || !ok {
+		m.fingerprint = fingerprintOf(delta.Peer)
+	}
 	m.delta = delta
 	if delta.State != StateSuspect {
 		m.suspicion = nil
@@ -345,6 +351,24 @@
 	return deltas
 }
 
+// named returns the incarnations that the fingerprints name, as far as the table holds them; this entry's
+// own may be among them.
+func (t *table) named(fingerprints []Fingerprint) []Peer {
+	if len(fingerprints) == 0 {
+		return nil
+	}
+	var peers []Peer
+	if slices.Contains(fingerprints, fingerprintOf(t.self)) {
+		peers = append(peers, t.self)
+	}
+	for _, m := range t.members {
+		if answers(m.delta.State) && slices.Contains(fingerprints, m.fingerprint) {
+			peers = append(peers, m.delta.Peer)
+		}
+	}
+	return peers
+}
+
 // belief returns the delta to tell peer what this entry thinks of it, if that is not that it lives.
 func (t *table) belief(peer Peer) (Delta, bool) {
 	m, ok := t.members[peer.Name]
