--- a/entry/loopback_test.go
+++ b/entry/loopback_test.go
@@ -9,7 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -19,159 +19,57 @@
 
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/settings"
+	"github.com/azurebarrow/azurebarrow/standin/fault"
+	standinplatform "github.com/azurebarrow/azurebarrow/standin/platform"
+	"github.com/azurebarrow/azurebarrow/standin/target"
 )
 
-// loopStore is a stand-in for the platform's store: objects by kind, with watches.
-type loopStore struct {
-	mu       sync.Mutex
-	revision int64
-	objects  map[string]map[string]json.RawMessage
-	changes  []loopChange
-	away     bool
-}
-
-type loopChange struct {
-	kind, name string
-	revision   int64
-	deleted    bool
-	value      json.RawMessage
-}
-
-func (s *loopStore) put(kind, name, value string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	if s.objects[kind] == nil {
-		s.objects[kind] = map[string]json.RawMessage{}
-	}
-	s.objects[kind][name] = json.RawMessage(value)
-	s.changes = append(s.changes, loopChange{kind, name, s.revision, false, json.RawMessage(value)})
-}
+// loopEvents is the number of events of a stream, loopEventInterval the time between two.
+const (
+	loopEvents        = 12
+	loopEventInterval = 10 * time.Millisecond
+)
 
-func (s *loopStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	kind := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
-	from, err := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
-	watching := err == nil
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
-	for end := time.Now().Add(time.Duration(wait) * time.Millisecond); ; time.Sleep(5 * time.Millisecond) {
-		s.mu.Lock()
-		away, answer := s.away, s.answer(kind, from, watching)
-		s.mu.Unlock()
-		if away {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		if answer != nil || time.Now().After(end) {
-			if answer == nil {
-				answer = map[string]any{"events": []any{}, "at": from}
-			}
-			_ = json.NewEncoder(w).Encode(answer)
-			return
-		}
-	}
+// loopTarget is a stand-in target with its fault switches and what it did.
+type loopTarget struct {
+	address string
+	log     string
 }
 
-// answer returns the list, or the events of a watch; nil if there are none.
-func (s *loopStore) answer(kind string, from int64, watching bool) map[string]any {
-	object := func(c loopChange) map[string]any {
-		return map[string]any{"metadata": map[string]any{"name": c.name, "revision": c.revision}, "spec": c.value}
-	}
-	latest := map[string]loopChange{}
-	var events []any
-	for _, c := range s.changes {
-		if c.kind != kind {
-			continue
-		}
-		latest[c.name] = c
-		if c.revision > from {
-			events = append(events, map[string]any{"deleted": c.deleted, "object": object(c)})
-		}
-	}
-	if !watching {
-		items := []any{}
-		for _, c := range latest {
-			items = append(items, object(c))
-		}
-		return map[string]any{"items": items, "has_more": false, "at": s.revision}
-	}
-	if len(events) == 0 {
-		return nil
+// breakStreams has the target break each stream off within the event.
+func (l *loopTarget) breakStreams(t *testing.T, event int) {
+	t.Helper()
+	body := fmt.Sprintf(`{"kind":%q,"after":%d}`, fault.Reset, event)
+	response, err := http.Post("http://"+l.address+"/faults", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
 	}
-	return map[string]any{"events": events, "at": s.revision}
-}
-
-// loopEngine is a stand-in for a model engine. It keeps copies for the other engines of its fleet.
-type loopEngine struct {
-	id, zone string
-	server   *httptest.Server
-	fleet    *loopFleet
-
-	mu sync.Mutex
-	// dieAfter breaks each stream off after that event; 0 never.
-	dieAfter int
-}
-
-const loopEvents = 12
-
-// loopFleet is what the engines share: which runs have copies where, and what ran.
-type loopFleet struct {
-	mu     sync.Mutex
-	copies map[string]bool
-	ran    map[string]int
+	_ = response.Body.Close()
 }
 
-func (e *loopEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	run := r.Header.Get("X-Request-Id")
-	if expected := r.Header.Get("X-Expect-Instance"); expected != e.id {
-		w.Header().Set("X-Instance-Id", e.id)
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	if from := r.Header.Get("Kv-From"); from != "" && !e.fleet.has(e.server.Listener.Addr().String()+"/"+run, from) {
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+// runs returns the requests that the target began to run.
+func (l *loopTarget) runs(t *testing.T) map[string]target.Record {
+	t.Helper()
+	records, err := target.ReadLog(l.log)
+	if err != nil {
+		t.Fatal(err)
 	}
-	e.fleet.note(run, r.Header.Get("X-Kv-Backup"))
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	w.Header().Set("X-Request-Id", run)
-	w.Header().Set("X-Response-Signature", "by "+e.id)
-	w.Header().Set("Content-Type", "text/event-stream")
-	for i := last + 1; i <= loopEvents; i++ {
-		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i, run, i)
-		_ = http.NewResponseController(w).Flush()
-		time.Sleep(10 * time.Millisecond)
-		e.mu.Lock()
-		dies := e.dieAfter == i
-		e.mu.Unlock()
-		if dies {
-			panic(http.ErrAbortHandler)
+	runs := map[string]target.Record{}
+	for _, record := range records {
+		if record.What == target.Began {
+			runs[record.Request] = record
 		}
 	}
-}
-
-func (f *loopFleet) has(here, named string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return named == here && f.copies[named]
-}
-
-func (f *loopFleet) note(run, backup string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.ran[run]++
-	f.copies[backup+"/"+run] = true
+	return runs
 }
 
 type loopDay struct {
-	store   *loopStore
-	engines []*loopEngine
-	records *httptest.Server
-	fleet   *loopFleet
+	store   *standinplatform.Platform
+	engines []*loopTarget
+	records *loopTarget
 	entries []*Entry
 	stops   []context.CancelFunc
 	ended   sync.WaitGroup
-	calls   sync.Map
 
 	mu sync.Mutex
 	// logs are the lines of each request.
@@ -181,31 +79,16 @@
 // startDay starts a store, three engines, a records service and entries on loopback.
 func startDay(t *testing.T, entries int) *loopDay {
 	t.Helper()
-	day := &loopDay{store: &loopStore{objects: map[string]map[string]json.RawMessage{}}, fleet: &loopFleet{copies: map[string]bool{}, ran: map[string]int{}}, logs: map[string]string{}}
-	store := httptest.NewServer(day.store)
+	day := &loopDay{store: standinplatform.New(standinplatform.Options{}), logs: map[string]string{}}
+	store := httptest.NewServer(day.store.Wire())
 	t.Cleanup(store.Close)
 	for i, zone := range []string{"a", "b", "c"} {
-		engine := &loopEngine{id: fmt.Sprintf("i-%d", i), zone: zone, fleet: day.fleet}
-		engine.server = httptest.NewServer(engine)
-		t.Cleanup(engine.server.Close)
-		day.engines = append(day.engines, engine)
-		day.store.put("servers", engine.id, fmt.Sprintf(`{"service":"drafts","address":%q,"zone":%q,"slots":64,"state":"ready","born":%d}`,
-			engine.server.Listener.Addr(), zone, i+1))
+		day.engines = append(day.engines, day.startTarget(t, target.Options{
+			ID: fmt.Sprintf("i-%d", i), Service: "drafts", AvailabilityZone: zone, Slots: 64,
+			Events: loopEvents, EventInterval: loopEventInterval,
+		}))
 	}
-	day.records = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		count, _ := day.calls.LoadOrStore(r.Header.Get("X-Request-Id"), new(int))
-		*count.(*int)++
-		if r.Header.Get("X-Tenant") != "ranch" || r.Header.Get("Authorization") != "" {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		body, _ := io.ReadAll(r.Body)
-		w.Header().Set("X-Response-Signature", "records")
-		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-		_, _ = w.Write(append([]byte(r.RequestURI+" "), body...))
-	}))
-	t.Cleanup(day.records.Close)
-	day.store.put("servers", "i-r", fmt.Sprintf(`{"service":"records","address":%q,"zone":"a","slots":6,"state":"ready"}`, day.records.Listener.Addr()))
+	day.records = day.startTarget(t, target.Options{ID: "i-r", Service: "records", AvailabilityZone: "a", Slots: 6})
 	day.configure(1, "k1")
 	var seeds []string
 	for i := range entries {
@@ -221,12 +104,33 @@
 	return day
 }
 
+// startTarget starts a target and writes its entry into the store.
+func (d *loopDay) startTarget(t *testing.T, options target.Options) *loopTarget {
+	t.Helper()
+	started := &loopTarget{log: filepath.Join(t.TempDir(), "records")}
+	log, err := target.OpenLog(started.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewUnstartedServer(nil)
+	started.address = server.Listener.Addr().String()
+	options.Advertise = started.address
+	options.Log = log
+	server.Config.Handler = target.New(options)
+	server.Start()
+	t.Cleanup(server.Close)
+	d.store.Put(target.Kind, options.ID, json.RawMessage(fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":"ready"}`,
+		options.Service, started.address, options.AvailabilityZone, options.Slots)))
+	return started
+}
+
 func (d *loopDay) configure(version int, key string) {
-	d.store.put("config", "main", fmt.Sprintf(`{"version":%d,"routes":[
+	d.store.Put("config", "main", json.RawMessage(fmt.Sprintf(`{"version":%d,"routes":[
 	 {"name":"drafts","hostname":"h.example","path_prefix":"/drafts/","kind":"streaming","timeout_ms":10000,"target_latency_ms":4500,"service":"drafts","max_attempts":5,"stream_resume":true,"target_gap_ms":700},
 	 {"name":"book","hostname":"h.example","path_prefix":"/book/","kind":"non_idempotent","timeout_ms":800,"target_latency_ms":100,"service":"records","max_attempts":1}],
 	 "services":[{"name":"drafts","engine":{"slots":64,"kv_capacity":55000,"backups":true,"models":[{"name":"m"}]}},{"name":"records"}],
-	 "limits":{"idle_timeout_ms":15000},"tenants":[{"name":"ranch","api_keys":[%q]}]}`, version, key))
+	 "limits":{"idle_timeout_ms":15000},"tenants":[{"name":"ranch","api_keys":[%q]}]}`, version, key)))
 }
 
 func freeAddress(t *testing.T) string {
@@ -302,10 +206,10 @@
 	return response, string(text), err
 }
 
-func wholeStream(id string) string {
+func wholeStream(path string) string {
 	var text strings.Builder
-	for i := 1; i <= loopEvents; i++ {
-		fmt.Fprintf(&text, "id: %d\ndata: %s-%d\n\n", i, id, i)
+	for id := 1; id <= loopEvents; id++ {
+		text.WriteString(target.Event(path, id))
 	}
 	return text.String()
 }
@@ -316,14 +220,16 @@
 
 	response, text, err := day.request(0, "POST", "/drafts/x", "s1", "k1", "prompt")
 	is.NoErr(err)
-	is.Equal(text, wholeStream("s1"))
-	is.True(strings.HasPrefix(response.Header.Get("X-Response-Signature"), "by i-"))
+	is.Equal(text, wholeStream("/drafts/x"))
+	is.Equal(response.Header.Get(target.FieldSignature), target.Signature("s1"))
 
 	response, text, err = day.request(1, "POST", "/book/crate%2F7?q=1", "c1", "k1", "312 kg")
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusOK)
-	is.Equal(text, "/book/crate%2F7?q=1 312 kg") // path, query and body unchanged
-	is.Equal(response.Header.Get("X-Response-Signature"), "records")
+	is.Equal(text, target.CallBody("POST", "/book/crate%2F7?q=1", "312 kg")) // path, query and body unchanged
+	is.Equal(response.Header.Get(target.FieldSignature), target.Signature("c1"))
+	is.Equal(day.records.runs(t)["c1"].Customer, "ranch")
+	is.True(!day.records.runs(t)["c1"].KeyLeaked)
 
 	response, _, err = day.request(0, "POST", "/book/x", "c2", "other", "")
 	is.NoErr(err)
@@ -331,21 +237,19 @@
 	response, _, err = day.request(0, "GET", "/nowhere", "c3", "k1", "")
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusNotFound)
-	_, ran := day.calls.Load("c2")
+	_, ran := day.records.runs(t)["c2"]
 	is.True(!ran)
 }
 
 func TestStreamOutlivesItsEngineOnLoopback(t *testing.T) {
 	is := is.New(t)
 	day := startDay(t, 1)
-	day.engines[0].mu.Lock()
-	day.engines[0].dieAfter = 5
-	day.engines[0].mu.Unlock()
+	day.engines[0].breakStreams(t, 6)
 	for i := range 6 {
 		id := fmt.Sprintf("s%d", i)
 		_, text, err := day.request(0, "POST", "/drafts/x", id, "k1", "prompt")
 		is.NoErr(err)
-		is.Equal(text, wholeStream(id)) // every event once, in order
+		is.Equal(text, wholeStream("/drafts/x")) // every event once, in order
 	}
 	// From the lines of a request that met the dead engine one can tell what happened to it.
 	explained := false
@@ -374,9 +278,7 @@
 		is.NoErr(err)
 		is.Equal(response.StatusCode, http.StatusUnauthorized) // the key is revoked
 	}
-	day.store.mu.Lock()
-	day.store.away = true
-	day.store.mu.Unlock()
+	day.store.Apply(fault.Fault{Kind: fault.Outage})
 	time.Sleep(500 * time.Millisecond)
 	for entry := range day.entries {
 		response, _, err := day.request(entry, "POST", "/book/x", fmt.Sprintf("new%d", entry), "k2", "")
@@ -407,5 +309,5 @@
 	is.True(response.Close)
 	got := <-results
 	is.NoErr(got.err)
-	is.Equal(got.text, wholeStream("s1")) // nothing is cut
+	is.Equal(got.text, wholeStream("/drafts/x")) // nothing is cut
 }
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -29,6 +29,8 @@
 	Engine   engineCommand   `command:"engine" description:"run a stand-in model engine"`
 	Service  serviceCommand  `command:"service" description:"run a stand-in service"`
 	Platform platformCommand `command:"platform" description:"run a stand-in of the platform's object API"`
+	Store    storeCommand    `command:"store" description:"run a stand-in of the users' store, which speaks the format of their platform"`
+	Target   targetCommand   `command:"target" description:"run a stand-in of a target on the users' platform"`
 	VMList   vmListCommand   `command:"vmlist" description:"run a stand-in of the VM list"`
 	Faults   faultsCommand   `command:"faults" description:"list the kinds of faults"`
 }
--- /dev/null
+++ b/standin/command/users.go
@@ -0,0 +1,72 @@
+package command
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/azurebarrow/azurebarrow/standin/platform"
+	"github.com/azurebarrow/azurebarrow/standin/server"
+	"github.com/azurebarrow/azurebarrow/standin/target"
+)
+
+// missedHeartbeats is how many heartbeats of silence remove a target's entry.
+const missedHeartbeats = 3
+
+type storeCommand struct {
+	listenOptions
+	Heartbeat time.Duration `long:"heartbeat" default:"1200ms" description:"time between two writes of a target"`
+}
+
+// Execute runs the stand-in.
+func (c *storeCommand) Execute([]string) error {
+	standin := platform.New(platform.DefaultOptions())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go standin.RunLapse(ctx, target.Kind, missedHeartbeats*c.Heartbeat)
+	handler := standin.Wire()
+	main := server.New(c.Listen, handler)
+	standin.OnDie = main.Kill
+	return c.serve("store", main, handler)
+}
+
+type targetCommand struct {
+	listenOptions
+	ID            string        `long:"id" required:"true" description:"name of this incarnation"`
+	Service       string        `long:"service" required:"true" description:"the service that it serves"`
+	Zone          string        `long:"zone" required:"true" description:"availability zone"`
+	Advertise     string        `long:"advertise" description:"host:port to register under; the listening one by default"`
+	Store         string        `long:"store" required:"true" description:"base URL of the store"`
+	Log           string        `long:"log" required:"true" description:"file of what it does"`
+	Slots         int           `long:"slots" default:"6" description:"requests that run at once"`
+	Events        int           `long:"events" description:"events of a stream; 0 makes it a service of plain calls"`
+	EventInterval time.Duration `long:"event-interval" default:"20ms" description:"time between two events"`
+	WorkTime      time.Duration `long:"work-time" default:"15ms" description:"time of a plain call"`
+	Heartbeat     time.Duration `long:"heartbeat" default:"1200ms" description:"time between two writes to the store"`
+	DrainTime     time.Duration `long:"drain-time" default:"4s" description:"how long it serves on after it has reported that it leaves"`
+}
+
+// Execute runs the stand-in; SIGTERM makes it leave.
+func (c *targetCommand) Execute([]string) error {
+	log, err := target.OpenLog(c.Log)
+	if err != nil {
+		return err
+	}
+	if c.Advertise == "" {
+		c.Advertise = c.Listen
+	}
+	standin := target.New(target.Options{
+		ID: c.ID, Service: c.Service, AvailabilityZone: c.Zone, Advertise: c.Advertise, Slots: c.Slots,
+		Events: c.Events, EventInterval: c.EventInterval, WorkTime: c.WorkTime, Log: log,
+	})
+	main := server.New(c.Listen, standin)
+	if err := main.Start(); err != nil {
+		return err
+	}
+	defer main.Close()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	standin.Run(ctx, target.Registration{Store: c.Store, Heartbeat: c.Heartbeat, DrainTime: c.DrainTime})
+	return nil
+}
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -115,19 +115,24 @@
 		http.Error(w, "value is not JSON", http.StatusBadRequest)
 		return
 	}
-	p.write(w, r, func(c condition) (objects.Object, error) { return p.store.put(keyOf(r), value, c) })
+	p.writeIf(w, r, func(c condition) (objects.Object, error) { return p.store.put(keyOf(r), value, c) })
 }
 
 func (p *Platform) serveDelete(w http.ResponseWriter, r *http.Request) {
-	p.write(w, r, func(c condition) (objects.Object, error) { return p.store.remove(keyOf(r), c) })
+	p.writeIf(w, r, func(c condition) (objects.Object, error) { return p.store.remove(keyOf(r), c) })
 }
 
-func (p *Platform) write(w http.ResponseWriter, r *http.Request, apply func(condition) (objects.Object, error)) {
+// writeIf writes under the condition in the request's header.
+func (p *Platform) writeIf(w http.ResponseWriter, r *http.Request, apply func(condition) (objects.Object, error)) {
 	wanted, err := conditionOf(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	p.write(w, r, wanted, apply)
+}
+
+func (p *Platform) write(w http.ResponseWriter, r *http.Request, wanted condition, apply func(condition) (objects.Object, error)) {
 	p.mu.Lock()
 	object, err := apply(wanted)
 	if err == nil {
@@ -176,10 +181,16 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), min(timeout, longestWatch))
 	defer cancel()
-	p.watch(ctx, w, after, strings.Split(query.Get("kinds"), ","))
+	p.watch(ctx, w, after, strings.Split(query.Get("kinds"), ","), func(list objects.List) any {
+		if list.Items == nil {
+			list.Items = []objects.Object{}
+		}
+		return list
+	})
 }
 
-func (p *Platform) watch(ctx context.Context, w http.ResponseWriter, after int64, kinds []string) {
+// watch waits for changes and answers them in the given format.
+func (p *Platform) watch(ctx context.Context, w http.ResponseWriter, after int64, kinds []string, format func(objects.List) any) {
 	for {
 		p.mu.Lock()
 		source := p.readable()
@@ -193,7 +204,7 @@
 			return
 		}
 		if len(items) > 0 || ctx.Err() != nil {
-			p.answerWatch(w, objects.List{Revision: max(revision, after), Items: items})
+			p.answerWatch(w, format(objects.List{Revision: max(revision, after), Items: items}))
 			return
 		}
 		select {
@@ -204,13 +215,10 @@
 }
 
 // answerWatch refuses an answer that an outage has overtaken.
-func (p *Platform) answerWatch(w http.ResponseWriter, list objects.List) {
+func (p *Platform) answerWatch(w http.ResponseWriter, answer any) {
 	if _, on := p.faults.On(fault.Outage, "/v1/watch"); on {
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return
 	}
-	if list.Items == nil {
-		list.Items = []objects.Object{}
-	}
-	fault.WriteJSON(w, http.StatusOK, list)
+	fault.WriteJSON(w, http.StatusOK, answer)
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -47,7 +47,9 @@
 	// remembered tells that frozen was asked for by the Remember switch.
 	remembered bool
 	stats      Stats
-	changed    chan struct{}
+	// touched is when an object was last written by the users' wire, for RunLapse.
+	touched map[objectKey]time.Time
+	changed chan struct{}
 }
 
 // New returns an empty platform.
@@ -57,6 +59,7 @@
 		reads:   limiter(options.ReadsPerSecond),
 		writes:  limiter(options.WritesPerSecond),
 		store:   newStore(options.KeptEvents),
+		touched: map[objectKey]time.Time{},
 		changed: make(chan struct{}),
 	}
 	p.mux = p.routes()
