Soak of the passthrough interface: programs as processes, faults from outside, promises checked

Callers keep connections, leave early, come back and use keys that never held or were taken away. Four deliberate defects are found by it (-tags defect).

Not covered: links between entries, and clocks (the product uses the steady one only).

--- a/bench/cluster/binary.go
+++ b/bench/cluster/binary.go
@@ -2,27 +2,38 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"slices"
 )
 
 // ErrNoBinary: the azurebarrow program was not found.
-var ErrNoBinary = errors.New("cluster: the azurebarrow program was not found; run \"make build\"")
+var ErrNoBinary = errors.New("cluster: a program of the project was not found; run \"make build\"")
 
-// FindBinary looks for the azurebarrow program beside this one, in bin/ and on the path.
-func FindBinary() (string, error) {
-	candidates := []string{filepath.Join("bin", "azurebarrow")}
+// Names of the project's programs.
+const (
+	entryProgram = "azurebarrow"
+	// StandInProgram runs the stand-ins.
+	StandInProgram = "azurebarrow-standin"
+)
+
+// FindBinary looks for the azurebarrow program.
+func FindBinary() (string, error) { return FindProgram(entryProgram) }
+
+// FindProgram looks for one of the project's programs beside this one, in bin/ and on the path.
+func FindProgram(name string) (string, error) {
+	candidates := []string{filepath.Join("bin", name)}
 	if own, err := os.Executable(); err == nil {
-		candidates = slices.Insert(candidates, 0, filepath.Join(filepath.Dir(own), "azurebarrow"))
+		candidates = slices.Insert(candidates, 0, filepath.Join(filepath.Dir(own), name))
 	}
 	for _, directory := range filepath.SplitList(os.Getenv("PATH")) {
-		candidates = append(candidates, filepath.Join(directory, "azurebarrow"))
+		candidates = append(candidates, filepath.Join(directory, name))
 	}
 	for _, candidate := range candidates {
 		if info, err := os.Stat(candidate); err == nil && !info.IsDir() {
 			return filepath.Abs(candidate)
 		}
 	}
-	return "", ErrNoBinary
+	return "", fmt.Errorf("%w: %s", ErrNoBinary, name)
 }
--- a/bench/cluster/forwarder.go
+++ b/bench/cluster/forwarder.go
@@ -15,11 +15,12 @@
 	mu          sync.Mutex
 	connections map[net.Conn]struct{}
 	delay       time.Duration
-	// healed is closed while the link works, and replaced by an open one when it is cut.
-	healed chan struct{}
-	cut    bool
-	closed bool
-	wait   sync.WaitGroup
+	// passing holds, for each direction, a channel that is closed while the link works, and replaced by an
+	// open one when the direction is cut.
+	passing [2]chan struct{}
+	cut     [2]bool
+	closed  bool
+	wait    sync.WaitGroup
 }
 
 // NewForwarder listens on a free loopback address and passes connections on to target.
@@ -32,8 +33,11 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Forwarder{target: target, listener: listener, connections: map[net.Conn]struct{}{}, healed: make(chan struct{})}
-	close(f.healed)
+	f := &Forwarder{target: target, listener: listener, connections: map[net.Conn]struct{}{}}
+	for direction := range f.passing {
+		f.passing[direction] = make(chan struct{})
+		close(f.passing[direction])
+	}
 	f.wait.Go(f.accept)
 	return f, nil
 }
@@ -41,13 +45,25 @@
 // Address returns the address to connect to.
 func (f *Forwarder) Address() string { return f.listener.Addr().String() }
 
+// Direction is one way through a Forwarder.
+type Direction int
+
+// Directions.
+const (
+	ToTarget Direction = iota
+	FromTarget
+)
+
 // Cut stops passing bytes on, as a partition does: connections stay open and silent.
-func (f *Forwarder) Cut() {
+func (f *Forwarder) Cut() { f.CutOneWay(ToTarget); f.CutOneWay(FromTarget) }
+
+// CutOneWay stops passing bytes on in one direction. New connections need both.
+func (f *Forwarder) CutOneWay(direction Direction) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.cut {
-		f.cut = true
-		f.healed = make(chan struct{})
+	if !f.cut[direction] {
+		f.cut[direction] = true
+		f.passing[direction] = make(chan struct{})
 	}
 }
 
@@ -55,9 +71,11 @@
 func (f *Forwarder) Heal() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cut {
-		f.cut = false
-		close(f.healed)
+	for direction := range f.cut {
+		if f.cut[direction] {
+			f.cut[direction] = false
+			close(f.passing[direction])
+		}
 	}
 }
 
@@ -125,7 +143,8 @@
 
 func (f *Forwarder) forward(near net.Conn) {
 	defer f.untrack(near)
-	f.waitHealed()
+	f.waitPassing(ToTarget)
+	f.waitPassing(FromTarget)
 	far, err := net.Dial("tcp", f.target)
 	if err != nil {
 		return
@@ -135,30 +154,30 @@
 	}
 	defer f.untrack(far)
 	var both sync.WaitGroup
-	both.Go(func() { f.copy(far, near) })
-	both.Go(func() { f.copy(near, far) })
+	both.Go(func() { f.copy(far, near, ToTarget) })
+	both.Go(func() { f.copy(near, far, FromTarget) })
 	both.Wait()
 }
 
-// waitHealed blocks while the link is cut and returns the delay in force.
-func (f *Forwarder) waitHealed() time.Duration {
+// waitPassing blocks while the direction is cut and returns the delay in force.
+func (f *Forwarder) waitPassing(direction Direction) time.Duration {
 	f.mu.Lock()
-	healed, delay := f.healed, f.delay
+	passing, delay := f.passing[direction], f.delay
 	f.mu.Unlock()
-	<-healed
+	<-passing
 	return delay
 }
 
 const copyBytes = 32 << 10
 
 // copy passes one direction on and closes both ends when it is over.
-func (f *Forwarder) copy(to, from net.Conn) {
+func (f *Forwarder) copy(to, from net.Conn, direction Direction) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, copyBytes)
 	for {
 		n, err := from.Read(buffer)
-		if delay := f.waitHealed(); delay > 0 {
+		if delay := f.waitPassing(direction); delay > 0 {
 			time.Sleep(delay)
 		}
 		if n > 0 {
--- a/bench/cluster/process.go
+++ b/bench/cluster/process.go
@@ -11,30 +11,34 @@
 	"time"
 )
 
-// process runs an entry as a process of its own.
-type process struct {
+// Process is a program that the bench has started, and ends by its ID.
+type Process struct {
 	command *exec.Cmd
 	done    chan struct{}
 	err     error
 }
 
 func startProcess(e *Entry) (runner, error) {
-	log, err := os.OpenFile(e.LogFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	notice := e.cluster.options.DrainNotice.String()
+	command := exec.Command(e.cluster.options.Binary, "run", "--settings", e.file, "--drain-notice", notice)
+	command.Env = append(os.Environ(), e.cluster.options.Environment...)
+	return StartProcess(command, e.LogFile())
+}
+
+// StartProcess starts a command whose output is appended to a file. The process does not outlive the bench.
+func StartProcess(command *exec.Cmd, logFile string) (*Process, error) {
+	log, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
 	defer log.Close()
-	notice := e.cluster.options.DrainNotice.String()
-	command := exec.Command(e.cluster.options.Binary, "run", "--settings", e.file, "--drain-notice", notice)
 	command.Stdout = log
 	command.Stderr = log
-	command.Env = append(os.Environ(), e.cluster.options.Environment...)
-	// An entry must not outlive the bench that started it.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		return nil, err
 	}
-	p := &process{command: command, done: make(chan struct{})}
+	p := &Process{command: command, done: make(chan struct{})}
 	go func() {
 		defer close(p.done)
 		p.err = command.Wait()
@@ -42,7 +46,10 @@
 	return p, nil
 }
 
-func (p *process) running() bool {
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+func (p *Process) running() bool {
 	select {
 	case <-p.done:
 		return false
@@ -51,21 +58,22 @@
 	}
 }
 
-func (p *process) signal(s syscall.Signal) error {
+// Signal sends the process a signal.
+func (p *Process) Signal(s syscall.Signal) error {
 	if !p.running() {
 		return ErrNotRunning
 	}
 	return p.command.Process.Signal(s)
 }
 
-func (p *process) terminate() error { return p.signal(syscall.SIGTERM) }
-func (p *process) stop() error      { return p.signal(syscall.SIGSTOP) }
-func (p *process) resume() error    { return p.signal(syscall.SIGCONT) }
-func (p *process) kill() error      { return p.signal(syscall.SIGKILL) }
-func (p *process) pid() int         { return p.command.Process.Pid }
+func (p *Process) terminate() error { return p.Signal(syscall.SIGTERM) }
+func (p *Process) stop() error      { return p.Signal(syscall.SIGSTOP) }
+func (p *Process) resume() error    { return p.Signal(syscall.SIGCONT) }
+func (p *Process) kill() error      { return p.Signal(syscall.SIGKILL) }
+func (p *Process) pid() int         { return p.command.Process.Pid }
 
 // wait waits for the end; being killed by the bench is no error.
-func (p *process) wait(ctx context.Context) error {
+func (p *Process) wait(ctx context.Context) error {
 	select {
 	case <-p.done:
 	case <-ctx.Done():
--- /dev/null
+++ b/bench/experiments/soak_passthrough.go
@@ -0,0 +1,56 @@
+package experiments
+
+import (
+	"context"
+
+	"github.com/azurebarrow/azurebarrow/bench/cluster"
+	"github.com/azurebarrow/azurebarrow/bench/experiment"
+	passthroughsoak "github.com/azurebarrow/azurebarrow/bench/soak"
+)
+
+func init() {
+	experiment.Register(experiment.Experiment{
+		Name:    "soak-passthrough",
+		Summary: "the passthrough interface as processes, with faults injected from outside and promises checked",
+		Run:     runSoakPassthrough,
+	})
+}
+
+// Sizes of the soak of the passthrough interface.
+const (
+	passthroughPhases  = 4
+	passthroughEntries = 4
+	passthroughEngines = 6
+	passthroughRecords = 3
+)
+
+func runSoakPassthrough(ctx context.Context, env experiment.Environment, result *experiment.Result) error {
+	if env.Binary == "" {
+		return cluster.ErrNoBinary
+	}
+	standIn, err := cluster.FindProgram(cluster.StandInProgram)
+	if err != nil {
+		return err
+	}
+	evidence, err := passthroughsoak.Run(ctx, passthroughsoak.Options{
+		Binary: env.Binary, StandIn: standIn, Directory: env.Directory, Seed: env.Seed, Say: env.Say,
+		Steps:   passthroughsoak.Schedule(env.Seed, passthroughsoak.DrawThemes(env.Seed, passthroughPhases)),
+		Entries: passthroughEntries, Engines: passthroughEngines, Records: passthroughRecords,
+	})
+	if err != nil {
+		return err
+	}
+	broken := passthroughsoak.Check(evidence)
+	for _, violation := range broken {
+		result.Violate("%v", violation)
+	}
+	result.Add(
+		experiment.Plain("attempts", float64(len(evidence.Attempts)), experiment.Count),
+		experiment.Plain("faults", float64(len(evidence.Disturbances)), experiment.Count),
+		experiment.AtMost("broken_promises", float64(len(broken)), experiment.Count, 0),
+	)
+	for class, part := range evidence.ServedShares() {
+		result.Add(experiment.Plain("served_"+string(class), part, experiment.Fraction))
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/soak/checks_test.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurebarrow/azurebarrow/standin/target"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// sound returns evidence without a broken promise: a booking and a stream served at one second, and one booking
+// served after the recovery.
+func sound() *Evidence {
+	stream := &Attempt{
+		ID: "s1", Entry: "entry-0", Class: Stream, Path: "/stream/1", Key: "k", Sent: at(10), Ended: at(11), Patience: streamPatience,
+		Status: 200, Signature: target.Signature("s1"), AnswerTo: "s1", Whole: true,
+	}
+	for id := 1; id <= 3; id++ {
+		stream.Text += target.Event(stream.Path, id)
+	}
+	return &Evidence{
+		Attempts: []*Attempt{booking("b1", at(10)), stream, booking("b2", at(40))},
+		Records: []target.Record{
+			ran("b1", "records-0.1", at(10.01)), ran("s1", "drafts-0.2", at(10.01)), ran("b2", "records-0.1", at(40.01)),
+		},
+		Keys:      map[string]KeyLife{"k": {Accepted: at(0)}},
+		Events:    3,
+		QuietFrom: at(20),
+	}
+}
+
+func booking(id string, sent time.Time) *Attempt {
+	return &Attempt{
+		ID: id, Entry: "entry-0", Class: Booking, Path: "/booking/" + id, Body: "x", Key: "k", Sent: sent,
+		Ended: sent.Add(30 * time.Millisecond), Patience: callPatience, Status: 200,
+		Signature: target.Signature(id), AnswerTo: id, Whole: true, Text: "POST /booking/" + id + " x",
+	}
+}
+
+func ran(request, by string, when time.Time) target.Record {
+	path, service := "/booking/"+request, recordService
+	if strings.HasPrefix(request, "s") {
+		path, service = "/stream/"+request[1:], engineService
+	}
+	return target.Record{
+		At: when, What: target.Began, Target: by, Service: service, Request: request, Customer: customerName, Path: path, Left: time.Second,
+	}
+}
+
+// TestEachCheckFindsItsBrokenPromise breaks one promise after the other.
+func TestEachCheckFindsItsBrokenPromise(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Check(sound()), nil)
+	cases := []struct {
+		rule, name string
+		breakIt    func(e *Evidence)
+	}{
+		{"TWICE", "a booking runs again", func(e *Evidence) { e.Records = append(e.Records, ran("b1", "records-1.3", at(10.2))) }},
+		{"REFUSED", "a refused booking ran", func(e *Evidence) { e.Attempts[0].Status = 503 }},
+		{"ROUTE", "a strange key is served", func(e *Evidence) { e.Attempts[0].Key = strangerKey }},
+		{"MIXED", "another request's answer", func(e *Evidence) { e.Attempts[0].AnswerTo = "b2" }},
+		{"MIXED", "no signature", func(e *Evidence) { e.Attempts[0].Signature = "" }},
+		{"MIXED", "a part looks complete", func(e *Evidence) { e.Attempts[0].Text = e.Attempts[0].Text[:4] }},
+		{"ORDER", "an event is missing", func(e *Evidence) {
+			e.Attempts[1].Text = strings.Replace(e.Attempts[1].Text, target.Event("/stream/1", 2), "", 1)
+		}},
+		{"ORDER", "an event comes twice", func(e *Evidence) {
+			e.Attempts[1].Text += target.Event("/stream/1", 3)
+		}},
+		{"ORDER", "a broken stream has strange bytes", func(e *Evidence) {
+			e.Attempts[1].Whole = false
+			e.Attempts[1].Text = target.Event("/stream/1", 2)
+		}},
+		{"CONFIG", "a revoked key is served", func(e *Evidence) { e.Keys["k"] = KeyLife{Accepted: at(0), Revoked: at(7), RevokeSent: at(7)} }},
+		{"DENIED", "a key that holds is refused", func(e *Evidence) { e.Attempts[0].Status = 401 }},
+		{"LOST", "a stop cuts a stream", func(e *Evidence) {
+			e.Attempts[1].Whole = false
+			e.Disturbances = []Disturbance{{Subject: "entry-0", Fault: "stop", Planned: true, From: at(10.5), To: at(14)}}
+		}},
+		{"UNASKED", "nobody sent it", func(e *Evidence) { e.Records = append(e.Records, ran("b9", "records-0.1", at(10))) }},
+		{"UNASKED", "the caller's key goes to a target", func(e *Evidence) { e.Records[0].KeyLeaked = true }},
+		{"BUDGET", "targets get too much time", func(e *Evidence) {
+			for range 25 {
+				record := ran("s1", "drafts-0.2", at(10.1))
+				record.Left = time.Minute
+				e.Records = append(e.Records, record)
+			}
+		}},
+		{"BUDGET", "too many repeats", func(e *Evidence) {
+			for range 200 {
+				e.Records = append(e.Records, ran("s1", "drafts-0.2", at(10.1)))
+			}
+		}},
+		{"DRAIN", "new work for a target that leaves", func(e *Evidence) {
+			e.Records = append(e.Records, target.Record{At: at(7.5), What: target.Draining, Target: "records-0.1"})
+			e.Disturbances = []Disturbance{{Subject: "records-0", Fault: faultDrain, Planned: true, From: at(7.4), To: at(12)}}
+		}},
+		{"GONE", "work goes on without its caller", func(e *Evidence) {
+			e.Attempts[1].Left = at(10.2)
+			ended := ran("s1", "drafts-0.2", at(11))
+			ended.What = target.Ended
+			e.Records = append(e.Records, ended)
+		}},
+		{"RECOVER", "nothing is served at the end", func(e *Evidence) { e.Attempts[2].Status = 502; e.Attempts[2].Signature = "" }},
+	}
+	for _, c := range cases {
+		evidence := sound()
+		c.breakIt(evidence)
+		found := false
+		for _, violation := range Check(evidence) {
+			found = found || violation.Rule == c.rule
+		}
+		if !found {
+			t.Errorf("%s: %s is not found: %v", c.rule, c.name, Check(evidence))
+		}
+	}
+}
+
+// TestDisturbancesExcuseOnlyWhatTheyHit: promises with a bound in time hold for entries that nothing hit.
+func TestDisturbancesExcuseOnlyWhatTheyHit(t *testing.T) {
+	is := is.New(t)
+	evidence := sound()
+	evidence.Keys["k"] = KeyLife{Accepted: at(0), Revoked: at(7), RevokeSent: at(7)}
+	evidence.Attempts = append(evidence.Attempts[:2], booking("b3", at(8.9))) // within the time to apply
+	evidence.Records = append(evidence.Records[:2], ran("b3", "records-0.1", at(8.91)))
+	rules := func() (list []string) {
+		for _, violation := range Check(evidence) {
+			list = append(list, violation.Rule)
+		}
+		return list
+	}
+	is.Equal(rules(), []string{"CONFIG", "CONFIG", "RECOVER"})
+	evidence.Disturbances = []Disturbance{{Subject: "entry-1", Fault: "kill", From: at(8), To: at(9)}}
+	is.Equal(rules(), []string{"CONFIG", "CONFIG", "RECOVER"})
+	evidence.Disturbances = []Disturbance{{Subject: "entry-0", Fault: "kill", From: at(8), To: at(9)}}
+	is.Equal(rules(), []string{"RECOVER"})
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/azurebarrow/azurebarrow/internal/defect"
 )
 
 // Class tells what may be repeated of a route's requests.
@@ -227,7 +229,7 @@
 	var open, lapsed []*Target
 	for _, target := range s.Targets[service] {
 		switch {
-		case target.Leaving:
+		case target.Leaving && !defect.Enabled(defect.LeavingIgnored):
 		case target.Gone:
 			lapsed = append(lapsed, target)
 		default:
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/internal/defect"
 )
 
 // The shares of the time between SIGTERM and SIGKILL.
@@ -90,6 +91,9 @@
 func (s *shutdown) over(now time.Time, running int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if defect.Enabled(defect.DrainTimeout) {
+		return true
+	}
 	part := float64(now.Sub(s.began)) / float64(s.grace)
 	return part >= finishShare || part >= noticeShare && running == 0
 }
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -29,6 +29,8 @@
 	NotRunPerAttempt Name = "not-run-per-attempt"
 	// IndexCheckOff passes tokens on whatever their index or attempt.
 	IndexCheckOff Name = "index-check-off"
+	// RepeatUnsafe sends calls that may not be repeated to another target.
+	RepeatUnsafe Name = "repeat-unsafe"
 	// LeavingIgnored routes new work to leaving targets.
 	LeavingIgnored Name = "leaving-ignored"
 )
--- a/service/forward.go
+++ b/service/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/internal/defect"
 )
 
 // Forward is one attempt of a caller at a plain call whose content is opaque. Nothing of it is
@@ -139,6 +140,9 @@
 
 // maySendAgain tells whether the call may go to another target after a send that did not answer it.
 func (s forwardState) maySendAgain() bool {
+	if defect.Enabled(defect.RepeatUnsafe) {
+		return s.ran < s.maxAttempts
+	}
 	if s.last == SendNotRun || s.last == SendMisdirected {
 		return s.refused < maxNotRun && (s.repeatable || s.ran == 0)
 	}
@@ -236,7 +240,7 @@
 	switch {
 	case w.failure != nil:
 		return w.failure, nil
-	case w.state.ran == 0:
+	case w.state.ran == 0, defect.Enabled(defect.NotRunPerAttempt):
 		return nil, &NotRunError{RetryAfter: forwardRetryAfter, Cause: cause}
 	}
 	return nil, &UnknownOutcomeError{Cause: cause}
