--- a/bench/soak/defect_test.go
+++ b/bench/soak/defect_test.go
@@ -15,6 +15,8 @@
 	const (
 		faultAt  = 4 * time.Second
 		faultFor = 3 * time.Second
+		// wayLostAnswer is the variant of a target's fault that loses the answers of calls that ran.
+		wayLostAnswer = 2
 	)
 	// lostAnswers has all records lose answers of calls that ran.
 	var lostAnswers []Step
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -242,9 +242,6 @@
 	})
 }
 
-// wayLostAnswer is the variant of a target's fault that loses the answers of calls that ran.
-const wayLostAnswer = 2
-
 func (w *world) disturbTarget(ctx context.Context, t *backEnd, step Step, length func()) {
 	faults := []fault.Fault{
 		{Kind: fault.Overload, Count: fewRequestsHit},
