Look less often at engines that read a prompt

Every stream is looked at 250 ms after it was sent and each 300 ms from then on, four times while its prompt is read (1.2 s at the median); each look is a connection. Ruled out: plain calls, which reuse theirs.

Change: before the first event, looks come at an eighth of its objective.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -418,7 +418,7 @@
 		}
 		nextLookAt := a.progress.Add(patience.look)
 		if lastLook.After(a.progress) {
-			nextLookAt = lastLook.Add(nextLook)
+			nextLookAt = lastLook.Add(patience.nextLook)
 		}
 		if look == nil && !now.Before(nextLookAt) {
 			look = a.look()
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/health"
 )
 
 // script is what a fake engine does with one attempt.
@@ -424,3 +425,20 @@
 		})
 	}
 }
+
+// TestLooksAtATargetThatReadsThePromptAreFew: a look costs a connection, and a prompt takes a second to read.
+func TestLooksAtATargetThatReadsThePromptAreFew(t *testing.T) {
+	is := is.New(t)
+	looksWithin := func(p patience, span time.Duration) int {
+		if span < p.look {
+			return 0
+		}
+		return 1 + int((span-p.look)/p.nextLook)
+	}
+	request := &RelayRequest{FirstEventObjective: 4500 * time.Millisecond, GapObjective: 700 * time.Millisecond}
+	reading := relayPatience(request, false, &health.Gaps{})
+	is.True(looksWithin(reading, 1200*time.Millisecond) <= 2)
+	is.True(reading.look <= request.FirstEventObjective/8) // the rest is for another target
+	hurried := &RelayRequest{FirstEventObjective: time.Second}
+	is.Equal(relayPatience(hurried, false, &health.Gaps{}).look, firstLook)
+}
--- a/generation/relaydecide.go
+++ b/generation/relaydecide.go
@@ -92,8 +92,11 @@
 	stallMeans = 6
 	// firstEventShare is the part of the first event's objective after which the stream is moved.
 	firstEventShare = 0.85
-	// firstLook is when a target that has not sent the first event is looked at.
+	// firstLook is when a target that has not sent the first event is looked at, at the earliest.
 	firstLook = 250 * time.Millisecond
+	// firstLookShare is the part of the first event's objective between looks before it. A prompt takes a
+	// second to read, and a look costs a connection; what is left of the objective is ample for a move.
+	firstLookShare = 0.125
 	// nextLook is the time between looks at a target that stays silent.
 	nextLook = 300 * time.Millisecond
 	// lookTimeout bounds a look: several round trips.
@@ -105,9 +108,9 @@
 
 // patience tells how long an attempt may be silent.
 type patience struct {
-	// look is the silence after which the target is looked at; stall the one after which the stream
-	// is moved though the target answers.
-	look, stall time.Duration
+	// look is the silence after which the target is looked at, and nextLook the time between further
+	// looks; stall is the silence after which the stream is moved though the target answers.
+	look, nextLook, stall time.Duration
 }
 
 // relayPatience returns the patience with an attempt that has sent the given gaps.
@@ -117,14 +120,15 @@
 		if objective <= 0 {
 			objective = defaultFirstEventObjective
 		}
-		return patience{look: firstLook, stall: scale(objective, firstEventShare)}
+		look := max(firstLook, scale(objective, firstLookShare))
+		return patience{look: look, nextLook: look, stall: scale(objective, firstEventShare)}
 	}
 	objective := request.GapObjective
 	if objective <= 0 {
 		objective = defaultGapObjective
 	}
 	stall := max(scale(objective, stallShare), stallMeans*gaps.Mean())
-	return patience{look: gaps.Bound(relaySensitivity), stall: stall}
+	return patience{look: gaps.Bound(relaySensitivity), nextLook: nextLook, stall: stall}
 }
 
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
