Ask peers for whole lists only while the store is silent

An entry that starts asks the store for its lists and, at the same time, a watcher's feed from revision 0; the feed answers with all 2,999 targets (some 600 kB), to each of 29 followers, over links of 10 to 200 Mbit/s. A follower whose list is a little older than the watcher's got everything as well. Ruled out before: the length of a store call.

Change: while the store answers an entry, peers tell it changes only; a peer that could only tell everything leaves the kind out and the entry reads on at the store. After 250 ms without the store at the start, or a watch and 250 ms later on, it asks for everything as before.

--- a/adapters/peertwirp/directorypeer/directorypeer.go
+++ b/adapters/peertwirp/directorypeer/directorypeer.go
@@ -23,9 +23,11 @@
 func NewClient(client HTTPClient) *Client { return &Client{http: client} }
 
 // Since implements directory.Peers.
-func (c *Client) Since(ctx context.Context, peer membership.Peer, revisions map[string]int64, wait time.Duration) ([]directory.Part, error) {
+func (c *Client) Since(ctx context.Context, peer membership.Peer, query directory.FeedQuery) ([]directory.Part, error) {
 	client := NewDirectoryProtobufClient("http://"+peer.Address, c.http)
-	answer, err := client.Since(ctx, &SinceRequest{Revisions: revisions, WaitMilliseconds: wait.Milliseconds()})
+	answer, err := client.Since(ctx, &SinceRequest{
+		Revisions: query.Revisions, WaitMilliseconds: query.Wait.Milliseconds(), OnlyChanges: query.OnlyChanges,
+	})
 	if err != nil {
 		return nil, merry.Prependf(err, "directory of %s", peer.Address)
 	}
@@ -63,9 +65,13 @@
 
 // Since implements Directory.
 func (s *server) Since(ctx context.Context, request *SinceRequest) (*SinceResponse, error) {
-	wait := min(time.Duration(request.GetWaitMilliseconds())*time.Millisecond, longestWait)
+	query := directory.FeedQuery{
+		Revisions:   request.GetRevisions(),
+		Wait:        min(time.Duration(request.GetWaitMilliseconds())*time.Millisecond, longestWait),
+		OnlyChanges: request.GetOnlyChanges(),
+	}
 	answer := &SinceResponse{}
-	for _, part := range s.feed.Since(ctx, request.GetRevisions(), wait) {
+	for _, part := range s.feed.Since(ctx, query) {
 		answer.Parts = append(answer.Parts, partToWire(part))
 	}
 	return answer, nil
--- a/directory/feed.go
+++ b/directory/feed.go
@@ -178,20 +178,30 @@
 	return now.Sub(oldest)
 }
 
-// Since returns what is new after the given revisions, one part for each kind that the feed knows.
-// It waits for something new, or until wait has passed.
-func (f *Feed) Since(ctx context.Context, revisions map[string]int64, wait time.Duration) []Part {
-	timer := time.NewTimer(wait)
+// FeedQuery asks a feed what is new.
+type FeedQuery struct {
+	// Revisions are those up to which the asker knows each kind.
+	Revisions map[string]int64
+	// Wait is how long the answer may wait for something new.
+	Wait time.Duration
+	// OnlyChanges leaves out the kinds of which the feed could only tell everything.
+	OnlyChanges bool
+}
+
+// Since returns what is new after the query's revisions, one part for each kind that the feed knows.
+// It waits for something new, unless a kind is left out.
+func (f *Feed) Since(ctx context.Context, query FeedQuery) []Part {
+	timer := time.NewTimer(query.Wait)
 	defer timer.Stop()
 	for {
-		parts, news, changed := f.partsSince(revisions, time.Now())
+		parts, news, changed := f.partsSince(query, time.Now())
 		if news {
 			return parts
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			parts, _, _ = f.partsSince(revisions, time.Now())
+			parts, _, _ = f.partsSince(query, time.Now())
 			return parts
 		case <-ctx.Done():
 			return nil
@@ -199,7 +209,7 @@
 	}
 }
 
-func (f *Feed) partsSince(revisions map[string]int64, now time.Time) (parts []Part, news bool, changed <-chan struct{}) {
+func (f *Feed) partsSince(query FeedQuery, now time.Time) (parts []Part, news bool, changed <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, kind := range kinds {
@@ -207,7 +217,11 @@
 		if k.revision == 0 {
 			continue
 		}
-		since := revisions[kind]
+		since := query.Revisions[kind]
+		if query.OnlyChanges && since < k.forgotten {
+			news = true // the asker learns at once that it has to read the store
+			continue
+		}
 		part := Part{Kind: kind, Revision: k.revision, Full: since < k.forgotten, Age: now.Sub(k.confirmed)}
 		for _, item := range k.items {
 			if part.Full && !item.object.Deleted || !part.Full && item.at > since {
--- a/directory/feed_test.go
+++ b/directory/feed_test.go
@@ -16,6 +16,11 @@
 	return objects.Object{Kind: KindTarget, Name: name, Revision: revision, Value: []byte(name)}
 }
 
+// since asks for what is new of the targets.
+func since(revision int64) FeedQuery {
+	return FeedQuery{Revisions: map[string]int64{KindTarget: revision}}
+}
+
 func names(parts []Part, kind string) map[string]bool {
 	found := map[string]bool{}
 	for _, part := range parts {
@@ -34,13 +39,13 @@
 	f := newFeed()
 	f.apply(Part{Kind: KindTarget, Revision: 5, Full: true, Objects: []objects.Object{stored("a", 2), stored("b", 5)}}, began)
 	f.apply(Part{Kind: KindTarget, Revision: 7, Objects: []objects.Object{stored("b", 7)}}, began)
-	parts, news, _ := f.partsSince(map[string]int64{KindTarget: 5}, began)
+	parts, news, _ := f.partsSince(since(5), began)
 	is.True(news)
 	is.Equal(names(parts, KindTarget), map[string]bool{"b": true})
-	parts, news, _ = f.partsSince(map[string]int64{KindTarget: 7}, began)
+	parts, news, _ = f.partsSince(since(7), began)
 	is.True(!news)
 	is.Equal(len(names(parts, KindTarget)), 0)
-	parts, _, _ = f.partsSince(nil, began)
+	parts, _, _ = f.partsSince(FeedQuery{}, began)
 	is.Equal(names(parts, KindTarget), map[string]bool{"a": true, "b": true})
 	is.True(parts[0].Full)
 }
@@ -52,7 +57,7 @@
 	removed := stored("a", 2)
 	removed.Deleted = true
 	is.Equal(len(f.apply(Part{Kind: KindTarget, Revision: 9, Objects: []objects.Object{removed}}, began)), 1)
-	parts, _, _ := f.partsSince(map[string]int64{KindTarget: 5}, began)
+	parts, _, _ := f.partsSince(since(5), began)
 	is.Equal(names(parts, KindTarget), map[string]bool{"a": false})
 	// A peer that lags does not bring it back.
 	is.Equal(len(f.apply(Part{Kind: KindTarget, Revision: 6, Objects: []objects.Object{stored("a", 2)}}, began)), 0)
@@ -67,11 +72,29 @@
 	f.apply(Part{Kind: KindTarget, Revision: 6, Objects: []objects.Object{removed}}, began)
 	later := began.Add(2 * tombstoneAge)
 	f.apply(Part{Kind: KindTarget, Revision: 8}, later)
-	parts, _, _ := f.partsSince(map[string]int64{KindTarget: 5}, later)
+	parts, _, _ := f.partsSince(since(5), later)
 	is.True(parts[0].Full)
 	is.Equal(names(parts, KindTarget), map[string]bool{"b": true})
 }
 
+// An entry that reads the store is told changes only: a whole list from a peer is the size of the fleet.
+func TestFeedLeavesOutWhatItCouldOnlyTellWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFeed()
+		f.apply(Part{Kind: KindConfiguration, Revision: 4, Objects: []objects.Object{{Kind: KindConfiguration, Name: "main", Revision: 4}}}, time.Now())
+		f.apply(Part{Kind: KindTarget, Revision: 5, Full: true, Objects: []objects.Object{stored("a", 2)}}, time.Now())
+		start := time.Now()
+		behind := FeedQuery{Revisions: map[string]int64{KindTarget: 4}, Wait: time.Second, OnlyChanges: true}
+		parts := f.Since(t.Context(), behind)
+		is.Equal(len(parts), 1)
+		is.Equal(parts[0].Kind, KindConfiguration)
+		is.Equal(time.Since(start), time.Duration(0)) // at once
+		behind.OnlyChanges = false
+		is.Equal(names(f.Since(t.Context(), behind), KindTarget), map[string]bool{"a": true})
+	})
+}
+
 func TestFeedWaitsForNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -82,11 +105,11 @@
 			f.apply(Part{Kind: KindTarget, Revision: 6, Objects: []objects.Object{stored("a", 6)}}, time.Now())
 		}()
 		start := time.Now()
-		parts := f.Since(t.Context(), map[string]int64{KindTarget: 5}, time.Second)
+		parts := f.Since(t.Context(), FeedQuery{Revisions: since(5).Revisions, Wait: time.Second})
 		is.Equal(time.Since(start), 100*time.Millisecond)
 		is.Equal(names(parts, KindTarget), map[string]bool{"a": true})
 		start = time.Now()
-		parts = f.Since(t.Context(), map[string]int64{KindTarget: 6}, time.Second)
+		parts = f.Since(t.Context(), FeedQuery{Revisions: since(6).Revisions, Wait: time.Second})
 		is.Equal(time.Since(start), time.Second)
 		is.Equal(parts[0].Age, time.Second) // the reader learns how old the word is
 	})
@@ -114,7 +137,7 @@
 			part.Revision = 0 // a word out of order says nothing of how far it goes
 			follower.apply(part, began)
 		}
-		parts, _, _ := leader.partsSince(nil, began)
+		parts, _, _ := leader.partsSince(FeedQuery{}, began)
 		for _, part := range parts {
 			follower.apply(part, began)
 		}
--- a/directory/sync.go
+++ b/directory/sync.go
@@ -23,7 +23,7 @@
 // Peers is the port to the feeds of other entries.
 type Peers interface {
 	// Since asks a peer's feed; see Feed.Since.
-	Since(ctx context.Context, peer membership.Peer, revisions map[string]int64, wait time.Duration) ([]Part, error)
+	Since(ctx context.Context, peer membership.Peer, query FeedQuery) ([]Part, error)
 }
 
 const (
@@ -43,6 +43,10 @@
 	peerTimeout = 250 * time.Millisecond
 	// staleAfter is the age from which a peer's word is no longer relied on: two watches of the peer.
 	staleAfter = 1300 * time.Millisecond
+	// storePatience is the time without an answer of the store from which whole lists of peers are asked for:
+	// a watch and a margin. Before it, peers tell changes only. A whole list is the size of the fleet, and
+	// hundreds of entries that start at once would wait for the links of a few.
+	storePatience = watchWait + 250*time.Millisecond
 	// peerPause is the pause between looks of an entry that reads the store itself.
 	peerPause = 200 * time.Millisecond
 )
@@ -84,6 +88,9 @@
 	observe func(Event)
 	// direct tells that this entry reads the store itself.
 	direct atomic.Bool
+	// heard is when the store last answered, in nanoseconds since began.
+	began time.Time
+	heard atomic.Int64
 	// relist asks for new lists, by kind.
 	relist map[string]*atomic.Bool
 }
@@ -98,9 +105,19 @@
 		s.relist[kind].Store(true)
 	}
 	s.direct.Store(true)
+	// At the start the store has the length of one watch less to answer.
+	s.began = time.Now().Add(-watchWait)
 	return s
 }
 
+// storeHeard notes that the store has answered.
+func (s *syncer) storeHeard() { s.heard.Store(int64(time.Since(s.began))) }
+
+// storeSilent tells whether the store has not answered this entry for storePatience.
+func (s *syncer) storeSilent() bool {
+	return time.Since(s.began)-time.Duration(s.heard.Load()) > storePatience
+}
+
 // requestLists has the store listed anew.
 func (s *syncer) requestLists() {
 	for _, wanted := range s.relist {
@@ -141,6 +158,7 @@
 			failing = time.Time{}
 		}
 		backoff = retryBase
+		s.storeHeard()
 		s.deliver(ctx, part)
 		if len(part.Objects) > 0 {
 			pause(ctx, settlePause)
@@ -211,13 +229,13 @@
 
 // readPeer asks one peer and takes in what it tells, which is right though it may be old.
 func (s *syncer) readPeer(ctx context.Context, peer membership.Peer) (fresh bool, err error) {
-	revisions := make(map[string]int64, len(kinds))
+	query := FeedQuery{Revisions: make(map[string]int64, len(kinds)), Wait: peerWait, OnlyChanges: !s.storeSilent()}
 	for _, kind := range kinds {
-		revisions[kind] = s.feed.Revision(kind)
+		query.Revisions[kind] = s.feed.Revision(kind)
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
 	defer cancel()
-	parts, err := s.peers.Since(ctx, peer, revisions, peerWait)
+	parts, err := s.peers.Since(ctx, peer, query)
 	if err != nil {
 		return false, err
 	}
