Follow a copy to the successor of its holder

A resume that named the former ID was refused, and the copy was dropped with it, so that prompts were read anew and the streams paused for a second. Ruled out: lost copies, full engines.

Change: the resume waits up to 50 ms until the directory has identified the successor, and goes on there; a provisional successor at the copy's address is asked for the copy, and refuses at once without it.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -193,7 +193,7 @@
 func (run *relayRun) choose() *directory.Target {
 	query := run.query()
 	if run.copied != nil {
-		if target := run.find(run.copied); target != nil {
+		if target := run.possibleHolder(run.copied); target != nil {
 			return target
 		}
 		run.dropCopy()
@@ -252,6 +252,9 @@
 	cancel()
 	a.copier.end(ending == endingComplete)
 	run.settle(a, ending, err)
+	if ending == endingRefused {
+		run.followHolder(ctx, send.Copy, err)
+	}
 	return ending, err
 }
 
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -208,6 +208,15 @@
 	return f
 }
 
+// upTo returns the events from 1 to last.
+func upTo(last int64) []int64 {
+	var events []int64
+	for id := int64(1); id <= last; id++ {
+		events = append(events, id)
+	}
+	return events
+}
+
 func relayRequest() *RelayRequest {
 	return &RelayRequest{
 		ID: "r", Fingerprint: "f", Service: "drafts", LastEvent: -1, Resumable: true, MaxAttempts: 5,
@@ -238,6 +247,64 @@
 	})
 }
 
+// Found on balanza-serrana inc-f08b: while the store was away, engines of a zone had crashed and started again
+// before copies were sent to their addresses. The copies were given up with the IDs of the former engines.
+func TestCopyIsFollowedToTheSuccessorOfItsHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		misdirected := &RelayRefusedError{Misdirected: true, Found: "c2", Cause: errors.New("another target")}
+		f := newRelayFixture(map[string][]script{
+			"a":  {{events: []int64{1, 2}, pause: 100 * time.Millisecond, end: io.ErrUnexpectedEOF}},
+			"c":  {{refuse: misdirected}},
+			"c2": {{events: []int64{3}, end: io.EOF}},
+		})
+		// The directory identifies the successor some milliseconds after the dispute.
+		dispute := func(target *directory.Target, found string) {
+			time.AfterFunc(8*time.Millisecond, func() {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				successor := &directory.Target{ID: found, Address: target.Address, Provisional: true, Seen: time.Now()}
+				f.open = []*directory.Target{f.open[0], f.open[1], successor}
+			})
+		}
+		f.relay = NewRelay(RelayOptions{Engine: f.engine, Placer: f.placer, Budget: f.budget, Targets: f.targets, Dispute: dispute})
+		sink := &recordingSink{}
+		is.NoErr(f.relay.Run(t.Context(), relayRequest(), sink))
+		is.Equal(sink.events, []int64{1, 2, 3})
+		resumed := f.engine.attempts[2]
+		is.Equal(resumed.Target.ID, "c2")
+		is.True(resumed.Copy != nil)
+		is.Equal(resumed.Copy.Source, "c:1")
+		is.Equal(resumed.Copy.Name, "r")
+	})
+}
+
+// A successor without the copy refuses at once, and the stream goes on elsewhere.
+func TestSuccessorWithoutTheCopyIsLeftAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const lastEvent = 20
+		f := newRelayFixture(map[string][]script{
+			"a":  {{events: upTo(lastEvent), pause: 100 * time.Millisecond, end: io.ErrUnexpectedEOF}},
+			"c2": {{refuse: &RelayRefusedError{Cause: errors.New("no such copy")}}},
+			"b":  {{events: []int64{lastEvent + 1}, end: io.EOF}},
+		})
+		time.AfterFunc(time.Second, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.open = []*directory.Target{f.open[0], f.open[1], {ID: "c2", Address: "c:1", Provisional: true, Seen: time.Now()}}
+		})
+		request := relayRequest()
+		request.Spec.Moves = false
+		sink := &recordingSink{}
+		is.NoErr(f.relay.Run(t.Context(), request, sink))
+		is.Equal(sink.events, upTo(lastEvent+1))
+		is.Equal(f.engine.attempts[1].Target.ID, "c2")
+		is.Equal(f.engine.attempts[2].Target.ID, "b")
+		is.True(f.engine.attempts[2].Copy == nil)
+	})
+}
+
 func TestRunWithoutEventsHasNoCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -296,12 +363,8 @@
 func TestCopyIsOrderedWhenItsHolderGoes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		events := make([]int64, 20)
-		for i := range events {
-			events[i] = int64(i + 1)
-		}
 		f := newRelayFixture(map[string][]script{
-			"a": {{events: events, pause: 50 * time.Millisecond, end: io.ErrUnexpectedEOF}},
+			"a": {{events: upTo(20), pause: 50 * time.Millisecond, end: io.ErrUnexpectedEOF}},
 			"b": {{events: []int64{21}, end: io.EOF}},
 		})
 		time.AfterFunc(300*time.Millisecond, f.closeLast) // c held the copy
--- a/generation/relaycopy.go
+++ b/generation/relaycopy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/directory"
@@ -171,3 +172,62 @@
 	}
 	return nil
 }
+
+const (
+	// successorWait is how long a stream waits until the directory has identified the successor of its
+	// copy's holder, which takes a few round trips. Without the copy, the prompt is read for a second.
+	successorWait = 50 * time.Millisecond
+	successorPoll = 2 * time.Millisecond
+)
+
+// followHolder keeps the copy of an attempt that met another incarnation at its holder's address: an engine
+// that started there before the copy began has got it. While the store is away only the directory's own
+// question tells which engine that is.
+func (run *relayRun) followHolder(ctx context.Context, copied *RelayCopy, err error) {
+	var refused *RelayRefusedError
+	if copied == nil || !errors.As(err, &refused) || refused.Found == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, successorWait)
+	defer cancel()
+	ticker := time.NewTicker(successorPoll)
+	defer ticker.Stop()
+	for {
+		successor := run.openAt(copied.Holder.Address, func(t *directory.Target) bool { return t.ID == refused.Found })
+		if successor != nil {
+			run.copied = copied.heldBy(successor)
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// heldBy returns the same copy at another incarnation of its holder.
+func (c *RelayCopy) heldBy(holder *directory.Target) *RelayCopy {
+	moved := *c
+	moved.Holder = holder
+	return &moved
+}
+
+// openAt returns an open target at the address for which fits holds; nil if there is none.
+func (run *relayRun) openAt(address string, fits func(*directory.Target) bool) *directory.Target {
+	for _, target := range run.relay.options.Targets(run.request.Service) {
+		if target.Address == address && fits(target) {
+			return target
+		}
+	}
+	return nil
+}
+
+// possibleHolder returns the target to ask for the copy: the one that has it, or a successor at its address
+// whose start is not known. An engine without the copy refuses at once.
+func (run *relayRun) possibleHolder(copied *RelayCopy) *directory.Target {
+	if target := run.find(copied); target != nil {
+		return target
+	}
+	return run.openAt(copied.Holder.Address, func(t *directory.Target) bool { return t.Provisional })
+}
