--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -64,7 +64,7 @@
 	request := payload.encode(header)
 	received, err := t.pool.Do(ctx, attempt.Target.Key(), attempt.Target.Address, request)
 	if err != nil {
-		var notSent *targethttp.NotSentError
+		var notSent *service.NotSentError
 		if errors.As(err, &notSent) {
 			return nil, &generation.RelayRefusedError{Unreachable: ctx.Err() == nil, Cause: err}
 		}
@@ -149,7 +149,7 @@
 	key := (&directory.Target{ID: target.Name, Address: target.Address}).Key()
 	received, err := t.pool.Do(ctx, key, target.Address, request)
 	if err != nil {
-		var notSent *targethttp.NotSentError
+		var notSent *service.NotSentError
 		if errors.As(err, &notSent) {
 			return service.Sent{Verdict: service.SendNotRun, Err: err}
 		}
--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/azurebarrow/azurebarrow/service"
 )
 
 // Request is one request to a target, sent as it is.
@@ -59,16 +61,16 @@
 const maxForeignAnswers = 2
 
 // Do sends a request and returns once the head of its answer has arrived. An error that wraps
-// *NotSentError proves that nothing was sent; after any other the target may have run the request.
+// *service.NotSentError proves that nothing was sent; after any other the target may have run the request.
 // The end of ctx closes the connection, also while the body is read.
 func (p *Pool) Do(ctx context.Context, key, address string, request *Request) (*Answer, error) {
 	c, err := p.get(ctx, key, address)
 	if err != nil {
-		return nil, &NotSentError{Cause: err}
+		return nil, &service.NotSentError{Cause: err}
 	}
 	if ctx.Err() != nil {
 		_ = c.Close()
-		return nil, &NotSentError{Cause: ctx.Err()}
+		return nil, &service.NotSentError{Cause: ctx.Err()}
 	}
 	e := &exchange{pool: p, conn: c, written: make(chan error, 1), idleFor: p.options.IdleTimeout}
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
--- a/adapters/targethttp/exchange_test.go
+++ b/adapters/targethttp/exchange_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/azurebarrow/azurebarrow/service"
 )
 
 // wireTarget answers the requests of each connection with the given texts, then closes it.
@@ -164,7 +166,7 @@
 			})
 			_, err := exchangeBody(t, NewPool(Options{}), target.address(), numbered("1"))
 			is.True(err != nil)
-			var notSent *NotSentError
+			var notSent *service.NotSentError
 			is.True(!errors.As(err, &notSent))         // the target has read it
 			is.Equal(target.requests.Load(), int64(1)) // once
 		})
@@ -218,7 +220,7 @@
 	address := listener.Addr().String()
 	is.NoErr(listener.Close())
 	_, err = NewPool(Options{}).Do(t.Context(), "key", address, numbered("1"))
-	var notSent *NotSentError
+	var notSent *service.NotSentError
 	is.True(errors.As(err, &notSent))
 }
 
--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -7,7 +7,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -38,15 +37,6 @@
 	keepAliveProbes = 2
 )
 
-// NotSentError proves that no byte of a request has left this process.
-type NotSentError struct{ Cause error }
-
-// Error implements error.
-func (e *NotSentError) Error() string { return fmt.Sprintf("request not sent: %v", e.Cause) }
-
-// Unwrap returns the cause.
-func (e *NotSentError) Unwrap() error { return e.Cause }
-
 // Pool keeps idle connections by target. It is safe for concurrent use.
 type Pool struct {
 	options Options
--- a/admission/retrytotals.go
+++ b/admission/retrytotals.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/membership"
 )
 
@@ -77,12 +78,8 @@
 	lost := false
 	for {
 		live := members.Live()
-		timer := time.NewTimer(max(reportInterval, time.Duration(len(live))*reportSpacing))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if wait.For(ctx, max(reportInterval, time.Duration(len(live))*reportSpacing)) != nil {
 			return nil
-		case <-timer.C:
 		}
 		adder := membership.Rank(live, "retries")[0]
 		err := s.report(ctx, peers, adder, members.Self().Name)
--- a/bench/cluster/schedule.go
+++ b/bench/cluster/schedule.go
@@ -9,6 +9,7 @@
 	"time"
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
 )
 
@@ -140,7 +141,7 @@
 	started := time.Now()
 	var undone sync.WaitGroup
 	for _, failure := range failures {
-		if fault.Sleep(ctx, time.Until(started.Add(failure.At))) != nil {
+		if wait.For(ctx, time.Until(started.Add(failure.At))) != nil {
 			break
 		}
 		undo, err := c.cause(failure)
@@ -149,7 +150,7 @@
 			continue
 		}
 		undone.Go(func() {
-			_ = fault.Sleep(ctx, failure.For)
+			_ = wait.For(ctx, failure.For)
 			if err := undo(); err != nil {
 				report(failure, err)
 			}
--- a/bench/experiments/at_most_once_outage.go
+++ b/bench/experiments/at_most_once_outage.go
@@ -9,6 +9,7 @@
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/bench/cluster"
 	"github.com/azurebarrow/azurebarrow/bench/experiment"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
 )
 
@@ -75,16 +76,16 @@
 		kind = fault.Hang
 	}
 	faults := c.Platform.Faults()
-	_ = fault.Sleep(ctx, outageBefore)
+	_ = wait.For(ctx, outageBefore)
 	times := outageTimes{began: time.Now()}
 	env.Say("outage (%s)", kind)
 	faults.Add(fault.Fault{Kind: kind})
-	_ = fault.Sleep(ctx, outageTime)
+	_ = wait.For(ctx, outageTime)
 	env.Say("slow")
 	faults.Clear()
 	c.Platform.Apply(fault.Fault{Kind: fault.Slow, Delay: v1.Duration(outageSlowDelay)})
 	times.ended = time.Now()
-	_ = fault.Sleep(ctx, outageSlowTime)
+	_ = wait.For(ctx, outageSlowTime)
 	env.Say("fast again")
 	faults.Clear()
 	slowPlatform(c)
--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/azurebarrow/azurebarrow/standin/fault"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/standin/target"
 )
 
@@ -79,7 +79,7 @@
 	defer requests.Wait()
 	for {
 		pause := time.Duration(c.draw().pause / perSecond * float64(time.Second))
-		if fault.Sleep(ctx, pause) != nil {
+		if wait.For(ctx, pause) != nil {
 			return
 		}
 		requests.Go(func() { c.request(class) })
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -10,6 +10,7 @@
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/bench/cluster"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
 )
 
@@ -108,7 +109,7 @@
 	started := time.Now()
 	var faults sync.WaitGroup
 	for _, step := range steps {
-		if fault.Sleep(ctx, time.Until(started.Add(step.At))) != nil {
+		if wait.For(ctx, time.Until(started.Add(step.At))) != nil {
 			break
 		}
 		faults.Go(func() { w.carryOut(ctx, step) })
@@ -129,7 +130,7 @@
 func (w *world) carryOut(ctx context.Context, step Step) {
 	e := w.entries[step.Index%len(w.entries)]
 	t := w.targets[step.Index%len(w.targets)]
-	length := func() { _ = fault.Sleep(ctx, step.For) }
+	length := func() { _ = wait.For(ctx, step.For) }
 	switch step.Kind {
 	case "stop entry":
 		w.stopEntry(ctx, e)
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -18,6 +18,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/azurebarrow/azurebarrow/bench/cluster"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/settings"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
 	"github.com/azurebarrow/azurebarrow/standin/target"
@@ -280,7 +281,7 @@
 		if isReady(ctx, e.ready) {
 			return nil
 		}
-		if err := fault.Sleep(ctx, pollInterval); err != nil {
+		if err := wait.For(ctx, pollInterval); err != nil {
 			return err
 		}
 	}
@@ -314,7 +315,7 @@
 					misses = 0
 				}
 				e.inRotation.Store(misses < missesOut)
-				if fault.Sleep(ctx, readinessInterval) != nil {
+				if wait.For(ctx, readinessInterval) != nil {
 					return
 				}
 			}
@@ -367,7 +368,7 @@
 		return err
 	}
 	for put(ctx, w.options.store+"/v1/objects/config/main", body) != nil {
-		if err := fault.Sleep(ctx, pollInterval); err != nil {
+		if err := wait.For(ctx, pollInterval); err != nil {
 			return err
 		}
 	}
--- a/config/relay.go
+++ b/config/relay.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/membership"
 )
 
@@ -103,11 +104,11 @@
 	for ctx.Err() == nil {
 		source, ok := m.chooseSource(group)
 		if !ok {
-			sleep(ctx, m.jitter.spread(roleInterval))
+			_ = wait.For(ctx, m.jitter.spread(roleInterval))
 			continue
 		}
 		if err := m.followOnce(ctx, source); err != nil {
-			sleep(ctx, retry.next())
+			_ = wait.For(ctx, retry.next())
 			continue
 		}
 		retry.reset()
@@ -192,7 +193,7 @@
 func (m *Manager) askPeersLater(ctx context.Context) <-chan bool {
 	asked := make(chan bool, 1)
 	go func() {
-		sleep(ctx, m.jitter.spread(roleInterval))
+		_ = wait.For(ctx, m.jitter.spread(roleInterval))
 		asked <- m.questionPeers(ctx)
 	}()
 	return asked
--- a/config/watch.go
+++ b/config/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/objects"
 )
 
@@ -107,7 +108,7 @@
 			default:
 			}
 		}
-		sleep(ctx, retry.next())
+		_ = wait.For(ctx, retry.next())
 	}
 }
 
@@ -171,20 +172,20 @@
 // no peer answers it.
 func (m *Manager) watchPlatform(ctx context.Context) {
 	retry := m.jitter.backoff()
-	wait := shortestWatch
+	watch := shortestWatch
 	for ctx.Err() == nil {
 		if !m.mustWatch() {
-			sleep(ctx, roleInterval)
+			_ = wait.For(ctx, roleInterval)
 			continue
 		}
-		changed, err := m.watchOnce(ctx, m.jitter.spread(wait))
-		wait = min(2*wait, longestWatch)
+		changed, err := m.watchOnce(ctx, m.jitter.spread(watch))
+		watch = min(2*watch, longestWatch)
 		if changed || err != nil {
-			wait = shortestWatch
+			watch = shortestWatch
 		}
 		if err != nil {
 			m.observe(Event{Kind: EventSourceFailed, Source: platformSource, Err: err})
-			sleep(ctx, retry.next())
+			_ = wait.For(ctx, retry.next())
 			continue
 		}
 		retry.reset()
@@ -225,12 +226,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/directory/sync.go
+++ b/directory/sync.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/objects"
 )
@@ -133,7 +134,7 @@
 	for ctx.Err() == nil {
 		if !s.direct.Load() {
 			failing = time.Time{}
-			pause(ctx, parkedPoll)
+			_ = wait.For(ctx, parkedPoll)
 			continue
 		}
 		part, err := s.readStore(ctx, kind)
@@ -147,7 +148,7 @@
 				failing = time.Now()
 				s.observe(Event{Kind: EventStoreLost, Subject: kind, Revision: s.feed.Revision(kind), Err: err})
 			}
-			pause(ctx, backoff/2+rand.N(backoff/2))
+			_ = wait.For(ctx, backoff/2+rand.N(backoff/2))
 			backoff = min(2*backoff, retryLimit)
 			continue
 		case err != nil:
@@ -161,7 +162,7 @@
 		s.storeHeard()
 		s.deliver(ctx, part)
 		if len(part.Objects) > 0 {
-			pause(ctx, settlePause)
+			_ = wait.For(ctx, settlePause)
 		}
 	}
 	return nil
@@ -191,11 +192,11 @@
 		upstream, mine := watchersOf(s.view.Self(), s.view.Live())
 		if mine || len(upstream) == 0 {
 			s.readDirectly("elected", nil)
-			pause(ctx, peerPause)
+			_ = wait.For(ctx, peerPause)
 			continue
 		}
 		if !s.readFromAny(ctx, upstream) && ctx.Err() == nil {
-			pause(ctx, peerPause)
+			_ = wait.For(ctx, peerPause)
 		}
 	}
 	return nil
@@ -249,13 +250,3 @@
 	}
 	return true, nil
 }
-
-// pause waits, or returns early when ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/directory/sync_test.go
+++ b/directory/sync_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/objects"
 )
@@ -33,7 +34,7 @@
 		<-ctx.Done()
 		return objects.List{}, ctx.Err()
 	}
-	pause(ctx, takes)
+	_ = wait.For(ctx, takes)
 	return objects.List{Revision: 1}, ctx.Err()
 }
 
--- a/generation/cancel.go
+++ b/generation/cancel.go
@@ -5,6 +5,7 @@
 	"time"
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 )
 
 const (
@@ -30,7 +31,7 @@
 		if m.cancelOnce(target, id) == nil {
 			return
 		}
-		if !sleep(m.ctx, backoff) {
+		if wait.For(m.ctx, backoff) != nil {
 			return
 		}
 		backoff = min(2*backoff, cancelBackoffLimit)
--- a/generation/fakes_test.go
+++ b/generation/fakes_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/invariant"
 	"github.com/azurebarrow/azurebarrow/journal"
 	"github.com/azurebarrow/azurebarrow/membership"
@@ -127,7 +128,7 @@
 			return nil, ErrUnreachable
 		case !paused:
 			return t, nil
-		case !sleep(ctx, time.Millisecond):
+		case wait.For(ctx, time.Millisecond) != nil:
 			return nil, ctx.Err()
 		}
 	}
@@ -138,7 +139,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !sleep(ctx, e.accept) {
+	if wait.For(ctx, e.accept) != nil {
 		return nil, ctx.Err()
 	}
 	e.mu.Lock()
@@ -347,7 +348,7 @@
 
 // travel is one way from one entry to another. A paused entry neither sends nor receives.
 func (c *fakeCluster) travel(ctx context.Context, from, to string) error {
-	if !sleep(ctx, c.delay) {
+	if wait.For(ctx, c.delay) != nil {
 		return ctx.Err()
 	}
 	for {
@@ -362,7 +363,7 @@
 			return ctx.Err()
 		}
 		c.awaitResumed(from)
-		if !sleep(ctx, time.Millisecond) {
+		if wait.For(ctx, time.Millisecond) != nil {
 			return ctx.Err()
 		}
 	}
--- a/generation/run.go
+++ b/generation/run.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/journal"
 )
 
@@ -208,7 +209,7 @@
 		return outcomeFailed
 	}
 	limit := min(relocateBackoff<<min(relocations, maximumShift), relocateBackoffLimit)
-	sleep(r.manager.ctx, rand.N(limit))
+	_ = wait.For(r.manager.ctx, rand.N(limit))
 	return r.phase()
 }
 
--- a/generation/start.go
+++ b/generation/start.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/journal"
 )
 
@@ -71,7 +72,7 @@
 			return nil, s.refusal(err)
 		}
 		s.exclude = nil
-		if !sleep(p.ctx, backoff) {
+		if wait.For(p.ctx, backoff) != nil {
 			return nil, s.refusal(p.ctx.Err())
 		}
 		backoff = min(2*backoff, chooseBackoffLimit)
@@ -189,15 +190,3 @@
 	}
 	s.number = p.nextNumber()
 }
-
-// sleep waits; false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/generation/suspects.go
+++ b/generation/suspects.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/health"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 )
 
 // Suspects is the port to the deaths charged to fingerprints, in which all entries share.
@@ -119,7 +120,7 @@
 		if suspects.Isolate(p.ctx, p.run.request.Deployment, p.generation, isolationHold) {
 			return true, p.releaseIsolation, nil
 		}
-		if !sleep(p.ctx, isolationPoll) {
+		if wait.For(p.ctx, isolationPoll) != nil {
 			return false, nil, p.ctx.Err()
 		}
 	}
--- a/idempotency/commit.go
+++ b/idempotency/commit.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/objects"
 	"github.com/azurebarrow/azurebarrow/objects/budget"
 )
@@ -116,9 +117,7 @@
 		firstPause = 10 * time.Millisecond
 		maxDoubles = 5
 	)
-	select {
-	case <-time.After(firstPause << min(attempt, maxDoubles)):
-	case <-ctx.Done():
+	if wait.For(ctx, firstPause<<min(attempt, maxDoubles)) != nil {
 		return false
 	}
 	return o.options.Budget.Acquire(ctx, budget.Claims) == nil
--- a/idempotency/completer.go
+++ b/idempotency/completer.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 )
 
 var errNoSuchPeer = errors.New("no such entry is alive")
@@ -69,9 +71,7 @@
 
 // wait returns after the pause, when something is in the queue.
 func (c *completer) wait(ctx context.Context, shard int, pause time.Duration) bool {
-	select {
-	case <-time.After(pause):
-	case <-ctx.Done():
+	if wait.For(ctx, pause) != nil {
 		return false
 	}
 	c.mu.Lock()
--- a/idempotency/ledger.go
+++ b/idempotency/ledger.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/internal/defect"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/objects"
 )
@@ -68,10 +69,8 @@
 func (l *Ledger) Drain(ctx context.Context) error {
 	const drainPoll = 20 * time.Millisecond
 	for l.attempts.count() > 0 {
-		select {
-		case <-time.After(drainPoll):
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := wait.For(ctx, drainPoll); err != nil {
+			return err
 		}
 	}
 	l.draining.Store(true)
--- a/idempotency/load.go
+++ b/idempotency/load.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/objects"
 )
 
@@ -146,10 +147,8 @@
 	if o.isLive(head.Owner) && !unreachable {
 		return &ownedElsewhereError{Owner: head.Owner.Entry}
 	}
-	select {
-	case <-time.After(o.options.LeaseDuration):
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := wait.For(ctx, o.options.LeaseDuration); err != nil {
+		return err
 	}
 	_, later, err := o.readHead(ctx, revision)
 	if err != nil {
--- a/leaving/watcher.go
+++ b/leaving/watcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/membership"
 )
 
@@ -166,16 +167,7 @@
 				return
 			}
 		}
-		sleep(ctx, primingInterval)
-	}
-}
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		_ = wait.For(ctx, primingInterval)
 	}
 }
 
--- a/membership/housekeeping.go
+++ b/membership/housekeeping.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 )
 
 // readDirectory has the list read now and then, apart from the owner's
@@ -16,17 +18,14 @@
 
 func (m *Manager) followDirectory(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := listWait(m.options.ListInterval, len(m.Live()))
+		interval := listWait(m.options.ListInterval, len(m.Live()))
 		if err := m.readDirectoryOnce(ctx); err != nil {
-			wait = directoryRetryInterval
+			interval = directoryRetryInterval
 			if m.options.OnDirectoryError != nil {
 				m.options.OnDirectoryError(err)
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
+		_ = wait.For(ctx, interval)
 	}
 }
 
--- a/service/atmostonce.go
+++ b/service/atmostonce.go
@@ -7,6 +7,7 @@
 
 	"github.com/azurebarrow/azurebarrow/idempotency"
 	"github.com/azurebarrow/azurebarrow/internal/defect"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/invariant"
 )
 
@@ -156,7 +157,7 @@
 		}
 		var notSent *NotSentError
 		sent = sent || !errors.As(err, &notSent)
-		if sent && lease.target.Deduplicates && sleep(ctx, deduplicatedPause) {
+		if sent && lease.target.Deduplicates && wait.For(ctx, deduplicatedPause) == nil {
 			continue
 		}
 		lease.done(resultBad)
@@ -224,13 +225,3 @@
 }
 
 func keyReused() Result { return Result{Outcome: OutcomeUnknown, Code: CodeKeyReused} }
-
-// sleep waits and returns true, or returns false when ctx ends first.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	select {
-	case <-time.After(pause):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/service/repeatable.go
+++ b/service/repeatable.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"github.com/azurebarrow/azurebarrow/idempotency"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 )
 
 // try is the end of one send of a call that may be repeated.
@@ -81,7 +82,7 @@
 		if !ok && len(tried) > 0 {
 			tried = nil // every target was tried: begin again
 		}
-		if !pool.spend(&pool.retries) || !sleep(ctx, pauses.NextBackOff()) {
+		if !pool.spend(&pool.retries) || wait.For(ctx, pauses.NextBackOff()) != nil {
 			return failure(call, last, ok, sent)
 		}
 	}
--- a/standin/engine/wire.go
+++ b/standin/engine/wire.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
 )
 
@@ -129,7 +130,7 @@
 	}
 	if late, on := faults.TakeAt(fault.Late, prompt, o.next); on {
 		o.flush()
-		if fault.Sleep(ctx, time.Duration(late.Delay)) != nil {
+		if wait.For(ctx, time.Duration(late.Delay)) != nil {
 			return endConnection
 		}
 	}
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -190,18 +190,3 @@
 	}
 	return nil
 }
-
-// Sleep waits for d or until ctx ends.
-func Sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/standin/fault/http.go
+++ b/standin/fault/http.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 )
 
 // Description tells operators what a kind of fault does.
@@ -111,5 +113,5 @@
 	if !on {
 		return nil
 	}
-	return Sleep(ctx, time.Duration(slow.Delay))
+	return wait.For(ctx, time.Duration(slow.Delay))
 }
--- a/standin/platform/wire.go
+++ b/standin/platform/wire.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/objects"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
 )
@@ -112,7 +113,7 @@
 
 // RunLapse removes the objects of a kind that were not written for the given time, until ctx ends.
 func (p *Platform) RunLapse(ctx context.Context, kind string, silence time.Duration) {
-	for fault.Sleep(ctx, lapsePoll) == nil {
+	for wait.For(ctx, lapsePoll) == nil {
 		p.lapse(kind, time.Now().Add(-silence))
 	}
 }
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
 )
 
@@ -155,7 +156,7 @@
 	if s.failAfter(w, path) {
 		return
 	}
-	if fault.Sleep(r.Context(), s.options.Latency) != nil || s.faults.Delay(r.Context(), path) != nil {
+	if wait.For(r.Context(), s.options.Latency) != nil || s.faults.Delay(r.Context(), path) != nil {
 		return
 	}
 	fault.WriteJSON(w, http.StatusOK, answer)
--- a/standin/target/register.go
+++ b/standin/target/register.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"github.com/azurebarrow/azurebarrow/standin/fault"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 )
 
 // Kind is the kind of the store's objects that name targets.
@@ -43,7 +43,7 @@
 	}
 	for {
 		_ = registration.put(t.options.ID, own) // the next heartbeat tries again
-		if fault.Sleep(ctx, registration.Heartbeat) != nil {
+		if wait.For(ctx, registration.Heartbeat) != nil {
 			break
 		}
 	}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
 )
 
@@ -161,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	if err := fault.Sleep(r.Context(), t.options.WorkTime); err != nil {
+	if err := wait.For(r.Context(), t.options.WorkTime); err != nil {
 		return err
 	}
 	if err := t.faults.Delay(r.Context(), ""); err != nil {
@@ -185,7 +186,7 @@
 	last, _ := strconv.Atoi(r.Header.Get(FieldLastEvent))
 	w.Header().Set("Content-Type", "text/event-stream")
 	for id := last + 1; id <= t.options.Events; id++ {
-		if err := fault.Sleep(r.Context(), t.options.EventInterval); err != nil {
+		if err := wait.For(r.Context(), t.options.EventInterval); err != nil {
 			return err
 		}
 		if err := t.faults.Delay(r.Context(), ""); err != nil {
