--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -363,11 +362,7 @@
 	 "services":[{"name":%[3]q,"engine":{"slots":%[5]d,"kv_capacity":55000,"backups":true,"stride":5,"models":[{"name":"m"}]}},{"name":%[4]q}],
 	 "limits":{"idle_timeout_ms":15000},"tenants":[{"name":%[6]q,"api_keys":[%[7]q]}]}`,
 		version, hostName, engineService, recordService, engineSlots, customerName, key)
-	body, err := json.Marshal(map[string]any{"metadata": map[string]any{"name": "main"}, "spec": json.RawMessage(spec)})
-	if err != nil {
-		return err
-	}
-	for put(ctx, w.options.store+"/v1/objects/config/main", body) != nil {
+	for w.putConfiguration(ctx, spec) != nil {
 		if err := wait.For(ctx, pollInterval); err != nil {
 			return err
 		}
@@ -405,8 +400,10 @@
 	return w.keys[last]
 }
 
-func put(ctx context.Context, url string, body []byte) error {
-	return send(ctx, http.MethodPut, url, body)
+func (w *world) putConfiguration(ctx context.Context, spec string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return target.PutObject(ctx, w.options.store, "config", "main", json.RawMessage(spec))
 }
 
 // switchFault switches a fault of a stand-in on.
@@ -415,25 +412,9 @@
 	if err != nil {
 		return err
 	}
-	return send(ctx, http.MethodPost, baseURL+"/faults", body)
-}
-
-func send(ctx context.Context, method, url string, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return fmt.Errorf("%s answers %s", url, response.Status)
-	}
-	return nil
+	return target.Send(ctx, http.MethodPost, baseURL+"/faults", body)
 }
 
 // records reads what all targets wrote.
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -78,6 +78,11 @@
 func keyOf(r *http.Request) objectKey { return objectKey{r.PathValue("kind"), r.PathValue("name")} }
 
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
+	p.answerGet(w, r, func(object objects.Object) any { return object })
+}
+
+// answerGet answers with one object in the given format.
+func (p *Platform) answerGet(w http.ResponseWriter, r *http.Request, format func(objects.Object) any) {
 	p.mu.Lock()
 	object, exists := p.readable().get(keyOf(r))
 	p.mu.Unlock()
@@ -85,7 +90,7 @@
 		http.Error(w, "no such object", http.StatusNotFound)
 		return
 	}
-	fault.WriteJSON(w, http.StatusOK, object)
+	fault.WriteJSON(w, http.StatusOK, format(object))
 }
 
 var errBadCondition = errors.New("want If-Match: REVISION or If-None-Match: *")
--- a/standin/platform/wire.go
+++ b/standin/platform/wire.go
@@ -82,14 +82,7 @@
 }
 
 func (p *Platform) serveWireGet(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	object, exists := p.readable().get(keyOf(r))
-	p.mu.Unlock()
-	if !exists {
-		http.Error(w, "no such object", http.StatusNotFound)
-		return
-	}
-	fault.WriteJSON(w, http.StatusOK, toWire(object))
+	p.answerGet(w, r, func(object objects.Object) any { return toWire(object) })
 }
 
 var errNotAnObject = errors.New("want an object with metadata and spec")
--- a/standin/target/register.go
+++ b/standin/target/register.go
@@ -60,12 +60,21 @@
 func (r Registration) put(name string, own entry) error {
 	ctx, cancel := context.WithTimeout(context.Background(), r.Heartbeat)
 	defer cancel()
-	body, err := json.Marshal(map[string]any{"metadata": map[string]any{"name": name}, "spec": own})
+	return PutObject(ctx, r.Store, Kind, name, own)
+}
+
+// PutObject writes an object unconditionally to the store at the base URL.
+func PutObject(ctx context.Context, store, kind, name string, spec any) error {
+	body, err := json.Marshal(map[string]any{"metadata": map[string]any{"name": name}, "spec": spec})
 	if err != nil {
 		return err
 	}
-	url := r.Store + "/v1/objects/" + Kind + "/" + name
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	return Send(ctx, http.MethodPut, store+"/v1/objects/"+kind+"/"+name, body)
+}
+
+// Send makes a call without an answer to read; any status but a success is an error.
+func Send(ctx context.Context, method, url string, body []byte) error {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -74,8 +83,8 @@
 		return err
 	}
 	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("store answers %s", response.Status)
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("%s answers %s", url, response.Status)
 	}
 	return nil
 }
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -228,13 +228,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
 		defer cancel()
-		request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
-		if err != nil {
-			return
-		}
 		// A copy that does not arrive is one that does not exist.
-		if response, err := http.DefaultClient.Do(request); err == nil {
-			_ = response.Body.Close()
-		}
+		_ = Send(ctx, http.MethodPost, url, nil)
 	}()
 }
