--- a/directory/directory.go
+++ b/directory/directory.go
@@ -215,6 +215,8 @@
 	Targets map[string][]*Target
 	// TargetsKnown tells that the targets were listed at least once.
 	TargetsKnown bool
+	// open are the targets of each service that may get new work.
+	open map[string][]*Target
 	// ConfigurationRevision and TargetsRevision are the store's revisions that the snapshot reflects.
 	ConfigurationRevision, TargetsRevision int64
 }
@@ -222,12 +224,15 @@
 // Ready tells whether requests can be served from the snapshot.
 func (s *Snapshot) Ready() bool { return s.Configuration != nil && s.TargetsKnown }
 
-// Open returns the targets of a service that may get new work. If there is none, it returns those
-// that lost their entry in the store a moment ago: entries lapse when the store is away, though
-// their targets live.
-func (s *Snapshot) Open(service string) []*Target {
+// Open returns the targets of a service that may get new work. The list is the same for as long as the
+// snapshot, and must not be changed.
+func (s *Snapshot) Open(service string) []*Target { return s.open[service] }
+
+// openOf returns the targets that may get new work. If there is none, it returns those that lost their
+// entry in the store a moment ago: entries lapse when the store is away, though their targets live.
+func openOf(targets []*Target) []*Target {
 	var open, lapsed []*Target
-	for _, target := range s.Targets[service] {
+	for _, target := range targets {
 		switch {
 		case target.Leaving && !defect.Enabled(defect.LeavingIgnored):
 		case target.Gone:
--- a/directory/manager.go
+++ b/directory/manager.go
@@ -372,6 +372,7 @@
 	next := &Snapshot{
 		Configuration:         m.configuration,
 		Targets:               make(map[string][]*Target),
+		open:                  make(map[string][]*Target),
 		TargetsKnown:          m.targetsKnown,
 		ConfigurationRevision: m.configRevision,
 		TargetsRevision:       m.targRevision,
@@ -382,8 +383,9 @@
 			next.Targets[target.Service] = append(next.Targets[target.Service], target)
 		}
 	}
-	for _, targets := range next.Targets {
+	for service, targets := range next.Targets {
 		slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
+		next.open[service] = openOf(targets)
 	}
 	m.snapshot.Store(next)
 	if next.Ready() {
--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -6,7 +6,9 @@
 	"runtime"
 	"testing"
 
+	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/membership"
 )
 
 // benchmarkPrefixes is the number of shared prefixes that the benchmark's prompts begin with.
@@ -56,3 +58,26 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+// BenchmarkPlace places streams at the size of 300 entries before 3,000 engines.
+func BenchmarkPlace(b *testing.B) {
+	const entries, engineCount = 300, 3000
+	var live []membership.Peer
+	for i := range entries {
+		live = append(live, membership.Peer{Name: fmt.Sprintf("e%03d", i), AvailabilityZone: string(rune('a' + i%3))})
+	}
+	var engines []*directory.Target
+	for i := range engineCount {
+		engines = append(engines, &directory.Target{
+			ID: fmt.Sprintf("i-%04d", i), Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), AvailabilityZone: string(rune('a' + i%3)),
+		})
+	}
+	placement := NewPlacement(PlacementOptions{
+		AvailabilityZone: "a",
+		Entries:          func() (membership.Peer, []membership.Peer) { return live[0], live },
+	})
+	query := generation.RelayQuery{Engines: engines, Size: generation.StreamSize{Prompt: 5200, Output: 700}}
+	for b.Loop() {
+		placement.Backup(query, placement.Place(query))
+	}
+}
--- a/routing/ownership.go
+++ b/routing/ownership.go
@@ -14,6 +14,27 @@
 // lost. It follows from the two lists alone, so that all entries agree while their lists do.
 type ownership struct{ owned map[string]bool }
 
+// ownerships keeps the latest ownership of a list of engines. Both lists are replaced when they change and never
+// changed in place, so that their first elements identify them.
+type ownerships struct {
+	self    membership.Peer
+	live    []membership.Peer
+	engines []*directory.Target
+	latest  ownership
+}
+
+// of returns the engines that self owns.
+func (o *ownerships) of(self membership.Peer, live []membership.Peer, engines []*directory.Target) ownership {
+	if self != o.self || !sameSlice(live, o.live) || !sameSlice(engines, o.engines) {
+		*o = ownerships{self, live, engines, newOwnership(self, live, engines)}
+	}
+	return o.latest
+}
+
+func sameSlice[T any](a, b []T) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // newOwnership returns the engines that self owns, by ID.
 func newOwnership(self membership.Peer, live []membership.Peer, engines []*directory.Target) ownership {
 	o := ownership{owned: map[string]bool{}}
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -25,7 +25,8 @@
 
 	mu      sync.Mutex
 	random  *rand.Rand
-	engines map[string]*engineState
+	engines map[engineKey]*engineState
+	owned   ownerships
 	// losses are the latest losses by availability zone.
 	losses map[string][]time.Time
 }
@@ -92,6 +93,11 @@
 	zoneLossEngines = 2
 )
 
+// engineKey names an incarnation of an engine.
+type engineKey struct{ id, address string }
+
+func keyOf(engine *directory.Target) engineKey { return engineKey{engine.ID, engine.Address} }
+
 // engineState is what the entry knows of one engine.
 type engineState struct {
 	// streams is the number of this entry's streams; reading the prompt tokens of those that have
@@ -122,7 +128,7 @@
 	return &Placement{
 		options: options,
 		random:  rand.New(rand.NewPCG(options.Seed, 1)),
-		engines: map[string]*engineState{},
+		engines: map[engineKey]*engineState{},
 		losses:  map[string][]time.Time{},
 	}
 }
@@ -174,7 +180,7 @@
 		return newOwnership(self, []membership.Peer{self}, query.Engines)
 	}
 	self, live := p.options.Entries()
-	return newOwnership(self, live, query.Engines)
+	return p.owned.of(self, live, query.Engines)
 }
 
 func (p *Placement) cheapest(query generation.RelayQuery, costOf func(*directory.Target) time.Duration) *directory.Target {
@@ -195,7 +201,7 @@
 // cost returns what the engine's own state costs a stream.
 func (p *Placement) cost(engine *directory.Target, query generation.RelayQuery) time.Duration {
 	model := p.options.Model
-	state := p.engines[engine.Key()]
+	state := p.engines[keyOf(engine)]
 	now := p.options.Now()
 	var cost time.Duration
 	if p.zoneSuspected(engine.AvailabilityZone, now) {
@@ -222,7 +228,11 @@
 
 // zoneSuspected tells whether several engines of an availability zone were lost just now.
 func (p *Placement) zoneSuspected(zone string, now time.Time) bool {
-	recent := slices.DeleteFunc(p.losses[zone], func(at time.Time) bool { return now.Sub(at) > zoneLossWindow })
+	losses := p.losses[zone]
+	if len(losses) == 0 {
+		return false
+	}
+	recent := slices.DeleteFunc(losses, func(at time.Time) bool { return now.Sub(at) > zoneLossWindow })
 	p.losses[zone] = recent
 	return len(recent) >= zoneLossEngines
 }
@@ -248,7 +258,7 @@
 }
 
 func (p *Placement) state(engine *directory.Target) *engineState {
-	key := engine.Key()
+	key := keyOf(engine)
 	state := p.engines[key]
 	if state == nil {
 		state = &engineState{}
@@ -297,7 +307,7 @@
 // drop forgets an engine of which nothing is known any more.
 func (p *Placement) drop(engine *directory.Target, state *engineState) {
 	if state.idle(p.options.Now()) {
-		delete(p.engines, engine.Key())
+		delete(p.engines, keyOf(engine))
 	}
 }
 
@@ -360,7 +370,7 @@
 func (p *Placement) Alive(engine *directory.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	state, known := p.engines[engine.Key()]
+	state, known := p.engines[keyOf(engine)]
 	if known && state.lost {
 		state.lost = false
 		state.avoidUntil = time.Time{}
