Find the prompt again when a caller comes back through another entry

Cause: streams whose entry is lost are resumed by their callers, under new IDs and at other entries.

Change: package prompts. Each entry keeps where its open streams' prompts were read in one object of the store, written when it changed, at most every 2 s, and at most 20 times a second by all entries together. An entry reads all objects when it starts, and at most once a second when a caller resumes a stream that it does not know; it waits 150 ms at most. A cached prompt is worth its reading time in the choice of the engine.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/prompts"
 	"github.com/azurebarrow/azurebarrow/routing"
 	"github.com/azurebarrow/azurebarrow/service"
 	"github.com/azurebarrow/azurebarrow/settings"
@@ -50,6 +51,7 @@
 	retryTotals *admission.RetryTotals
 	peerClient  *http.Client
 	suspects    *sharedSuspects
+	prompts     *prompts.Manager
 	front       *front
 	ready       listening
 	peers       listening
@@ -112,12 +114,21 @@
 }
 
 func (e *Entry) buildDirectory() {
+	store := platform.NewStore(e.settings.Platform.URL)
+	e.prompts = prompts.NewManager(prompts.Options{
+		Entry: e.settings.Name,
+		Store: store,
+		Live:  func() int { return len(e.members.Live()) },
+		Log: func(event string, err error) {
+			e.log(event, generation.Field{Key: "error", Value: err})
+		},
+	})
 	dialer := net.Dialer{Timeout: peerDialTimeout}
 	e.peerClient = &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout,
 	}}
 	e.directory = directory.NewManager(directory.Options{
-		Store:      platform.NewStore(e.settings.Platform.URL),
+		Store:      store,
 		Decoder:    platform.Decoder{},
 		Peers:      directorypeer.NewClient(e.peerClient),
 		View:       e.members,
@@ -163,6 +174,7 @@
 		Targets:  func(name string) []*directory.Target { return e.directory.Snapshot().Open(name) },
 		Dispute:  e.directory.Dispute,
 		Suspects: e.suspects,
+		Prompts:  e.prompts,
 		Log:      e.log,
 	})
 	e.forwarder = service.NewForwarder(service.ForwarderOptions{
@@ -230,6 +242,7 @@
 	addActor(&group, e.metrics.Run)
 	addActor(&group, e.members.Run)
 	addActor(&group, e.directory.Run)
+	addActor(&group, e.prompts.Run)
 	addActor(&group, e.maintain)
 	addActor(&group, func(ctx context.Context) error {
 		return e.retries.Share(ctx, retrypeer.NewClient(e.peerClient), e.members, e.logRetryTotals)
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -20,6 +20,8 @@
 	Targets func(service string) []*directory.Target
 	// Dispute is told of targets that another one answered for; nil when nobody asks.
 	Dispute func(target *directory.Target, found string)
+	// Prompts locates the prompts of streams that callers resume; nil locates none.
+	Prompts PromptLocator
 	// Suspects keeps the deaths charged to fingerprints; nil keeps them in this entry only.
 	Suspects Suspects
 	// Log receives events; nil discards them.
@@ -43,6 +45,9 @@
 	if options.Suspects == nil {
 		options.Suspects = newLocalSuspects()
 	}
+	if options.Prompts == nil {
+		options.Prompts = unknownPrompts{}
+	}
 	if options.Dispute == nil {
 		options.Dispute = func(*directory.Target, string) {}
 	}
@@ -69,6 +74,8 @@
 	// freeCopy stops counting the backup of the latest attempt.
 	copied   *RelayCopy
 	freeCopy func()
+	// cachedAt is the engine that read the prompt when another entry served the caller; empty for none.
+	cachedAt string
 	exclude  []string
 	// charged tells that a target's death was charged to the request.
 	charged bool
@@ -85,6 +92,17 @@
 	run := &relayRun{relay: r, request: request, sink: sink, last: request.LastEvent, freeCopy: func() {}}
 	defer func() { run.freeCopy() }()
 	r.options.Budget.Earn(request.Service)
+	if request.LastEvent >= 0 {
+		run.cachedAt = r.options.Prompts.Recall(ctx, request.Affinity)
+	}
+	err := run.relayUntilOver(ctx)
+	r.options.Prompts.Closed(request.Affinity, err == nil)
+	return err
+}
+
+// relayUntilOver makes attempts until the stream is complete or can't be continued.
+func (run *relayRun) relayUntilOver(ctx context.Context) error {
+	r, request := run.relay, run.request
 	for {
 		if err := run.checkSuspect(); err != nil {
 			return err
@@ -185,6 +203,7 @@
 		Spec:     run.request.Spec,
 		Size:     run.size(),
 		Affinity: run.request.Affinity,
+		CachedAt: run.cachedAt,
 		Exclude:  run.exclude,
 	}
 }
@@ -245,7 +264,7 @@
 	defer run.relay.watches.leave(a.watch)
 	defer a.placed.Ended()
 	run.log("attempt-sent", Field{"target", target.ID}, Field{"address", target.Address}, Field{"zone", target.AvailabilityZone},
-		Field{"after_event", run.last}, Field{"copy_at", idOf(send.Copy.holder())}, Field{"backup", idOf(send.Backup)})
+		Field{"after_event", run.last}, Field{"copy_at", idOf(send.Copy.holder())}, Field{"cached_at", run.cachedAt}, Field{"backup", idOf(send.Backup)})
 	go a.read(attemptCtx, send)
 	ending, err := a.follow(ctx)
 	// The target stops at once: its connection is closed before another one continues the stream.
@@ -274,8 +293,9 @@
 // begin counts an attempt and what it takes at its target and at the holder of its backup.
 func (run *relayRun) begin(send RelayAttempt) *relayAttempt {
 	placer := run.relay.options.Placer
+	run.relay.options.Prompts.Placed(run.request.Affinity, send.Target.ID)
 	unread := run.request.PromptTokens
-	if send.Copy != nil {
+	if send.Copy != nil || send.Target.ID == run.cachedAt {
 		unread = 0
 	}
 	now := time.Now()
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -505,3 +505,54 @@
 	hurried := &RelayRequest{FirstEventObjective: time.Second}
 	is.Equal(relayPatience(hurried, false, &health.Gaps{}).look, firstLook)
 }
+
+// promptsAt locates every prompt at one engine, and notes what it is told.
+type promptsAt struct {
+	engine           string
+	recalled, placed []string
+	complete         bool
+}
+
+func (p *promptsAt) Placed(_, engine string)        { p.placed = append(p.placed, engine) }
+func (p *promptsAt) Closed(_ string, complete bool) { p.complete = complete }
+func (p *promptsAt) Recall(_ context.Context, prompt string) string {
+	p.recalled = append(p.recalled, prompt)
+	return p.engine
+}
+
+// cachedPlacer is a firstPlacer that goes to the engine with the cached prompt.
+type cachedPlacer struct{ firstPlacer }
+
+func (p *cachedPlacer) Place(query RelayQuery) *directory.Target {
+	for _, engine := range query.Engines {
+		if engine.ID == query.CachedAt {
+			return engine
+		}
+	}
+	return p.firstPlacer.Place(query)
+}
+
+func TestStreamThatItsCallerResumesGoesToItsPrompt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRelayFixture(map[string][]script{
+			"a": {{events: []int64{1}, end: io.EOF}},
+			"b": {{events: []int64{8}, end: io.EOF}},
+		})
+		located := &promptsAt{engine: "b"}
+		f.relay = NewRelay(RelayOptions{Engine: f.engine, Placer: &cachedPlacer{}, Budget: f.budget, Targets: f.targets, Prompts: located})
+		is.NoErr(f.relay.Run(t.Context(), relayRequest(), &recordingSink{}))
+		is.Equal(len(located.recalled), 0) // a new stream asks nobody
+		is.Equal(located.placed, []string{"a"})
+		is.True(located.complete)
+
+		resumed := relayRequest()
+		resumed.LastEvent = 7
+		resumed.Affinity = "prompt"
+		sink := &recordingSink{}
+		is.NoErr(f.relay.Run(t.Context(), resumed, sink))
+		is.Equal(located.recalled, []string{"prompt"})
+		is.Equal(located.placed, []string{"a", "b"})
+		is.Equal(sink.events, []int64{8})
+	})
+}
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -155,6 +155,24 @@
 	Refund(service string)
 }
 
+// PromptLocator remembers which engine has read a prompt, over the loss of entries. It is safe for concurrent use.
+type PromptLocator interface {
+	// Placed notes that an engine reads the prompt of a stream, or has it.
+	Placed(prompt, engine string)
+	// Closed notes the end of a stream; a complete one needs its prompt no more.
+	Closed(prompt string, complete bool)
+	// Recall returns the engine that has read the prompt of a stream which its caller resumes; empty if it
+	// is not known within a short time.
+	Recall(ctx context.Context, prompt string) string
+}
+
+// unknownPrompts locates nothing.
+type unknownPrompts struct{}
+
+func (unknownPrompts) Placed(string, string)                 {}
+func (unknownPrompts) Closed(string, bool)                   {}
+func (unknownPrompts) Recall(context.Context, string) string { return "" }
+
 // StreamSize is the size of one stream, in tokens.
 type StreamSize struct {
 	Prompt, Output int
@@ -170,6 +188,8 @@
 	Size    StreamSize
 	// Affinity identifies the prompt; empty for none.
 	Affinity string
+	// CachedAt is the engine that has read the prompt before; empty if it is not known.
+	CachedAt string
 	// Exclude names engines that must not be chosen.
 	Exclude []string
 }
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -147,7 +147,10 @@
 		if engine.AvailabilityZone != p.options.AvailabilityZone {
 			cost += p.options.Model.CrossZone
 		}
-		if engine.ID == preferred {
+		switch engine.ID {
+		case query.CachedAt:
+			cost -= p.readingTime(float64(query.Size.Prompt))
+		case preferred:
 			cost -= p.options.Model.Affinity
 		}
 		return cost
@@ -213,7 +216,7 @@
 	if now.Before(state.avoidUntil) {
 		cost += model.Recent
 	}
-	cost += time.Duration(state.reading / model.PrefillTokensPerSecond * float64(time.Second))
+	cost += p.readingTime(state.reading)
 	cost += time.Duration(state.streams) * model.Neighbour
 	capacity := float64(defaultMemoryTokens)
 	if query.Spec != nil && query.Spec.MemoryTokens > 0 {
@@ -226,6 +229,11 @@
 	return cost
 }
 
+// readingTime returns how long an engine reads that many tokens.
+func (p *Placement) readingTime(tokens float64) time.Duration {
+	return time.Duration(tokens / p.options.Model.PrefillTokensPerSecond * float64(time.Second))
+}
+
 // zoneSuspected tells whether several engines of an availability zone were lost just now.
 func (p *Placement) zoneSuspected(zone string, now time.Time) bool {
 	losses := p.losses[zone]
--- a/routing/placement_test.go
+++ b/routing/placement_test.go
@@ -220,3 +220,26 @@
 	placed.Ended()
 	is.Equal(len(p.engines), 0)
 }
+
+// TestCachedPromptOutweighsItsReading: an entry that was not asked before sends a stream to the engine that has read
+// its prompt, in any availability zone, unless that one is lost or full.
+func TestCachedPromptOutweighsItsReading(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	engines := engineFleet(24)
+	for i, cached := range engines {
+		p := NewPlacement(PlacementOptions{AvailabilityZone: "a", Seed: uint64(i), Now: func() time.Time { return now }})
+		asked := draftQuery(engines)
+		asked.CachedAt = cached.ID
+		is.Equal(p.Place(asked).ID, cached.ID)
+		p.Lost(cached)
+		is.True(p.Place(asked).ID != cached.ID)
+	}
+	p := NewPlacement(PlacementOptions{AvailabilityZone: "a", Seed: 1})
+	for range 9 {
+		p.Begin(engines[5], draftSize, 0).Begun()
+	}
+	asked := draftQuery(engines)
+	asked.CachedAt = engines[5].ID
+	is.True(p.Place(asked).ID != engines[5].ID)
+}
--- a/standin/platform/wire.go
+++ b/standin/platform/wire.go
@@ -21,7 +21,8 @@
 	mux.HandleFunc("/faults", func(w http.ResponseWriter, r *http.Request) { p.faults.ServeHTTP(w, r, p.Apply) })
 	mux.HandleFunc("GET /v1/objects/{kind}", p.call(&p.stats.Lists, p.reads, p.serveWireKind))
 	mux.HandleFunc("GET /v1/objects/{kind}/{name}", p.call(&p.stats.Gets, p.reads, p.serveWireGet))
-	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", p.call(&p.stats.Puts, p.writes, p.serveWirePut))
+	mux.HandleFunc("POST /v1/objects/{kind}", p.call(&p.stats.Puts, p.writes, p.serveWireCreate))
+	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", p.call(&p.stats.Puts, p.writes, p.serveWireReplace))
 	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", p.call(&p.stats.Deletes, p.writes, p.serveDelete))
 	return mux
 }
@@ -87,18 +88,44 @@
 
 var errNotAnObject = errors.New("want an object with metadata and spec")
 
-func (p *Platform) serveWirePut(w http.ResponseWriter, r *http.Request) {
+// readWireObject reads the object of a write; it answers itself when there is none.
+func readWireObject(w http.ResponseWriter, r *http.Request) (wireObject, bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objects.MaxValueBytes))
 	var object wireObject
 	if err != nil || json.Unmarshal(body, &object) != nil || object.Spec == nil {
 		http.Error(w, errNotAnObject.Error(), http.StatusBadRequest)
+		return object, false
+	}
+	return object, true
+}
+
+func (p *Platform) serveWireCreate(w http.ResponseWriter, r *http.Request) {
+	if object, ok := readWireObject(w, r); ok {
+		key := objectKey{r.PathValue("kind"), object.Metadata.Name}
+		p.putWire(w, r, key, object.Spec, condition{revision: objects.MustNotExist})
+	}
+}
+
+func (p *Platform) serveWireReplace(w http.ResponseWriter, r *http.Request) {
+	object, ok := readWireObject(w, r)
+	if !ok {
 		return
 	}
-	wanted := condition{any: object.Metadata.Revision == 0, revision: object.Metadata.Revision}
 	p.mu.Lock()
-	p.touched[keyOf(r)] = time.Now()
+	_, exists := p.store.get(keyOf(r))
+	p.mu.Unlock()
+	if !exists {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	p.putWire(w, r, keyOf(r), object.Spec, condition{any: object.Metadata.Revision == 0, revision: object.Metadata.Revision})
+}
+
+func (p *Platform) putWire(w http.ResponseWriter, r *http.Request, key objectKey, spec json.RawMessage, wanted condition) {
+	p.mu.Lock()
+	p.touched[key] = time.Now()
 	p.mu.Unlock()
-	p.write(w, r, wanted, func(c condition) (objects.Object, error) { return p.store.put(keyOf(r), object.Spec, c) })
+	p.write(w, r, wanted, func(c condition) (objects.Object, error) { return p.store.put(key, spec, c) })
 }
 
 // lapsePoll is the time between two looks for lapsed objects.
--- a/standin/target/register.go
+++ b/standin/target/register.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -63,15 +64,29 @@
 	return PutObject(ctx, r.Store, Kind, name, own)
 }
 
-// PutObject writes an object unconditionally to the store at the base URL.
+// PutObject replaces an object in the store at the base URL, or creates it if there is none.
 func PutObject(ctx context.Context, store, kind, name string, spec any) error {
 	body, err := json.Marshal(map[string]any{"metadata": map[string]any{"name": name}, "spec": spec})
 	if err != nil {
 		return err
 	}
-	return Send(ctx, http.MethodPut, store+"/v1/objects/"+kind+"/"+name, body)
+	err = Send(ctx, http.MethodPut, store+"/v1/objects/"+kind+"/"+name, body)
+	var refused *StatusError
+	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
+		return Send(ctx, http.MethodPost, store+"/v1/objects/"+kind, body)
+	}
+	return err
+}
+
+// StatusError is a call that was answered with a failure.
+type StatusError struct {
+	URL    string
+	Status int
 }
 
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("%s answers %d", e.URL, e.Status) }
+
 // Send makes a call without an answer to read; any status but a success is an error.
 func Send(ctx context.Context, method, url string, body []byte) error {
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
@@ -84,7 +99,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode >= http.StatusMultipleChoices {
-		return fmt.Errorf("%s answers %s", url, response.Status)
+		return &StatusError{URL: url, Status: response.StatusCode}
 	}
 	return nil
 }
