Find the prompts of callers that come back before their first event

They can't be told from new callers, so that nothing is asked for them; what the entry knows is used.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -92,14 +92,22 @@
 	run := &relayRun{relay: r, request: request, sink: sink, last: request.LastEvent, freeCopy: func() {}}
 	defer func() { run.freeCopy() }()
 	r.options.Budget.Earn(request.Service)
-	if request.LastEvent >= 0 {
-		run.cachedAt = r.options.Prompts.Recall(ctx, request.Affinity)
-	}
+	run.cachedAt = run.locatePrompt(ctx)
 	err := run.relayUntilOver(ctx)
 	r.options.Prompts.Closed(request.Affinity, err == nil)
 	return err
 }
 
+// locatePrompt returns the engine that has read the prompt before. A caller without an event may be back as well,
+// but most are new: nothing is asked for them.
+func (run *relayRun) locatePrompt(ctx context.Context) string {
+	prompts := run.relay.options.Prompts
+	if run.request.LastEvent >= 0 {
+		return prompts.Recall(ctx, run.request.Affinity)
+	}
+	return prompts.Find(run.request.Affinity)
+}
+
 // relayUntilOver makes attempts until the stream is complete or can't be continued.
 func (run *relayRun) relayUntilOver(ctx context.Context) error {
 	r, request := run.relay, run.request
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -508,13 +508,16 @@
 
 // promptsAt locates every prompt at one engine, and notes what it is told.
 type promptsAt struct {
-	engine           string
+	engine string
+	// known is what is found without asking.
+	known            string
 	recalled, placed []string
 	complete         bool
 }
 
 func (p *promptsAt) Placed(_, engine string)        { p.placed = append(p.placed, engine) }
 func (p *promptsAt) Closed(_ string, complete bool) { p.complete = complete }
+func (p *promptsAt) Find(string) string             { return p.known }
 func (p *promptsAt) Recall(_ context.Context, prompt string) string {
 	p.recalled = append(p.recalled, prompt)
 	return p.engine
@@ -546,13 +549,18 @@
 		is.Equal(located.placed, []string{"a"})
 		is.True(located.complete)
 
+		f.engine.scripts["c"] = []script{{events: []int64{1}, end: io.EOF}}
+		located.known = "c"
+		is.NoErr(f.relay.Run(t.Context(), relayRequest(), &recordingSink{}))
+		is.Equal(located.placed, []string{"a", "c"}) // a caller that comes back before its first event
+
 		resumed := relayRequest()
 		resumed.LastEvent = 7
 		resumed.Affinity = "prompt"
 		sink := &recordingSink{}
 		is.NoErr(f.relay.Run(t.Context(), resumed, sink))
 		is.Equal(located.recalled, []string{"prompt"})
-		is.Equal(located.placed, []string{"a", "b"})
+		is.Equal(located.placed, []string{"a", "c", "b"})
 		is.Equal(sink.events, []int64{8})
 	})
 }
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -161,8 +161,10 @@
 	Placed(prompt, engine string)
 	// Closed notes the end of a stream; a complete one needs its prompt no more.
 	Closed(prompt string, complete bool)
-	// Recall returns the engine that has read the prompt of a stream which its caller resumes; empty if it
-	// is not known within a short time.
+	// Find returns the engine that has read the prompt, as far as this entry knows; else empty.
+	Find(prompt string) string
+	// Recall is Find for a stream which its caller resumes: it asks for what other entries knew, within a
+	// short time.
 	Recall(ctx context.Context, prompt string) string
 }
 
@@ -171,6 +173,7 @@
 
 func (unknownPrompts) Placed(string, string)                 {}
 func (unknownPrompts) Closed(string, bool)                   {}
+func (unknownPrompts) Find(string) string                    { return "" }
 func (unknownPrompts) Recall(context.Context, string) string { return "" }
 
 // StreamSize is the size of one stream, in tokens.
--- a/prompts/manager.go
+++ b/prompts/manager.go
@@ -73,6 +73,9 @@
 // Closed notes the end of a stream.
 func (m *Manager) Closed(prompt string, complete bool) { m.index.closed(prompt, complete, time.Now()) }
 
+// Find returns the engine that has read the prompt, as far as this entry knows; else empty.
+func (m *Manager) Find(prompt string) string { return m.index.find(prompt) }
+
 // Recall returns the engine that has read the prompt of a stream which its caller resumes; empty if it is not
 // known within a short time.
 func (m *Manager) Recall(ctx context.Context, prompt string) string {
