Ask a silent store again at the start; read prompts before they are written

Ruled out: membership, which agreed at once; the peers, which knew nothing either.

Change: the first list of configurations, one object, is asked for again each 300 ms on another connection until one call is answered; the long list of targets is asked for once, after that. Prompts are written only after they have been read. Two tests that failed first.

--- a/directory/sync.go
+++ b/directory/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,14 @@
 	// retryBase and retryLimit bound the jittered pauses after a failed call to the store.
 	retryBase  = 50 * time.Millisecond
 	retryLimit = 400 * time.Millisecond
+	// firstListPause is the time after which the first list of configurations is asked for again, on another
+	// connection: a store that was silent does not answer calls that it got before it was back. The
+	// list is one object, which takes milliseconds. firstLists bounds the calls under way.
+	firstListPause = 300 * time.Millisecond
+	firstLists     = 6
+	// firstTargetsPatience is how long the first list of targets waits until the store has answered with the
+	// configuration. That list is long, so that it is asked for once.
+	firstTargetsPatience = 1500 * time.Millisecond
 	// parkedPoll is the time between looks whether the store must be read.
 	parkedPoll = 50 * time.Millisecond
 	// peerWait is how long a peer's feed waits for a change; peerTimeout what a call may take beyond.
@@ -92,6 +101,9 @@
 	// heard is when the store last answered, in nanoseconds since began.
 	began time.Time
 	heard atomic.Int64
+	// answered is closed once a list of configurations has come from the store.
+	answered     chan struct{}
+	answeredOnce sync.Once
 	// relist asks for new lists, by kind.
 	relist map[string]*atomic.Bool
 }
@@ -100,6 +112,7 @@
 	s := &syncer{
 		store: options.Store, peers: options.Peers, view: options.View, feed: feed,
 		deliver: deliver, observe: options.Observe, relist: map[string]*atomic.Bool{},
+		answered: make(chan struct{}),
 	}
 	for _, kind := range kinds {
 		s.relist[kind] = &atomic.Bool{}
@@ -129,6 +142,9 @@
 
 // followStore reads one kind of objects from the store while the entry is to do so.
 func (s *syncer) followStore(ctx context.Context, kind string) error {
+	if kind == KindTarget {
+		s.awaitAnswer(ctx)
+	}
 	backoff := retryBase
 	var failing time.Time
 	for ctx.Err() == nil {
@@ -172,7 +188,7 @@
 func (s *syncer) readStore(ctx context.Context, kind string) (Part, error) {
 	asked := time.Now()
 	if s.relist[kind].Load() {
-		list, err := s.store.List(ctx, kind)
+		list, err := s.list(ctx, kind)
 		if err != nil {
 			return Part{}, err
 		}
@@ -183,6 +199,62 @@
 	return Part{Kind: kind, Revision: list.Revision, Objects: list.Items}, err
 }
 
+// awaitAnswer waits until the store has answered for the first time.
+func (s *syncer) awaitAnswer(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, firstTargetsPatience)
+	defer cancel()
+	select {
+	case <-s.answered:
+	case <-ctx.Done():
+	}
+}
+
+// list lists a kind. The first list of configurations is asked for again and again until one call is answered.
+func (s *syncer) list(ctx context.Context, kind string) (objects.List, error) {
+	if kind != KindConfiguration || s.feed.Revision(kind) > 0 {
+		return s.store.List(ctx, kind)
+	}
+	list, err := s.hedgedList(ctx, kind)
+	if err == nil {
+		s.answeredOnce.Do(func() { close(s.answered) })
+	}
+	return list, err
+}
+
+func (s *syncer) hedgedList(ctx context.Context, kind string) (objects.List, error) {
+	type result struct {
+		list objects.List
+		err  error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, firstLists)
+	started, ended := 0, 0
+	start := func() {
+		started++
+		go func() {
+			list, err := s.store.List(ctx, kind)
+			results <- result{list, err}
+		}()
+	}
+	start()
+	ticker := time.NewTicker(firstListPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case r := <-results:
+			ended++
+			if r.err == nil || ended == started {
+				return r.list, r.err
+			}
+		case <-ticker.C:
+			if started < firstLists {
+				start()
+			}
+		}
+	}
+}
+
 // followPeers reads the feed of a peer while others read the store for this entry.
 func (s *syncer) followPeers(ctx context.Context) error {
 	if s.peers == nil || s.view == nil {
--- a/directory/sync_test.go
+++ b/directory/sync_test.go
@@ -101,3 +101,43 @@
 	is.True(silent.whole > 0)
 	is.True(silent.whole <= storePatience-watchWait+peerPause) // soon after the start
 }
+
+// silentUntil is a store that never answers calls which it got before it was back.
+type silentUntil struct{ back time.Time }
+
+func (s silentUntil) List(ctx context.Context, kind string) (objects.List, error) {
+	if time.Now().Before(s.back) {
+		ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond) // the client's own time-out
+		defer cancel()
+		<-ctx.Done()
+		return objects.List{}, ctx.Err()
+	}
+	_ = wait.For(ctx, 4*time.Millisecond)
+	if kind == KindConfiguration {
+		configuration := objects.Object{Kind: kind, Name: "main", Revision: 1, Value: []byte(`{"Version": 1}`)}
+		return objects.List{Revision: 1, Items: []objects.Object{configuration}}, nil
+	}
+	return objects.List{Revision: 1}, nil
+}
+
+func (s silentUntil) Watch(ctx context.Context, _ string, _ int64, waiting time.Duration) (objects.List, error) {
+	return objects.List{Revision: 1}, wait.For(ctx, waiting)
+}
+
+// Found on balanza-serrana fresh-9a92: all entries started 100 ms before the store was back, and refused everything
+// for 1.5 s more.
+func TestEntryIsReadySoonAfterAStoreThatWasSilentIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		ctx, cancel := context.WithCancel(t.Context())
+		manager := NewManager(Options{Store: silentUntil{back: start.Add(100 * time.Millisecond)}, Decoder: jsonDecoder{}})
+		ended := make(chan struct{})
+		go func() { defer close(ended); _ = manager.Run(ctx) }()
+		manager.Await(t.Context(), time.Minute)
+		is.True(manager.Snapshot().Ready())
+		is.True(time.Since(start) <= 400*time.Millisecond)
+		cancel()
+		<-ended
+	})
+}
--- a/prompts/manager.go
+++ b/prompts/manager.go
@@ -115,18 +115,24 @@
 	return ended
 }
 
-func (m *Manager) readStore() {
+// readStore takes in the prompts of all entries; it reports false when the store did not answer.
+func (m *Manager) readStore() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
 	found, err := m.options.Store.ReadPrompts(ctx)
 	m.report(err)
 	m.index.learn(found, time.Now())
+	return err == nil
 }
 
 // Run reads what other entries and this one's former process knew, and writes what this one knows, until ctx
-// ends.
+// ends. It writes nothing before it has read: that would replace what the former process knew.
 func (m *Manager) Run(ctx context.Context) error {
-	<-m.startReading()
+	for !m.readStore() {
+		if wait.For(ctx, readInterval) != nil {
+			return nil
+		}
+	}
 	for {
 		interval := max(writeInterval, time.Duration(m.options.Live())*writeSpacing)
 		if wait.For(ctx, interval) != nil {
--- a/prompts/manager_test.go
+++ b/prompts/manager_test.go
@@ -118,6 +118,27 @@
 	})
 }
 
+// Found on balanza-serrana fresh-9a92: the store was silent when all entries started again, and their first writes
+// replaced what it knew.
+func TestWhatTheFormerProcessKnewOutlivesAStoreThatIsAwayAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.start(t, "a", 2).Placed("p", "engine-1")
+		time.Sleep(writeInterval + time.Second)
+		w.killAll()
+		w.store.set(true)
+		again := w.start(t, "a", 2)
+		again.Placed("new", "engine-2")
+		time.Sleep(3 * time.Second)
+		w.store.set(false)
+		time.Sleep(15 * time.Second)
+		is.Equal(again.Recall(t.Context(), "p"), "engine-1")
+		is.Equal(w.store.held("a"), map[string]string{"new": "engine-2"})
+		w.killAll()
+	})
+}
+
 func TestPromptOfALostEntryIsFoundByAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
