Share prompts in fleets up to 100 entries only

Cause: reckoned, not measured. At 1,800 entries with 600 streams each a reading would be some 65 MB and its memory three times the bound of control, for knowledge that is 90 s old. Change: over 100 live entries nothing is written or read.

--- a/prompts/manager.go
+++ b/prompts/manager.go
@@ -35,6 +35,10 @@
 	// writeSpacing times the number of entries is the time between two writes of one: 20 writes a second
 	// of all entries together, a twentieth of what the smallest store takes.
 	writeSpacing = 50 * time.Millisecond
+	// mostEntries is the fleet up to which prompts are shared. In a larger one the writes of an entry would be
+	// further apart than a stream lasts, and a reading would take the memory and the bytes that an entry
+	// has for control.
+	mostEntries = 100
 	// readInterval is the least time between two readings of an entry.
 	readInterval = time.Second
 	// readPatience bounds how long a stream waits for a reading; the store answers in milliseconds, and
@@ -99,7 +103,7 @@
 		return m.reading
 	}
 	ended := make(chan struct{})
-	if time.Since(m.read) < readInterval {
+	if time.Since(m.read) < readInterval || m.options.Live() > mostEntries {
 		close(ended)
 		return ended
 	}
@@ -144,7 +148,7 @@
 
 func (m *Manager) write(ctx context.Context) {
 	held, changed := m.index.taken(time.Now())
-	if !changed {
+	if !changed || m.options.Live() > mostEntries {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
