Let the first call that ends decide the first list

Cause, found on reading: with six calls at most a store that came back 1.9 s after an entry's start was noticed at 3 s, and the list of targets waited for 1.5 s only, so that it could hang in the same way. Change: another call starts each 300 ms until the first one ends; targets are listed once the store has answered.

--- a/directory/sync.go
+++ b/directory/sync.go
@@ -40,12 +40,8 @@
 	retryLimit = 400 * time.Millisecond
 	// firstListPause is the time after which the first list of configurations is asked for again, on another
 	// connection: a store that was silent does not answer calls that it got before it was back. The
-	// list is one object, which takes milliseconds. firstLists bounds the calls under way.
+	// list is one object, which takes milliseconds. The client's time-out bounds the calls under way to five.
 	firstListPause = 300 * time.Millisecond
-	firstLists     = 6
-	// firstTargetsPatience is how long the first list of targets waits until the store has answered with the
-	// configuration. That list is long, so that it is asked for once.
-	firstTargetsPatience = 1500 * time.Millisecond
 	// parkedPoll is the time between looks whether the store must be read.
 	parkedPoll = 50 * time.Millisecond
 	// peerWait is how long a peer's feed waits for a change; peerTimeout what a call may take beyond.
@@ -101,7 +97,8 @@
 	// heard is when the store last answered, in nanoseconds since began.
 	began time.Time
 	heard atomic.Int64
-	// answered is closed once a list of configurations has come from the store.
+	// answered is closed once the store has answered with configurations. Only then is it asked for the long
+	// list of targets.
 	answered     chan struct{}
 	answeredOnce sync.Once
 	// relist asks for new lists, by kind.
@@ -143,7 +140,10 @@
 // followStore reads one kind of objects from the store while the entry is to do so.
 func (s *syncer) followStore(ctx context.Context, kind string) error {
 	if kind == KindTarget {
-		s.awaitAnswer(ctx)
+		select {
+		case <-s.answered:
+		case <-ctx.Done():
+		}
 	}
 	backoff := retryBase
 	var failing time.Time
@@ -176,6 +176,9 @@
 		}
 		backoff = retryBase
 		s.storeHeard()
+		if kind == KindConfiguration {
+			s.answeredOnce.Do(func() { close(s.answered) })
+		}
 		s.deliver(ctx, part)
 		if len(part.Objects) > 0 {
 			_ = wait.For(ctx, settlePause)
@@ -199,28 +202,16 @@
 	return Part{Kind: kind, Revision: list.Revision, Objects: list.Items}, err
 }
 
-// awaitAnswer waits until the store has answered for the first time.
-func (s *syncer) awaitAnswer(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, firstTargetsPatience)
-	defer cancel()
-	select {
-	case <-s.answered:
-	case <-ctx.Done():
-	}
-}
-
-// list lists a kind. The first list of configurations is asked for again and again until one call is answered.
+// list lists a kind. The first list of configurations is asked for again and again until a call is answered.
 func (s *syncer) list(ctx context.Context, kind string) (objects.List, error) {
 	if kind != KindConfiguration || s.feed.Revision(kind) > 0 {
 		return s.store.List(ctx, kind)
 	}
-	list, err := s.hedgedList(ctx, kind)
-	if err == nil {
-		s.answeredOnce.Do(func() { close(s.answered) })
-	}
-	return list, err
+	return s.hedgedList(ctx, kind)
 }
 
+// hedgedList lists a kind, and starts another call whenever the latest one stays silent. The first call that ends
+// decides: those that began before it got no answer for longer.
 func (s *syncer) hedgedList(ctx context.Context, kind string) (objects.List, error) {
 	type result struct {
 		list objects.List
@@ -228,29 +219,25 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan result, firstLists)
-	started, ended := 0, 0
-	start := func() {
-		started++
-		go func() {
-			list, err := s.store.List(ctx, kind)
-			results <- result{list, err}
-		}()
+	results := make(chan result)
+	call := func() {
+		list, err := s.store.List(ctx, kind)
+		select {
+		case results <- result{list, err}:
+		case <-ctx.Done():
+		}
 	}
-	start()
+	go call()
 	ticker := time.NewTicker(firstListPause)
 	defer ticker.Stop()
 	for {
 		select {
-		case r := <-results:
-			ended++
-			if r.err == nil || ended == started {
-				return r.list, r.err
-			}
+		case first := <-results:
+			return first.list, first.err
 		case <-ticker.C:
-			if started < firstLists {
-				start()
-			}
+			go call()
+		case <-ctx.Done():
+			return objects.List{}, ctx.Err()
 		}
 	}
 }
