Have a test's entry read before the store is taken away

Trace: the store was taken away before the entry's first reading in that run, so that the entry read again each second and wrote a full interval after the store's return, at the very moment at which the test looked. The product does what it should; what the test plays is a store that goes away later.

--- a/prompts/manager_test.go
+++ b/prompts/manager_test.go
@@ -181,6 +181,7 @@
 		w := newWorld()
 		const live = mostEntries
 		m := w.start(t, "a", live)
+		synctest.Wait() // it has read
 		w.store.set(true)
 		m.Placed("p", "engine-1")
 		time.Sleep(100 * time.Second)
