--- a/bench/soak/checks_test.go
+++ b/bench/soak/checks_test.go
@@ -83,7 +83,7 @@
 		{"DENIED", "a key that holds is refused", func(e *Evidence) { e.Attempts[0].Status = 401 }},
 		{"LOST", "a stop cuts a stream", func(e *Evidence) {
 			e.Attempts[1].Whole = false
-			e.Disturbances = []Disturbance{{Subject: "entry-0", Fault: "stop", Planned: true, From: at(10.5), To: at(14)}}
+			e.Disturbances = []Disturbance{{Subject: "entry-0", Fault: StopEntry, Planned: true, From: at(10.5), To: at(14)}}
 		}},
 		{"UNASKED", "nobody sent it", func(e *Evidence) { e.Records = append(e.Records, ran("b9", "records-0.1", at(10))) }},
 		{"UNASKED", "the caller's key goes to a target", func(e *Evidence) { e.Records[0].KeyLeaked = true }},
@@ -101,7 +101,7 @@
 		}},
 		{"DRAIN", "new work for a target that leaves", func(e *Evidence) {
 			e.Records = append(e.Records, target.Record{At: at(7.5), What: target.Draining, Target: "records-0.1"})
-			e.Disturbances = []Disturbance{{Subject: "records-0", Fault: faultDrain, Planned: true, From: at(7.4), To: at(12)}}
+			e.Disturbances = []Disturbance{{Subject: "records-0", Fault: DrainTarget, Planned: true, From: at(7.4), To: at(12)}}
 		}},
 		{"GONE", "work goes on without its caller", func(e *Evidence) {
 			e.Attempts[1].Left = at(10.2)
@@ -138,8 +138,8 @@
 		return list
 	}
 	is.Equal(rules(), []string{"CONFIG", "CONFIG", "RECOVER"})
-	evidence.Disturbances = []Disturbance{{Subject: "entry-1", Fault: "kill", From: at(8), To: at(9)}}
+	evidence.Disturbances = []Disturbance{{Subject: "entry-1", Fault: KillEntry, From: at(8), To: at(9)}}
 	is.Equal(rules(), []string{"CONFIG", "CONFIG", "RECOVER"})
-	evidence.Disturbances = []Disturbance{{Subject: "entry-0", Fault: "kill", From: at(8), To: at(9)}}
+	evidence.Disturbances = []Disturbance{{Subject: "entry-0", Fault: KillEntry, From: at(8), To: at(9)}}
 	is.Equal(rules(), []string{"RECOVER"})
 }
--- a/bench/soak/defect_test.go
+++ b/bench/soak/defect_test.go
@@ -21,12 +21,12 @@
 	// lostAnswers has all records lose answers of calls that ran.
 	var lostAnswers []Step
 	for i := range options.Records {
-		lostAnswers = append(lostAnswers, Step{At: faultAt, Kind: "target fault", Index: options.Engines + i, Way: wayLostAnswer, For: faultFor})
+		lostAnswers = append(lostAnswers, Step{At: faultAt, Kind: TargetFault, Index: options.Engines + i, Way: wayLostAnswer, For: faultFor})
 	}
 	var drains, stops []Step
 	for i := range 2 {
-		drains = append(drains, Step{At: faultAt, Kind: "drain target", Index: i})
-		stops = append(stops, Step{At: faultAt + time.Duration(i)*time.Second, Kind: "stop entry", Index: i})
+		drains = append(drains, Step{At: faultAt, Kind: DrainTarget, Index: i})
+		stops = append(stops, Step{At: faultAt + time.Duration(i)*time.Second, Kind: StopEntry, Index: i})
 	}
 	cases := []struct {
 		defect defect.Name
--- a/bench/soak/evidence.go
+++ b/bench/soak/evidence.go
@@ -70,7 +70,7 @@
 type Disturbance struct {
 	// Subject is the entry or target that was hit, or store.
 	Subject string
-	Fault   string
+	Fault   Kind
 	// Planned tells that it is planned work: a stop or a reload.
 	Planned  bool
 	From, To time.Time
@@ -108,7 +108,7 @@
 // planned leaving of a target, disturb nobody.
 func (e *Evidence) inTouch(from, to time.Time, subjects ...string) bool {
 	return !slices.ContainsFunc(e.Disturbances, func(d Disturbance) bool {
-		return d.Fault != faultReload && d.Fault != faultDrain && slices.Contains(subjects, d.Subject) && d.overlaps(from, to)
+		return d.Fault != Reload && d.Fault != DrainTarget && slices.Contains(subjects, d.Subject) && d.overlaps(from, to)
 	})
 }
 
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -27,39 +27,68 @@
 	Everything Theme = "everything"
 )
 
-// Shape of a schedule.
+// Shape of a schedule: faults overlap, since most last longer than the pause between two.
 const (
 	phaseLength = 5 * time.Second
-	// phasePause lets promises hold that need calm before.
-	phasePause     = 4 * time.Second
-	meanPause      = 450 * time.Millisecond
-	leastFault     = 200 * time.Millisecond
-	faultRange     = 2500 * time.Millisecond
-	seriesShare    = 0.25
-	seriesPause    = 350 * time.Millisecond
-	slowBy         = 150 * time.Millisecond
-	linkDelay      = 80 * time.Millisecond
+	// phasePause is longer than stableWindow, so that promises which need calm before hold in a phase of
+	// planned work.
+	phasePause = 4 * time.Second
+	meanPause  = 450 * time.Millisecond
+	leastFault = 200 * time.Millisecond
+	faultRange = 2500 * time.Millisecond
+	// seriesShare is the part of the faults that come twice, seriesPause apart.
+	seriesShare = 0.25
+	seriesPause = 350 * time.Millisecond
+	// slowBy is what a slow target or store adds; linkDelay what a slow link adds one way.
+	slowBy    = 150 * time.Millisecond
+	linkDelay = 80 * time.Millisecond
+	// fewRequestsHit bounds the requests that one fault of a target or the store hits.
 	fewRequestsHit = 6
-	faultDrain     = "drain"
-	faultReload    = "reload"
+)
+
+// Kind names a fault of a schedule.
+type Kind string
+
+// Kinds of faults.
+const (
+	StopEntry    Kind = "stop entry"
+	Reload       Kind = "reload"
+	Configure    Kind = "configure"
+	DrainTarget  Kind = "drain target"
+	KillEntry    Kind = "kill entry"
+	KillEntries  Kind = "kill entries"
+	PauseEntry   Kind = "pause entry"
+	KillTarget   Kind = "kill target"
+	PauseTarget  Kind = "pause target"
+	TargetFault  Kind = "target fault"
+	StoreFault   Kind = "store fault"
+	PauseStore   Kind = "pause store"
+	CutCallers   Kind = "cut callers"
+	CutStore     Kind = "cut store"
+	CutTarget    Kind = "cut target"
+	ResetCallers Kind = "reset callers"
+	ResetTarget  Kind = "reset target"
+	ResetStore   Kind = "reset store"
+	DelayCallers Kind = "delay callers"
+	DelayTarget  Kind = "delay target"
 )
 
 // Step is one planned fault.
 type Step struct {
 	At   time.Duration
-	Kind string
+	Kind Kind
 	// Index chooses what is hit, Way a variant.
 	Index, Way int
 	For        time.Duration
 }
 
 // kinds are the faults of each theme.
-var kinds = map[Theme][]string{
-	Planned: {"stop entry", "stop entry", "reload", "configure", "drain target"},
-	Entries: {"kill entry", "kill entry", "pause entry", "kill entries", "stop entry"},
-	Targets: {"kill target", "kill target", "pause target", "target fault", "target fault", "drain target"},
-	Links:   {"cut callers", "cut store", "cut target", "reset callers", "reset target", "reset store", "delay callers", "delay target"},
-	Store:   {"store fault", "store fault", "pause store", "configure", "drain target"},
+var kinds = map[Theme][]Kind{
+	Planned: {StopEntry, StopEntry, Reload, Configure, DrainTarget},
+	Entries: {KillEntry, KillEntry, PauseEntry, KillEntries, StopEntry},
+	Targets: {KillTarget, KillTarget, PauseTarget, TargetFault, TargetFault, DrainTarget},
+	Links:   {CutCallers, CutStore, CutTarget, ResetCallers, ResetTarget, ResetStore, DelayCallers, DelayTarget},
+	Store:   {StoreFault, StoreFault, PauseStore, Configure, DrainTarget},
 }
 
 func init() {
@@ -118,7 +147,7 @@
 }
 
 // disturb notes a fault while act runs.
-func (w *world) disturb(subject, kind string, planned bool, act func()) {
+func (w *world) disturb(subject string, kind Kind, planned bool, act func()) {
 	from := time.Now()
 	w.options.Say("%s: %s", subject, kind)
 	act()
@@ -132,35 +161,35 @@
 	t := w.targets[step.Index%len(w.targets)]
 	length := func() { _ = wait.For(ctx, step.For) }
 	switch step.Kind {
-	case "stop entry":
+	case StopEntry:
 		w.stopEntry(ctx, e)
-	case "reload":
-		w.disturb(e.name, faultReload, true, func() { _ = e.signal(syscall.SIGHUP) })
-	case "configure":
+	case Reload:
+		w.disturb(e.name, Reload, true, func() { _ = e.signal(syscall.SIGHUP) })
+	case Configure:
 		if err := w.configure(ctx, fmt.Sprintf("key-%d-%d", step.At.Milliseconds(), step.Way)); err != nil {
 			w.options.Say("configure: %v", err)
 		}
-	case "drain target":
+	case DrainTarget:
 		w.drainTarget(ctx, t)
-	case "kill entry":
+	case KillEntry:
 		w.killEntry(e, length)
-	case "kill entries":
+	case KillEntries:
 		var all sync.WaitGroup
 		for _, each := range w.entries {
 			all.Go(func() { w.killEntry(each, length) })
 		}
 		all.Wait()
-	case "pause entry":
-		pause(w, &e.program, &e.busy, length)
-	case "kill target":
+	case PauseEntry:
+		pause(w, step.Kind, &e.program, &e.busy, length)
+	case KillTarget:
 		w.killTarget(t, length)
-	case "pause target":
-		pause(w, &t.program, &t.busy, length)
-	case "target fault":
+	case PauseTarget:
+		pause(w, step.Kind, &t.program, &t.busy, length)
+	case TargetFault:
 		w.disturbTarget(ctx, t, step, length)
-	case "store fault":
+	case StoreFault:
 		w.disturbStore(ctx, step, length)
-	case "pause store":
+	case PauseStore:
 		w.disturb(subjectStore, step.Kind, false, func() {
 			_ = w.store.signal(syscall.SIGSTOP)
 			length()
@@ -177,7 +206,7 @@
 		return
 	}
 	defer e.busy.Unlock()
-	w.disturb(e.name, "stop", true, func() {
+	w.disturb(e.name, StopEntry, true, func() {
 		_ = e.signal(syscall.SIGTERM)
 		grace, cancel := context.WithTimeout(ctx, stopGrace)
 		defer cancel()
@@ -199,19 +228,19 @@
 		return
 	}
 	defer e.busy.Unlock()
-	w.disturb(e.name, "kill", false, func() {
+	w.disturb(e.name, KillEntry, false, func() {
 		e.kill()
 		length()
 		w.restart(&e.program)
 	})
 }
 
-func (w *world) killTarget(t *backEnd, length func()) {
+func (w *world) killTarget(t *soakTarget, length func()) {
 	if !t.busy.TryLock() {
 		return
 	}
 	defer t.busy.Unlock()
-	w.disturb(t.name, "kill", false, func() {
+	w.disturb(t.name, KillTarget, false, func() {
 		t.kill()
 		length()
 		w.restart(&t.program)
@@ -219,31 +248,31 @@
 }
 
 // drainTarget has a target leave, and starts its successor at the same address.
-func (w *world) drainTarget(ctx context.Context, t *backEnd) {
+func (w *world) drainTarget(ctx context.Context, t *soakTarget) {
 	if !t.busy.TryLock() {
 		return
 	}
 	defer t.busy.Unlock()
-	w.disturb(t.name, faultDrain, true, func() {
+	w.disturb(t.name, DrainTarget, true, func() {
 		_ = t.signal(syscall.SIGTERM)
 		_ = t.ended(ctx)
 		w.restart(&t.program)
 	})
 }
 
-func pause(w *world, p *program, busy *sync.Mutex, length func()) {
+func pause(w *world, kind Kind, p *program, busy *sync.Mutex, length func()) {
 	if !busy.TryLock() {
 		return
 	}
 	defer busy.Unlock()
-	w.disturb(p.name, "pause", false, func() {
+	w.disturb(p.name, kind, false, func() {
 		_ = p.signal(syscall.SIGSTOP)
 		length()
 		_ = p.signal(syscall.SIGCONT)
 	})
 }
 
-func (w *world) disturbTarget(ctx context.Context, t *backEnd, step Step, length func()) {
+func (w *world) disturbTarget(ctx context.Context, t *soakTarget, step Step, length func()) {
 	faults := []fault.Fault{
 		{Kind: fault.Overload, Count: fewRequestsHit},
 		{Kind: fault.ResetBefore, Count: fewRequestsHit},
@@ -254,7 +283,7 @@
 	}
 	chosen := faults[step.Way%len(faults)]
 	chosen.For = v1.Duration(step.For)
-	w.disturb(t.name, string(chosen.Kind), false, func() {
+	w.disturb(t.name, Kind(chosen.Kind), false, func() {
 		if err := switchFault(ctx, "http://"+t.listen, chosen); err != nil {
 			return // the target is down
 		}
@@ -269,7 +298,7 @@
 	}
 	chosen := faults[step.Way%len(faults)]
 	chosen.For = v1.Duration(step.For)
-	w.disturb(subjectStore, string(chosen.Kind), false, func() {
+	w.disturb(subjectStore, Kind(chosen.Kind), false, func() {
 		if err := switchFault(ctx, w.options.store, chosen); err != nil {
 			return // the store is paused
 		}
@@ -278,28 +307,26 @@
 }
 
 // disturbLink cuts, resets or delays one of the links.
-func (w *world) disturbLink(step Step, e *entry, t *backEnd, length func()) {
-	links := map[string]struct {
-		link    *cluster.Forwarder
-		subject string
-	}{
-		"callers": {e.callers, e.name}, "store": {e.toStore, e.name}, "target": {t.link, t.name},
+func (w *world) disturbLink(step Step, e *entry, t *soakTarget, length func()) {
+	link, subject := t.link, t.name
+	switch step.Kind {
+	case CutCallers, ResetCallers, DelayCallers:
+		link, subject = e.callers, e.name
+	case CutStore, ResetStore:
+		link, subject = e.toStore, e.name
 	}
-	var verb, where string
-	_, _ = fmt.Sscan(step.Kind, &verb, &where)
-	chosen := links[where]
-	w.disturb(chosen.subject, step.Kind, false, func() {
-		switch verb {
-		case "reset":
-			chosen.link.Reset()
-		case "delay":
-			chosen.link.SetDelay(linkDelay)
+	w.disturb(subject, step.Kind, false, func() {
+		switch step.Kind {
+		case ResetCallers, ResetTarget, ResetStore:
+			link.Reset()
+		case DelayCallers, DelayTarget:
+			link.SetDelay(linkDelay)
 			length()
-			chosen.link.SetDelay(0)
+			link.SetDelay(0)
 		default:
-			cut(chosen.link, step.Way)
+			cut(link, step.Way)
 			length()
-			chosen.link.Heal()
+			link.Heal()
 		}
 	})
 }
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -23,20 +23,26 @@
 	"github.com/azurebarrow/azurebarrow/standin/target"
 )
 
-// Sizes of a world.
+// Sizes of a world. Streams last 0.6 s, so that a phase of faults meets many of them.
 const (
-	streamEvents    = 40
-	eventInterval   = 15 * time.Millisecond
-	engineSlots     = 16
-	recordSlots     = 6
-	heartbeat       = 400 * time.Millisecond
-	targetDrainTime = 4 * time.Second
+	streamEvents  = 40
+	eventInterval = 15 * time.Millisecond
+	engineSlots   = 16
+	recordSlots   = 6
+	// heartbeat is a third of the deployments', so that entries of targets lapse within a phase.
+	heartbeat = 400 * time.Millisecond
+	// targetDrainTime is twice the time after which a leaving target may get nothing new.
+	targetDrainTime = 2 * drainTime
 	startTimeout    = 15 * time.Second
 	pollInterval    = 20 * time.Millisecond
 	callTimeout     = time.Second
-	subjectStore    = "store"
-	engineService   = "drafts"
-	recordService   = "records"
+)
+
+// Names of a world.
+const (
+	subjectStore  = "store"
+	engineService = "drafts"
+	recordService = "records"
 )
 
 var zones = []string{"zone-a", "zone-b", "zone-c"}
@@ -46,7 +52,7 @@
 	options Options
 	store   *program
 	entries []*entry
-	targets []*backEnd
+	targets []*soakTarget
 
 	// operator is held while a configuration is written: versions reach the store in order.
 	operator sync.Mutex
@@ -119,8 +125,8 @@
 	busy sync.Mutex
 }
 
-// backEnd is a target with the link from the entries.
-type backEnd struct {
+// soakTarget is a target with the link from the entries.
+type soakTarget struct {
 	program
 	service string
 	link    *cluster.Forwarder
@@ -194,7 +200,7 @@
 	if err != nil {
 		return err
 	}
-	t := &backEnd{service: service, link: link, listen: listen}
+	t := &soakTarget{service: service, link: link, listen: listen}
 	t.program = program{name: fmt.Sprintf("%s-%d", service, index), binary: w.options.StandIn, logFile: w.file(fmt.Sprintf("%s-%d.log", service, index))}
 	w.targets = append(w.targets, t)
 	t.args = func() []string { return w.targetArguments(t, zones[index%len(zones)]) }
@@ -202,7 +208,7 @@
 }
 
 // targetArguments gives each start of a target an identity of its own.
-func (w *world) targetArguments(t *backEnd, zone string) []string {
+func (w *world) targetArguments(t *soakTarget, zone string) []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.incarnations++
