--- a/cmd/azurebarrowctl/command/command.go
+++ b/cmd/azurebarrowctl/command/command.go
@@ -98,6 +98,7 @@
 		{"get", "Show resources", "Shows the resources of a kind, or one of them.", &getCommand{globals: options}},
 		{"watch", "Show changes as they come", "Shows each change of the given kinds, or of all.", &watchCommand{globals: options}},
 		{"status", "Show what is not as declared", "Shows the conditions of every resource.", &statusCommand{globals: options}},
+		{"in-force", "Compare entries with the users' store", "Shows the version of the configuration that entries of the passthrough interface have in force, beside the stored one.", &inForceCommand{globals: options}},
 		{"burn", "Show how fast error budgets are spent", "Asks an entry for the service-level objectives of every availability zone and of the whole.", &burnCommand{globals: options}},
 	}
 }
