--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -151,22 +152,25 @@
 	return a.After + strings.Count(a.Text, "\n\n")
 }
 
+// errLeft ends the attempt of a caller that leaves early.
+var errLeft = errors.New("caller left")
+
 // attempt sends one attempt and returns when the answer says to come back.
 func (c *callers) attempt(client *http.Client, a *Attempt, entry *entry, leaveAfter time.Duration) (retryAfter time.Duration) {
 	a.Entry = entry.name
 	ctx, cancel := context.WithTimeout(context.Background(), a.Patience)
 	defer cancel()
-	leave := time.AfterFunc(a.Patience, func() {})
 	if leaveAfter > 0 {
-		leave = time.AfterFunc(leaveAfter, cancel)
+		var leave context.CancelFunc
+		ctx, leave = context.WithTimeoutCause(ctx, leaveAfter, errLeft)
+		defer leave()
 	}
 	a.Sent = time.Now()
 	retryAfter = c.exchange(ctx, client, a, entry)
 	a.Ended = time.Now()
-	if leaveAfter > 0 && !leave.Stop() && !a.Whole {
+	if errors.Is(context.Cause(ctx), errLeft) && !a.Whole {
 		a.Left = a.Sent.Add(leaveAfter)
 	}
-	leave.Stop()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.attempts = append(c.attempts, a)
