--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -36,9 +36,11 @@
 	retries = 1
 	// longestHeedShare is the part of the time left up to which callers wait as they are told.
 	longestHeedShare = 1.0 / 3
-	customerName     = "ranch"
-	hostName         = "records.example"
-	strangerKey      = "never-given"
+	// promptTokens are the tokens of a prompt and the most tokens of its output.
+	promptTokens = "100,200"
+	customerName = "ranch"
+	hostName     = "records.example"
+	strangerKey  = "never-given"
 )
 
 // callers makes requests and notes what became of them.
@@ -190,6 +192,11 @@
 	request.Header.Set(target.FieldRequest, a.ID)
 	request.Header.Set(target.FieldDeadline, strconv.FormatInt(a.Patience.Milliseconds(), 10))
 	request.Header.Set(target.FieldKey, "Bearer "+a.Key)
+	if a.Class == Stream {
+		request.Header.Set(target.FieldTokens, promptTokens)
+		// The last part of the prompt is the request's own, over its attempts.
+		request.Header.Set(target.FieldPrompt, fmt.Sprintf("5a:50,%x:50", a.Path))
+	}
 	if a.After > 0 {
 		request.Header.Set(target.FieldLastEvent, strconv.Itoa(a.After))
 	}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -24,6 +24,8 @@
 	FieldLastEvent = "Last-Event-Id"
 	FieldDeadline  = "X-Deadline-Ms"
 	FieldKey       = "Authorization"
+	FieldTokens    = "X-Token-Usage"
+	FieldPrompt    = "X-Prompt-Prefix"
 	fieldExpected  = "X-Expect-Instance"
 	fieldInstance  = "X-Instance-Id"
 	fieldNotRun    = "X-Not-Executed"
