--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -84,13 +84,19 @@
 	command := exec.Command(p.binary, p.args()...)
 	command.Env = append(os.Environ(), p.environment...)
 	process, err := cluster.StartProcess(command, p.logFile)
+	if err != nil {
+		return err
+	}
 	p.process = process
-	return err
+	return nil
 }
 
 func (p *program) signal(signal syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.process == nil {
+		return cluster.ErrNotRunning
+	}
 	return p.process.Signal(signal)
 }
 
