Count what a directory feed sends to other entries, and log large and cut answers

The logs of the incident can't tell whether an entry's own feed fills its link: neither its bytes nor who left before the end of an answer is known. Nothing is decided differently.

--- a/adapters/peertwirp/directorypeer/directorypeer.go
+++ b/adapters/peertwirp/directorypeer/directorypeer.go
@@ -58,10 +58,11 @@
 // server serves this entry's feed. It implements Directory.
 type server struct{ feed *directory.Feed }
 
-// NewHandler returns the path prefix and the HTTP handler that serve feed to other entries.
-func NewHandler(feed *directory.Feed) (string, http.Handler) {
+// NewHandler returns the path prefix and the HTTP handler that serve feed to other entries. The answers are
+// recorded in transfers.
+func NewHandler(feed *directory.Feed, transfers *Transfers) (string, http.Handler) {
 	handler := NewDirectoryServer(&server{feed: feed})
-	return handler.PathPrefix(), handler
+	return handler.PathPrefix(), transfers.observe(handler)
 }
 
 // Since implements Directory.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,6 +43,8 @@
 	log       func(event string, fields ...generation.Field)
 	members   *membership.Manager
 	directory *directory.Manager
+	// transfers counts what this entry's directory feed sends to other entries.
+	transfers *directorypeer.Transfers
 	pool      *targethttp.Pool
 	placement *routing.Placement
 	relay     *generation.Relay
@@ -133,6 +135,7 @@
 	e.peerClient = &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout,
 	}}
+	e.transfers = &directorypeer.Transfers{Report: e.logTransfer}
 	e.directory = directory.NewManager(directory.Options{
 		Store:      store,
 		Decoder:    platform.Decoder{},
@@ -153,7 +156,7 @@
 func (e *Entry) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peermembership.NewHandler(e.members))
-	mux.Handle(directorypeer.NewHandler(e.directory.Feed()))
+	mux.Handle(directorypeer.NewHandler(e.directory.Feed(), e.transfers))
 	mux.Handle(retrypeer.NewHandler(e.retryTotals))
 	return mux
 }
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/azurebarrow/azurebarrow/adapters/passthrough"
+	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/directorypeer"
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/service"
@@ -65,6 +66,8 @@
 	m.AddCounter("requests_broken_off", e.counters.aborted.Load)
 	m.AddCounter("store_losses", e.counters.storeLost.Load)
 	m.AddCounter("unusable_objects", e.counters.unusableObjects.Load)
+	m.AddCounter("feed_bytes_sent", e.transfers.Bytes)
+	m.AddCounter("feed_answers_cut", e.transfers.Cut)
 	m.AddCounter("target_connections", e.pool.DialCount)
 	m.AddGauge("requests_running", func() float64 { return float64(e.running.Load()) })
 	m.AddGauge("entries_live", func() float64 { return float64(len(e.members.Live())) })
@@ -103,6 +106,12 @@
 	e.log(string(event.Kind), fields...)
 }
 
+// logTransfer logs an answer of the directory feed that was large or that its reader did not get whole.
+func (e *Entry) logTransfer(done directorypeer.Transfer) {
+	e.log("feed-answer-sent", generation.Field{Key: "reader", Value: done.Reader}, generation.Field{Key: "bytes", Value: done.Bytes},
+		generation.Field{Key: "took", Value: done.Took}, generation.Field{Key: "cut", Value: done.Cut})
+}
+
 // logRetryTotals logs that the peer which sums up the retries of all entries has become unreachable or
 // answers again.
 func (e *Entry) logRetryTotals(peer string, err error) {
