Test that a feed's large configuration does not delay callers, failing

59 entries with the links of the users' smallest VMs (10 Mbit/s), two of which read the store for the others; a configuration of 570 KB is stored. On this code: 53 of 59 entries have it after 2 s, and a packet of a caller waits up to 3.5 s for the link of an entry that feeds others (bound: an event of a stream passes within 120 ms). The second case, in which the store turns a third away, fails at its start: 20 entries never get any configuration.

--- /dev/null
+++ b/directory/feed_load_test.go
@@ -0,0 +1,254 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurebarrow/azurebarrow/internal/wait"
+	"github.com/azurebarrow/azurebarrow/membership"
+	"github.com/azurebarrow/azurebarrow/objects"
+)
+
+// The modelled fleet: the entries and their links as in the smallest VMs of the users' grown deployments.
+const (
+	modelEntries      = 59
+	linkBytesPerMs    = 1250 // 10 Mbit/s
+	connWindowBytes   = 64 << 10
+	segmentBytes      = 8 << 10
+	largeConfigBytes  = 570 << 10 // 2,800 routes
+	targetsInStore    = 224
+	targetObjectBytes = 300
+	// maxEventDelay is the users' bound on passing an event of a stream on; maxApplyTime and maxStretch are
+	// their bounds on applying a configuration, the second one added while the store turns entries away.
+	maxEventDelay = 120 * time.Millisecond
+	maxApplyTime  = 2 * time.Second
+	maxStretch    = 5 * time.Second
+)
+
+// modelLink is the link of a VM. Its bytes leave one after the other, whichever connection they belong to.
+type modelLink struct {
+	mu         sync.Mutex
+	freeAt     time.Time
+	maxBacklog time.Duration
+}
+
+// send queues a segment and returns when it has left.
+func (l *modelLink) send(bytes int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(bytes) * time.Millisecond / linkBytesPerMs)
+	l.maxBacklog = max(l.maxBacklog, l.freeAt.Sub(now))
+	return l.freeAt
+}
+
+// transfer sends bytes over one connection, with connWindowBytes on their way at most.
+func (l *modelLink) transfer(ctx context.Context, bytes int) error {
+	var left []time.Time
+	for ; bytes > 0; bytes -= segmentBytes {
+		if len(left) == connWindowBytes/segmentBytes {
+			if err := wait.For(ctx, time.Until(left[0])); err != nil {
+				return err
+			}
+			left = left[1:]
+		}
+		left = append(left, l.send(min(bytes, segmentBytes)))
+	}
+	if len(left) == 0 {
+		return nil
+	}
+	return wait.For(ctx, time.Until(left[len(left)-1]))
+}
+
+func sizeOf(parts ...[]objects.Object) int {
+	bytes := 0
+	for _, part := range parts {
+		for _, object := range part {
+			bytes += len(object.Value) + len(object.Name)
+		}
+	}
+	return bytes
+}
+
+// modelStore holds one configuration and the targets. Its own link is never full; what a reader gets takes
+// as long as the reader's link needs.
+type modelStore struct {
+	mu            sync.Mutex
+	configuration objects.Object
+	targets       []objects.Object
+	changed       chan struct{}
+}
+
+func newModelStore() *modelStore {
+	s := &modelStore{changed: make(chan struct{})}
+	for i := range targetsInStore {
+		value, _ := json.Marshal(map[string]string{"Service": "drafts", "Address": fmt.Sprintf("10.0.0.%d:1", i), "Padding": strings.Repeat("x", targetObjectBytes)})
+		s.targets = append(s.targets, objects.Object{Kind: KindTarget, Name: fmt.Sprintf("i-%d", i), Revision: 1, Value: value})
+	}
+	s.configure(1, 0)
+	return s
+}
+
+// configure stores a configuration of the given version and size.
+func (s *modelStore) configure(version int64, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value := fmt.Sprintf(`{"Version":%d,"Padding":%q}`, version, strings.Repeat("r", bytes))
+	s.configuration = objects.Object{Kind: KindConfiguration, Name: "main", Revision: 1 + version, Value: []byte(value)}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *modelStore) list(kind string, after int64) (objects.List, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := objects.List{Revision: s.configuration.Revision}
+	all := s.targets
+	if kind == KindConfiguration {
+		all = []objects.Object{s.configuration}
+	}
+	for _, object := range all {
+		if object.Revision > after {
+			list.Items = append(list.Items, object)
+		}
+	}
+	return list, s.changed
+}
+
+// storeClient is one entry's access to the store. An entry that is turned away gets errors only.
+type storeClient struct {
+	store      *modelStore
+	turnedAway bool
+}
+
+func (c storeClient) List(ctx context.Context, kind string) (objects.List, error) {
+	return c.Watch(ctx, kind, 0, 0)
+}
+
+func (c storeClient) Watch(ctx context.Context, kind string, after int64, limit time.Duration) (objects.List, error) {
+	const roundTrip = 4 * time.Millisecond
+	if err := wait.For(ctx, roundTrip); err != nil {
+		return objects.List{}, err
+	}
+	if c.turnedAway {
+		return objects.List{}, objects.ErrUnavailable
+	}
+	list, changed := c.store.list(kind, after)
+	if len(list.Items) == 0 && limit > 0 {
+		select {
+		case <-changed:
+		case <-time.After(limit):
+		case <-ctx.Done():
+			return objects.List{}, ctx.Err()
+		}
+		list, _ = c.store.list(kind, after)
+	}
+	return list, wait.For(ctx, time.Duration(sizeOf(list.Items))*time.Millisecond/linkBytesPerMs)
+}
+
+// modelFleet is the view of one entry and its access to the feeds of the others.
+type modelFleet struct {
+	self     membership.Peer
+	live     []membership.Peer
+	managers map[string]*Manager
+	links    map[string]*modelLink
+}
+
+func (f *modelFleet) Self() membership.Peer   { return f.self }
+func (f *modelFleet) Live() []membership.Peer { return f.live }
+
+func (f *modelFleet) Since(ctx context.Context, peer membership.Peer, query FeedQuery) ([]Part, error) {
+	parts := f.managers[peer.Name].Feed().Since(ctx, query)
+	var contents [][]objects.Object
+	for _, part := range parts {
+		contents = append(contents, part.Objects)
+	}
+	return parts, f.links[peer.Name].transfer(ctx, sizeOf(contents...))
+}
+
+// startFleet runs the entries; turnedAway tells which of them the store turns away. stop ends them.
+func startFleet(ctx context.Context, store *modelStore, turnedAway func(number int) bool) (fleet *modelFleet, stop func()) {
+	fleet = &modelFleet{managers: map[string]*Manager{}, links: map[string]*modelLink{}}
+	for i := range modelEntries {
+		fleet.live = append(fleet.live, peer(fmt.Sprintf("e%d", i), string(rune('a'+i%3))))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var ended sync.WaitGroup
+	for i, self := range fleet.live {
+		view := &modelFleet{self: self, live: fleet.live, managers: fleet.managers, links: fleet.links}
+		fleet.links[self.Name] = &modelLink{}
+		fleet.managers[self.Name] = NewManager(Options{
+			Store: storeClient{store: store, turnedAway: turnedAway(i)}, Decoder: jsonDecoder{}, Peers: view, View: view,
+		})
+	}
+	for _, manager := range fleet.managers {
+		ended.Go(func() { _ = manager.Run(ctx) })
+	}
+	return fleet, func() { cancel(); ended.Wait() }
+}
+
+// maxBacklog returns the longest time that a packet of a caller would have waited for an entry's link.
+func (f *modelFleet) maxBacklog() time.Duration {
+	var longest time.Duration
+	for _, link := range f.links {
+		longest = max(longest, link.maxBacklog)
+	}
+	return longest
+}
+
+func (f *modelFleet) resetBacklog() {
+	for _, link := range f.links {
+		link.maxBacklog = 0
+	}
+}
+
+// entriesAt returns how many entries have a configuration of at least the version in force.
+func (f *modelFleet) entriesAt(version int64) int {
+	count := 0
+	for _, manager := range f.managers {
+		if configuration := manager.Snapshot().Configuration; configuration != nil && configuration.Version >= version {
+			count++
+		}
+	}
+	return count
+}
+
+func TestFeedOfLargeConfigurationDelaysCallersOfTheEntry(t *testing.T) {
+	const settled = 5 * time.Second
+	for _, test := range []struct {
+		name       string
+		turnedAway func(number int) bool
+		applyTime  time.Duration
+	}{
+		{"store answers all", func(int) bool { return false }, maxApplyTime},
+		{"store turns a third away", func(number int) bool { return number%3 == 1 }, maxApplyTime + maxStretch},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newModelStore()
+				fleet, stop := startFleet(t.Context(), store, test.turnedAway)
+				defer stop()
+				time.Sleep(settled)
+				is.Equal(fleet.entriesAt(1), modelEntries)
+				fleet.resetBacklog()
+				store.configure(2, largeConfigBytes)
+				time.Sleep(test.applyTime)
+				t.Logf("%d of %d entries have it, backlog of a link %v", fleet.entriesAt(2), modelEntries, fleet.maxBacklog())
+				is.Equal(fleet.entriesAt(2), modelEntries)
+				is.True(fleet.maxBacklog() <= maxEventDelay)
+			})
+		})
+	}
+}
