Bound what a directory feed sends, and let readers of large objects use the store

Cause: an entry's feed sent a changed object whole to each of up to 30 readers at once (570 KB with 2,800 routes) over the link that callers' streams share; on 10 Mbit/s that is 14 s of link. The readers' calls ended after 650 ms and began anew, so that nearly all of it was sent in vain. The reader could have read the store all along, but an entry that follows a peer took the store for silent, since it had not asked it.

Change: a token bucket (feedBudget, a pure decision) bounds the bytes of a feed to a fifth of the slowest link. Small changes always pass. Of a larger one the reader learns at once that it is withheld and reads the store; the silence of the store counts from there. A reader that the store does not answer gets large objects in turn, with a timeout that fits their size, also from two other entries. A watcher that the store turns away asks peers too: before, it never got a configuration.

--- a/directory/feed.go
+++ b/directory/feed.go
@@ -33,12 +33,24 @@
 	Age time.Duration
 }
 
+// size returns the approximate number of bytes that the part takes on the wire.
+func (p Part) size() int {
+	bytes := 0
+	for _, object := range p.Objects {
+		bytes += len(object.Name) + len(object.Value)
+	}
+	return bytes
+}
+
 // Feed holds the objects of a directory, as read from the store or from the feeds of other entries, and
 // lets other entries read them. An object is only replaced by a later revision, whatever the source. A Feed
 // is safe for concurrent use.
 type Feed struct {
-	mu    sync.Mutex
-	kinds map[string]*feedKind
+	mu     sync.Mutex
+	kinds  map[string]*feedKind
+	budget feedBudget
+	// withheld counts the parts that the budget did not allow to be sent.
+	withheld int64
 	// changed is closed, and replaced, with each applied part.
 	changed chan struct{}
 }
@@ -161,6 +173,13 @@
 	return now.Sub(f.kinds[kind].confirmedAt)
 }
 
+// Withheld returns the number of parts that were not sent because they exceeded the feed's budget.
+func (f *Feed) Withheld() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.withheld
+}
+
 // hasRecord reports whether the feed has the object or its tombstone, which it keeps for tombstoneTTL.
 func (f *Feed) hasRecord(kind, name string) bool {
 	f.mu.Lock()
@@ -188,13 +207,14 @@
 	Revisions map[string]int64
 	// Wait limits the time to wait for a change.
 	Wait time.Duration
-	// OnlyChanges omits the kinds for which the feed has only a full part.
+	// OnlyChanges is set by a reader that can read the store itself: kinds for which the feed has only a
+	// full part are omitted, and so are changes that are too large to be sent to all readers.
 	OnlyChanges bool
 }
 
-// Since returns the changes after the revisions of the query: one part for each kind that the feed knows.
-// It waits for a change, at most for the Wait of the query, and doesn't wait if OnlyChanges omits a kind.
-// It returns nil if ctx ends.
+// Since returns the changes after the revisions of the query: one part for each kind that the feed knows,
+// except those that it omits; see FeedQuery.OnlyChanges and feedBudget. It waits for a change, at most for the
+// Wait of the query, and doesn't wait if it omits a kind. It returns nil if ctx ends.
 func (f *Feed) Since(ctx context.Context, query FeedQuery) []Part {
 	timer := time.NewTimer(query.Wait)
 	defer timer.Stop()
@@ -235,6 +255,11 @@
 				part.Objects = append(part.Objects, item.object)
 			}
 		}
+		if len(part.Objects) > 0 && !f.budget.take(part.size(), query.OnlyChanges, now) {
+			f.withheld++
+			immediate = true // the reader must know without delay that it needs another source
+			continue
+		}
 		immediate = immediate || len(part.Objects) > 0 || part.Full
 		parts = append(parts, part)
 	}
--- a/directory/sync.go
+++ b/directory/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,12 @@
 	// peerWait is how long a peer's feed waits for a change. peerTimeout is how much longer a call may take.
 	peerWait    = 400 * time.Millisecond
 	peerTimeout = 250 * time.Millisecond
+	// peerTransferTimeout is how much longer a call may take that asks for full lists: objects of a megabyte
+	// take seconds on the slowest links, and a transfer that is cut starts again from the beginning.
+	peerTransferTimeout = 5 * time.Second
+	// otherPeers is the number of entries besides the watchers that an entry asks which the store does not
+	// answer: the watchers may be cut off from the store too, or busy with other readers.
+	otherPeers = 2
 	// peerStaleAfter is the age from which the feed of a peer counts as stale. It allows the peer two watches
 	// of the store.
 	peerStaleAfter = 1300 * time.Millisecond
@@ -130,12 +137,13 @@
 	return s
 }
 
-// noteStoreAnswer records that the store has answered.
+// noteStoreAnswer records that the store has answered, or that this entry begins to read it.
 func (s *syncer) noteStoreAnswer() { s.lastAnswer.Store(int64(time.Since(s.timeBase))) }
 
-// storeSilent reports whether the store has not answered this entry for storeSilenceTimeout.
+// storeSilent reports whether this entry reads the store and has not got an answer for storeSilenceTimeout. An
+// entry that follows a peer does not know, and asks the store first.
 func (s *syncer) storeSilent() bool {
-	return time.Since(s.timeBase)-time.Duration(s.lastAnswer.Load()) > storeSilenceTimeout
+	return s.readsStore.Load() && time.Since(s.timeBase)-time.Duration(s.lastAnswer.Load()) > storeSilenceTimeout
 }
 
 // requestLists requests that this entry list all objects of the store again.
@@ -143,6 +151,7 @@
 	for _, wanted := range s.relist {
 		wanted.Store(true)
 	}
+	s.noteStoreAnswer()
 	s.readsStore.Store(true)
 }
 
@@ -258,65 +267,111 @@
 	}
 	for ctx.Err() == nil {
 		upstream, isWatcher := watchersOf(s.view.Self(), s.view.Live())
+		if s.storeSilent() {
+			upstream = s.withOtherPeers(upstream)
+		}
 		if isWatcher || len(upstream) == 0 {
 			s.switchToStore("elected", nil)
+			if s.storeSilent() {
+				_, _ = s.readPeers(ctx, upstream) // a watcher reads the store also if it finds a fresh feed
+			}
 			_ = wait.For(ctx, peerPollInterval)
 			continue
 		}
-		if !s.readAnyPeer(ctx, upstream) && ctx.Err() == nil {
+		if !s.followAnyPeer(ctx, upstream) && ctx.Err() == nil {
 			_ = wait.For(ctx, peerPollInterval)
 		}
 	}
 	return nil
 }
 
-// readAnyPeer queries the peers in turn until the feed of one is fresh. If there is none, this entry reads
+// withOtherPeers returns the peers followed by otherPeers further live entries, drawn at random.
+func (s *syncer) withOtherPeers(peers []membership.Peer) []membership.Peer {
+	asked := map[string]bool{s.view.Self().Name: true}
+	for _, peer := range peers {
+		asked[peer.Name] = true
+	}
+	live := s.view.Live()
+	extended := slices.Clone(peers)
+	for _, i := range rand.Perm(len(live)) {
+		if len(extended) == len(peers)+otherPeers {
+			break
+		}
+		if !asked[live[i].Name] {
+			extended = append(extended, live[i])
+		}
+	}
+	return extended
+}
+
+// followAnyPeer queries the peers in turn until the feed of one is fresh. If there is none, this entry reads
 // the store itself and continues to query the peers, since the store may be unavailable.
-func (s *syncer) readAnyPeer(ctx context.Context, upstream []membership.Peer) bool {
-	var lastErr error
-	for _, peer := range upstream {
-		fresh, err := s.readPeer(ctx, peer)
-		if fresh {
-			if s.readsStore.CompareAndSwap(true, false) {
-				s.observe(Event{Kind: EventFollowingPeer, Subject: peer.Name})
-			}
-			return true
+func (s *syncer) followAnyPeer(ctx context.Context, peers []membership.Peer) bool {
+	fresh, err := s.readPeers(ctx, peers)
+	if err != nil {
+		s.switchToStore("no fresh peer", err)
+		return false
+	}
+	if s.readsStore.CompareAndSwap(true, false) {
+		s.observe(Event{Kind: EventFollowingPeer, Subject: fresh.Name})
+	}
+	return true
+}
+
+// readPeers queries the peers in turn and returns the first one whose feed is fresh, or else the last error.
+func (s *syncer) readPeers(ctx context.Context, peers []membership.Peer) (fresh membership.Peer, err error) {
+	for _, peer := range peers {
+		if err = s.readPeer(ctx, peer); err == nil {
+			return peer, nil
 		}
-		lastErr = err
 	}
-	s.switchToStore("no fresh peer", lastErr)
-	return false
+	return membership.Peer{}, err
 }
 
 // switchToStore lets this entry read the store itself.
 func (s *syncer) switchToStore(reason string, err error) {
+	if s.readsStore.Load() {
+		return
+	}
+	s.noteStoreAnswer() // the silence of the store counts from here
 	if s.readsStore.CompareAndSwap(false, true) {
 		s.observe(Event{Kind: EventReadingStore, Subject: reason, Err: err})
 	}
 }
 
-var errStalePeer = errors.New("the peer's feed is stale")
+var (
+	errStalePeer = errors.New("the peer's feed is stale")
+	// errWithheld: the peer does not send all that it has, because it is too much for its link.
+	errWithheld = errors.New("the peer has less, or withholds large objects")
+)
 
 // readPeer queries the feed of one peer and applies its parts; these are correct even if they are old. It
-// reports whether the feed is fresh.
-func (s *syncer) readPeer(ctx context.Context, peer membership.Peer) (fresh bool, err error) {
+// returns an error if the feed is not fresh.
+func (s *syncer) readPeer(ctx context.Context, peer membership.Peer) error {
 	query := FeedQuery{Revisions: make(map[string]int64, len(kinds)), Wait: peerWait, OnlyChanges: !s.storeSilent()}
 	for _, kind := range kinds {
 		query.Revisions[kind] = s.feed.Revision(kind)
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
+	timeout := peerWait + peerTimeout
+	if !query.OnlyChanges {
+		timeout += peerTransferTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	parts, err := s.peers.Since(ctx, peer, query)
 	if err != nil {
-		return false, err
+		return err
 	}
-	fresh = len(parts) == len(kinds)
+	fresh := true
 	for _, part := range parts {
 		s.deliver(ctx, part)
 		fresh = fresh && part.Age < peerStaleAfter
 	}
-	if !fresh {
-		return false, errStalePeer
+	switch {
+	case len(parts) < len(kinds):
+		return errWithheld
+	case !fresh:
+		return errStalePeer
 	}
-	return true, nil
+	return nil
 }
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -68,6 +68,7 @@
 	m.AddCounter("unusable_objects", e.counters.unusableObjects.Load)
 	m.AddCounter("feed_bytes_sent", e.transfers.Bytes)
 	m.AddCounter("feed_answers_cut", e.transfers.Cut)
+	m.AddCounter("feed_parts_withheld", e.directory.Feed().Withheld)
 	m.AddCounter("target_connections", e.pool.DialCount)
 	m.AddGauge("requests_running", func() float64 { return float64(e.running.Load()) })
 	m.AddGauge("entries_live", func() float64 { return float64(len(e.members.Live())) })
