Read large changes from the store at a share of the link

Half a second of link (570 KB on 10 Mbit/s) waits before the VM; probes have 60 ms, so that sound engines count as silent, streams move in hundreds and use up the budget.

--- a/cmd/azurebarrowctl/command/inforce.go
+++ b/cmd/azurebarrowctl/command/inforce.go
@@ -86,7 +86,7 @@
 
 // storedVersion returns the version of the configuration in the users' store.
 func storedVersion(ctx context.Context, url string) (int64, error) {
-	list, err := platform.NewStore(url).List(ctx, directory.KindConfiguration)
+	list, err := platform.NewStore(url, platform.StoreOptions{}).List(ctx, directory.KindConfiguration)
 	if err != nil {
 		return 0, err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -119,10 +119,16 @@
 	e.crashRecords.broadcast = func(notice membership.Notice) { go e.members.Broadcast(notice) }
 }
 
+// watchLinkShare is the share of the VM's link at which large changes are read from the store. A configuration
+// of a megabyte, the largest object, still arrives within the 2 s in which it must be in force.
+const watchLinkShare = 0.45
+
 // buildDirectory creates the managers of the platform's objects: the prompt locations and the
 // directory of routes and targets. The directory also follows the feeds of peers.
 func (e *Entry) buildDirectory() {
-	store := platform.NewStore(e.settings.Platform.URL)
+	store := platform.NewStore(e.settings.Platform.URL, platform.StoreOptions{
+		WatchBytesPerSecond: watchLinkShare * e.settings.Passthrough.LinkBytesPerSecond(),
+	})
 	e.prompts = promptindex.NewManager(promptindex.Options{
 		Entry: e.settings.Name,
 		Store: store,
--- a/settings/passthrough.go
+++ b/settings/passthrough.go
@@ -28,6 +28,9 @@
 	RetryRatio  float64       `yaml:"retryRatio"`
 	RetrySlack  float64       `yaml:"retrySlack"`
 	RetryWindow time.Duration `yaml:"retryWindow"`
+	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, of which control traffic uses a share; 0
+	// means that it is not limited.
+	LinkMbps float64 `yaml:"linkMbps"`
 	// StopGrace is the time that the platform leaves between SIGTERM and SIGKILL.
 	StopGrace time.Duration `yaml:"stopGrace"`
 }
@@ -56,6 +59,12 @@
 	return p
 }
 
+// LinkBytesPerSecond returns LinkMbps in bytes per second.
+func (p Passthrough) LinkBytesPerSecond() float64 {
+	const bytesPerMegabit = 1e6 / 8
+	return p.LinkMbps * bytesPerMegabit
+}
+
 func (p Passthrough) validate(addFault func(field, format string, args ...any)) {
 	checkAddress(addFault, "passthrough.readyAddress", p.ReadyAddress)
 	for i, seed := range p.Seeds {
@@ -70,6 +79,9 @@
 	if p.RetryWindow < 0 {
 		addFault("passthrough.retryWindow", "%v is negative", p.RetryWindow)
 	}
+	if p.LinkMbps < 0 {
+		addFault("passthrough.linkMbps", "%v is negative", p.LinkMbps)
+	}
 	if p.StopGrace < 0 {
 		addFault("passthrough.stopGrace", "%v is negative", p.StopGrace)
 	}
