Soak: large configurations, and entries that know their link

One change in three has 2,800 further routes now, and entries are told a link of 10 Mbit/s, so that they read large changes slowly. go test -race ./bench/soak: ok, 50 s beside other work; Defect tests ok.

--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -155,7 +156,7 @@
 		return nil, err
 	}
 	d.options.store = "http://" + address
-	if err := d.configure(ctx, "key-0"); err != nil {
+	if err := d.configure(ctx, "key-0", 0); err != nil {
 		return d, err
 	}
 	for i := range options.Engines {
@@ -261,7 +262,7 @@
 			Platform: settings.Platform{URL: "http://" + e.toStore.Address()},
 			Passthrough: settings.Passthrough{
 				ReadyAddress: e.readyAddress, Seeds: seeds, RetryRatio: retryRatio, RetrySlack: retrySlack,
-				RetryWindow: budgetWindow, StopGrace: stopGrace,
+				RetryWindow: budgetWindow, StopGrace: stopGrace, LinkMbps: linkMbps,
 			},
 		}); err != nil {
 			return err
@@ -352,9 +353,26 @@
 	return d.entries[number%len(d.entries)]
 }
 
-// configure writes the next version of the configuration, with key as the only valid key, and retries until the
-// store accepts it. This revokes the previous key.
-func (d *deployment) configure(ctx context.Context, key string) error {
+// largeRoutes is the number of routes, beyond those that callers use, of a large configuration, and linkMbps the
+// bandwidth that entries are told: those of the users' grown deployments.
+const (
+	largeRoutes = 2800
+	linkMbps    = 10
+)
+
+// unusedRoutes returns the JSON of further routes, each preceded by a comma.
+func unusedRoutes(count int) string {
+	var text strings.Builder
+	for i := range count {
+		fmt.Fprintf(&text, `,{"name":"unused-%d","hostname":"unused-%d.example","path_prefix":"/unused/%d/","kind":"idempotent",`+
+			`"timeout_ms":800,"target_latency_ms":120,"priority":2,"service":%q,"max_attempts":2}`, i, i%64, i, recordService)
+	}
+	return text.String()
+}
+
+// configure writes the next version of the configuration, with key as the only valid key and with unused further
+// routes, and retries until the store accepts it. This revokes the previous key.
+func (d *deployment) configure(ctx context.Context, key string, unused int) error {
 	d.configuring.Lock()
 	defer d.configuring.Unlock()
 	d.mu.Lock()
@@ -371,10 +389,10 @@
 	spec := fmt.Sprintf(`{"version":%d,"routes":[
 	 {"name":"stream","hostname":%[2]q,"path_prefix":"/stream/","kind":"streaming","timeout_ms":10000,"target_latency_ms":1000,"service":%[3]q,"max_attempts":5,"stream_resume":true,"target_gap_ms":300},
 	 {"name":"booking","hostname":%[2]q,"path_prefix":"/booking/","kind":"non_idempotent","timeout_ms":1500,"target_latency_ms":100,"service":%[4]q,"max_attempts":3},
-	 {"name":"lookup","hostname":%[2]q,"path_prefix":"/lookup/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":100,"service":%[4]q,"max_attempts":3}],
+	 {"name":"lookup","hostname":%[2]q,"path_prefix":"/lookup/","kind":"idempotent","timeout_ms":1500,"target_latency_ms":100,"service":%[4]q,"max_attempts":3}%[8]s],
 	 "services":[{"name":%[3]q,"engine":{"slots":%[5]d,"kv_capacity":55000,"backups":true,"stride":5,"models":[{"name":"m"}]}},{"name":%[4]q}],
 	 "limits":{"idle_timeout_ms":15000},"tenants":[{"name":%[6]q,"api_keys":[%[7]q]}]}`,
-		version, hostName, engineService, recordService, engineSlots, customerName, key)
+		version, hostName, engineService, recordService, engineSlots, customerName, key, unusedRoutes(unused))
 	for d.putConfiguration(ctx, spec) != nil {
 		if err := wait.For(ctx, pollInterval); err != nil {
 			return err
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -42,6 +42,8 @@
 	// slowDelay is the added latency of a slow target or store; linkDelay that of a slow link, in each direction.
 	slowDelay = 150 * time.Millisecond
 	linkDelay = 80 * time.Millisecond
+	// largeConfigurationEvery: one in so many changes of the configuration makes it large.
+	largeConfigurationEvery = 3
 	// maxRequestsHit limits the requests that one fault of a target or the store affects.
 	maxRequestsHit = 6
 )
@@ -169,7 +171,11 @@
 	case Reload:
 		d.disturb(e.name, Reload, true, func() { _ = e.signal(syscall.SIGHUP) })
 	case Configure:
-		if err := d.configure(ctx, fmt.Sprintf("key-%d-%d", step.At.Milliseconds(), step.Variant)); err != nil {
+		unused := 0
+		if step.Variant%largeConfigurationEvery == 0 {
+			unused = largeRoutes
+		}
+		if err := d.configure(ctx, fmt.Sprintf("key-%d-%d", step.At.Milliseconds(), step.Variant), unused); err != nil {
 			d.options.Logf("configure: %v", err)
 		}
 	case DrainTarget:
