Test that followers get a configuration of 1 MB in time, failing

A follower learns of it only when its watcher has read all of it, or when the watcher's feed is stale.

--- a/directory/feed_load_test.go
+++ b/directory/feed_load_test.go
@@ -84,10 +84,14 @@
 // modelStore holds one configuration and the targets. Its own link is never full; what a reader gets takes
 // as long as the reader's link needs.
 type modelStore struct {
+	// changeBytesPerMs is the rate at which readers take changes; 0 means that of their links.
+	changeBytesPerMs int
+
 	mu            sync.Mutex
 	configuration objects.Object
 	targets       []objects.Object
 	changed       chan struct{}
+	configuredAt  time.Time
 }
 
 func newModelStore() *modelStore {
@@ -106,6 +110,7 @@
 	defer s.mu.Unlock()
 	value := fmt.Sprintf(`{"Version":%d,"Padding":%q}`, version, strings.Repeat("r", bytes))
 	s.configuration = objects.Object{Kind: KindConfiguration, Name: "main", Revision: 1 + version, Value: []byte(value)}
+	s.configuredAt = time.Now()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -154,7 +159,11 @@
 		}
 		list, _ = c.store.list(kind, after)
 	}
-	return list, wait.For(ctx, time.Duration(sizeOf(list.Items))*time.Millisecond/linkBytesPerMs)
+	bytesPerMs := linkBytesPerMs
+	if limit > 0 && c.store.changeBytesPerMs > 0 {
+		bytesPerMs = c.store.changeBytesPerMs
+	}
+	return list, wait.For(ctx, time.Duration(sizeOf(list.Items))*time.Millisecond/time.Duration(bytesPerMs))
 }
 
 // modelFleet is the view of one entry and its access to the feeds of the others.
@@ -252,3 +261,30 @@
 		})
 	}
 }
+
+// Followers learn of a large configuration only when their watcher has read all of it at the limited rate, and
+// then read it at that rate themselves.
+func TestFollowersGetLargestConfigurationTooLate(t *testing.T) {
+	const (
+		changeBytesPerMs = linkBytesPerMs * 45 / 100 // entry.watchLinkShare
+		largestConfig    = 1<<20 - 64                // with its name and version
+		grownApplyTime   = 3 * time.Second           // the users' bound where links carry 10 Mbit/s
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newModelStore()
+		store.changeBytesPerMs = changeBytesPerMs
+		fleet, stop := startFleet(t.Context(), store, func(int) bool { return false })
+		defer stop()
+		time.Sleep(5 * time.Second)
+		is.Equal(fleet.entriesAt(1), modelEntries)
+		store.configure(2, largestConfig)
+		time.Sleep(grownApplyTime)
+		inTime := fleet.entriesAt(2)
+		for start := time.Now(); fleet.entriesAt(2) < modelEntries && time.Since(start) < time.Minute; {
+			time.Sleep(50 * time.Millisecond)
+		}
+		t.Logf("%d of %d entries have it in time, all after %v", inTime, modelEntries, time.Since(store.configuredAt))
+		is.Equal(inTime, modelEntries)
+	})
+}
