Read the lists of a serving entry at the share of the link too

Cause: only watches were paced, because lists were taken for something that an entry reads before it serves. RelistAll and ErrTooOld list while it serves.

Change: a list is read at the limited rate if the directory is ready.

Evidence: TestListWhileCallersAreServedFillsTheLink failed before (1,048,670 bytes ahead of the rate, bound 40,960), now 33,281. The first list of an entry that starts keeps full speed. Lists of prompts are as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -128,6 +128,7 @@
 func (e *Entry) buildDirectory() {
 	store := platform.NewStore(e.settings.Platform.URL, platform.StoreOptions{
 		WatchBytesPerSecond: watchLinkShare * e.settings.Passthrough.LinkBytesPerSecond(),
+		Serving:             func() bool { return e.directory.Snapshot().Ready() },
 	})
 	e.prompts = promptindex.NewManager(promptindex.Options{
 		Entry: e.settings.Name,
