Let followers read a large change while their watcher still reads it

What callers saw: would see an older configuration in force for longer than allowed (CONFIG) where it is large and links are slow: the time at 45% of the link counted twice, once for the watcher and then for its followers.

Cause: a feed tells that it withholds an object only once it has the object.

Change: the store's client announces an answer that it reads at the limited rate (objects.WithLargeAnswer); the feed then withholds the kind from readers that can read the store, until the answer is applied or has failed.

Changes of 16 to 128 KB now come from the store, too; before, the first four followers had them from their watcher.

--- a/directory/feed.go
+++ b/directory/feed.go
@@ -65,6 +65,8 @@
 	// compactedRevision is the revision up to which tombstones may have been dropped. A reader that knows
 	// only an earlier revision gets a full part.
 	compactedRevision int64
+	// arriving is set while this entry reads a large change of the kind from the store, which takes seconds.
+	arriving bool
 }
 
 // feedItem is an object, or the tombstone of a removed one.
@@ -180,6 +182,19 @@
 	return f.withheld
 }
 
+// setArriving records whether this entry is reading a large change of a kind from the store. Readers that can
+// read the store themselves must not wait until it has arrived here.
+func (f *Feed) setArriving(kind string, arriving bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.kinds[kind].arriving == arriving {
+		return
+	}
+	f.kinds[kind].arriving = arriving
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // hasRecord reports whether the feed has the object or its tombstone, which it keeps for tombstoneTTL.
 func (f *Feed) hasRecord(kind, name string) bool {
 	f.mu.Lock()
@@ -208,7 +223,8 @@
 	// Wait limits the time to wait for a change.
 	Wait time.Duration
 	// OnlyChanges is set by a reader that can read the store itself: kinds for which the feed has only a
-	// full part are omitted, and so are changes that are too large to be sent to all readers.
+	// full part are omitted, and so are changes that are too large to be sent to all readers, as soon as
+	// this entry begins to read them.
 	OnlyChanges bool
 }
 
@@ -245,7 +261,7 @@
 			continue
 		}
 		since := query.Revisions[kind]
-		if query.OnlyChanges && since < k.compactedRevision {
+		if query.OnlyChanges && (since < k.compactedRevision || k.arriving) {
 			immediate = true // the reader must know without delay that it has to read the store
 			continue
 		}
--- a/directory/feed_load_test.go
+++ b/directory/feed_load_test.go
@@ -26,6 +26,7 @@
 	largeConfigBytes  = 570 << 10 // 2,800 routes
 	targetsInStore    = 224
 	targetObjectBytes = 300
+	pacedFromBytes    = 16 << 10 // platform.pacedFromBytes
 	// maxEventDelay is the users' bound on passing an event of a stream on; maxApplyTime and maxStretch are
 	// their bounds on applying a configuration, the second one added while the store turns entries away.
 	maxEventDelay = 120 * time.Millisecond
@@ -162,6 +163,9 @@
 	bytesPerMs := linkBytesPerMs
 	if limit > 0 && c.store.changeBytesPerMs > 0 {
 		bytesPerMs = c.store.changeBytesPerMs
+		if sizeOf(list.Items) > pacedFromBytes {
+			objects.NotifyLargeAnswer(ctx)
+		}
 	}
 	return list, wait.For(ctx, time.Duration(sizeOf(list.Items))*time.Millisecond/time.Duration(bytesPerMs))
 }
@@ -279,10 +283,12 @@
 		time.Sleep(5 * time.Second)
 		is.Equal(fleet.entriesAt(1), modelEntries)
 		store.configure(2, largestConfig)
-		time.Sleep(grownApplyTime)
-		inTime := fleet.entriesAt(2)
-		for start := time.Now(); fleet.entriesAt(2) < modelEntries && time.Since(start) < time.Minute; {
-			time.Sleep(50 * time.Millisecond)
+		inTime := 0
+		for time.Since(store.configuredAt) < time.Minute && fleet.entriesAt(2) < modelEntries {
+			time.Sleep(10 * time.Millisecond)
+			if time.Since(store.configuredAt) <= grownApplyTime {
+				inTime = fleet.entriesAt(2)
+			}
 		}
 		t.Logf("%d of %d entries have it in time, all after %v", inTime, modelEntries, time.Since(store.configuredAt))
 		is.Equal(inTime, modelEntries)
--- a/directory/sync.go
+++ b/directory/sync.go
@@ -172,6 +172,9 @@
 			continue
 		}
 		part, err := s.readStore(ctx, kind)
+		if err != nil {
+			s.feed.setArriving(kind, false)
+		}
 		switch {
 		case errors.Is(err, objects.ErrTooOld):
 			s.observe(Event{Kind: EventHistoryLost, Subject: kind, Revision: s.feed.Revision(kind)})
@@ -198,6 +201,7 @@
 			s.storeAnsweredOnce.Do(func() { close(s.storeAnswered) })
 		}
 		s.deliver(ctx, part)
+		s.feed.setArriving(kind, false)
 		if len(part.Objects) > 0 {
 			_ = wait.For(ctx, batchPause)
 		}
@@ -205,18 +209,20 @@
 	return nil
 }
 
-// readStore makes one call to the store.
+// readStore makes one call to the store. While it reads a large answer, the feed lets other entries read the
+// store too; the caller ends that when it has applied the part.
 func (s *syncer) readStore(ctx context.Context, kind string) (Part, error) {
+	announcing := objects.WithLargeAnswer(ctx, func() { s.feed.setArriving(kind, true) })
 	start := time.Now()
 	if s.relist[kind].Load() {
-		list, err := s.list(ctx, kind)
+		list, err := s.list(announcing, kind)
 		if err != nil {
 			return Part{}, err
 		}
 		s.relist[kind].Store(false)
 		return Part{Kind: kind, Revision: list.Revision, Full: true, Objects: list.Items, Age: time.Since(start)}, nil
 	}
-	list, err := s.store.Watch(ctx, kind, s.feed.Revision(kind), watchWait)
+	list, err := s.store.Watch(announcing, kind, s.feed.Revision(kind), watchWait)
 	return Part{Kind: kind, Revision: list.Revision, Objects: list.Items}, err
 }
 
@@ -238,6 +244,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan result)
+	ctx = objects.WithLargeAnswer(ctx, func() {}) // a call that lost could announce after the end
 	call := func() {
 		list, err := s.store.List(ctx, kind)
 		select {
--- a/internal/pace/reader.go
+++ b/internal/pace/reader.go
@@ -20,12 +20,15 @@
 	limiter *rate.Limiter
 	// free is the number of bytes that are still read at once.
 	free int
+	// onPaced is called at the first byte beyond free, and then nil.
+	onPaced func()
 }
 
 // NewReader returns a Reader that takes what exceeds free bytes from the limiter, whose burst must be at least
-// one byte. Its reads end with the error of ctx once that is done.
-func NewReader(ctx context.Context, reader io.Reader, limiter *rate.Limiter, free int) *Reader {
-	return &Reader{ctx: ctx, reader: reader, limiter: limiter, free: free}
+// one byte. Its reads end with the error of ctx once that is done. It calls onPaced when the stream proves
+// to be longer than free bytes.
+func NewReader(ctx context.Context, reader io.Reader, limiter *rate.Limiter, free int, onPaced func()) *Reader {
+	return &Reader{ctx: ctx, reader: reader, limiter: limiter, free: free, onPaced: onPaced}
 }
 
 // Read implements io.Reader.
@@ -37,6 +40,10 @@
 	}
 	n, err := r.reader.Read(buffer[:min(len(buffer), MaxReadBytes, r.limiter.Burst())])
 	if n > 0 {
+		if r.onPaced != nil {
+			r.onPaced()
+			r.onPaced = nil
+		}
 		if waitErr := r.limiter.WaitN(r.ctx, n); waitErr != nil {
 			return n, waitErr
 		}
