Ask a peer for large objects only when it has just answered

What callers would see: an entry that the store does not answer stays unready, or on old targets, for 5.65 s for each frozen peer that it asks in turn.

Cause: each call of an entry without the store had the timeout of a large transfer, also to peers that don't answer at all.

Change: the query for changes, which takes 0.65 s at most, comes first; large objects are requested if its answer withholds them.

Evidence: TestFrozenPeerHoldsUpEntryWithoutStore: ready after 6.5 s before, now 1.5 s. A peer that freezes amid a large transfer still takes 5.65 s.

--- a/directory/sync.go
+++ b/directory/sync.go
@@ -352,17 +352,23 @@
 	errWithheld = errors.New("the peer has less, or withholds large objects")
 )
 
-// readPeer queries the feed of one peer and applies its parts; these are correct even if they are old. It
-// returns an error if the feed is not fresh.
+// readPeer reads the feed of one peer. It requests large objects, with a timeout that fits their size, only from
+// a peer that has just answered: one that is frozen would hold up the queries of the others.
 func (s *syncer) readPeer(ctx context.Context, peer membership.Peer) error {
-	query := FeedQuery{Revisions: make(map[string]int64, len(kinds)), Wait: peerWait, OnlyChanges: !s.storeSilent()}
+	err := s.queryPeer(ctx, peer, true, peerWait+peerTimeout)
+	if errors.Is(err, errWithheld) && s.storeSilent() {
+		err = s.queryPeer(ctx, peer, false, peerWait+peerTimeout+peerTransferTimeout)
+	}
+	return err
+}
+
+// queryPeer queries the feed of one peer and applies its parts; these are correct even if they are old. It
+// returns an error if the feed is not fresh.
+func (s *syncer) queryPeer(ctx context.Context, peer membership.Peer, onlyChanges bool, timeout time.Duration) error {
+	query := FeedQuery{Revisions: make(map[string]int64, len(kinds)), Wait: peerWait, OnlyChanges: onlyChanges}
 	for _, kind := range kinds {
 		query.Revisions[kind] = s.feed.Revision(kind)
 	}
-	timeout := peerWait + peerTimeout
-	if !query.OnlyChanges {
-		timeout += peerTransferTimeout
-	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	parts, err := s.peers.Since(ctx, peer, query)
