--- a/directory/feedbudget_test.go
+++ b/directory/feedbudget_test.go
@@ -45,3 +45,26 @@
 		})
 	}
 }
+
+// During a wave of small changes, an entry without the store must still get its turn.
+func TestSmallAnswersStarveReadersWithoutStore(t *testing.T) {
+	const (
+		readers    = followersPerWatcher
+		duration   = time.Minute
+		maxWaiting = 5 * time.Second // the longest debt: one object of a megabyte
+	)
+	is := is.New(t)
+	var budget feedBudget
+	now := testStart
+	for ; now.Sub(testStart) < duration; now = now.Add(batchPause) {
+		for range readers {
+			is.True(budget.take(smallAnswerBytes, true, now))
+		}
+	}
+	end := now
+	for !budget.take(smallAnswerBytes+1, false, now) {
+		now = now.Add(peerPollInterval)
+	}
+	t.Logf("a reader without the store waits %v", now.Sub(end))
+	is.True(now.Sub(end) <= maxWaiting)
+}
