Do not charge small answers that exceed a feed's budget

Cause: answers of up to 4 KB always pass, and each deepened the debt, without a bound.

Change: they pass without charge when the budget does not allow them. What a feed sends is then bounded by its rate plus that of the small changes, as before.

--- a/directory/feedbudget.go
+++ b/directory/feedbudget.go
@@ -34,8 +34,8 @@
 	if readerHasStore {
 		allowed = b.bytes >= float64(size)
 	}
-	if !allowed && size > smallAnswerBytes {
-		return false
+	if !allowed {
+		return size <= smallAnswerBytes // without charge: a wave of them would starve readers without the store
 	}
 	b.bytes -= float64(size)
 	return true
