Failing tests: an entry that is cut off gives up its streams

The tests play what the timeline shows: for some seconds no connection of the entry is accepted, and open streams deliver nothing until it is over.

--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -32,11 +32,56 @@
 	scripts     map[string][]script
 	attempts    []RelayAttempt
 	unreachable map[string]bool
-	copies      int
-	closed      int
+	// outageFrom and outageUntil limit the time in which the entry itself is cut off: connections
+	// time out, and events of open streams arrive after it. Zero for none.
+	outageFrom, outageUntil time.Time
+	// breakDuringOutage has open streams report their end during the outage.
+	breakDuringOutage bool
+	probes            int
+	copies            int
+	closed            int
+}
+
+// fakeDialTimeout is the time after which an attempt ends whose connection is not accepted.
+const fakeDialTimeout = 200 * time.Millisecond
+
+// startOutage cuts the entry off from now on for a time.
+func (e *scriptedEngine) startOutage(length time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.outageFrom, e.outageUntil = time.Now(), time.Now().Add(length)
+}
+
+// outageLeft returns how long the entry stays cut off; 0 when it is not.
+func (e *scriptedEngine) outageLeft() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.outageFrom.IsZero() || time.Now().Before(e.outageFrom) {
+		return 0
+	}
+	return max(0, time.Until(e.outageUntil))
 }
 
 func (e *scriptedEngine) Open(ctx context.Context, attempt RelayAttempt) (RelayStream, error) {
+	if e.outageLeft() > 0 {
+		return nil, e.timeOut(ctx, attempt)
+	}
+	return e.accept(ctx, attempt)
+}
+
+// timeOut is an attempt whose connection is not accepted.
+func (e *scriptedEngine) timeOut(ctx context.Context, attempt RelayAttempt) error {
+	e.mu.Lock()
+	e.attempts = append(e.attempts, attempt)
+	e.mu.Unlock()
+	select {
+	case <-time.After(fakeDialTimeout):
+	case <-ctx.Done():
+	}
+	return &RelayRefusedError{Unreachable: ctx.Err() == nil, Cause: errors.New("i/o timeout")}
+}
+
+func (e *scriptedEngine) accept(ctx context.Context, attempt RelayAttempt) (RelayStream, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.attempts = append(e.attempts, attempt)
@@ -60,8 +105,16 @@
 
 func (e *scriptedEngine) FreeCopy(context.Context, *directory.Target, string) error { return nil }
 
-func (e *scriptedEngine) Probe(_ context.Context, target *directory.Target) error {
-	if e.unreachable[target.ID] {
+func (e *scriptedEngine) Probe(ctx context.Context, target *directory.Target) error {
+	e.mu.Lock()
+	e.probes++
+	unreachable := e.unreachable[target.ID]
+	e.mu.Unlock()
+	if e.outageLeft() > 0 {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if unreachable {
 		return errors.New("no answer")
 	}
 	return nil
@@ -88,6 +141,15 @@
 	case <-s.ctx.Done():
 		return RelayEvent{}, s.ctx.Err()
 	}
+	var outage time.Duration
+	if len(s.script.events) > 0 || !s.engine.breakDuringOutage {
+		outage = s.engine.outageLeft()
+	}
+	select {
+	case <-time.After(outage):
+	case <-s.ctx.Done():
+		return RelayEvent{}, s.ctx.Err()
+	}
 	if len(s.script.events) == 0 {
 		return RelayEvent{}, s.script.end
 	}
