An entry that is cut off judges no target

Cause: a probe that failed was taken for the death of its target, whatever the reason. While the entry's own link was full all probes failed, so the streams of all engines of all zones ended as silent at once.

Evidence, before: TestStreamStaysAtItsEngineWhileEntryIsCutOff ends with 'generation: stream can't be continued', each time.

Change: a probe without an answer after 20 ms is repeated, beside a control check: probes of two targets in different zones, and of different services where there are any. Only if a control target answers is the target found silent. Otherwise the verdict is withheld, the stream stays and goes on probing. All streams share the check; one runs at a time, and it serves every probe that was sent before it. Why it works: - The repetition and the control probes are sent at the same moment, and the target has 100 ms where the control targets have 60: as the link's delay grows, the control check fails first. - A stream counts as stalled only while its target answers probes, and its silence counts anew once connectivity is back. An outage is no gap between events, which would make detection numb afterwards. - While connectivity is lost, broken or refused connections put no loss on the target and no crash on the request. - A pause of this process in the midst of the probes withholds the verdict as well. - A refusal by the target's host shows that the entry reaches it: silent at once, as before, without a check. - A service with one target, and no other streams at the entry, has no control target: as before. connectivity-lost and -regained go to the log, ConnectivityLosses counts.

Tests: the fake engine can be dark, refuse, be slow.

--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
@@ -45,7 +46,11 @@
 
 // Probe implements generation.RelayEngine.
 func (t *Targets) Probe(ctx context.Context, target *directory.Target) error {
-	return t.pool.Connect(ctx, target.Key(), target.Address)
+	err := t.pool.Connect(ctx, target.Key(), target.Address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return fmt.Errorf("%w: %w", generation.ErrProbeRefused, err)
+	}
+	return err
 }
 
 // Open implements generation.RelayEngine.
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -33,9 +33,10 @@
 // after the last event, from a KV cache copy if there is one. No state of a stream outlives its
 // caller's connection. It is safe for concurrent use.
 type Relay struct {
-	options  RelayOptions
-	monitors *targetMonitors
-	stats    Stats
+	options      RelayOptions
+	connectivity *connectivity
+	monitors     *targetMonitors
+	stats        Stats
 }
 
 // NewRelay returns a Relay.
@@ -52,7 +53,10 @@
 	if options.AddressMismatch == nil {
 		options.AddressMismatch = func(*directory.Target, string) {}
 	}
-	return &Relay{options: options, monitors: newTargetMonitors()}
+	r := &Relay{options: options}
+	r.connectivity = newConnectivity(connectivityOptions{connect: options.Engine.Probe, log: options.Log, stats: &r.stats})
+	r.monitors = newTargetMonitors(r.connectivity, options.Targets)
+	return r
 }
 
 // Stats returns the counters.
@@ -144,6 +148,18 @@
 	}
 }
 
+func (run *relayRun) controlCandidates() []*directory.Target {
+	return run.relay.monitors.controlCandidates(run.request.Service)
+}
+
+// checkRegained starts a check for regained connectivity, unless one was started just before.
+func (run *relayRun) checkRegained(suspect *directory.Target) {
+	shared := run.relay.connectivity
+	if now := time.Now(); shared.claimRegainCheck(now) {
+		go shared.checkLost(suspect, run.controlCandidates, now)
+	}
+}
+
 // errBudgetSpent: the service's retry budget allows no further attempt.
 var errBudgetSpent = errors.New("generation: retry budget spent")
 
@@ -359,6 +375,10 @@
 		run.mayHaveRun = true
 		run.exclude = append(run.exclude, a.target.ID)
 		run.relay.stats.Broken.Add(1)
+		if run.relay.connectivity.isLost() {
+			// The connection broke at this end.
+			break
+		}
 		placer.ReportLost(a.target)
 		if a.eventCount == 0 && ending == endingBroken {
 			run.crashRecorded = true
@@ -388,6 +408,10 @@
 		if run.attempts > 1 {
 			run.relay.options.Budget.Refund(run.request.Service)
 		}
+		if run.relay.connectivity.isLost() {
+			run.checkRegained(target)
+			return
+		}
 		run.relay.options.Placer.ReportLost(target)
 	case errors.As(err, &refused) && refused.AddressMismatch:
 		run.relay.options.AddressMismatch(target, refused.FoundID)
@@ -431,7 +455,8 @@
 	timer := time.NewTimer(minFirstProbeDelay)
 	defer timer.Stop()
 	var probeDone <-chan struct{}
-	lastProbe := a.lastProgress
+	var lastProbe time.Time
+	var probeAnswered bool
 	for {
 		select {
 		case message := <-a.messages:
@@ -439,12 +464,11 @@
 			if ended {
 				return ending, err
 			}
-			lastProbe = a.lastProgress
 		case <-a.monitor.unreachable:
 			return endingSilent, errProbeFailed
 		case <-probeDone:
 			probeDone = nil
-			lastProbe = time.Now()
+			lastProbe, probeAnswered = time.Now(), a.run.relay.monitors.lastProbeAnswered(a.monitor)
 		case result := <-a.copier.results:
 			a.copier.handleResult(result, time.Now())
 		case <-timer.C:
@@ -453,20 +477,29 @@
 		}
 		now := time.Now()
 		a.copier.checkCopy(ctx, now)
-		limits := silenceLimitsFor(a.run.request, a.eventCount > 0, &a.gaps)
-		silence := now.Sub(a.lastProgress)
-		if silence >= limits.stallTimeout {
+		step := judgeSilence(silenceInput{
+			limits:  silenceLimitsFor(a.run.request, a.eventCount > 0, &a.gaps),
+			silence: a.silence(now), sinceProbe: now.Sub(lastProbe), hasProbe: lastProbe.After(a.lastProgress),
+			probeAnswered: probeAnswered,
+		})
+		if step.stalled {
 			return endingStalled, errStalled
 		}
-		nextProbeAt := a.lastProgress.Add(limits.probeAfter)
-		if lastProbe.After(a.lastProgress) {
-			nextProbeAt = lastProbe.Add(limits.probeInterval)
-		}
-		if probeDone == nil && !now.Before(nextProbeAt) {
+		if probeDone == nil && (step.probeIn <= 0 || a.run.relay.connectivity.claimRegainCheck(now)) {
 			probeDone = a.probe()
 		}
-		timer.Reset(max(minTimerDelay, min(nextProbeAt.Sub(now), limits.stallTimeout-silence)))
+		timer.Reset(max(minTimerDelay, step.checkIn))
+	}
+}
+
+// silence returns how long the target has been silent. The time in which the entry's own connectivity was lost
+// does not count.
+func (a *activeAttempt) silence(now time.Time) time.Duration {
+	since := a.lastProgress
+	if regained := a.run.relay.connectivity.lastRegained(); regained.After(since) {
+		since = regained
 	}
+	return now.Sub(since)
 }
 
 // errProbeFailed and errStalled are the causes of an attempt that ended as silent or stalled.
@@ -476,10 +509,7 @@
 )
 
 func (a *activeAttempt) probe() <-chan struct{} {
-	engine := a.run.relay.options.Engine
-	target := a.target
-	connect := func(ctx context.Context) error { return engine.Probe(ctx, target) }
-	return a.run.relay.monitors.probe(a.monitor, connect, probeTimeout)
+	return a.run.relay.monitors.probe(a.monitor, a.run.request.Service)
 }
 
 // contextEnding returns the ending for a request whose context is done.
@@ -509,10 +539,11 @@
 		run.relay.options.Placer.ReportAlive(a.target)
 		return 0, false, nil
 	}
-	if a.eventCount > 0 {
-		a.gaps.Observe(now.Sub(a.lastProgress))
-	} else {
+	switch {
+	case a.eventCount == 0:
 		run.clearCrashes()
+	case !run.relay.connectivity.wasLostSince(a.lastProgress):
+		a.gaps.Observe(now.Sub(a.lastProgress))
 	}
 	a.eventCount++
 	a.lastProgress = now
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -32,14 +32,26 @@
 	scripts     map[string][]script
 	attempts    []RelayAttempt
 	unreachable map[string]bool
+	// dark targets answer nothing: probes of them time out.
+	dark map[string]bool
+	// refused targets have a host that refuses connections.
+	refused map[string]bool
+	// probeDelay is how long a target takes to answer a probe.
+	probeDelay map[string]time.Duration
+	// failProbes is the number of next probes that fail.
+	failProbes int
 	// outageFrom and outageUntil limit the time in which the entry itself is cut off: connections
 	// time out, and events of open streams arrive after it. Zero for none.
 	outageFrom, outageUntil time.Time
+	// eventDelay is how long after the outage the events of open streams arrive.
+	eventDelay time.Duration
 	// breakDuringOutage has open streams report their end during the outage.
 	breakDuringOutage bool
-	probes            int
-	copies            int
-	closed            int
+	// openDuringOutage is the number of attempts that reach their targets in spite of the outage.
+	openDuringOutage int
+	probes           int
+	copies           int
+	closed           int
 }
 
 // fakeDialTimeout is the time after which an attempt ends whose connection is not accepted.
@@ -52,6 +64,12 @@
 	e.outageFrom, e.outageUntil = time.Now(), time.Now().Add(length)
 }
 
+func (e *scriptedEngine) setDark(target string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dark[target] = true
+}
+
 // outageLeft returns how long the entry stays cut off; 0 when it is not.
 func (e *scriptedEngine) outageLeft() time.Duration {
 	e.mu.Lock()
@@ -63,7 +81,11 @@
 }
 
 func (e *scriptedEngine) Open(ctx context.Context, attempt RelayAttempt) (RelayStream, error) {
-	if e.outageLeft() > 0 {
+	e.mu.Lock()
+	passes := e.openDuringOutage > 0
+	e.openDuringOutage = max(0, e.openDuringOutage-1)
+	e.mu.Unlock()
+	if e.outageLeft() > 0 && !passes {
 		return nil, e.timeOut(ctx, attempt)
 	}
 	return e.accept(ctx, attempt)
@@ -108,9 +130,19 @@
 func (e *scriptedEngine) Probe(ctx context.Context, target *directory.Target) error {
 	e.mu.Lock()
 	e.probes++
-	unreachable := e.unreachable[target.ID]
+	unreachable, dark := e.unreachable[target.ID] || e.failProbes > 0, e.dark[target.ID]
+	e.failProbes = max(0, e.failProbes-1)
+	refused, delay := e.refused[target.ID], e.probeDelay[target.ID]
 	e.mu.Unlock()
-	if e.outageLeft() > 0 {
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if refused {
+		return ErrProbeRefused
+	}
+	if dark || e.outageLeft() > 0 {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -143,7 +175,9 @@
 	}
 	var outage time.Duration
 	if len(s.script.events) > 0 || !s.engine.breakDuringOutage {
-		outage = s.engine.outageLeft()
+		if outage = s.engine.outageLeft(); outage > 0 {
+			outage += s.engine.eventDelay
+		}
 	}
 	select {
 	case <-time.After(outage):
@@ -259,7 +293,7 @@
 
 func newRelayFixture(scripts map[string][]script) *relayFixture {
 	f := &relayFixture{
-		engine: &scriptedEngine{scripts: scripts, unreachable: map[string]bool{}},
+		engine: &scriptedEngine{scripts: scripts, unreachable: map[string]bool{}, dark: map[string]bool{}},
 		placer: &firstPlacer{},
 		budget: &countedRetries{left: 10},
 	}
--- a/generation/relaydecide.go
+++ b/generation/relaydecide.go
@@ -102,8 +102,6 @@
 	firstProbeShare = 0.125
 	// silentProbeInterval is the time between probes of a target that stays silent between events.
 	silentProbeInterval = 300 * time.Millisecond
-	// probeTimeout limits a probe: several round trips.
-	probeTimeout = 60 * time.Millisecond
 	// defaultGapObjective and defaultFirstEventObjective apply to routes without objectives.
 	defaultGapObjective        = 2 * time.Second
 	defaultFirstEventObjective = 10 * time.Second
@@ -137,3 +135,53 @@
 }
 
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
+// silenceInput is what the judgement of an attempt's silence depends on.
+type silenceInput struct {
+	limits silenceLimits
+	// silence is the time since the last event, or since connectivity was regained after it.
+	silence time.Duration
+	// sinceProbe is the time since the latest probe after the last event has ended; hasProbe is false if there
+	// was none.
+	sinceProbe time.Duration
+	hasProbe   bool
+	// probeAnswered reports whether that probe was answered.
+	probeAnswered bool
+}
+
+// silenceStep is the judgement of an attempt's silence.
+type silenceStep struct {
+	stalled bool
+	// probeIn is the time until the next probe, and checkIn until the next judgement, also while a probe is in
+	// progress. They are not positive if it is due.
+	probeIn, checkIn time.Duration
+}
+
+// maxAnswerAge is the age up to which an answered probe shows that a target is reachable whose stream is
+// about to be moved as stalled.
+const maxAnswerAge = silentProbeInterval
+
+// judgeSilence decides whether a stream is stalled, and when the target is to be probed. A stream stalls only
+// at a target that answers: otherwise the silence may be the entry's own loss of connectivity.
+func judgeSilence(in silenceInput) silenceStep {
+	due := in.silence >= in.limits.stallTimeout
+	if due && in.hasProbe && in.probeAnswered && in.sinceProbe <= maxAnswerAge {
+		return silenceStep{stalled: true}
+	}
+	interval := in.limits.probeInterval
+	if due {
+		interval = min(interval, silentProbeInterval)
+	}
+	probeIn := interval - in.sinceProbe
+	if !in.hasProbe {
+		probeIn = min(in.limits.probeAfter, in.limits.stallTimeout) - in.silence
+	}
+	switch {
+	case probeIn <= 0:
+		// The end of the probe leads to the next judgement.
+		return silenceStep{probeIn: probeIn, checkIn: interval}
+	case due:
+		return silenceStep{probeIn: probeIn, checkIn: probeIn}
+	}
+	return silenceStep{probeIn: probeIn, checkIn: min(probeIn, in.limits.stallTimeout-in.silence)}
+}
--- a/generation/relaymonitor.go
+++ b/generation/relaymonitor.go
@@ -1,9 +1,9 @@
 package generation
 
 import (
-	"context"
+	"maps"
+	"slices"
 	"sync"
-	"time"
 
 	"github.com/azurebarrow/azurebarrow/directory"
 )
@@ -12,6 +12,10 @@
 // stopped answering. All streams of an entry at a target share the monitor: a probe that fails for
 // one of them moves the others too. It is safe for concurrent use.
 type targetMonitors struct {
+	connectivity *connectivity
+	// targets returns the targets of a service that accept new work.
+	targets func(service string) []*directory.Target
+
 	mu       sync.Mutex
 	monitors map[string]*targetMonitor
 }
@@ -19,15 +23,18 @@
 // targetMonitor monitors one incarnation of a target while streams are open there.
 type targetMonitor struct {
 	key       string
+	target    *directory.Target
 	streams   int
 	probeDone chan struct{} // closed when the probe in progress ends
-	// unreachable is closed when a probe of the target failed.
+	// answered reports whether the latest probe was answered.
+	answered bool
+	// unreachable is closed when the target is found unreachable.
 	unreachable   chan struct{}
 	isUnreachable bool
 }
 
-func newTargetMonitors() *targetMonitors {
-	return &targetMonitors{monitors: map[string]*targetMonitor{}}
+func newTargetMonitors(shared *connectivity, targets func(string) []*directory.Target) *targetMonitors {
+	return &targetMonitors{connectivity: shared, targets: targets, monitors: map[string]*targetMonitor{}}
 }
 
 // acquire returns the target's monitor and counts one more stream.
@@ -37,7 +44,7 @@
 	key := target.Key()
 	monitor := m.monitors[key]
 	if monitor == nil || monitor.isUnreachable {
-		monitor = &targetMonitor{key: key, unreachable: make(chan struct{})}
+		monitor = &targetMonitor{key: key, target: target, unreachable: make(chan struct{})}
 		m.monitors[key] = monitor
 	}
 	monitor.streams++
@@ -63,9 +70,23 @@
 	}
 }
 
+// controlCandidates returns the targets that a control check may probe: those of the service, and those with
+// open streams, which also belong to other services.
+func (m *targetMonitors) controlCandidates(service string) []*directory.Target {
+	candidates := slices.Clone(m.targets(service))
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, key := range slices.Sorted(maps.Keys(m.monitors)) {
+		if monitor := m.monitors[key]; !monitor.isUnreachable {
+			candidates = append(candidates, monitor.target)
+		}
+	}
+	return candidates
+}
+
 // probe starts a probe of the target, or joins the one in progress. The channel is closed when it
-// ends; if the target did not answer, the monitor is marked unreachable by then.
-func (m *targetMonitors) probe(monitor *targetMonitor, connect func(context.Context) error, timeout time.Duration) <-chan struct{} {
+// ends; if the target was found unreachable, the monitor is marked so by then.
+func (m *targetMonitors) probe(monitor *targetMonitor, service string) <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if monitor.probeDone != nil {
@@ -74,16 +95,22 @@
 	done := make(chan struct{})
 	monitor.probeDone = done
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), timeout)
-		defer cancel()
-		err := connect(ctx)
-		if err != nil {
+		found := m.connectivity.examine(monitor.target, func() []*directory.Target { return m.controlCandidates(service) })
+		if found == unreachable {
 			m.markUnreachable(monitor)
 		}
 		m.mu.Lock()
 		monitor.probeDone = nil
+		monitor.answered = found == reachable
 		m.mu.Unlock()
 		close(done)
 	}()
 	return done
 }
+
+// lastProbeAnswered reports whether the latest probe of the target was answered.
+func (m *targetMonitors) lastProbeAnswered(monitor *targetMonitor) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return monitor.answered
+}
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -79,7 +79,8 @@
 	CopyKVCache(ctx context.Context, source *directory.Target, run string, to *directory.Target) (name string, err error)
 	// FreeCopy deletes a copy that was made by CopyKVCache.
 	FreeCopy(ctx context.Context, source *directory.Target, name string) error
-	// Probe probes the target: it returns nil if the target accepts a connection.
+	// Probe probes the target: it returns nil if the target accepts a connection, and an error that wraps
+	// ErrProbeRefused if the target's host answers that it accepts none.
 	Probe(ctx context.Context, target *directory.Target) error
 }
 
