Attempts that never left a cut-off entry end no begun stream

Cause: an attempt whose connection timed out counted as one of twelve, and held a retry of the budget for the 200 ms, though the entry's own link was full and nothing had reached a target.

Change: when an attempt of a stream that its caller has in part was not sent, the shared control check tells why. If no control target answers, the attempt ends as 'unsent': it doesn't count, its retry goes back to the budget, its KV cache copy is kept and its target is neither excluded nor reported as lost. The stream then waits, from 50 to 300 ms between checks, until connectivity is back, its deadline passes or its caller leaves; it takes its next retry from the budget only after that. Begun streams whose attempts end while connectivity is known to be lost wait before the first dial. A stream of which the caller has nothing yet is treated as before.

Tests: nextStep's table has the new ending.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -74,6 +74,8 @@
 	// attempts counts all attempts; attemptsRun those that a target may have run, except those
 	// whose target was lost.
 	attempts, attemptsRun int
+	// unsentAttempts counts the attempts since the last one that left this process.
+	unsentAttempts int
 	// mayHaveRun is true once a target may have run the request.
 	mayHaveRun bool
 	// kvCopy is the KV cache copy from which the next attempt resumes; nil for none. releaseCopy
@@ -123,6 +125,9 @@
 		if err := run.rejectPoison(); err != nil {
 			return err
 		}
+		if err := run.awaitConnectivity(ctx); err != nil {
+			return run.finalError(contextEnding(ctx), err)
+		}
 		target := run.chooseTarget()
 		if target == nil {
 			return run.failureError(ErrNoTarget)
@@ -148,10 +153,29 @@
 	}
 }
 
+// awaitConnectivity has a stream that its caller has in part wait while the entry's own connectivity is lost:
+// an attempt would fail, and hold a part of the retry budget meanwhile.
+func (run *relayRun) awaitConnectivity(ctx context.Context) error {
+	if !run.headSent || (run.unsentAttempts == 0 && !run.relay.connectivity.isLost()) {
+		return nil
+	}
+	return run.relay.connectivity.awaitRegained(ctx, run.controlCandidates, regainBackoff(run.unsentAttempts))
+}
+
 func (run *relayRun) controlCandidates() []*directory.Target {
 	return run.relay.monitors.controlCandidates(run.request.Service)
 }
 
+// isUnsent reports whether nothing of an attempt left this process because the entry's own connectivity is
+// lost. It checks only for a stream that its caller has in part: any other one needs its answer soon.
+func (run *relayRun) isUnsent(a *activeAttempt, ending relayEnding, err error) bool {
+	var refused *RelayRefusedError
+	if !run.headSent || ending != endingRefused || !errors.As(err, &refused) || !refused.Unreachable {
+		return false
+	}
+	return run.relay.connectivity.checkLost(a.target, run.controlCandidates, a.startedAt)
+}
+
 // checkRegained starts a check for regained connectivity, unless one was started just before.
 func (run *relayRun) checkRegained(suspect *directory.Target) {
 	shared := run.relay.connectivity
@@ -304,6 +328,11 @@
 	// stream.
 	cancel()
 	a.copier.finish(ending == endingComplete)
+	if run.isUnsent(a, ending, err) {
+		run.recordUnsent(attempt)
+		return endingUnsent, err
+	}
+	run.unsentAttempts = 0
 	run.recordOutcome(a, ending, err)
 	if ending == endingRefused {
 		run.awaitReplacementHolder(ctx, attempt.Copy, err)
@@ -400,6 +429,15 @@
 	}
 }
 
+// recordUnsent takes back what an attempt counted that never left this process.
+func (run *relayRun) recordUnsent(attempt RelayAttempt) {
+	run.attempts--
+	run.unsentAttempts++
+	run.relay.options.Budget.Refund(run.request.Service)
+	run.discardCopy()
+	run.kvCopy = attempt.Copy
+}
+
 func (run *relayRun) recordRefusal(target *directory.Target, err error) {
 	run.exclude = append(run.exclude, target.ID)
 	var refused *RelayRefusedError
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -579,6 +579,8 @@
 		{"refused with attempts used up", func(in *retryInput) { in.ending, in.attemptsRun = endingRefused, 3 }, stepRetry},
 		{"no time left", func(in *retryInput) { in.ending, in.remaining = endingBroken, minAttemptTime/2 }, stepFinish},
 		{"too many attempts", func(in *retryInput) { in.ending, in.attempts = endingRefused, maxTotalAttempts }, stepFinish},
+		{"unsent with attempts used up", func(in *retryInput) { in.ending, in.attempts = endingUnsent, maxTotalAttempts }, stepRetry},
+		{"unsent, no time left", func(in *retryInput) { in.ending, in.remaining = endingUnsent, minAttemptTime/2 }, stepFinish},
 		{"deadline", func(in *retryInput) { in.ending = endingDeadline }, stepFinish},
 		{"caller disconnected", func(in *retryInput) { in.ending = endingCallerDisconnected }, stepFinish},
 	} {
--- a/generation/relayconnectivity.go
+++ b/generation/relayconnectivity.go
@@ -144,8 +144,25 @@
 	pausedExaminationTime = 2 * targetProbeTimeout
 	// lossEvidenceTTL is how long an unanswered control check shows that connectivity is lost.
 	lossEvidenceTTL = time.Second
+	// minRegainBackoff and maxRegainBackoff limit the delay between the checks of streams that wait for
+	// connectivity. The caller should get its next event soon after it is back.
+	minRegainBackoff = 50 * time.Millisecond
+	maxRegainBackoff = 300 * time.Millisecond
 )
 
+// regainBackoff returns the delay before a stream tries again that has made a number of attempts of which
+// nothing left this process.
+func regainBackoff(unsentAttempts int) time.Duration {
+	if unsentAttempts == 0 {
+		return 0
+	}
+	backoff := minRegainBackoff
+	for range unsentAttempts - 1 {
+		backoff = min(2*backoff, maxRegainBackoff)
+	}
+	return backoff
+}
+
 // connectivityOptions configure a connectivity.
 type connectivityOptions struct {
 	// connect opens a connection to a target.
@@ -379,3 +396,20 @@
 	c.recordLoss(check)
 	return true
 }
+
+// awaitRegained waits for a delay and then until connectivity is not lost, or returns the error of ctx.
+func (c *connectivity) awaitRegained(ctx context.Context, candidates func() []*directory.Target, delay time.Duration) error {
+	for {
+		timer := time.NewTimer(delay)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+		if !c.isLost() || !c.checkLost(nil, candidates, time.Now()) {
+			return ctx.Err()
+		}
+		delay = min(max(2*delay, minRegainBackoff), maxRegainBackoff)
+	}
+}
--- a/generation/relayconnectivity_test.go
+++ b/generation/relayconnectivity_test.go
@@ -1,6 +1,7 @@
 package generation
 
 import (
+	"context"
 	"errors"
 	"io"
 	"slices"
@@ -64,6 +65,27 @@
 	})
 }
 
+// Guards against an attempt for a caller that left while its stream waited for connectivity.
+func TestCallerThatLeavesCutOffEntryEndsItsStreamAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRelayFixture(map[string][]script{
+			"a": {{events: eventsUpTo(3), pause: 30 * time.Millisecond, end: io.ErrUnexpectedEOF}},
+			"c": {{events: []int64{4}, end: io.EOF}},
+		})
+		f.engine.breakDuringOutage = true
+		time.AfterFunc(100*time.Millisecond, func() { f.engine.startOutage(3 * time.Second) })
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		start := time.Now()
+		is.Equal(f.relay.Run(ctx, relayRequest(), &recordingSink{}), ErrCallerDisconnected)
+		is.True(time.Since(start) <= time.Second+probeTimeout)
+		attempts := len(f.engine.attempts)
+		time.Sleep(5 * time.Second)
+		is.Equal(len(f.engine.attempts), attempts)
+	})
+}
+
 // setZones gives the fixture targets in availability zones, by ID.
 func (f *relayFixture) setZones(zones ...[2]string) {
 	f.openTargets = nil
@@ -397,3 +419,11 @@
 		is.True(c.isLost())
 	})
 }
+
+func TestRegainBackoff(t *testing.T) {
+	is := is.New(t)
+	is.Equal(regainBackoff(0), time.Duration(0))
+	is.Equal(regainBackoff(1), minRegainBackoff)
+	is.Equal(regainBackoff(2), 2*minRegainBackoff)
+	is.Equal(regainBackoff(100), maxRegainBackoff)
+}
--- a/generation/relaydecide.go
+++ b/generation/relaydecide.go
@@ -20,6 +20,8 @@
 	endingBroken
 	// endingSilent: the stream was silent and the target accepted no probe.
 	endingSilent
+	// endingUnsent: nothing of the attempt left this process, because the entry's own connectivity is lost.
+	endingUnsent
 	// endingStalled: the target accepts probes, but the stream makes no progress.
 	endingStalled
 	// endingDeadline and endingCallerDisconnected: the request itself is over.
@@ -29,7 +31,7 @@
 
 // String returns the ending's name in logs.
 func (e relayEnding) String() string {
-	return [...]string{"complete", "refused", "answered", "broken", "silent", "stalled", "deadline", "caller-gone"}[e]
+	return [...]string{"complete", "refused", "answered", "broken", "silent", "unsent", "stalled", "deadline", "caller-gone"}[e]
 }
 
 // retryInput is what the decision to retry depends on.
@@ -67,6 +69,12 @@
 	switch in.ending {
 	case endingComplete, endingDeadline, endingCallerDisconnected:
 		return stepFinish
+	case endingUnsent:
+		// No limit of attempts: nothing reached a target, and a retry waits for connectivity.
+		if in.remaining < minAttemptTime {
+			return stepFinish
+		}
+		return stepRetry
 	case endingRefused:
 	default:
 		if !in.resumable || in.attemptsRun >= in.maxAttempts {
