--- a/entry/observe.go
+++ b/entry/observe.go
@@ -82,6 +82,7 @@
 	m.AddCounter("attempts", stats.Attempts.Load)
 	m.AddCounter("streams_broken", stats.Broken.Load)
 	m.AddCounter("streams_stalled", stats.Suspicions.Load)
+	m.AddCounter("connectivity_losses", stats.ConnectivityLosses.Load)
 	m.AddCounter("events_relayed", stats.Accepted.Load)
 	m.AddCounter("events_duplicate", stats.Duplicate.Load)
 	m.AddCounter("event_gaps", stats.Gap.Load)
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -32,11 +32,78 @@
 	scripts     map[string][]script
 	attempts    []RelayAttempt
 	unreachable map[string]bool
-	copies      int
-	closed      int
+	// dark targets answer nothing: probes of them time out.
+	dark map[string]bool
+	// refused targets have a host that refuses connections.
+	refused map[string]bool
+	// probeDelay is how long a target takes to answer a probe.
+	probeDelay map[string]time.Duration
+	// failProbes is the number of next probes that fail.
+	failProbes int
+	// outageFrom and outageUntil limit the time in which the entry itself is cut off: connections
+	// time out, and events of open streams arrive after it. Zero for none.
+	outageFrom, outageUntil time.Time
+	// eventDelay is how long after the outage the events of open streams arrive.
+	eventDelay time.Duration
+	// breakDuringOutage has open streams report their end during the outage.
+	breakDuringOutage bool
+	// openDuringOutage is the number of attempts that reach their targets in spite of the outage.
+	openDuringOutage int
+	probes           int
+	copies           int
+	closed           int
+}
+
+// fakeDialTimeout is the time after which an attempt ends whose connection is not accepted.
+const fakeDialTimeout = 200 * time.Millisecond
+
+// startOutage cuts the entry off from now on for a time.
+func (e *scriptedEngine) startOutage(length time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.outageFrom, e.outageUntil = time.Now(), time.Now().Add(length)
+}
+
+func (e *scriptedEngine) setDark(target string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dark[target] = true
+}
+
+// outageLeft returns how long the entry stays cut off; 0 when it is not.
+func (e *scriptedEngine) outageLeft() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.outageFrom.IsZero() || time.Now().Before(e.outageFrom) {
+		return 0
+	}
+	return max(0, time.Until(e.outageUntil))
 }
 
 func (e *scriptedEngine) Open(ctx context.Context, attempt RelayAttempt) (RelayStream, error) {
+	e.mu.Lock()
+	passes := e.openDuringOutage > 0
+	e.openDuringOutage = max(0, e.openDuringOutage-1)
+	e.mu.Unlock()
+	if e.outageLeft() > 0 && !passes {
+		return nil, e.timeOut(ctx, attempt)
+	}
+	return e.accept(ctx, attempt)
+}
+
+// timeOut is an attempt whose connection is not accepted.
+func (e *scriptedEngine) timeOut(ctx context.Context, attempt RelayAttempt) error {
+	e.mu.Lock()
+	e.attempts = append(e.attempts, attempt)
+	e.mu.Unlock()
+	select {
+	case <-time.After(fakeDialTimeout):
+	case <-ctx.Done():
+	}
+	return &RelayRefusedError{Unreachable: ctx.Err() == nil, Cause: errors.New("i/o timeout")}
+}
+
+func (e *scriptedEngine) accept(ctx context.Context, attempt RelayAttempt) (RelayStream, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.attempts = append(e.attempts, attempt)
@@ -60,8 +127,26 @@
 
 func (e *scriptedEngine) FreeCopy(context.Context, *directory.Target, string) error { return nil }
 
-func (e *scriptedEngine) Probe(_ context.Context, target *directory.Target) error {
-	if e.unreachable[target.ID] {
+func (e *scriptedEngine) Probe(ctx context.Context, target *directory.Target) error {
+	e.mu.Lock()
+	e.probes++
+	unreachable, dark := e.unreachable[target.ID] || e.failProbes > 0, e.dark[target.ID]
+	e.failProbes = max(0, e.failProbes-1)
+	refused, delay := e.refused[target.ID], e.probeDelay[target.ID]
+	e.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if refused {
+		return ErrProbeRefused
+	}
+	if dark || e.outageLeft() > 0 {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if unreachable {
 		return errors.New("no answer")
 	}
 	return nil
@@ -88,6 +173,17 @@
 	case <-s.ctx.Done():
 		return RelayEvent{}, s.ctx.Err()
 	}
+	var outage time.Duration
+	if len(s.script.events) > 0 || !s.engine.breakDuringOutage {
+		if outage = s.engine.outageLeft(); outage > 0 {
+			outage += s.engine.eventDelay
+		}
+	}
+	select {
+	case <-time.After(outage):
+	case <-s.ctx.Done():
+		return RelayEvent{}, s.ctx.Err()
+	}
 	if len(s.script.events) == 0 {
 		return RelayEvent{}, s.script.end
 	}
@@ -197,7 +293,7 @@
 
 func newRelayFixture(scripts map[string][]script) *relayFixture {
 	f := &relayFixture{
-		engine: &scriptedEngine{scripts: scripts, unreachable: map[string]bool{}},
+		engine: &scriptedEngine{scripts: scripts, unreachable: map[string]bool{}, dark: map[string]bool{}},
 		placer: &firstPlacer{},
 		budget: &countedRetries{left: 10},
 	}
@@ -483,6 +579,8 @@
 		{"refused with attempts used up", func(in *retryInput) { in.ending, in.attemptsRun = endingRefused, 3 }, stepRetry},
 		{"no time left", func(in *retryInput) { in.ending, in.remaining = endingBroken, minAttemptTime/2 }, stepFinish},
 		{"too many attempts", func(in *retryInput) { in.ending, in.attempts = endingRefused, maxTotalAttempts }, stepFinish},
+		{"unsent with attempts used up", func(in *retryInput) { in.ending, in.attempts = endingUnsent, maxTotalAttempts }, stepRetry},
+		{"unsent, no time left", func(in *retryInput) { in.ending, in.remaining = endingUnsent, minAttemptTime/2 }, stepFinish},
 		{"deadline", func(in *retryInput) { in.ending = endingDeadline }, stepFinish},
 		{"caller disconnected", func(in *retryInput) { in.ending = endingCallerDisconnected }, stepFinish},
 	} {
