Failing test: a read of all prompts that takes over a second is cut and repeated

A read of the store ends after one second whatever arrives. A list that takes longer on the entry's link never arrives: the entry repeats it each second, and writes no prompts of its own before a read has ended.

--- a/promptindex/manager_test.go
+++ b/promptindex/manager_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 )
 
 // memoryStore is a Store in memory.
@@ -85,7 +87,12 @@
 }
 
 func (c *cluster) start(t *testing.T, entry string, live int) *Manager {
-	m := NewManager(Options{Entry: entry, Store: c.store, Live: func() int { return live }})
+	return c.startWith(t, entry, live, c.store)
+}
+
+// startWith starts an entry that reaches the cluster's store through the given one.
+func (c *cluster) startWith(t *testing.T, entry string, live int, store Store) *Manager {
+	m := NewManager(Options{Entry: entry, Store: store, Live: func() int { return live }})
 	ctx, cancel := context.WithCancel(t.Context())
 	c.cancel = append(c.cancel, cancel)
 	c.ended.Go(func() { _ = m.Run(ctx) })
@@ -218,3 +225,38 @@
 		c.stopAll()
 	})
 }
+
+// slowLinkStore is a store behind a slow link: a read delivers data all the time, and takes transferTime.
+type slowLinkStore struct {
+	*memoryStore
+	transferTime time.Duration
+	// busy is the total time, in nanoseconds, in which a read used the link.
+	busy atomic.Int64
+}
+
+func (s *slowLinkStore) ReadPrompts(ctx context.Context) (map[string]string, error) {
+	start := time.Now()
+	err := wait.For(ctx, s.transferTime)
+	s.busy.Add(int64(time.Since(start)))
+	if err != nil {
+		return nil, err
+	}
+	return s.memoryStore.ReadPrompts(ctx)
+}
+
+// Guards against a read that is cut while it still receives data, and repeated from the start for ever.
+func TestLongReadIsNotCutAndRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		defer c.stopAll()
+		c.store.objects["lost"] = map[string]string{"p": "engine-1"}
+		// 100 entries may store 16 MB of prompts; the link of an entry carries 1.25 MB/s.
+		store := &slowLinkStore{memoryStore: c.store, transferTime: 13 * time.Second}
+		m := c.startWith(t, "a", 2, store)
+		m.RecordPlacement("own", "engine-2")
+		time.Sleep(store.transferTime + writeInterval + time.Second)
+		is.Equal(m.FindLocal("p"), "engine-1")
+		is.Equal(c.store.object("a"), map[string]string{"own": "engine-2"})
+	})
+}
