A read of all prompts lasts as long as it receives data

Cause: a read of the store ended after one second, whatever had arrived. The list grows with the open streams of all entries and with the objects of VMs that are gone; when it takes over a second on the entry's link, it is cut and read again from the first byte each second, and the entry writes nothing. Ruled out: the client of the store; its own limit is silence, not duration. Run ends its first read when it is stopped, so that a shutdown does not wait; a test holds that (it fails with the longer time alone). A write, at most 164 KB, keeps its second.

--- a/promptindex/manager.go
+++ b/promptindex/manager.go
@@ -13,7 +13,8 @@
 type Store interface {
 	// WritePrompts replaces the object of an entry.
 	WritePrompts(ctx context.Context, entry string, prompts map[string]string) error
-	// ReadPrompts returns the prompts of all entries.
+	// ReadPrompts returns the prompts of all entries. It returns an error when the store is silent; the caller
+	// does not limit the time of a read that receives data.
 	ReadPrompts(ctx context.Context) (map[string]string, error)
 }
 
@@ -44,7 +45,10 @@
 	// readWaitTimeout is how long a stream waits for a read. The store answers in milliseconds, and
 	// prefilling the prompt again takes a second.
 	readWaitTimeout = 150 * time.Millisecond
-	storeTimeout    = time.Second
+	// maxReadTime limits a read. It allows for a long list on a busy link: a read that is cut starts again from
+	// the first byte. Engines have dropped the prompts that a longer read would find.
+	maxReadTime  = brokenStreamTTL
+	writeTimeout = time.Second
 )
 
 // Manager keeps prompt locations across the loss of entries. It is safe for concurrent use.
@@ -113,7 +117,7 @@
 	}
 	m.readDone = ended
 	go func() {
-		m.readStore()
+		m.readStore(context.Background())
 		m.mu.Lock()
 		m.readDone = nil
 		m.lastRead = time.Now()
@@ -124,8 +128,8 @@
 }
 
 // readStore reads the prompts of all entries into the index and reports whether the store answered.
-func (m *Manager) readStore() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+func (m *Manager) readStore(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxReadTime)
 	defer cancel()
 	found, err := m.options.Store.ReadPrompts(ctx)
 	m.logStoreState(err)
@@ -137,7 +141,7 @@
 // ctx ends. It writes nothing before a read has succeeded: that would replace what the former process
 // stored.
 func (m *Manager) Run(ctx context.Context) error {
-	for !m.readStore() {
+	for !m.readStore(ctx) {
 		if wait.For(ctx, readInterval) != nil {
 			return nil
 		}
@@ -156,7 +160,7 @@
 	if !changed || m.options.Live() > maxEntries {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	err := m.options.Store.WritePrompts(ctx, m.options.Entry, prompts)
 	if err != nil {
--- a/promptindex/manager_test.go
+++ b/promptindex/manager_test.go
@@ -260,3 +260,16 @@
 		is.Equal(c.store.object("a"), map[string]string{"own": "engine-2"})
 	})
 }
+
+// Guards against a shutdown that waits until a long read ends.
+func TestStopDoesNotWaitForALongRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		c.startWith(t, "a", 2, &slowLinkStore{memoryStore: c.store, transferTime: 20 * time.Second})
+		time.Sleep(500 * time.Millisecond)
+		start := time.Now()
+		c.stopAll()
+		is.True(time.Since(start) <= time.Second)
+	})
+}
