--- a/promptindex/manager_test.go
+++ b/promptindex/manager_test.go
@@ -273,3 +273,19 @@
 		is.True(time.Since(start) <= time.Second)
 	})
 }
+
+// Guards against reads that fill the entry's link while callers ask for a prompt that the store does not hold.
+func TestRepeatedReadsUseASmallPartOfTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		defer c.stopAll()
+		store := &slowLinkStore{memoryStore: c.store, transferTime: 500 * time.Millisecond}
+		m := c.startWith(t, "a", 76, store)
+		const period = 100 * time.Second
+		for start := time.Now(); time.Since(start) < period; time.Sleep(100 * time.Millisecond) {
+			m.FindShared(t.Context(), "unknown")
+		}
+		is.True(time.Duration(store.busy.Load()) <= period/10)
+	})
+}
