Reads of all prompts take at most a tenth of an entry's time

Cause: a read started one second after the last one, however long that took; with a list of 0.5 s, a third of the link went to reads while callers resumed streams with unknown prompts. The first read of Run and one for a caller also ran side by side. Change: after a read of duration d none starts for 9 d, at least a second as before; a failed read, mostly silence, is followed by its own duration. One read at a time. Small fleets, whose reads take milliseconds, are unchanged.

--- a/promptindex/manager.go
+++ b/promptindex/manager.go
@@ -42,6 +42,9 @@
 	maxEntries = 100
 	// readInterval is the minimum interval between two reads of an entry.
 	readInterval = time.Second
+	// readPauseFactor times the duration of a read is the minimum pause after it: callers' traffic uses the same
+	// link, and reads take at most a tenth of the time.
+	readPauseFactor = 9
 	// readWaitTimeout is how long a stream waits for a read. The store answers in milliseconds, and
 	// prefilling the prompt again takes a second.
 	readWaitTimeout = 150 * time.Millisecond
@@ -58,9 +61,12 @@
 
 	mu sync.Mutex
 	// readDone is closed when the read in progress ends; nil when there is none.
-	readDone     chan struct{}
-	lastRead     time.Time
-	storeFailing bool
+	readDone chan struct{}
+	// nextRead is the earliest start of the next read.
+	nextRead time.Time
+	// readSucceeded is set once a read has succeeded.
+	readSucceeded bool
+	storeFailing  bool
 }
 
 // NewManager returns a Manager; Run shares its prompt locations with other entries.
@@ -111,38 +117,70 @@
 		return m.readDone
 	}
 	ended := make(chan struct{})
-	if time.Since(m.lastRead) < readInterval || m.options.Live() > maxEntries {
+	if time.Now().Before(m.nextRead) || m.options.Live() > maxEntries {
 		close(ended)
 		return ended
 	}
 	m.readDone = ended
-	go func() {
-		m.readStore(context.Background())
-		m.mu.Lock()
-		m.readDone = nil
-		m.lastRead = time.Now()
-		m.mu.Unlock()
-		close(ended)
-	}()
+	go m.readStore(context.Background())
 	return ended
 }
 
-// readStore reads the prompts of all entries into the index and reports whether the store answered.
-func (m *Manager) readStore(ctx context.Context) bool {
+// readOrJoin reads the store, or waits for the read in progress. It reports whether a read has ever succeeded.
+func (m *Manager) readOrJoin(ctx context.Context) bool {
+	m.mu.Lock()
+	inProgress := m.readDone
+	if inProgress == nil {
+		m.readDone = make(chan struct{})
+	}
+	m.mu.Unlock()
+	if inProgress == nil {
+		m.readStore(ctx)
+	} else {
+		select {
+		case <-inProgress:
+		case <-ctx.Done():
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.readSucceeded
+}
+
+// readStore reads the prompts of all entries into the index, and closes readDone, which the caller has set.
+func (m *Manager) readStore(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, maxReadTime)
 	defer cancel()
+	start := time.Now()
 	found, err := m.options.Store.ReadPrompts(ctx)
+	end := time.Now()
 	m.logStoreState(err)
-	m.index.mergeShared(found, time.Now())
-	return err == nil
+	m.index.mergeShared(found, end)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.readSucceeded = m.readSucceeded || err == nil
+	pause := readPauseFactor * end.Sub(start)
+	if err != nil {
+		pause = end.Sub(start) // most of that time the store was silent and the link free
+	}
+	m.nextRead = end.Add(max(readInterval, pause))
+	close(m.readDone)
+	m.readDone = nil
+}
+
+// untilNextRead returns the time until the earliest start of the next read.
+func (m *Manager) untilNextRead() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Until(m.nextRead)
 }
 
 // Run reads what other entries and this one's former process stored, and writes this entry's prompts, until
 // ctx ends. It writes nothing before a read has succeeded: that would replace what the former process
 // stored.
 func (m *Manager) Run(ctx context.Context) error {
-	for !m.readStore(ctx) {
-		if wait.For(ctx, readInterval) != nil {
+	for !m.readOrJoin(ctx) {
+		if wait.For(ctx, m.untilNextRead()) != nil {
 			return nil
 		}
 	}
--- a/promptindex/manager_test.go
+++ b/promptindex/manager_test.go
@@ -289,3 +289,20 @@
 		is.True(time.Duration(store.busy.Load()) <= period/10)
 	})
 }
+
+// Guards against a long pause of the reads after calls in which the store was silent.
+func TestStoreIsReadSoonAfterItWasSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		defer c.stopAll()
+		c.store.objects["lost"] = map[string]string{"p": "engine-1"}
+		c.store.setDown(true)
+		silence := 1500 * time.Millisecond
+		m := c.startWith(t, "a", 2, &slowLinkStore{memoryStore: c.store, transferTime: silence})
+		time.Sleep(10 * time.Second)
+		c.store.setDown(false)
+		time.Sleep(3 * silence)
+		is.Equal(m.FindLocal("p"), "engine-1")
+	})
+}
