A read of the platform ends when it is silent, not after a fixed time

Cause: the client of the native interface limited the whole of a call to two seconds. 10,000 targets are a list of 2.9 MB, which takes 2.3 s of a link of 1.25 MB/s (computed from encoded sizes); such a list was cut and read again from the first byte. Ruled out: the client of the passthrough interface (platform/store.go), which limits silence since TestSlowListIsReadAndSilentOneTimesOut. Change: a read must begin within its timeout and then never be without data for as long; callers' own contexts still apply. Writes are as before.

--- a/adapters/platformhttp/client.go
+++ b/adapters/platformhttp/client.go
@@ -19,7 +19,7 @@
 
 const (
 	defaultTimeout = 2 * time.Second
-	// watchSlack is the time that a watch may take in addition to its wait.
+	// watchSlack is the time after its wait at which a watch must have begun to answer.
 	watchSlack = 5 * time.Second
 	// maxAnswerBytes limits an answer to a list or watch.
 	maxAnswerBytes = 256 << 20
@@ -27,7 +27,8 @@
 
 // Options configures a Client.
 type Options struct {
-	// Timeout limits each call except watches; 0 means two seconds.
+	// Timeout limits each write, and the time without data of each read; 0 means two seconds. It does not limit
+	// the whole of a read: a long list may arrive slowly, and would be read from the start after a cut.
 	Timeout time.Duration
 	// Transport defaults to http.DefaultTransport.
 	Transport http.RoundTripper
@@ -98,9 +99,14 @@
 	return "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
 
-func (c *Client) read(ctx context.Context, path string, timeout time.Duration, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+var errSilent = errors.New("the platform was silent")
+
+// read makes one call and decodes the answer into result. The answer must begin within firstByteTimeout.
+func (c *Client) read(ctx context.Context, path string, firstByteTimeout time.Duration, result any) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silenceTimer := time.AfterFunc(firstByteTimeout, func() { cancel(errSilent) })
+	defer silenceTimer.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.baseURL+path, nil)
 	if err != nil {
 		return err
@@ -119,12 +125,28 @@
 	default:
 		return fmt.Errorf("%w: status %d", objects.ErrUnavailable, response.StatusCode)
 	}
-	if err := decode(response.Body, result); err != nil {
+	body := &activityReader{reader: response.Body, onData: func() { silenceTimer.Reset(c.timeout) }}
+	if err := decode(body, result); err != nil {
 		return fmt.Errorf("%w: %w", objects.ErrUnavailable, err)
 	}
 	return nil
 }
 
+// activityReader calls onData after each read that returned data.
+type activityReader struct {
+	reader io.Reader
+	onData func()
+}
+
+// Read implements io.Reader.
+func (r *activityReader) Read(buffer []byte) (int, error) {
+	n, err := r.reader.Read(buffer)
+	if n > 0 {
+		r.onData()
+	}
+	return n, err
+}
+
 func (c *Client) write(ctx context.Context, method, kind, name string, expected int64, value []byte, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
--- a/adapters/platformhttp/client_test.go
+++ b/adapters/platformhttp/client_test.go
@@ -49,4 +49,5 @@
 	is := is.New(t)
 	_, err := serveSlowly(t).List(t.Context(), "Silent")
 	is.True(errors.Is(err, objects.ErrUnavailable))
+	is.True(errors.Is(err, errSilent))
 }
