Failing test: a shard with many large archives is never loaded over a slow link

An entry that takes a shard over reads eight archives of up to 800 KB at once, each for at most two seconds. A link of 1.25 MB/s carries three of them in that time (computed: 0.64 s each); one that is cut fails the load, and the next attempt starts from the first archive. Every claim is refused meanwhile.

--- a/idempotency/cluster_test.go
+++ b/idempotency/cluster_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/objects"
 	"github.com/azurebarrow/azurebarrow/objects/writelimit"
@@ -506,3 +507,66 @@
 		is.Equal(list.Items[0].Revision, int64(headRevision+1))
 	})
 }
+
+// slowLinkStore is the platform behind a link that transfers one archive at a time, each in archiveTransfer.
+type slowLinkStore struct {
+	*fakeStore
+	mu     sync.Mutex
+	freeAt time.Time
+}
+
+// archiveTransfer is the time that an archive of maxArchiveBytes takes at 1.25 MB/s.
+const archiveTransfer = maxArchiveBytes * time.Second / 1_250_000
+
+func (s *slowLinkStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
+	if kind == KindArchive {
+		s.mu.Lock()
+		if s.freeAt.Before(time.Now()) {
+			s.freeAt = time.Now()
+		}
+		s.freeAt = s.freeAt.Add(archiveTransfer)
+		end := s.freeAt
+		s.mu.Unlock()
+		if wait.For(ctx, time.Until(end)) != nil {
+			return objects.Object{}, objects.ErrUnavailable
+		}
+	}
+	return s.fakeStore.Get(ctx, kind, name)
+}
+
+// Guards against a takeover whose reads of archives share the link, are all cut, and start again for ever.
+func TestShardWithManyLargeArchivesIsLoadedOverASlowLink(t *testing.T) {
+	const archives = 32
+	oneShard := func(o *Options) { o.Shards = 1 }
+	inCluster(t, 1, oneShard, func(is *is.I, c *cluster) {
+		defer c.stop()
+		c.kill("e0")
+		head := EmptyHead(0, 1)
+		for i := range archives {
+			record := sampleRecord(fmt.Sprint(i), StateAnswered)
+			record.Key, record.ClaimedAtMs = NewKey("c", fmt.Sprint(i)), time.Now().UnixMilli()
+			record.Fingerprint = NewFingerprint("d", "POST", "/", []byte(fmt.Sprint(i)))
+			value, ref, err := EncodeArchive(fmt.Sprintf("%s-%02d", HeadName(0), i), 0, 1, []Record{record})
+			is.NoErr(err)
+			ref.Bytes = maxArchiveBytes
+			head.Archives = append(head.Archives, ref)
+			_, err = c.store.Put(context.Background(), KindArchive, ref.Name, objects.MustNotExist, value)
+			is.NoErr(err)
+		}
+		value, err := head.Encode()
+		is.NoErr(err)
+		_, err = c.store.Put(context.Background(), KindHead, HeadName(0), objects.MustNotExist, value)
+		is.NoErr(err)
+		c.start("e0", func(o *Options) {
+			oneShard(o)
+			o.Store = &slowLinkStore{fakeStore: c.store}
+		})
+		start := time.Now()
+		_, reply := claimAt(c, "e0", "0")
+		for reply.Verdict != VerdictFinished && time.Since(start) < 2*archives*archiveTransfer {
+			time.Sleep(100 * time.Millisecond)
+			_, reply = claimAt(c, "e0", "0")
+		}
+		is.Equal(reply.Verdict, VerdictFinished)
+	})
+}
