Archives of a shard are read two at a time, each with eight seconds

Cause: eight reads of up to 800 KB shared the entry's link, each cut after two seconds; a cut fails the load, which starts from the first archive. Change: two reads at once; an archive has the eight seconds that its write has. Heads keep two seconds, so that a platform that hangs is found as soon as before: the head is read first.

--- a/idempotency/load.go
+++ b/idempotency/load.go
@@ -20,8 +20,9 @@
 func (e *ownedElsewhereError) Error() string { return "shard is owned by " + e.Owner }
 
 const (
-	// loadConcurrency is the number of archives that are read in parallel.
-	loadConcurrency = 8
+	// loadConcurrency is the number of archives that are read in parallel. They share the entry's link with
+	// callers' traffic: two of maxArchiveBytes take 1.3 s of 1.25 MB/s, a sixth of archiveTimeout.
+	loadConcurrency = 2
 	// loadAttempts is how often a head and its archives are read before missing archives count as
 	// lost: a read may be stale, and a compaction may have replaced the archives in the meantime.
 	loadAttempts = 5
@@ -29,7 +30,7 @@
 	loadPause = 100 * time.Millisecond
 	// readAttempts is how often a head is read until the platform returns the wanted revision.
 	readAttempts = 10
-	// readTimeout is the timeout of one read.
+	// readTimeout is the timeout of one read, except of an archive, which has archiveTimeout.
 	readTimeout = 2 * time.Second
 )
 
@@ -191,7 +192,11 @@
 
 // getObject reads an object and records a failure of the platform.
 func (o *shardOwner) getObject(ctx context.Context, kind, name string) (objects.Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	timeout := readTimeout
+	if kind == KindArchive {
+		timeout = archiveTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	start := time.Now()
 	object, err := o.options.Store.Get(ctx, kind, name)
--- a/idempotency/options.go
+++ b/idempotency/options.go
@@ -171,7 +171,7 @@
 	// maxWriteTimeout bounds the growth of the write timeout during an outage, and so how long a
 	// hanging write delays the discovery that the platform is available again.
 	maxWriteTimeout = 1500 * time.Millisecond
-	// archiveTimeout is the timeout of an archive's write.
+	// archiveTimeout is the timeout of an archive's write or read.
 	archiveTimeout = 8 * time.Second
 )
 
