A watch with many changes lasts as long as they arrive

Cause: config cut a watch one second after its wait, also while its changes arrived, and then asked for the same changes again. Change: the client ends a watch that has not begun to answer one second after its wait (before: five, which config shortened to one) or that is silent for two; config sets no time of its own. A hang is found as soon as before; a test of the client holds that the header alone does not count as an answer.

--- a/adapters/platformhttp/client.go
+++ b/adapters/platformhttp/client.go
@@ -19,8 +19,9 @@
 
 const (
 	defaultTimeout = 2 * time.Second
-	// watchSlack is the time after its wait at which a watch must have begun to answer.
-	watchSlack = 5 * time.Second
+	// watchSlack is the time after its wait at which a watch must have begun to answer. It is short, so that a
+	// watch that hangs is soon made again.
+	watchSlack = time.Second
 	// maxAnswerBytes limits an answer to a list or watch.
 	maxAnswerBytes = 256 << 20
 )
--- a/adapters/platformhttp/client_test.go
+++ b/adapters/platformhttp/client_test.go
@@ -51,3 +51,17 @@
 	is.True(errors.Is(err, objects.ErrUnavailable))
 	is.True(errors.Is(err, errSilent))
 }
+
+// Guards against a watch that hangs unnoticed: config relies on the client to end it.
+func TestSilentWatchTimesOut(t *testing.T) {
+	is := is.New(t)
+	silent := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).Flush() // the header alone is no answer
+		<-silent
+	}))
+	defer server.Close()
+	defer close(silent)
+	_, err := New(server.URL, Options{}).Watch(t.Context(), []string{"Target"}, 1, testTimeout)
+	is.True(errors.Is(err, errSilent))
+}
--- a/config/ports.go
+++ b/config/ports.go
@@ -9,7 +9,9 @@
 	"github.com/azurebarrow/azurebarrow/objects"
 )
 
-// Platform is the part of the platform's object API that the Manager uses.
+// Platform is the part of the platform's object API that the Manager uses. A read fails when no data arrives
+// for a few seconds, or for one second after the wait of a watch; its whole time is not limited, since a long
+// answer that is cut would be read again from the start.
 type Platform interface {
 	// List reads all objects of a kind. The result may be stale.
 	List(ctx context.Context, kind string) (objects.List, error)
--- a/config/watch.go
+++ b/config/watch.go
@@ -17,8 +17,6 @@
 	// minWatch is the wait of a watch call after a change or a failure, when a call that hangs must be
 	// detected soon.
 	minWatch = time.Second
-	// watchMargin is how much longer than its wait a watch call may take.
-	watchMargin = time.Second
 	// peerQueryTimeout limits the query of peers at the start.
 	peerQueryTimeout = 500 * time.Millisecond
 	// platformTimeout is how long a starting entry waits for the platform after the peers have
@@ -208,9 +206,7 @@
 	if after == unknownRevision {
 		return true, m.listAll(ctx)
 	}
-	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
-	defer cancel()
-	list, err := m.options.Platform.Watch(call, v1.Kinds(), after, wait)
+	list, err := m.options.Platform.Watch(ctx, v1.Kinds(), after, wait)
 	if errors.Is(err, objects.ErrTooOld) {
 		return true, m.relist(ctx)
 	}
