Failing test: an entry does not start from peers over a slow link

An entry that starts while the platform is down queries up to six peers at once for the whole configuration and gives them 0.5 s in all. At 10,000 targets six answers are 14 MB (computed), which take 11 s of 1.25 MB/s; all are cut, and asked for again 0.25 s later, also after the entry has got the configuration by following a peer.

--- a/config/link_test.go
+++ b/config/link_test.go
@@ -12,6 +12,7 @@
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/internal/wait"
+	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/objects"
 )
 
@@ -49,6 +50,24 @@
 	return list, p.link.transfer(ctx, len(list.Items))
 }
 
+// slowPeers are peers behind a slowLink.
+type slowPeers struct {
+	*fakePeers
+	link *slowLink
+}
+
+func (p *slowPeers) Follow(ctx context.Context, peer membership.Peer, positions []Position, wait time.Duration) (Update, error) {
+	update, err := p.fakePeers.Follow(ctx, peer, positions, wait)
+	if err != nil {
+		return update, err
+	}
+	count := 0
+	for _, delta := range update.Deltas {
+		count += len(delta.Items)
+	}
+	return update, p.link.transfer(ctx, count)
+}
+
 const manyObjects = 300
 
 func writeManyModels(platform *fakePlatform, version string) {
@@ -78,3 +97,31 @@
 		is.Equal(modelVersion(manager, "m0"), "v2")
 	})
 }
+
+// Guards against a starting entry whose queries of peers are all cut, and ask for everything again for ever.
+func TestEntryStartsFromPeersOverASlowLinkDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		platform, peers, all := newFakePlatform(), newFakePeers(), testEntries(4)
+		writeManyModels(platform, "v1")
+		for i := range 3 {
+			is.NoErr(peers.start(ctx, platform, all, i).WaitReady(ctx))
+		}
+		down := newFakePlatform()
+		down.down = true
+		// 10,000 targets are 2.4 MB, which take 1.9 s at 1.25 MB/s.
+		link := &slowLink{objectTransfer: 1900 * time.Millisecond / manyObjects}
+		starting := NewManager(Options{
+			Platform:     down,
+			Peers:        &slowPeers{peers, link},
+			View:         membership.Static{This: all[3], Peers: all},
+			Registration: Registration{Name: all[3].Name, AvailabilityZone: all[3].AvailabilityZone},
+		})
+		go starting.Run(ctx)
+		time.Sleep(13 * time.Second)
+		is.True(starting.Ready())
+		is.Equal(modelVersion(starting, "m0"), "v1")
+	})
+}
