Failing test: a long answer of a peer is cut and asked for again

A call that follows a peer's configuration ends two seconds after its wait, whatever arrives. A change that takes longer on the link of either entry is cut and asked for again from the start.

--- a/adapters/peertwirp/configpeer/configpeer_test.go
+++ b/adapters/peertwirp/configpeer/configpeer_test.go
@@ -2,18 +2,22 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/azurebarrow/azurebarrow/adapters/platformhttp"
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/config"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/standin/platform"
 )
@@ -100,3 +104,41 @@
 	is.Equal(failed.Code(), twirp.FailedPrecondition)
 	is.True(strings.Contains(failed.Msg(), "protocol version 2"))
 }
+
+// slowAnswer is an HTTP transport whose answers arrive in pieces that together take transferTime.
+type slowAnswer struct {
+	body         []byte
+	transferTime time.Duration
+}
+
+func (a slowAnswer) RoundTrip(request *http.Request) (*http.Response, error) {
+	reader, writer := io.Pipe()
+	go func() {
+		const pieces = 100
+		for i := range pieces {
+			if wait.For(request.Context(), a.transferTime/pieces) != nil {
+				_ = writer.CloseWithError(request.Context().Err())
+				return
+			}
+			_, _ = writer.Write(a.body[i*len(a.body)/pieces : (i+1)*len(a.body)/pieces])
+		}
+		_ = writer.Close()
+	}()
+	header := http.Header{"Content-Type": {"application/protobuf"}}
+	return &http.Response{StatusCode: http.StatusOK, Header: header, Body: reader, Request: request}, nil
+}
+
+// Guards against an answer that is cut while it arrives, and asked for again from the start for ever.
+func TestLongAnswerIsNotCutWhileDataArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		reply := &FollowReply{Ready: true, Deltas: []*Delta{{Kind: v1.KindModel, Items: []*Item{{Object: &Object{Name: "m", Value: make([]byte, 10_000)}}}}}}
+		body, err := proto.Marshal(reply)
+		is.NoErr(err)
+		// 10,000 targets are 2.4 MB, which take 1.9 s at 1.25 MB/s; here beside as much callers' traffic.
+		client := NewClient(&http.Client{Transport: slowAnswer{body, 3800 * time.Millisecond}})
+		update, err := client.Follow(t.Context(), membership.Peer{Address: "peer:1"}, nil, 0)
+		is.NoErr(err)
+		is.Equal(len(update.Deltas), 1)
+	})
+}
