A call that follows a peer's configuration ends when it is silent

Cause: the call was limited as a whole, two seconds beyond its wait; a long answer was cut and asked for again from the start. Change: the answer must begin within that time and is then never silent for two seconds.

--- a/adapters/peertwirp/configpeer/configpeer.go
+++ b/adapters/peertwirp/configpeer/configpeer.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/twitchtv/twirp"
@@ -18,7 +17,8 @@
 const (
 	// protocolVersion is increased when a message changes in a way that older entries would misread.
 	protocolVersion = 1
-	// callTimeout limits a call. A call of Follow may take longer by the wait that it requests.
+	// callTimeout limits a call of Report. A call of Follow may be silent for as long, and longer before the answer
+	// by the wait that it requests.
 	callTimeout = 2 * time.Second
 	// maxWait limits the wait for a change that a peer may request.
 	maxWait = time.Minute
@@ -35,37 +35,19 @@
 }
 
 // Client reads the configuration of other entries. It implements config.Peers and control.Reporter.
-type Client struct {
-	http    *http.Client
-	mu      sync.Mutex
-	clients map[string]Configuration
-}
+type Client struct{ http *http.Client }
 
 // NewClient returns a Client that calls peers through the given HTTP client.
-func NewClient(client *http.Client) *Client {
-	return &Client{http: client, clients: map[string]Configuration{}}
-}
-
-func (c *Client) clientFor(peer membership.Peer) Configuration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	client, ok := c.clients[peer.Address]
-	if !ok {
-		client = NewConfigurationProtobufClient("http://"+peer.Address, c.http)
-		c.clients[peer.Address] = client
-	}
-	return client
-}
+func NewClient(client *http.Client) *Client { return &Client{http: client} }
 
 // Follow implements config.Peers.
 func (c *Client) Follow(ctx context.Context, peer membership.Peer, positions []config.Position, wait time.Duration) (config.Update, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
-	defer cancel()
 	request := &FollowRequest{ProtocolVersion: protocolVersion, WaitMs: wait.Milliseconds()}
 	for _, position := range positions {
 		request.Positions = append(request.Positions, &Position{Kind: position.Kind, Revision: position.Revision})
 	}
-	reply, err := c.clientFor(peer).Follow(ctx, request)
+	limited := silenceLimiter{http: c.http, firstData: wait + callTimeout, silence: callTimeout}
+	reply, err := NewConfigurationProtobufClient("http://"+peer.Address, limited).Follow(ctx, request)
 	if err != nil {
 		return config.Update{}, err
 	}
@@ -77,7 +59,7 @@
 func (c *Client) Report(ctx context.Context, peer membership.Peer) (revision int64, ready bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply, err := c.clientFor(peer).Report(ctx, &ReportRequest{ProtocolVersion: protocolVersion})
+	reply, err := NewConfigurationProtobufClient("http://"+peer.Address, c.http).Report(ctx, &ReportRequest{ProtocolVersion: protocolVersion})
 	if err != nil {
 		return 0, false, err
 	}
--- a/adapters/peertwirp/configpeer/configpeer_test.go
+++ b/adapters/peertwirp/configpeer/configpeer_test.go
@@ -142,3 +142,36 @@
 		is.Equal(len(update.Deltas), 1)
 	})
 }
+
+// Guards against a call that hangs unnoticed after the answer has begun, or before.
+func TestSilentPeerTimesOut(t *testing.T) {
+	for name, pieces := range map[string]int{"before the answer": 0, "within the answer": 50} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				client := NewClient(&http.Client{Transport: silentAnswer{pieces}})
+				start := time.Now()
+				const wait = time.Second
+				_, err := client.Follow(t.Context(), membership.Peer{Address: "peer:1"}, nil, wait)
+				is.True(err != nil)
+				is.True(time.Since(start) <= wait+2*callTimeout)
+			})
+		})
+	}
+}
+
+// silentAnswer is an HTTP transport whose answers end after a number of pieces, without an end of the body.
+type silentAnswer struct{ pieces int }
+
+func (a silentAnswer) RoundTrip(request *http.Request) (*http.Response, error) {
+	reader, writer := io.Pipe()
+	go func() {
+		for range a.pieces {
+			_ = wait.For(request.Context(), 10*time.Millisecond)
+			_, _ = writer.Write([]byte("piece"))
+		}
+		<-request.Context().Done()
+		_ = writer.CloseWithError(request.Context().Err())
+	}()
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: reader, Request: request}, nil
+}
