Failing test: reports of a draining zone fill the links of the entries

Each entry that finds a draining target announces it to every peer at once, by an exchange of all reports in both directions. While 75 targets of a zone begin to drain within a second, 76 entries exchange all reports some 150 x 75 times.

--- a/draining/watcher_test.go
+++ b/draining/watcher_test.go
@@ -63,6 +63,11 @@
 }
 
 func startFleet(ctx context.Context, entries, targets int) *fleet {
+	return startFleetWith(ctx, entries, targets, func(client peerClient) Peers { return client })
+}
+
+// startFleetWith starts a fleet whose entries reach their peers through what peers returns.
+func startFleetWith(ctx context.Context, entries, targets int, peers func(peerClient) Peers) *fleet {
 	f := &fleet{health: map[string]Health{}, watchers: map[string]*Watcher{}}
 	for i := range targets {
 		address := fmt.Sprintf("10.0.0.%d:80", i)
@@ -79,7 +84,7 @@
 			View:    membership.Static{This: self, Peers: all},
 			Health:  f,
 			VMs:     f,
-			Peers:   peerClient{f, self.Name},
+			Peers:   peers(peerClient{f, self.Name}),
 			Targets: func() []Target { return f.targets },
 		})
 		f.watchers[self.Name] = watcher
@@ -222,3 +227,51 @@
 	is := is.New(t)
 	is.True(probes(32, 96) <= probes(8, 24)*11/10)
 }
+
+// countingPeers counts the reports that each entry sends, as request or answer.
+type countingPeers struct {
+	peerClient
+	counts *sentCounts
+}
+
+type sentCounts struct {
+	mu   sync.Mutex
+	sent map[string]int
+}
+
+func (p countingPeers) Exchange(ctx context.Context, peer membership.Peer, reports []Report) ([]Report, error) {
+	answer, err := p.peerClient.Exchange(ctx, peer, reports)
+	p.counts.mu.Lock()
+	defer p.counts.mu.Unlock()
+	p.counts.sent[p.name] += len(reports)
+	p.counts.sent[peer.Name] += len(answer)
+	return answer, err
+}
+
+// Guards against links that are full of reports while the targets of a zone begin to drain one after the other.
+func TestReportsOfADrainingZoneTakeASmallPartOfTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		const entries, targets, zone = 76, 224, 75
+		counts := &sentCounts{sent: map[string]int{}}
+		f := startFleetWith(ctx, entries, targets, func(client peerClient) Peers { return countingPeers{client, counts} })
+		time.Sleep(time.Second)
+		for i := range zone {
+			f.update(func() {
+				f.health[f.targets[i].Address] = Health{Incarnation: "1", Draining: true, TerminatesIn: time.Minute}
+			})
+			time.Sleep(time.Second / zone)
+		}
+		time.Sleep(time.Second)
+		counts.mu.Lock()
+		defer counts.mu.Unlock()
+		busiest := 0
+		for _, sent := range counts.sent {
+			busiest = max(busiest, sent)
+		}
+		const encodedBytes, linkBytesPerSecond, seconds = 68, 1_250_000, 2
+		is.Equal(max(busiest*encodedBytes, seconds*linkBytesPerSecond/10), seconds*linkBytesPerSecond/10)
+	})
+}
