A batch to a replica ends at 16 KB

Cause: a batch was limited to 512 generations, not in bytes, and its timeout suits a few tokens. The whole records that a new replica needs were cut, dropped and sent again from the start. Change: nothing is added to a batch from 16 KB on, 13 ms of a link of 1.25 MB/s (computed); the rest goes first into the next one. One record is never split: one of 4,500 tokens is 31 KB, 25 ms (computed).

--- a/journal/sender.go
+++ b/journal/sender.go
@@ -12,6 +12,11 @@
 // maxBatchGenerations is the maximum number of generations in one batch.
 const maxBatchGenerations = 512
 
+// maxBatchBytes is the size from which on nothing more is added to a batch. A batch must arrive within
+// DefaultTimeouts.Append also beside other traffic: 16 KB take 13 ms of a link of 1.25 MB/s. Whole records, which
+// a new replica gets of all streams at once, would exceed it many times over.
+const maxBatchBytes = 16 << 10
+
 // sender sends operations to one peer, one batch at a time. What is queued while a batch is in flight is
 // sent in the next one. Its goroutine runs only while there is work.
 type sender struct {
@@ -101,15 +106,22 @@
 func (s *sender) sendBatch(handles []*replicaHandle, pointers []Pointer) {
 	batch := Batch{Pointers: pointers}
 	var installing, appending []*replicaHandle
-	for _, h := range handles {
+	size := 0
+	for i, h := range handles {
+		if size >= maxBatchBytes {
+			s.requeueFirst(handles[i:])
+			break
+		}
 		record, operation := h.writer.nextOperation(h)
 		if record != nil {
 			batch.Installs = append(batch.Installs, record)
 			installing = append(installing, h)
+			size += recordEncodedBytes + encodedBytes(record.Tokens)
 		}
 		if operation != nil {
 			batch.Appends = append(batch.Appends, *operation)
 			appending = append(appending, h)
+			size += appendEncodedBytes + encodedBytes(operation.Tokens)
 		}
 	}
 	if len(installing)+len(appending)+len(pointers) == 0 {
@@ -138,6 +150,36 @@
 	handleResults(appending, result.Appends, false)
 }
 
+// recordEncodedBytes, appendEncodedBytes and tokenEncodedBytes are the approximate encoded sizes of a record, of an
+// append and of a token, each without its tokens or text.
+const (
+	recordEncodedBytes = 200
+	appendEncodedBytes = 40
+	tokenEncodedBytes  = 2
+)
+
+func encodedBytes(tokens []string) int {
+	size := 0
+	for _, token := range tokens {
+		size += tokenEncodedBytes + len(token)
+	}
+	return size
+}
+
+// requeueFirst puts handles that did not fit into a batch back to the head of the queue.
+func (s *sender) requeueFirst(handles []*replicaHandle) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first []*replicaHandle
+	for _, h := range handles {
+		if !h.queued {
+			h.queued = true
+			first = append(first, h)
+		}
+	}
+	s.queue = append(first, s.queue...)
+}
+
 const (
 	// pointerRetry is the delay before a pointer is sent again, pointerTries the maximum number of tries.
 	pointerRetry = 500 * time.Millisecond
