Large change to many followers: the test counts the copies of a watcher

It now first holds the copies that one peer is asked to send to the six that its link carries in 13 s, and still that no entry is late: stricter.

--- a/config/link_test.go
+++ b/config/link_test.go
@@ -22,6 +22,8 @@
 	mu             sync.Mutex
 	// last is closed at the end of the transfer that began or was queued last; nil before the first.
 	last chan struct{}
+	// asked is the number of objects that the link had to transfer so far, cut transfers included.
+	asked int
 }
 
 // transfer waits until the link has transferred the objects, or until ctx ends: then the rest is not sent.
@@ -30,6 +32,7 @@
 		return nil
 	}
 	l.mu.Lock()
+	l.asked += objects
 	former, ended := l.last, make(chan struct{})
 	l.last = ended
 	l.mu.Unlock()
@@ -154,6 +157,19 @@
 	return sender.Follow(ctx, peer, positions, wait)
 }
 
+// asked returns, by peer, the number of objects that its link had to transfer so far.
+func (p *sendingPeers) asked() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counts := map[string]int{}
+	for name, link := range p.links {
+		link.mu.Lock()
+		counts[name] = link.asked
+		link.mu.Unlock()
+	}
+	return counts
+}
+
 // Guards against a watcher whose link is full of its followers' copies of one large change.
 func TestLargeChangeIsInForceInTimeAtEveryFollower(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -179,8 +195,14 @@
 			go manager.Run(ctx)
 		}
 		time.Sleep(time.Minute)
+		before := peers.asked()
 		writeManyModels(platform, "v2")
 		time.Sleep(13 * time.Second)
+		busiest := 0
+		for name, asked := range peers.asked() {
+			busiest = max(busiest, asked-before[name])
+		}
+		is.Equal(max(busiest, 6*manyObjects), 6*manyObjects) // six copies of 1.9 s fit into 13 s
 		late := 0
 		for _, manager := range managers {
 			if modelVersion(manager, fmt.Sprint("m", manyObjects-1)) != "v2" {
