Try a refused hedge of a look-up again while it runs

Callers saw a look-up wait until its own deadline although two healthy targets stood by: TestScenarios/lookup, 'expect l6 answered: broken (... context deadline exceeded)'.

Cause: hedgedCall tried its hedge once, when the hedge timer fired. If the budget refused, or no other target was listed at that moment, the call waited for its silent first target to the end. In the second case the unit of the budget was lost too.

Change: the timer is armed again every hedgeRetryDelay until the hedge is sent, the call ends or the limit of attempts is reached. Each try goes through the budget; a unit that started no attempt is refunded.

Evidence, on with the new tests: TestHedgeRefusedByTheBudgetIsSentWhenTheBudgetRecovers repeatable_test.go:132: unknown != answered TestHedgeWithoutATargetKeepsItsBudgetAndIsSentWhenOneAppears repeatable_test.go:146: unknown != answered TestRetriedHedgesOfManyWaitingCallsStayWithinTheirBudget passes before and after; it guards the budget against the new tries. With the change, go test -race ./service passes.

Not enough for TestScenarios/lookup: there no other call runs meanwhile, so the budget does not recover.

--- a/service/fakes_test.go
+++ b/service/fakes_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/idempotency"
@@ -132,6 +133,24 @@
 
 func (d fakeDirectory) Targets(string) []Target { return d }
 
+// changingDirectory lists targets that change.
+type changingDirectory struct {
+	mu      sync.Mutex
+	targets []Target
+}
+
+func (d *changingDirectory) Targets(string) []Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.targets
+}
+
+func (d *changingDirectory) set(targets []Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.targets = targets
+}
+
 // fixture is an executor with its ledger, store and transport.
 type fixture struct {
 	store     *memoryStore
@@ -176,3 +195,26 @@
 	}
 	return targets
 }
+
+// silenceAll makes all targets leave new calls unanswered.
+func (w *fixture) silenceAll() {
+	for _, target := range threeTargets() {
+		w.transport.setBehavior(target.Name, fakeTarget{latency: time.Hour})
+	}
+}
+
+// startUnansweredLookup starts a look-up whose first target never answers; all later calls are answered.
+func (w *fixture) startUnansweredLookup(timeout time.Duration) <-chan Result {
+	w.silenceAll()
+	result := make(chan Result, 1)
+	go func() {
+		call := lookup(-1)
+		call.Timeout = timeout
+		result <- w.executor.Do(context.Background(), call)
+	}()
+	synctest.Wait()
+	for _, target := range threeTargets() {
+		w.transport.setBehavior(target.Name, fakeTarget{})
+	}
+	return result
+}
--- a/service/hedge.go
+++ b/service/hedge.go
@@ -11,6 +11,9 @@
 	// slowFactor is the number of hedge delays that a call which was not hedged may take before it
 	// counts as a failure of its target.
 	slowFactor = 4
+	// hedgeRetryDelay is the time after which a hedge that was not sent is tried again: by then the
+	// budget or the targets may have changed, and little of a caller's patience is used up.
+	hedgeRetryDelay = 20 * time.Millisecond
 )
 
 // hedgedCall is one interactive call with its attempts at one or more targets.
@@ -54,6 +57,9 @@
 			}
 		case <-timer.C:
 			h.sendHedge(ctx)
+			if h.mayHedge() {
+				timer.Reset(hedgeRetryDelay)
+			}
 		case <-ctx.Done():
 			h.cancelRunning()
 			return failedCallResult(h.call, attemptResult{err: ctx.Err()}, true, true)
@@ -90,12 +96,22 @@
 	return true
 }
 
+// mayHedge reports whether a hedge may still be sent.
+func (h *hedgedCall) mayHedge() bool {
+	return !h.hedged && len(h.tried) < maxInteractiveAttempts
+}
+
 // sendHedge sends the call to another target if the hedge budget allows it.
 func (h *hedgedCall) sendHedge(ctx context.Context) {
-	if h.pool.spendBudget(&h.pool.hedges) && h.startAttempt(ctx) {
-		h.executor.extra.Add(1)
-		h.hedged = true
+	if !h.pool.spendBudget(&h.pool.hedges) {
+		return
 	}
+	if !h.startAttempt(ctx) {
+		h.pool.refundBudget(&h.pool.hedges)
+		return
+	}
+	h.executor.extra.Add(1)
+	h.hedged = true
 }
 
 // replaceFailedAttempt starts another attempt after one that failed. Failures open the target's
--- a/service/repeatable.go
+++ b/service/repeatable.go
@@ -134,3 +134,9 @@
 	defer p.mu.Unlock()
 	return budget.Spend()
 }
+
+func (p *pool) refundBudget(budget *retryBudget) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	budget.Refund()
+}
--- a/service/repeatable_test.go
+++ b/service/repeatable_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -120,3 +121,48 @@
 		}
 	})
 }
+
+func TestHedgeRefusedByTheBudgetIsSentWhenTheBudgetRecovers(t *testing.T) {
+	withFixture(t, threeTargets(), func(is *is.I, w *fixture) {
+		defer w.stop()
+		result := w.startUnansweredLookup(2 * time.Second)
+		time.Sleep(time.Second)
+		for i := range 40 { // earn two hedges
+			is.Equal(w.executor.Do(context.Background(), lookup(i)).Outcome, OutcomeAnswered)
+		}
+		is.Equal((<-result).Outcome, OutcomeAnswered)
+	})
+}
+
+func TestHedgeWithoutATargetKeepsItsBudgetAndIsSentWhenOneAppears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := &changingDirectory{targets: threeTargets()[:1]}
+		w := newFixture(t, nil, func(options *Options) { options.Directory = directory })
+		defer w.stop()
+		w.executor.pool("records").hedges.balance = 1
+		result := w.startUnansweredLookup(2 * time.Second)
+		time.Sleep(time.Second)
+		directory.set(threeTargets())
+		is.Equal((<-result).Outcome, OutcomeAnswered)
+	})
+}
+
+// All targets stop answering under many calls at once, and the hedges are tried again for seconds.
+func TestRetriedHedgesOfManyWaitingCallsStayWithinTheirBudget(t *testing.T) {
+	withFixture(t, threeTargets(), func(is *is.I, w *fixture) {
+		w.silenceAll()
+		const calls = 200
+		ended := make(chan Result, calls)
+		for i := range calls {
+			go func() { ended <- w.executor.Do(context.Background(), lookup(i)) }()
+			time.Sleep(10 * time.Millisecond)
+		}
+		for range calls {
+			is.Equal((<-ended).Outcome, OutcomeUnknown)
+		}
+		extra := w.executor.Stats().ExtraAttempts
+		is.True(extra > 0)
+		is.True(float64(extra) <= hedgeRatio*float64(calls))
+	})
+}
--- a/service/retrybudget.go
+++ b/service/retrybudget.go
@@ -24,3 +24,6 @@
 	b.balance--
 	return true
 }
+
+// Refund returns the charge for an attempt that was not made.
+func (b *retryBudget) Refund() { b.balance = min(b.balance+1, b.reserve) }
