Try a refused hedge of a forwarded call again while it runs

Callers of a repeatable forwarded call waited until its deadline when the first target was silent and the retry budget refused the hedge.

Cause: forwardRun.sendHedge set hedged before it asked the budget, and the timer fired once. When no other target was listed at that moment, the budget's unit was lost as well; so it was for a retry after a failure.

Change: hedged now says that a hedge was sent, and the timer is armed again every hedgeRetryDelay while a hedge may be sent. Each try goes through the shared budget; a unit that started no attempt is refunded. A hedge tried again has the urgency RetryPrefill, so that many waiting calls leave part of the budget to failed calls, which ask once, and to first hedges.

Evidence, with the new tests before the change: TestForwardedHedgeRefusedByTheBudgetIsSentWhenTheBudgetRecovers forward_test.go:209: err: service: outcome unknown: context deadline exceeded TestForwardedHedgeWithoutATargetKeepsItsBudgetAndIsSentWhenOneAppears forward_test.go:222: the same TestForwardedRetryWithoutATargetKeepsItsBudget forward_test.go:236: 0 != 1 TestRetriedForwardedHedgesLeaveBudgetForCallsThatFailed forward_test.go:247: not true: len(budget.urgencies) > 1 TestRetriedForwardedHedgesAreSentOnceAndNeverForACallThatMayRunOnce passes before and after; it guards the limits of attempts against the new tries. With the change, go test -race ./service passes. The effect on a fleet was not measured.

--- a/service/forward.go
+++ b/service/forward.go
@@ -152,6 +152,11 @@
 	return s.repeatable && s.possiblyRan+s.running < s.maxAttempts
 }
 
+// mayHedge reports whether the call may be sent to another target while an attempt is in progress.
+func (s forwardState) mayHedge() bool {
+	return s.repeatable && s.possiblyRan+s.running < s.maxAttempts
+}
+
 // forwardRun is the state of one call of Forwarder.Do.
 type forwardRun struct {
 	forwarder *Forwarder
@@ -163,7 +168,8 @@
 	cancels   []context.CancelFunc
 	// failureAnswer is the last failure that a target answered with.
 	failureAnswer any
-	hedged        bool
+	// hedgeTried reports that a hedge was tried, hedged that one was sent.
+	hedgeTried, hedged bool
 }
 
 type forwardResult struct {
@@ -209,6 +215,9 @@
 			return w.failedResult(result.sent.Err)
 		case <-timer.C:
 			w.sendHedge(ctx)
+			if w.mayHedge() {
+				timer.Reset(hedgeRetryDelay)
+			}
 		case <-ctx.Done():
 			return nil, &UnknownOutcomeError{Cause: ctx.Err()}
 		}
@@ -217,18 +226,41 @@
 
 // retry sends the call to another target if the state of the call and the retry budget allow it.
 func (w *forwardRun) retry(ctx context.Context) bool {
-	return w.state.mayRetry() && w.forwarder.options.Budget.Spend(w.call.Service, generation.RetryRestart) && w.startAttempt(ctx)
+	return w.state.mayRetry() && w.startExtraAttempt(ctx, generation.RetryRestart)
 }
 
-// sendHedge sends the call to a second target when the first one is late.
+func (w *forwardRun) mayHedge() bool { return !w.hedged && w.state.mayHedge() }
+
+// sendHedge sends the call to a second target when the first one is late, if the retry budget allows
+// it.
 func (w *forwardRun) sendHedge(ctx context.Context) {
-	if w.hedged || !w.state.repeatable || w.state.possiblyRan+w.state.running >= w.state.maxAttempts {
+	if !w.mayHedge() {
 		return
 	}
-	w.hedged = true
-	if w.forwarder.options.Budget.Spend(w.call.Service, generation.RetryRestart) {
-		w.startAttempt(ctx)
+	w.hedged = w.startExtraAttempt(ctx, hedgeUrgency(w.hedgeTried))
+	w.hedgeTried = true
+}
+
+// hedgeUrgency returns the urgency of a hedge. One that is tried again has the lowest: calls that
+// wait try again all the time, while one that failed has a single try, and must find some budget left.
+func hedgeUrgency(tried bool) generation.RetryUrgency {
+	if tried {
+		return generation.RetryPrefill
 	}
+	return generation.RetryRestart
+}
+
+// startExtraAttempt sends the call to another target, within the retry budget.
+func (w *forwardRun) startExtraAttempt(ctx context.Context, urgency generation.RetryUrgency) bool {
+	budget, service := w.forwarder.options.Budget, w.call.Service
+	if !budget.Spend(service, urgency) {
+		return false
+	}
+	if !w.startAttempt(ctx) {
+		budget.Refund(service)
+		return false
+	}
+	return true
 }
 
 func (w *forwardRun) hedgeDelay() time.Duration {
--- a/service/forward_test.go
+++ b/service/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,6 +50,34 @@
 func (unlimitedRetries) Spend(string, generation.RetryUrgency) bool { return true }
 func (unlimitedRetries) Refund(string)                              {}
 
+// limitedRetries is a retry budget that requests don't add to. It records the urgencies asked for.
+type limitedRetries struct {
+	mu        sync.Mutex
+	left      int
+	urgencies []generation.RetryUrgency
+}
+
+func (b *limitedRetries) Earn(string) {}
+
+func (b *limitedRetries) Spend(_ string, urgency generation.RetryUrgency) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.urgencies = append(b.urgencies, urgency)
+	if b.left == 0 {
+		return false
+	}
+	b.left--
+	return true
+}
+
+func (b *limitedRetries) Refund(string) { b.add(1) }
+
+func (b *limitedRetries) add(retries int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left += retries
+}
+
 var (
 	good            = SendResult{Verdict: SendAnswered, Answer: "good"}
 	failed          = SendResult{Verdict: SendFailed, Answer: "failed"}
@@ -160,3 +189,85 @@
 	f.Sweep()
 	is.Equal(len(pool.states), 2)
 }
+
+// forwardRepeatable forwards a repeatable call that may run at two targets, and returns its answer.
+func forwardRepeatable(t *testing.T, replies []reply, directory Directory, budget *limitedRetries) (any, error) {
+	sender := &fakeSender{replies: replies, sends: make(chan string, 8)}
+	f := NewForwarder(ForwarderOptions{Sender: sender, Directory: directory, Budget: budget})
+	return f.Do(t.Context(), &ForwardedCall{
+		Service: "records", Repeatable: true, MaxAttempts: 2,
+		Deadline: time.Now().Add(800 * time.Millisecond), Objective: 100 * time.Millisecond,
+	})
+}
+
+func TestForwardedHedgeRefusedByTheBudgetIsSentWhenTheBudgetRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		budget := &limitedRetries{}
+		time.AfterFunc(300*time.Millisecond, func() { budget.add(2) })
+		answer, err := forwardRepeatable(t, []reply{{good, time.Hour}, {good, quick}}, fixedTargets{}, budget)
+		is.NoErr(err)
+		is.Equal(answer, "good")
+		is.Equal(budget.left, 1) // one hedge was charged
+		synctest.Wait()
+	})
+}
+
+func TestForwardedHedgeWithoutATargetKeepsItsBudgetAndIsSentWhenOneAppears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := &changingDirectory{targets: fixedTargets{}.Targets("")[:1]}
+		time.AfterFunc(300*time.Millisecond, func() { directory.set(fixedTargets{}.Targets("")) })
+		answer, err := forwardRepeatable(t, []reply{{good, time.Hour}, {good, quick}}, directory, &limitedRetries{left: 1})
+		is.NoErr(err)
+		is.Equal(answer, "good")
+		synctest.Wait()
+	})
+}
+
+func TestForwardedRetryWithoutATargetKeepsItsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		budget := &limitedRetries{left: 1}
+		directory := fakeDirectory{{Name: "a"}}
+		_, err := forwardRepeatable(t, []reply{{unknown, quick}}, directory, budget)
+		var lost *UnknownOutcomeError
+		is.True(errors.As(err, &lost))
+		is.Equal(budget.left, 1)
+	})
+}
+
+// Many waiting calls try their hedges again, all the time; calls that failed have one try.
+func TestRetriedForwardedHedgesLeaveBudgetForCallsThatFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		budget := &limitedRetries{}
+		_, err := forwardRepeatable(t, []reply{{good, time.Hour}}, fixedTargets{}, budget)
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.True(len(budget.urgencies) > 1)
+		is.Equal(budget.urgencies[0], generation.RetryRestart)
+		for _, urgency := range budget.urgencies[1:] {
+			is.Equal(urgency, generation.RetryPrefill)
+		}
+		synctest.Wait()
+	})
+}
+
+func TestRetriedForwardedHedgesAreSentOnceAndNeverForACallThatMayRunOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for _, each := range []struct {
+			repeatable      bool
+			attempts, sends int
+		}{{false, 2, 1}, {true, 1, 1}, {true, 3, 2}} {
+			sender := &fakeSender{replies: []reply{{good, time.Hour}, {good, time.Hour}, {good, quick}}, sends: make(chan string, 8)}
+			f := NewForwarder(ForwarderOptions{Sender: sender, Directory: fixedTargets{}, Budget: unlimitedRetries{}})
+			_, err := f.Do(t.Context(), &ForwardedCall{
+				Service: "records", Repeatable: each.repeatable, MaxAttempts: each.attempts, Deadline: time.Now().Add(800 * time.Millisecond),
+			})
+			is.True(errors.Is(err, context.DeadlineExceeded))
+			is.Equal(len(sender.sends), each.sends)
+			synctest.Wait()
+		}
+	})
+}
