Keep hedges for look-ups whose target is silent

Cause: the budget adds 0.05 of a hedge per look-up, and the hedge delay is the 95th percentile, so that look-ups that are only a little late use up what is earned. When a target then turns silent, nothing is left, and without other calls the budget does not grow while the call waits.

Change: look-ups that have waited less than slowAfter (four hedge delays) and probes leave silentTargetHedges in the budget; a call that has waited longer may take these. It is breakerFailures: one hedge for each call that a silent target takes before its breaker opens. Ratio and reserve of the budget are as before, so the bound of 5% extra calls holds.

The price: after a start, or after the kept hedges were used, the first immediate hedge and the first probe come after 80 look-ups, not 20.

Evidence, before the change: TestHedgesOfLateCallsLeaveSomeForASilentTarget repeatable_test.go:186: unknown != answered TestProbesLeaveHedgesForASilentTarget repeatable_test.go:202: not true: !due

Not ruled out: that enough look-ups wait longer than slowAfter on a busy machine to use up the kept hedges too.

--- a/service/hedge.go
+++ b/service/hedge.go
@@ -101,9 +101,10 @@
 	return !h.hedged && len(h.tried) < maxInteractiveAttempts
 }
 
-// sendHedge sends the call to another target if the hedge budget allows it.
+// sendHedge sends the call to another target if the hedge budget allows it. An attempt must be running.
 func (h *hedgedCall) sendHedge(ctx context.Context) {
-	if !h.pool.spendBudget(&h.pool.hedges) {
+	waited := time.Since(h.running[0].start)
+	if !h.pool.spendBudget(&h.pool.hedges, hedgesToLeave(waited, h.pool.slowAfter())) {
 		return
 	}
 	if !h.startAttempt(ctx) {
@@ -114,6 +115,15 @@
 	h.hedged = true
 }
 
+// hedgesToLeave returns how many hedges a call leaves in the budget when its target has not answered
+// for the time waited.
+func hedgesToLeave(waited, slowAfter time.Duration) float64 {
+	if waited < slowAfter {
+		return silentTargetHedges
+	}
+	return 0
+}
+
 // replaceFailedAttempt starts another attempt after one that failed. Failures open the target's
 // breaker, so that few replacements are needed. A call that was not hedged waits for its other
 // attempts; a hedged one has already waited.
--- a/service/pool.go
+++ b/service/pool.go
@@ -35,6 +35,9 @@
 	hedgeRatio = 0.05
 	// hedgeReserve is the number of unused hedges that the budget can accumulate.
 	hedgeReserve = 10
+	// silentTargetHedges is the number of hedges that are kept for calls whose target is silent: one for
+	// each call until the target's breaker opens. Calls that are only late, and probes, leave them.
+	silentTargetHedges = breakerFailures
 	// retryRatio limits retries, as a fraction of the idempotent calls.
 	retryRatio = 0.1
 	// retryReserve is the number of unused retries that the budget can accumulate.
@@ -128,8 +131,8 @@
 	defer p.mu.Unlock()
 	for _, target := range targets {
 		state := p.stateOf(target.Name)
-		if p.hedges.balance >= 1 && state.breaker.TryProbe(now) {
-			p.hedges.Spend()
+		if p.hedges.Allows(silentTargetHedges) && state.breaker.TryProbe(now) {
+			p.hedges.Spend(silentTargetHedges)
 			return p.newLease(target, false, true), true
 		}
 	}
--- a/service/repeatable.go
+++ b/service/repeatable.go
@@ -85,7 +85,7 @@
 		if !ok && len(tried) > 0 {
 			tried = nil // every target was tried: start over
 		}
-		if !pool.spendBudget(&pool.retries) || wait.For(ctx, pauses.NextBackOff()) != nil {
+		if !pool.spendBudget(&pool.retries, 0) || wait.For(ctx, pauses.NextBackOff()) != nil {
 			return failedCallResult(call, last, ok, possiblyRan)
 		}
 	}
@@ -129,10 +129,10 @@
 	budget.Earn()
 }
 
-func (p *pool) spendBudget(budget *retryBudget) bool {
+func (p *pool) spendBudget(budget *retryBudget, rest float64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return budget.Spend()
+	return budget.Spend(rest)
 }
 
 func (p *pool) refundBudget(budget *retryBudget) {
--- a/service/repeatable_test.go
+++ b/service/repeatable_test.go
@@ -166,3 +166,41 @@
 		is.True(float64(extra) <= hedgeRatio*float64(calls))
 	})
 }
+
+// Calls that are a little late would use up the hedges; then the target that they are sent to first is silent.
+func TestHedgesOfLateCallsLeaveSomeForASilentTarget(t *testing.T) {
+	withFixture(t, threeTargets(), func(is *is.I, w *fixture) {
+		defer w.stop()
+		call := func(from, count int, latency time.Duration) {
+			for _, target := range threeTargets() {
+				w.transport.setBehavior(target.Name, fakeTarget{latency: latency})
+			}
+			for i := range count {
+				is.Equal(w.executor.Do(context.Background(), lookup(from+i)).Outcome, OutcomeAnswered)
+			}
+		}
+		call(0, 100, 5*time.Millisecond)  // earns five hedges
+		call(100, 5, 12*time.Millisecond) // each is late
+		for range breakerFailures {
+			start := time.Now()
+			is.Equal((<-w.startUnansweredLookup(2 * time.Second)).Outcome, OutcomeAnswered)
+			is.True(time.Since(start) <= 50*time.Millisecond)
+		}
+	})
+}
+
+func TestProbesLeaveHedgesForASilentTarget(t *testing.T) {
+	is := is.New(t)
+	p := newPool(threeTargets(), "records", func() int { return 1 }, 1)
+	now := time.Now()
+	for range breakerFailures {
+		p.stateOf("t0").breaker.RecordFailure(false, now)
+	}
+	now = now.Add(breakerInitialOpenTime)
+	p.hedges.balance = silentTargetHedges + 0.5
+	_, due := p.leaseProbe(now)
+	is.True(!due)
+	p.hedges.balance++
+	_, due = p.leaseProbe(now)
+	is.True(due)
+}
--- a/service/retrybudget.go
+++ b/service/retrybudget.go
@@ -16,9 +16,13 @@
 // Earn credits the budget for one call.
 func (b *retryBudget) Earn() { b.balance = min(b.balance+b.ratio, b.reserve) }
 
-// Spend reports whether a further attempt may be made, and charges the budget for it.
-func (b *retryBudget) Spend() bool {
-	if b.balance < 1 {
+// Allows reports whether a further attempt would leave rest in the balance.
+func (b *retryBudget) Allows(rest float64) bool { return b.balance >= 1+rest }
+
+// Spend reports whether a further attempt may be made that leaves rest in the balance, and charges the
+// budget for it.
+func (b *retryBudget) Spend(rest float64) bool {
+	if !b.Allows(rest) {
 		return false
 	}
 	b.balance--
