Charge an idempotent call's retry once when all targets were tried

Callers of idempotent calls got half the retries that the budget allows when a deployment has one target, and fewer than allowed with several.

Cause: when every target had been tried, the loop took another unit of the budget and another pause before it started over, though the unit taken before had started no attempt. Found while looking for further places where a unit is spent without an attempt.

Change: start over at once, with the retry already charged. With no target listed at all, tries are charged as before: that ends such calls.

Evidence, before the change: TestIdempotentRetryOfAnOnlyTargetCostsNoSecondUnitOfTheBudget repeatable_test.go:114: 3 != 5 With it, go test -race -count=20 ./service passes.

--- a/service/fakes_test.go
+++ b/service/fakes_test.go
@@ -77,11 +77,15 @@
 	runs    map[string]int
 	order   []string
 	once    bool
+	refused int // requests that were not sent
 }
 
 func (f *fakeTransport) Do(ctx context.Context, target Target, request Request) (idempotency.Answer, error) {
 	f.mu.Lock()
 	behavior := f.targets[target.Name]
+	if behavior.notSent {
+		f.refused++
+	}
 	f.mu.Unlock()
 	if behavior.notSent {
 		return idempotency.Answer{}, &NotSentError{Cause: errors.New("refused")}
--- a/service/repeatable.go
+++ b/service/repeatable.go
@@ -83,7 +83,8 @@
 			possiblyRan = possiblyRan || mayHaveRun(last.err)
 		}
 		if !ok && len(tried) > 0 {
-			tried = nil // every target was tried: start over
+			tried = nil // every target was tried: start over, with the retry already charged
+			continue
 		}
 		if !pool.spendBudget(&pool.retries, 0) || wait.For(ctx, pauses.NextBackOff()) != nil {
 			return failedCallResult(call, last, ok, possiblyRan)
--- a/service/repeatable_test.go
+++ b/service/repeatable_test.go
@@ -103,6 +103,20 @@
 	})
 }
 
+func TestIdempotentRetryOfAnOnlyTargetCostsNoSecondUnitOfTheBudget(t *testing.T) {
+	withFixture(t, threeTargets()[:1], func(is *is.I, w *fixture) {
+		defer w.stop()
+		w.transport.setBehavior("t0", fakeTarget{notSent: true})
+		pool := w.executor.pool("records")
+		pool.retries.balance = 4
+		call := lookup(0)
+		call.Class = v1.ClassIdempotent
+		is.Equal(w.executor.Do(context.Background(), call).Code, CodeNoTarget)
+		is.Equal(w.transport.refused, 5) // the first attempt and four retries
+		is.True(pool.retries.balance < 1)
+	})
+}
+
 // The first target does not answer and the hedge fails: the third target answers.
 func TestFailedHedgeIsReplacedWhileTheFirstTargetDoesNotAnswer(t *testing.T) {
 	withFixture(t, threeTargets(), func(is *is.I, w *fixture) {
