--- a/service/repeatable_test.go
+++ b/service/repeatable_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -102,6 +103,20 @@
 	})
 }
 
+func TestIdempotentRetryOfAnOnlyTargetCostsNoSecondUnitOfTheBudget(t *testing.T) {
+	withFixture(t, threeTargets()[:1], func(is *is.I, w *fixture) {
+		defer w.stop()
+		w.transport.setBehavior("t0", fakeTarget{notSent: true})
+		pool := w.executor.pool("records")
+		pool.retries.balance = 4
+		call := lookup(0)
+		call.Class = v1.ClassIdempotent
+		is.Equal(w.executor.Do(context.Background(), call).Code, CodeNoTarget)
+		is.Equal(w.transport.refused, 5) // the first attempt and four retries
+		is.True(pool.retries.balance < 1)
+	})
+}
+
 // The first target does not answer and the hedge fails: the third target answers.
 func TestFailedHedgeIsReplacedWhileTheFirstTargetDoesNotAnswer(t *testing.T) {
 	withFixture(t, threeTargets(), func(is *is.I, w *fixture) {
@@ -120,3 +135,86 @@
 		}
 	})
 }
+
+func TestHedgeRefusedByTheBudgetIsSentWhenTheBudgetRecovers(t *testing.T) {
+	withFixture(t, threeTargets(), func(is *is.I, w *fixture) {
+		defer w.stop()
+		result := w.startUnansweredLookup(2 * time.Second)
+		time.Sleep(time.Second)
+		for i := range 40 { // earn two hedges
+			is.Equal(w.executor.Do(context.Background(), lookup(i)).Outcome, OutcomeAnswered)
+		}
+		is.Equal((<-result).Outcome, OutcomeAnswered)
+	})
+}
+
+func TestHedgeWithoutATargetKeepsItsBudgetAndIsSentWhenOneAppears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		directory := &changingDirectory{targets: threeTargets()[:1]}
+		w := newFixture(t, nil, func(options *Options) { options.Directory = directory })
+		defer w.stop()
+		w.executor.pool("records").hedges.balance = 1
+		result := w.startUnansweredLookup(2 * time.Second)
+		time.Sleep(time.Second)
+		directory.set(threeTargets())
+		is.Equal((<-result).Outcome, OutcomeAnswered)
+	})
+}
+
+// All targets stop answering under many calls at once, and the hedges are tried again for seconds.
+func TestRetriedHedgesOfManyWaitingCallsStayWithinTheirBudget(t *testing.T) {
+	withFixture(t, threeTargets(), func(is *is.I, w *fixture) {
+		w.silenceAll()
+		const calls = 200
+		ended := make(chan Result, calls)
+		for i := range calls {
+			go func() { ended <- w.executor.Do(context.Background(), lookup(i)) }()
+			time.Sleep(10 * time.Millisecond)
+		}
+		for range calls {
+			is.Equal((<-ended).Outcome, OutcomeUnknown)
+		}
+		extra := w.executor.Stats().ExtraAttempts
+		is.True(extra > 0)
+		is.True(float64(extra) <= hedgeRatio*float64(calls))
+	})
+}
+
+// Calls that are a little late would use up the hedges; then the target that they are sent to first is silent.
+func TestHedgesOfLateCallsLeaveSomeForASilentTarget(t *testing.T) {
+	withFixture(t, threeTargets(), func(is *is.I, w *fixture) {
+		defer w.stop()
+		call := func(from, count int, latency time.Duration) {
+			for _, target := range threeTargets() {
+				w.transport.setBehavior(target.Name, fakeTarget{latency: latency})
+			}
+			for i := range count {
+				is.Equal(w.executor.Do(context.Background(), lookup(from+i)).Outcome, OutcomeAnswered)
+			}
+		}
+		call(0, 100, 5*time.Millisecond)  // earns five hedges
+		call(100, 5, 12*time.Millisecond) // each is late
+		for range breakerFailures {
+			start := time.Now()
+			is.Equal((<-w.startUnansweredLookup(2 * time.Second)).Outcome, OutcomeAnswered)
+			is.True(time.Since(start) <= 50*time.Millisecond)
+		}
+	})
+}
+
+func TestProbesLeaveHedgesForASilentTarget(t *testing.T) {
+	is := is.New(t)
+	p := newPool(threeTargets(), "records", func() int { return 1 }, 1)
+	now := time.Now()
+	for range breakerFailures {
+		p.stateOf("t0").breaker.RecordFailure(false, now)
+	}
+	now = now.Add(breakerInitialOpenTime)
+	p.hedges.balance = silentTargetHedges + 0.5
+	_, due := p.leaseProbe(now)
+	is.True(!due)
+	p.hedges.balance++
+	_, due = p.leaseProbe(now)
+	is.True(due)
+}
