--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -36,6 +36,8 @@
 	control         controlState
 	stats           Stats
 	lostStreams     []LostStream
+	// released is closed by Release.
+	released chan struct{}
 	// stop interrupts the step loop. It is closed and replaced when the engine dies, and closed
 	// permanently by Close.
 	stop chan struct{}
@@ -51,6 +53,7 @@
 		cache:       newPrefixCache(options, random),
 		streams:     map[streamKey]*stream{},
 		incarnation: 1,
+		released:    make(chan struct{}),
 		stop:        make(chan struct{}),
 	}
 	e.control.reset(options)
@@ -98,6 +101,17 @@
 	e.terminatesAt = now.Add(d)
 }
 
+// Release ends the effect of Options.HoldAt permanently, also after the engine has died.
+func (e *Engine) Release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.released:
+	default:
+		close(e.released)
+	}
+}
+
 // Close stops the engine permanently.
 func (e *Engine) Close() {
 	e.mu.Lock()
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -164,6 +165,33 @@
 	is.Equal(answer.Incarnation, "engine-2")
 }
 
+func TestStreamDoesNotEndBeforeRelease(t *testing.T) {
+	is := is.New(t)
+	var released, early atomic.Bool
+	engine, server := startEngine(t, func(o *Options) {
+		o.TokenInterval = 0
+		o.HoldAt = 10
+		o.OnToken = func(token Emission) {
+			if token.Index >= o.HoldAt && !released.Load() {
+				early.Store(true)
+			}
+		}
+	})
+	body := bufio.NewReader(postJSON(t, server.URL+"/v1/generate", request).Body)
+	var start strings.Builder
+	for range 2 * 10 { // an event is a line and an empty one
+		line, err := body.ReadString('\n')
+		is.NoErr(err)
+		start.WriteString(line)
+	}
+	is.Equal(len(readEvents(strings.NewReader(start.String()))), 10)
+	is.Equal(engine.Stats().Running, 1)
+	released.Store(true)
+	engine.Release()
+	is.Equal(len(readEvents(body)), 21)
+	is.True(!early.Load())
+}
+
 func TestStaleCommandIsRefusedOnlyWithCheckFence(t *testing.T) {
 	for _, checked := range []bool{true, false} {
 		is := is.New(t)
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -61,6 +61,9 @@
 	// FixedLength is the length in tokens of every answer that maxTokens does not cut short; 0 derives
 	// it from prompt and seed.
 	FixedLength int
+	// HoldAt stops decoding, for all streams, when a stream has this many tokens; decoded tokens are still
+	// sent. It lasts until Release; 0 never stops.
+	HoldAt int
 	// ServeAnyVersion serves every requested version; otherwise only those in Loaded, changed by load and
 	// unload commands, are served.
 	ServeAnyVersion bool
--- a/standin/engine/scheduler.go
+++ b/standin/engine/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/standin/fault"
@@ -26,10 +27,31 @@
 			e.waitWhilePaused(stop)
 			deadline = time.Now()
 		}
+		if e.reachedHold() && !waitUntilReleased(e.released, stop) {
+			continue
+		}
 		e.decodeStep()
 	}
 }
 
+// reachedHold reports whether a running stream has as many tokens as Options.HoldAt allows.
+func (e *Engine) reachedHold() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	holdAt := e.options.HoldAt
+	return holdAt > 0 && slices.ContainsFunc(e.running, func(s *stream) bool { return len(s.tokens) >= holdAt })
+}
+
+// waitUntilReleased waits for released and reports whether it was closed before stop.
+func waitUntilReleased(released, stop <-chan struct{}) bool {
+	select {
+	case <-released:
+		return true
+	case <-stop:
+		return false
+	}
+}
+
 // waitUntil waits for the deadline and reports whether it was reached before stop was closed.
 func waitUntil(deadline time.Time, stop <-chan struct{}) bool {
 	timer := time.NewTimer(time.Until(deadline))
--- a/test/scenarios/callers_test.go
+++ b/test/scenarios/callers_test.go
@@ -14,7 +14,7 @@
 )
 
 // callerCommand: caller start NAME [entry=E] [key=K] [prompt=P] [tokens=N] [seed=S] |
-// wait NAME token=N | expect NAME STATUS [reconnects=N].
+// wait NAME token=N | expect NAME STATUS [reconnects=N] [cut-before=TOKEN].
 func callerCommand(ctx context.Context, w *world, a arguments) error {
 	if err := w.started(); err != nil {
 		return err
@@ -141,6 +141,21 @@
 	if reconnects != len(r.result.Reconnects) {
 		return fmt.Errorf("%d reconnects, want %d: %v", len(r.result.Reconnects), reconnects, r.result.Reconnects)
 	}
+	return r.expectCutBefore(a)
+}
+
+// expectCutBefore fails unless the answer was interrupted, for the first time before the given token.
+func (r *running) expectCutBefore(a arguments) error {
+	if _, given := a.values["cut-before"]; !given {
+		return nil
+	}
+	token, err := a.number("cut-before", 0)
+	if err != nil {
+		return err
+	}
+	if cuts := r.result.Reconnects; len(cuts) == 0 || cuts[0].Index >= token {
+		return fmt.Errorf("not interrupted before token %d: %v", token, cuts)
+	}
 	return nil
 }
 
--- a/test/scenarios/targets_test.go
+++ b/test/scenarios/targets_test.go
@@ -71,8 +71,8 @@
 	return f, err
 }
 
-// engineCommand: engine start NAME [zone=Z] [interval=D] [tokens=N] | kill | return | pause |
-// continue | leave | fault kind=K … NAME | no-new-work NAME [after=D] | expect …; NAME may be "serving".
+// engineCommand: engine start NAME [zone=Z] [interval=D] [tokens=N] [hold=N] | kill | return | pause |
+// continue | release | leave | fault kind=K … NAME | no-new-work NAME [after=D] | expect …; NAME may be "serving".
 func engineCommand(ctx context.Context, w *world, a arguments) error {
 	if a.verb == "start" {
 		return startEngine(w, a)
@@ -113,6 +113,9 @@
 	if d.Engine.FixedLength, err = a.number("tokens", d.Engine.FixedLength); err != nil {
 		return err
 	}
+	if d.Engine.HoldAt, err = a.number("hold", d.Engine.HoldAt); err != nil {
+		return err
+	}
 	for _, name := range a.names {
 		if _, err := w.cluster.AddTarget(d, name, a.text("zone", "a")); err != nil {
 			return err
@@ -131,6 +134,11 @@
 		t.Pause()
 	case "continue":
 		t.Continue()
+	case "release":
+		if t.Engine() == nil {
+			return fmt.Errorf("%w: %s is no engine", errUsage, t.Name)
+		}
+		t.Engine().Release()
 	case "leave":
 		ahead, err := a.duration("in", time.Minute)
 		if err != nil {
