A reduced quota lease is lent again only when its holder reports it

Cause: a decision took effect in the record of the quota owner before it took effect at the holder (check, then act, over two processes). An entry takes its demand, and goes on to admit requests by the lease that it holds; the owner decides on a smaller one, and counts max(granted, in use as reported). What lies between is lent to others and used by the holder.

Change: the owner counts what an entry may hold until the entry reports to hold the last grant. So the sum of what it counts never grows beyond the limit, whatever answers are lost. The same fault in three more orders is closed with it: - a demand processed after a later one (the owner was paused) replaced the newer record; the held lease's expiry now shows that it is not the last grant. - two renewals of a customer at once (concurrent first requests: ten made ten calls) could be decided in one order and applied in the other; an entry has one in progress, and other first requests wait for it. - the lease ran from the answer's arrival, so it ended up to 0.5 s after the owner had lent it anew; it runs from the demand.

Not covered: what a new quota owner grants in its first 4 s to entries that hold nothing.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -34,6 +34,8 @@
 	// live is each entry's view of the live entries; known is the same for all.
 	live  map[string][]membership.Peer
 	known int
+	// onRequest is called between an entry's demand and the decision of the quota owner.
+	onRequest func(entry string)
 }
 
 // member is one entry's view of the cluster and its connection to it.
@@ -50,13 +52,20 @@
 	return m.cluster.live[m.self.Name]
 }
 
-func (m member) RequestGrants(_ context.Context, owner membership.Peer, request GrantRequest) ([]Grant, error) {
+func (m member) RequestGrants(ctx context.Context, owner membership.Peer, request GrantRequest) ([]Grant, error) {
 	m.cluster.mutex.Lock()
 	unreachable := m.cluster.disconnected[owner.Name] || m.cluster.disconnected[m.self.Name]
+	onRequest := m.cluster.onRequest
 	m.cluster.mutex.Unlock()
 	if unreachable {
 		return nil, errors.New("disconnected")
 	}
+	if onRequest != nil {
+		onRequest(m.self.Name)
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	return m.cluster.controllers[owner.Name].HandleGrantRequest(request)
 }
 
@@ -77,6 +86,12 @@
 	return c
 }
 
+func (c *cluster) setOnRequest(onRequest func(entry string)) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.onRequest = onRequest
+}
+
 // setView sets the live entries as some entries see them.
 func (c *cluster) setView(viewers, seen []membership.Peer) {
 	c.mutex.Lock()
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -23,6 +23,9 @@
 	filledAt time.Time
 	// lastUsed is the time of the customer's last request.
 	lastUsed time.Time
+	// renewal is closed when the renewal in progress ends; nil means none. Two renewals at once could be
+	// decided in one order and answered in the other.
+	renewal <-chan struct{}
 }
 
 const (
@@ -49,10 +52,12 @@
 	q.expires = now.Add(quotaLeaseTTL)
 }
 
-func (q *quota) applyGrant(grant Grant, now time.Time) {
+// applyGrant replaces the lease. It is valid from askedAt, the time of the demand, so that it expires here
+// no later than in the quota owner's record, however long the answer took.
+func (q *quota) applyGrant(grant Grant, askedAt, now time.Time) {
 	q.concurrency = grant.Concurrency
 	q.setRate(grant.TokensPerSecond, now)
-	q.expires = now.Add(grant.ValidFor)
+	q.expires = askedAt.Add(grant.ValidFor)
 }
 
 func (q *quota) setRate(rate float64, now time.Time) {
--- a/admission/quotalease.go
+++ b/admission/quotalease.go
@@ -35,29 +35,61 @@
 	return part * part * (3 - 2*part)
 }
 
+// leasedPart is what an entry may use of one limit: what was granted last, and what the entry may hold
+// until it has that grant.
+type leasedPart[T int | float64] struct{ granted, mayHold T }
+
+// recordHeld records what the entry reports to hold. A smaller grant frees nothing before the entry
+// reports to hold it: the answer may be lost or on its way, and the entry admits requests meanwhile.
+func (p *leasedPart[T]) recordHeld(held T, holdsLastGrant bool) {
+	if holdsLastGrant && held == p.granted {
+		p.mayHold = held
+		return
+	}
+	p.mayHold = max(p.mayHold, p.granted, held)
+}
+
+func (p leasedPart[T]) outstanding() T { return max(p.granted, p.mayHold) }
+
 // quotaLease is a quota owner's record of the lease of one entry.
 type quotaLease struct {
-	concurrency int
-	rate        float64
+	concurrency leasedPart[int]
+	rate        leasedPart[float64]
 	inUse       int
 	wanted      int
 	wantedRate  float64
 	expires     time.Time
 }
 
+// recordDemand records what the entry holds, uses and wants. A demand may arrive after a later one, for
+// example when this entry was paused; the expiry of the held lease shows that it is not the last grant.
+func (l *quotaLease) recordDemand(demand Demand, now time.Time) {
+	if now.After(l.expires) {
+		l.concurrency, l.rate = leasedPart[int]{}, leasedPart[float64]{}
+	}
+	held, heldRate := demand.HeldConcurrency, demand.HeldRate
+	if demand.HeldFor <= 0 {
+		held, heldRate = 0, 0
+	}
+	holdsLastGrant := !now.Add(demand.HeldFor + renewTimeout).Before(l.expires)
+	l.concurrency.recordHeld(held, holdsLastGrant)
+	l.rate.recordHeld(heldRate, holdsLastGrant)
+	l.inUse, l.wanted, l.wantedRate = demand.InUse, demand.Wanted, demand.WantedRate
+}
+
 // outstanding returns the concurrency that the entry may be using.
-func (l quotaLease) outstanding(now time.Time) int {
+func (l *quotaLease) outstanding(now time.Time) int {
 	if now.After(l.expires) {
 		return 0
 	}
-	return max(l.concurrency, l.inUse)
+	return max(l.concurrency.outstanding(), l.inUse)
 }
 
-func (l quotaLease) outstandingRate(now time.Time) float64 {
+func (l *quotaLease) outstandingRate(now time.Time) float64 {
 	if now.After(l.expires) {
 		return 0
 	}
-	return l.rate
+	return l.rate.outstanding()
 }
 
 // quotaAccount is a quota owner's record of one customer.
@@ -76,20 +108,20 @@
 		own = &quotaLease{}
 		a.leases[entry] = own
 	}
-	own.inUse, own.wanted, own.wantedRate = demand.InUse, demand.Wanted, demand.WantedRate
+	own.recordDemand(demand, now)
 	warmingUp := now.Sub(a.ownerSince) < quotaLeaseTTL
 	if warmingUp {
-		own.concurrency, own.rate = warmUpGrant(demand, group, limits)
+		own.concurrency.granted, own.rate.granted = warmUpGrant(demand, group, limits)
 	} else {
-		own.concurrency = a.concurrencyFor(entry, limits, group, now)
-		own.rate = a.rateFor(entry, limits, group, now)
+		own.concurrency.granted = a.concurrencyFor(entry, limits, group, now)
+		own.rate.granted = a.rateFor(entry, limits, group, now)
 	}
 	own.expires = now.Add(quotaLeaseTTL)
 	a.removeExpired(now)
 	return Grant{
 		Customer:        demand.Customer,
-		Concurrency:     own.concurrency,
-		TokensPerSecond: own.rate,
+		Concurrency:     own.concurrency.granted,
+		TokensPerSecond: own.rate.granted,
 		ValidFor:        quotaLeaseTTL,
 	}
 }
--- a/admission/renewal.go
+++ b/admission/renewal.go
@@ -29,7 +29,35 @@
 // renewalBatch is the set of demands for one quota owner.
 type renewalBatch struct {
 	owner   membership.Peer
+	askedAt time.Time
 	demands []Demand
+	// quotas are those of the demands, by customer.
+	quotas map[string]*quota
+	// finished is closed when the quotas are renewed, or the renewal has failed.
+	finished chan struct{}
+}
+
+func newRenewalBatch(owner membership.Peer, now time.Time) *renewalBatch {
+	return &renewalBatch{owner: owner, askedAt: now, quotas: map[string]*quota{}, finished: make(chan struct{})}
+}
+
+func (b *renewalBatch) add(customer string, q *quota, limits Limits) {
+	b.demands = append(b.demands, q.takeDemand(customer, limits, b.askedAt))
+	b.quotas[customer] = q
+	q.renewal = b.finished
+}
+
+// finish applies the grants, if any, and allows the next renewal of the quotas.
+func (b *renewalBatch) finish(grants []Grant, now time.Time) {
+	for _, grant := range grants {
+		if q := b.quotas[grant.Customer]; q != nil {
+			q.applyGrant(grant, b.askedAt, now)
+		}
+	}
+	for _, q := range b.quotas {
+		q.renewal = nil
+	}
+	close(b.finished)
 }
 
 // Renew asks each quota owner once. The leases from an owner that does not answer stay as they are
@@ -49,18 +77,16 @@
 	c.removeUnusedAccounts()
 }
 
-func (c *Controller) renewBatch(ctx context.Context, batch renewalBatch, timeout time.Duration) {
+func (c *Controller) renewBatch(ctx context.Context, batch *renewalBatch, timeout time.Duration) {
 	request := GrantRequest{Entry: c.options.Members.Self().Name, Demands: batch.demands}
 	grants, err := c.requestGrants(ctx, batch.owner, request, timeout)
 	if err != nil {
-		return
+		grants = nil
 	}
 	now := c.options.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for _, grant := range grants {
-		c.quota(grant.Customer).applyGrant(grant, now)
-	}
+	batch.finish(grants, now)
 }
 
 func (c *Controller) requestGrants(ctx context.Context, owner membership.Peer, request GrantRequest, timeout time.Duration) ([]Grant, error) {
@@ -73,43 +99,44 @@
 }
 
 // renewalBatches collects the demands for the customers that are in use, by quota owner.
-func (c *Controller) renewalBatches() []renewalBatch {
+func (c *Controller) renewalBatches() []*renewalBatch {
 	now := c.options.Now()
 	live := c.options.Members.Live()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	byOwner := map[string]*renewalBatch{}
 	for customer, q := range c.quotas {
-		if q.inUse == 0 && now.Sub(q.lastUsed) > idleTime {
+		if q.inUse == 0 && q.renewal == nil && now.Sub(q.lastUsed) > idleTime {
 			delete(c.quotas, customer)
 			continue
 		}
 		limits := c.options.Customers.Limits(customer)
-		if limits == (Limits{}) {
+		if limits == (Limits{}) || q.renewal != nil {
 			continue
 		}
 		owner := quotaOwner(live, customer)
 		batch, ok := byOwner[owner.Name]
 		if !ok {
-			batch = &renewalBatch{owner: owner}
+			batch = newRenewalBatch(owner, now)
 			byOwner[owner.Name] = batch
 		}
-		batch.demands = append(batch.demands, q.takeDemand(customer, limits, now))
+		batch.add(customer, q, limits)
 	}
 	return sortedBatches(byOwner)
 }
 
-func sortedBatches(byOwner map[string]*renewalBatch) []renewalBatch {
-	batches := make([]renewalBatch, 0, len(byOwner))
+func sortedBatches(byOwner map[string]*renewalBatch) []*renewalBatch {
+	batches := make([]*renewalBatch, 0, len(byOwner))
 	for _, batch := range byOwner {
 		sort.Slice(batch.demands, func(i, j int) bool { return batch.demands[i].Customer < batch.demands[j].Customer })
-		batches = append(batches, *batch)
+		batches = append(batches, batch)
 	}
 	sort.Slice(batches, func(i, j int) bool { return batches[i].owner.Name < batches[j].owner.Name })
 	return batches
 }
 
-// acquireFirstGrant requests a quota lease for a customer for which this entry holds none yet.
+// acquireFirstGrant requests a quota lease for a customer for which this entry holds none yet, or waits
+// for the request that is in progress.
 func (c *Controller) acquireFirstGrant(ctx context.Context, customer string) error {
 	limits := c.options.Customers.Limits(customer)
 	if limits == (Limits{}) {
@@ -123,10 +150,27 @@
 		return nil
 	}
 	q.lastUsed = now
-	demand := q.takeDemand(customer, limits, now)
+	if pending := q.renewal; pending != nil {
+		c.mutex.Unlock()
+		return waitFor(ctx, pending, firstGrantTimeout)
+	}
+	batch := newRenewalBatch(quotaOwner(c.options.Members.Live(), customer), now)
+	batch.add(customer, q, limits)
 	c.mutex.Unlock()
-	batch := renewalBatch{owner: quotaOwner(c.options.Members.Live(), customer), demands: []Demand{demand}}
-	c.renewBatch(ctx, batch, firstGrantTimeout)
+	// Other requests wait for the answer too, so it does not end with this one.
+	c.renewBatch(context.WithoutCancel(ctx), batch, firstGrantTimeout)
+	return ctx.Err()
+}
+
+// waitFor waits until finished is closed, or for the timeout; it returns an error only if ctx ends.
+func waitFor(ctx context.Context, finished <-chan struct{}, timeout time.Duration) error {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-finished:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 	return ctx.Err()
 }
 
