--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -44,8 +44,17 @@
 	self    membership.Peer
 }
 
-func (m member) Self() membership.Peer { return m.self }
-func (m member) KnownCount() int       { return m.cluster.known }
+// Self returns the entry as it sees itself: with its latest incarnation.
+func (m member) Self() membership.Peer {
+	for _, peer := range m.Live() {
+		if peer.Name == m.self.Name {
+			return peer
+		}
+	}
+	return m.self
+}
+
+func (m member) KnownCount() int { return m.cluster.known }
 func (m member) Live() []membership.Peer {
 	m.cluster.mutex.Lock()
 	defer m.cluster.mutex.Unlock()
--- a/admission/quotalease_test.go
+++ b/admission/quotalease_test.go
@@ -243,3 +243,63 @@
 		}
 	}
 }
+
+func TestNewQuotaOwnerKeepsTheLimitWhenEntriesWithoutALeaseAsk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 8, Limits{Concurrency: testLimit})
+		peers := c.peers()
+		owner := quotaOwner(peers, "c")
+		survivors := slices.DeleteFunc(slices.Clone(peers), func(p membership.Peer) bool { return p == owner })
+		var running []*Ticket
+		for range 30 {
+			running = append(running, admitAll(t, c, survivors[:1], "c")...)
+			time.Sleep(renewInterval)
+		}
+		is.True(len(running) >= minRunning)
+		c.mutex.Lock()
+		c.disconnected[owner.Name] = true
+		c.mutex.Unlock()
+		time.Sleep(2 * renewInterval)
+		c.setView(survivors, survivors)
+		for range 12 {
+			running = append(running, admitAll(t, c, survivors, "c")...)
+			is.True(len(running) <= maxRunning)
+			time.Sleep(renewInterval)
+		}
+	})
+}
+
+func TestQuotaOwnerThatWasPausedDoesNotLendWhatOthersHoldByNow(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	c := &cluster{controllers: map[string]*Controller{}, live: map[string][]membership.Peer{}, known: 3}
+	peers := []membership.Peer{{Name: "e0"}, {Name: "e1"}, {Name: "e2"}}
+	for _, peer := range peers {
+		c.live[peer.Name] = peers
+		m := member{c, peer}
+		c.controllers[peer.Name] = NewController(Options{Customers: allLimits{Concurrency: testLimit}, Members: m, QuotaOwners: m,
+			Now: func() time.Time { return now }})
+	}
+	owner := quotaOwner(peers, "c")
+	others := slices.DeleteFunc(slices.Clone(peers), func(p membership.Peer) bool { return p == owner })
+	var running []*Ticket
+	advance := func(seconds int, renewing ...membership.Peer) {
+		for range seconds {
+			running = append(running, admitAll(t, c, others[:1], "c")...)
+			now = now.Add(renewInterval)
+			for _, peer := range renewing {
+				c.controllers[peer.Name].Renew(t.Context())
+			}
+		}
+	}
+	advance(20, peers...)
+	c.setView(others, others)
+	advance(6, others...) // the quota owner is paused, and another takes its place
+	returned := slices.Clone(peers)
+	returned[slices.Index(peers, owner)].Incarnation++
+	c.setView(peers, returned)
+	is.True(len(running) >= minRunning)
+	running = append(running, admitAll(t, c, others[1:], "c")...)
+	is.True(len(running) <= maxRunning)
+}
