Count an answer of the store that arrives slowly as an answer

What callers saw: an entry that starts while a large configuration is in force is ready late (2.6 s instead of 0.8 s with 1 MB on 10 Mbit/s), and takes the configuration and all targets from the watchers' links too, which callers share.

Cause: only a complete answer counted. The first list of configurations was requested again every 300 ms, each call sharing the link with the others, and after 250 ms the store counted as silent.

Change: the store's client reports each part of an answer that arrives (objects.WithReadProgress). It counts as an answer of the store, and no further call is started while parts arrive. A store that sends nothing is asked again as before.

--- a/directory/start_load_test.go
+++ b/directory/start_load_test.go
@@ -33,6 +33,7 @@
 			return objects.List{}, err
 		}
 		s.taken.Add(segmentBytes)
+		objects.NotifyReadProgress(ctx)
 	}
 	return objects.List{Revision: 1, Items: []objects.Object{s.object}}, nil
 }
--- a/directory/sync.go
+++ b/directory/sync.go
@@ -43,8 +43,7 @@
 	retryLimit = 400 * time.Millisecond
 	// firstListHedgeDelay is the time after which the first list of configurations is requested again, on
 	// another connection: a store that was silent never answers the calls that it got before it recovered.
-	// The list is one object, which takes milliseconds. The client's timeout limits the concurrent calls to
-	// five.
+	// The client's timeout limits the concurrent calls to five.
 	firstListHedgeDelay = 300 * time.Millisecond
 	// rolePollInterval is the interval at which an entry that follows a peer checks whether it has to read
 	// the store.
@@ -212,6 +211,7 @@
 // readStore makes one call to the store. While it reads a large answer, the feed lets other entries read the
 // store too; the caller ends that when it has applied the part.
 func (s *syncer) readStore(ctx context.Context, kind string) (Part, error) {
+	ctx = objects.WithReadProgress(ctx, s.noteStoreAnswer) // an answer that arrives slowly is no silence
 	announcing := objects.WithLargeAnswer(ctx, func() { s.feed.setArriving(kind, true) })
 	start := time.Now()
 	if s.relist[kind].Load() {
@@ -234,8 +234,9 @@
 	return s.hedgedList(ctx, kind)
 }
 
-// hedgedList lists a kind. It starts a further call every firstListHedgeDelay and returns the result of the
-// first call that ends, also if that failed: the earlier calls have waited for longer without an answer.
+// hedgedList lists a kind. It starts a further call after each firstListHedgeDelay in which no part of an answer
+// arrived: calls that are being answered would share the link with it. It returns the result of the first call
+// that ends, also if that failed: the earlier calls have waited for longer without an answer.
 func (s *syncer) hedgedList(ctx context.Context, kind string) (objects.List, error) {
 	type result struct {
 		list objects.List
@@ -245,6 +246,11 @@
 	defer cancel()
 	results := make(chan result)
 	ctx = objects.WithLargeAnswer(ctx, func() {}) // a call that lost could announce after the end
+	var progress atomic.Bool
+	ctx = objects.WithReadProgress(ctx, func() {
+		progress.Store(true)
+		s.noteStoreAnswer()
+	})
 	call := func() {
 		list, err := s.store.List(ctx, kind)
 		select {
@@ -260,7 +266,9 @@
 		case first := <-results:
 			return first.list, first.err
 		case <-ticker.C:
-			go call()
+			if !progress.Swap(false) {
+				go call()
+			}
 		case <-ctx.Done():
 			return objects.List{}, ctx.Err()
 		}
