Count the time of a transfer in the age of a feed's parts

What callers would see: an entry that was sent objects for seconds passes as up to date, so that others follow it instead of asking the store.

Cause: the peer states the age when it begins to send. Since a transfer may take 5 s, the difference matters.

Change: what a call takes beyond its wait is added to the age.

--- a/directory/sync.go
+++ b/directory/sync.go
@@ -379,12 +379,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	start := time.Now()
 	parts, err := s.peers.Since(ctx, peer, query)
 	if err != nil {
 		return err
 	}
+	transfer := max(0, time.Since(start)-query.Wait) // the peer took its ages at the start of the transfer
 	fresh := true
 	for _, part := range parts {
+		part.Age += transfer
 		s.deliver(ctx, part)
 		fresh = fresh && part.Age < peerStaleAfter
 	}
