Keep the race detector from crashing in the tests of config

Cause: in a synctest bubble, go 1.26.8 runs a timer channel that has expired unheard on the receiver's thread (runtime/time.go, maybeRunChan and unlockAndRun) and uses the bubble's one race context for it, unguarded. Two receivers at once corrupt it: "ThreadSanitizer: CHECK failed: tsan_rtl.cpp:346" or ":282", or SIGSEGV. In config, starting entries query peers with a wait of 0 through fakePeers, so that Manager.Follow receives from a timer of 0 on many goroutines at once.

Change, in the fake only: a call through fakePeers waits at least a nanosecond of the bubble's time, so the bubble's root runs the timer. No test, check or bound is changed: a peer with changes still answers at once.

--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -145,6 +145,10 @@
 	return &fakePeers{managers: map[string]*Manager{}, unreachable: map[string]bool{}}
 }
 
+// callTime is the shortest wait of a call. A wait of 0 makes a timer that has expired already, and go 1.26.8 runs
+// such timers of a synctest bubble on all receivers' threads at once, which crashes the race detector.
+const callTime = time.Nanosecond
+
 func (f *fakePeers) Follow(ctx context.Context, peer membership.Peer, positions []Position, wait time.Duration) (Update, error) {
 	f.mu.Lock()
 	manager, unreachable := f.managers[peer.Name], f.unreachable[peer.Name]
@@ -152,7 +156,7 @@
 	if manager == nil || unreachable {
 		return Update{}, fmt.Errorf("%s does not answer", peer.Name)
 	}
-	return manager.Follow(ctx, positions, wait), nil
+	return manager.Follow(ctx, positions, max(wait, callTime)), nil
 }
 
 func testEntries(n int) []membership.Peer {
