Ask peers for the whole configuration again at a start

What callers would see: an entry that starts has no configuration for a resource whose newest revision was refused. Cause: a query that names the revisions which the platform has sent gets nothing more of them from peers, but only peers know their last accepted specs.

--- a/config/follow.go
+++ b/config/follow.go
@@ -245,10 +245,9 @@
 	return chosen
 }
 
-// queryPeer applies what the peer knows beyond the changes that have arrived here, and reports whether the peer has
-// a configuration in force. After a query that was cut, the next one asks only for what no other source has sent.
 func (m *Manager) queryPeer(ctx context.Context, peer membership.Peer) bool {
-	update, err := m.options.Peers.Follow(ctx, peer, m.store.positions(), 0)
+	nothing := []Position{} // also of objects that the platform has sent: only peers know their last accepted specs
+	update, err := m.options.Peers.Follow(ctx, peer, nothing, 0)
 	if err != nil {
 		return false
 	}
