Log what is recorded of a target's crash, and what is dropped

New lines crash-recorded, crash-notice, crashes-cleared, crashes-discarded. RelayRequest names the parts of its prompt that others may share; nothing decides by them yet.

--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -332,6 +332,7 @@
 	err := c.handler.options.Relay.Run(c.http.Context(), &generation.RelayRequest{
 		ID:                  c.header.RequestID,
 		Fingerprint:         c.fingerprint(),
+		SharedParts:         sharedParts(c.header.Prompt),
 		Service:             c.service,
 		Spec:                c.snapshot.Configuration.Services[c.service].Engine,
 		PromptTokens:        c.header.PromptTokens,
@@ -355,6 +356,15 @@
 	c.writeStreamError(err)
 }
 
+// sharedParts returns the IDs of all parts of a prompt but the last, which belongs to the request or its session.
+func sharedParts(prompt []platform.PromptPart) []string {
+	var ids []string
+	for i := 0; i+1 < len(prompt); i++ {
+		ids = append(ids, prompt[i].ID)
+	}
+	return ids
+}
+
 // writeStreamError answers a failed stream of which the caller has received nothing.
 func (c *request) writeStreamError(err error) {
 	var answered *generation.RelayTargetError
--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -26,19 +26,20 @@
 	crashes        *health.Crashes
 	isolationSlots *generation.IsolationSlots
 	broadcast      func(membership.Notice)
+	log            func(event string, fields ...generation.Field)
 	// version is the version of this entry's last notice; it orders the notices.
 	version atomic.Uint64
 }
 
-func newSharedCrashRecords() *sharedCrashRecords {
-	s := &sharedCrashRecords{crashes: health.NewCrashes(), isolationSlots: generation.NewIsolationSlots()}
+func newSharedCrashRecords(log func(event string, fields ...generation.Field)) *sharedCrashRecords {
+	s := &sharedCrashRecords{crashes: health.NewCrashes(), isolationSlots: generation.NewIsolationSlots(), log: log}
 	s.version.Store(uint64(time.Now().UnixNano()))
 	return s
 }
 
 // RecordCrash implements generation.CrashRecords.
 func (s *sharedCrashRecords) RecordCrash(_ context.Context, fingerprint, target string) {
-	s.crashes.Record(fingerprint, target, time.Now())
+	s.record(fingerprint, target)
 	s.broadcast(membership.Notice{Kind: noticeCrash, Subject: fingerprint + "/" + target, Version: s.version.Add(1)})
 }
 
@@ -53,10 +54,20 @@
 	switch notice.Kind {
 	case noticeCrash:
 		if fingerprint, target, found := strings.Cut(notice.Subject, "/"); found {
-			s.crashes.Record(fingerprint, target, time.Now())
+			s.record(fingerprint, target)
+			s.log("crash-notice", generation.Field{Key: "fingerprint", Value: fingerprint}, generation.Field{Key: "target", Value: target},
+				generation.Field{Key: "version", Value: notice.Version}, generation.Field{Key: "crashes", Value: s.Crashes(fingerprint)})
 		}
 	case noticeCleared:
 		s.crashes.Discard(notice.Subject)
+		s.log("crashes-cleared", generation.Field{Key: "fingerprint", Value: notice.Subject}, generation.Field{Key: "version", Value: notice.Version})
+	}
+}
+
+func (s *sharedCrashRecords) record(fingerprint, target string) {
+	if discarded := s.crashes.Record(fingerprint, target, time.Now()); discarded > 0 {
+		s.log("crashes-discarded", generation.Field{Key: "reason", Value: "mass failure"}, generation.Field{Key: "target", Value: target},
+			generation.Field{Key: "fingerprints", Value: discarded})
 	}
 }
 
--- a/entry/crashrecords_test.go
+++ b/entry/crashrecords_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/health"
 	"github.com/azurebarrow/azurebarrow/membership"
 )
@@ -14,7 +15,7 @@
 func newConnectedRecords(count int) []*sharedCrashRecords {
 	entries := make([]*sharedCrashRecords, count)
 	for i := range entries {
-		entries[i] = newSharedCrashRecords()
+		entries[i] = newSharedCrashRecords(func(string, ...generation.Field) {})
 		entries[i].broadcast = func(notice membership.Notice) {
 			for range 2 {
 				for _, entry := range entries {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,7 +83,7 @@
 	if options.Log == nil {
 		options.Log = func(string, ...generation.Field) {}
 	}
-	e := &Entry{settings: s.WithDefaults(), log: options.Log, metrics: metrics.New(), retryTotals: admission.NewRetryTotals(), crashRecords: newSharedCrashRecords()}
+	e := &Entry{settings: s.WithDefaults(), log: options.Log, metrics: metrics.New(), retryTotals: admission.NewRetryTotals(), crashRecords: newSharedCrashRecords(options.Log)}
 	e.shutdown = newShutdown(e.settings.Passthrough.StopGrace)
 	e.buildMembership()
 	e.buildDirectory()
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/directory"
@@ -213,6 +214,13 @@
 	return &PoisonError{Key: Key{ID: run.request.ID}, Targets: crashes}
 }
 
+func (run *relayRun) recordCrash(target *directory.Target) {
+	records, fingerprint := run.relay.options.CrashRecords, run.request.Fingerprint
+	records.RecordCrash(context.Background(), fingerprint, target.ID)
+	run.log("crash-recorded", Field{"target", target.ID}, Field{"fingerprint", fingerprint},
+		Field{"parts", strings.Join(run.request.SharedParts, ",")}, Field{"crashes", records.Crashes(fingerprint)})
+}
+
 // clearCrashes discards the crashes recorded for the request, once a target has survived running
 // it.
 func (run *relayRun) clearCrashes() {
@@ -411,7 +419,7 @@
 		placer.ReportLost(a.target)
 		if a.eventCount == 0 && ending == endingBroken {
 			run.crashRecorded = true
-			run.relay.options.CrashRecords.RecordCrash(context.Background(), run.request.Fingerprint, a.target.ID)
+			run.recordCrash(a.target)
 		}
 	case endingStalled:
 		run.mayHaveRun = true
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -17,6 +17,8 @@
 	ID string
 	// Fingerprint identifies the work, independent of the ID.
 	Fingerprint string
+	// SharedParts are the IDs of the parts of the prompt that other requests may share, in order.
+	SharedParts []string
 	Service     string
 	Spec        *directory.EngineSpec
 	// PromptTokens and OutputTokens are the declared sizes; 0 when unknown.
--- a/health/crashes.go
+++ b/health/crashes.go
@@ -51,8 +51,9 @@
 // NewCrashes returns Crashes without crashes.
 func NewCrashes() *Crashes { return &Crashes{crashes: map[string][]crash{}} }
 
-// Record records a crash against the fingerprint: the target crashed while it ran a request with it.
-func (r *Crashes) Record(fingerprint, target string, now time.Time) {
+// Record records a crash against the fingerprint: the target crashed while it ran a request with it. It returns
+// the number of fingerprints whose crashes it discarded as a mass failure.
+func (r *Crashes) Record(fingerprint, target string, now time.Time) (discarded int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.removeIfExpired(fingerprint, now)
@@ -63,18 +64,21 @@
 	})
 	r.recentCrashes = addCrash(r.recentCrashes, added)
 	if len(r.recentCrashes) >= massFailureTargets {
-		r.discardMassFailure(now)
+		return r.discardMassFailure(now)
 	}
+	return 0
 }
 
 // discardMassFailure discards the crashes of a mass failure. A fingerprint with crashes of several targets
 // keeps them: a mass failure hits each stream once.
-func (r *Crashes) discardMassFailure(now time.Time) {
+func (r *Crashes) discardMassFailure(now time.Time) (discarded int) {
 	for fingerprint, crashes := range r.crashes {
 		if len(crashes) == 1 && now.Sub(crashes[0].at) <= massFailureWindow {
 			delete(r.crashes, fingerprint)
+			discarded++
 		}
 	}
+	return discarded
 }
 
 func addCrash(crashes []crash, added crash) []crash {
