--- /dev/null
+++ b/entry/crashfleet_test.go
@@ -0,0 +1,369 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/membership"
+)
+
+// Bounds of the users' deployments.
+const (
+	// stableWindow is the time from the crash that completes the evidence until all entries refuse.
+	stableWindow = 3 * time.Second
+	// evidenceCrashes is the number of crashes that must be enough evidence.
+	evidenceCrashes = 5
+	// maxLateArrivals is the number of requests with a crashing part that may reach engines after stableWindow.
+	maxLateArrivals = 3
+	// minFirstBeginShare is the share of sound requests that must begin at their first attempt.
+	minFirstBeginShare = 0.5
+)
+
+// Behavior of the modelled engines and of the network between entries.
+const (
+	modelPrefill     = 1200 * time.Millisecond
+	modelRestart     = 4 * time.Second
+	modelNetwork     = 2 * time.Millisecond
+	modelEngines     = 24
+	modelSlots       = 64
+	modelStreamTime  = 2 * time.Second
+	badPart          = "bad"
+	modelHistoryTime = 10 * time.Second
+	modelDay         = 30 * time.Second
+)
+
+// crashFleet is a fleet of entries with real membership and relays, before engines that a part of a prompt crashes.
+type crashFleet struct {
+	ctx     context.Context
+	entries map[string]*fleetEntry
+	order   []*fleetEntry
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	engines []*modelEngine
+	starts  int
+	crashes []time.Time
+	// badArrivals are the times at which requests with the bad part reached an engine.
+	badArrivals []time.Time
+	// soundSent and soundBegun count the sound requests sent from a time on and those that began at their first
+	// attempt.
+	soundFrom             time.Time
+	soundSent, soundBegun int
+}
+
+type fleetEntry struct {
+	records *sharedCrashRecords
+	members *membership.Manager
+	relay   *generation.Relay
+	stop    context.CancelFunc
+}
+
+type modelEngine struct {
+	target  *directory.Target
+	crashed chan struct{}
+}
+
+// fleetProber delivers probes between the entries of a fleet after a delay.
+type fleetProber struct{ fleet *crashFleet }
+
+func (p fleetProber) Probe(ctx context.Context, peer membership.Peer, message membership.Message) (membership.Message, error) {
+	to := p.fleet.entry(peer.Address)
+	if to == nil {
+		<-ctx.Done()
+		return membership.Message{}, ctx.Err()
+	}
+	time.Sleep(modelNetwork)
+	answer, err := to.members.HandleProbe(ctx, message)
+	time.Sleep(modelNetwork)
+	return answer, err
+}
+
+func (p fleetProber) ProbeVia(ctx context.Context, _, peer membership.Peer, message membership.Message) (membership.Message, error) {
+	return p.Probe(ctx, peer, message)
+}
+
+func (f *crashFleet) entry(address string) *fleetEntry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.entries[address]
+}
+
+func newCrashFleet(ctx context.Context, size int) *crashFleet {
+	f := &crashFleet{ctx: ctx, entries: map[string]*fleetEntry{}, random: rand.New(rand.NewPCG(1, uint64(size)))}
+	for range modelEngines {
+		f.engines = append(f.engines, f.newEngine())
+	}
+	for i := range size {
+		f.startEntry(i)
+	}
+	return f
+}
+
+// startEntry starts the entry of an index, with a new incarnation if it ran before.
+func (f *crashFleet) startEntry(i int) {
+	address := fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)
+	e := &fleetEntry{records: newSharedCrashRecords(func(string, ...generation.Field) {})}
+	e.members = membership.NewManager(membership.Options{
+		Self:     membership.Peer{Name: fmt.Sprintf("e%03d", i), Address: address, Incarnation: uint64(time.Now().UnixNano())},
+		Prober:   fleetProber{f},
+		Seeds:    []membership.Peer{{Address: "10.0.0.0:7000"}, {Address: "10.0.0.1:7000"}, {Address: "10.0.0.2:7000"}},
+		Seed:     uint64(i),
+		OnNotice: e.records.receive,
+	})
+	e.records.broadcast = func(notice membership.Notice) { go e.members.Broadcast(notice) }
+	e.relay = generation.NewRelay(generation.RelayOptions{
+		Engine: modelEngineClient{f}, Placer: modelPlacer{f}, Budget: unlimitedRetries{}, CrashRecords: e.records,
+		Targets: func(string) []*directory.Target { return f.targets() },
+	})
+	ctx, cancel := context.WithCancel(f.ctx)
+	e.stop = cancel
+	go func() { _ = e.members.Run(ctx) }()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries[address] = e
+	if i < len(f.order) {
+		f.order[i] = e
+		return
+	}
+	f.order = append(f.order, e)
+}
+
+func (f *crashFleet) newEngine() *modelEngine {
+	f.starts++
+	id := fmt.Sprintf("i-%d", f.starts)
+	return &modelEngine{target: &directory.Target{ID: id, Address: id + ":1"}, crashed: make(chan struct{})}
+}
+
+func (f *crashFleet) targets() []*directory.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]*directory.Target, 0, len(f.engines))
+	for _, engine := range f.engines {
+		list = append(list, engine.target)
+	}
+	return list
+}
+
+func (f *crashFleet) engine(id string) *modelEngine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, engine := range f.engines {
+		if engine.target.ID == id {
+			return engine
+		}
+	}
+	return nil
+}
+
+// crash ends an engine with all of its streams; another incarnation appears after modelRestart.
+func (f *crashFleet) crash(engine *modelEngine) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	index := slices.Index(f.engines, engine)
+	if index < 0 {
+		return
+	}
+	f.engines = slices.Delete(f.engines, index, index+1)
+	f.crashes = append(f.crashes, time.Now())
+	close(engine.crashed)
+	time.AfterFunc(modelRestart, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.engines = append(f.engines, f.newEngine())
+	})
+}
+
+// modelEngineClient implements generation.RelayEngine.
+type modelEngineClient struct{ fleet *crashFleet }
+
+func (c modelEngineClient) Open(ctx context.Context, attempt generation.RelayAttempt) (generation.RelayStream, error) {
+	engine := c.fleet.engine(attempt.Target.ID)
+	if engine == nil {
+		return nil, &generation.RelayRefusedError{Unreachable: true, Cause: errors.New("connection refused")}
+	}
+	attempt.Request.Payload.(*modelRequest).attempts.Add(1)
+	bad := slices.Contains(attempt.Request.SharedParts, badPart)
+	if bad {
+		c.fleet.mu.Lock()
+		c.fleet.badArrivals = append(c.fleet.badArrivals, time.Now())
+		c.fleet.mu.Unlock()
+	}
+	return &modelStream{ctx: ctx, fleet: c.fleet, engine: engine, bad: bad}, nil
+}
+
+func (modelEngineClient) CopyKVCache(context.Context, *directory.Target, string, *directory.Target) (string, error) {
+	return "", errors.New("no copies")
+}
+func (modelEngineClient) FreeCopy(context.Context, *directory.Target, string) error { return nil }
+func (modelEngineClient) Probe(context.Context, *directory.Target) error            { return nil }
+
+// modelStream sends one event after modelPrefill and ends after modelStreamTime, unless its engine crashes.
+type modelStream struct {
+	ctx    context.Context
+	fleet  *crashFleet
+	engine *modelEngine
+	bad    bool
+	events int64
+}
+
+func (s *modelStream) Head() any { return nil }
+func (s *modelStream) Close()    {}
+
+func (s *modelStream) Next() (generation.RelayEvent, error) {
+	pause := modelPrefill
+	if s.events > 0 {
+		pause = modelStreamTime
+	}
+	select {
+	case <-time.After(pause):
+	case <-s.engine.crashed:
+		return generation.RelayEvent{}, io.ErrUnexpectedEOF
+	case <-s.ctx.Done():
+		return generation.RelayEvent{}, s.ctx.Err()
+	}
+	switch {
+	case s.bad:
+		s.fleet.crash(s.engine)
+		return generation.RelayEvent{}, io.ErrUnexpectedEOF
+	case s.events > 0:
+		return generation.RelayEvent{}, io.EOF
+	}
+	s.events++
+	return generation.RelayEvent{ID: s.events}, nil
+}
+
+// modelPlacer chooses engines at random. It implements generation.RelayPlacer.
+type modelPlacer struct{ fleet *crashFleet }
+
+func (p modelPlacer) Place(query generation.RelayQuery) *directory.Target {
+	if len(query.Engines) == 0 {
+		return nil
+	}
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return query.Engines[p.fleet.random.IntN(len(query.Engines))]
+}
+func (modelPlacer) Backup(generation.RelayQuery, *directory.Target) *directory.Target { return nil }
+func (modelPlacer) AddStream(*directory.Target, generation.StreamSize, int) generation.PlacedStream {
+	return modelPlaced{}
+}
+func (modelPlacer) AddCopy(*directory.Target, generation.StreamSize) func() { return func() {} }
+func (modelPlacer) ReportLost(*directory.Target)                            {}
+func (modelPlacer) ReportRefused(*directory.Target)                         {}
+func (modelPlacer) ReportAlive(*directory.Target)                           {}
+
+type modelPlaced struct{}
+
+func (modelPlaced) PrefillDone() {}
+func (modelPlaced) Ended()       {}
+
+type unlimitedRetries struct{}
+
+func (unlimitedRetries) Earn(string)                                {}
+func (unlimitedRetries) Spend(string, generation.RetryUrgency) bool { return true }
+func (unlimitedRetries) Refund(string)                              {}
+
+// modelRequest counts the attempts of a request that reached an engine. It implements generation.RelaySink.
+type modelRequest struct {
+	attempts atomic.Int64
+	// begunAt is the number of the attempt that began to answer; 0 if none did.
+	begunAt int64
+}
+
+func (r *modelRequest) Begin(any) error                   { r.begunAt = r.attempts.Load(); return nil }
+func (r *modelRequest) Event(generation.RelayEvent) error { return nil }
+
+// send sends a request with the shared parts to an entry and returns whether it began at its first attempt.
+func (f *crashFleet) send(e *fleetEntry, id string, parts ...string) bool {
+	sent := &modelRequest{}
+	request := &generation.RelayRequest{
+		ID: id, Fingerprint: "fingerprint of " + id, SharedParts: parts, Service: "drafts", LastEvent: -1,
+		Deadline: time.Now().Add(25 * time.Second), FirstEventObjective: 4500 * time.Millisecond, MaxAttempts: 5, Resumable: true,
+		Payload: sent,
+	}
+	_ = e.relay.Run(f.ctx, request, sent) // the sink tells whether it began
+	return sent.begunAt == 1
+}
+
+// generate sends requests at random entries until the fleet's context ends.
+func (f *crashFleet) generate(kind string, perSecond float64, parts func(number int) []string, ended func(sent time.Time, began bool)) {
+	for number := 0; f.ctx.Err() == nil; number++ {
+		f.mu.Lock()
+		pause := time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second))
+		e := f.order[f.random.IntN(len(f.order))]
+		f.mu.Unlock()
+		time.Sleep(pause)
+		sent := time.Now()
+		go func() { ended(sent, f.send(e, fmt.Sprintf("%s-%d", kind, number), parts(number)...)) }()
+	}
+}
+
+// lateArrivals returns how many requests with the bad part reached engines later than stableWindow after the
+// crash that completed the evidence.
+func (f *crashFleet) lateArrivals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.crashes) < evidenceCrashes {
+		return 0
+	}
+	from := f.crashes[evidenceCrashes-1].Add(stableWindow)
+	late := 0
+	for _, at := range f.badArrivals {
+		if at.After(from) {
+			late++
+		}
+	}
+	return late
+}
+
+// Requests whose prompts share one part crash each engine that begins to answer them, and no two of them are alike.
+func TestPromptPartThatCrashesEnginesIsRefusedByTheWholeFleet(t *testing.T) {
+	for _, size := range []int{8, 59, 76} {
+		t.Run(fmt.Sprintf("%d_entries", size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newCrashFleet(ctx, size)
+				go f.generate("sound", 20, func(number int) []string {
+					return []string{"system", fmt.Sprintf("customer-%d", number%10), fmt.Sprintf("session-%d", number)}
+				}, func(sent time.Time, began bool) {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					if f.soundFrom.IsZero() || sent.Before(f.soundFrom) {
+						return
+					}
+					f.soundSent++
+					if began {
+						f.soundBegun++
+					}
+				})
+				time.Sleep(modelHistoryTime)
+				go f.generate("bad", 3, func(int) []string { return []string{"system", "customer-3", badPart} }, func(time.Time, bool) {})
+				time.Sleep(2 * stableWindow)
+				f.mu.Lock()
+				f.soundFrom = time.Now()
+				f.mu.Unlock()
+				time.Sleep(modelDay)
+				cancel()
+				time.Sleep(time.Minute) // until all goroutines have ended
+				t.Logf("%d crashes, %d requests with the part later than %v after the fifth; %d of %d sound requests begun",
+					len(f.crashes), f.lateArrivals(), stableWindow, f.soundBegun, f.soundSent)
+				is.True(f.lateArrivals() <= maxLateArrivals)
+				is.True(float64(f.soundBegun) >= minFirstBeginShare*float64(f.soundSent))
+			})
+		})
+	}
+}
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,3 +88,18 @@
 	crashes.Sweep(now.Add(refusalTTL + time.Hour))
 	is.Equal(len(crashes.crashes), 0)
 }
+
+// Requests that crash each target they run on come at several entries at once, so that three targets crash within
+// the window of a mass failure again and again.
+func TestRequestsThatCrashTargetsInTurnAreNoMassFailure(t *testing.T) {
+	is := is.New(t)
+	crashes := NewCrashes()
+	now := time.Unix(1000, 0)
+	for i := range 9 {
+		crashes.Record(fmt.Sprintf("f%d", i%3), fmt.Sprintf("target-%d", i), now)
+		now = now.Add(700 * time.Millisecond)
+	}
+	for i := range 3 {
+		is.Equal(RestrictionFor(crashes.Count(fmt.Sprintf("f%d", i), now)), RestrictionRefused)
+	}
+}
