Count a crash in a mass failure once its request crashes a second target

Cause: three targets that crash within two seconds were taken for a mass failure, and each fingerprint with a single crash lost its record. Requests that crash engines in turn cause such failures themselves, so that none ever had two.

Now the crash is marked and kept. It doesn't count while it is the only one of its fingerprint, as before; a second target shows that it was no mass failure, which hits each stream once.

--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -65,9 +65,9 @@
 }
 
 func (s *sharedCrashRecords) record(fingerprint, target string) {
-	if discarded := s.crashes.Record(fingerprint, target, time.Now()); discarded > 0 {
-		s.log("crashes-discarded", generation.Field{Key: "reason", Value: "mass failure"}, generation.Field{Key: "target", Value: target},
-			generation.Field{Key: "fingerprints", Value: discarded})
+	if excused := s.crashes.Record(fingerprint, target, time.Now()); excused > 0 {
+		s.log("crashes-excused", generation.Field{Key: "reason", Value: "mass failure"}, generation.Field{Key: "target", Value: target},
+			generation.Field{Key: "fingerprints", Value: excused})
 	}
 }
 
--- a/health/crashes.go
+++ b/health/crashes.go
@@ -46,14 +46,16 @@
 type crash struct {
 	target string
 	at     time.Time
+	// massFailure reports that the crash was part of a mass failure.
+	massFailure bool
 }
 
 // NewCrashes returns Crashes without crashes.
 func NewCrashes() *Crashes { return &Crashes{crashes: map[string][]crash{}} }
 
 // Record records a crash against the fingerprint: the target crashed while it ran a request with it. It returns
-// the number of fingerprints whose crashes it discarded as a mass failure.
-func (r *Crashes) Record(fingerprint, target string, now time.Time) (discarded int) {
+// the number of fingerprints whose only crash it excused as a part of a mass failure.
+func (r *Crashes) Record(fingerprint, target string, now time.Time) (excused int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.removeIfExpired(fingerprint, now)
@@ -64,21 +66,31 @@
 	})
 	r.recentCrashes = addCrash(r.recentCrashes, added)
 	if len(r.recentCrashes) >= massFailureTargets {
-		return r.discardMassFailure(now)
+		return r.excuseMassFailure(now)
 	}
 	return 0
 }
 
-// discardMassFailure discards the crashes of a mass failure. A fingerprint with crashes of several targets
-// keeps them: a mass failure hits each stream once.
-func (r *Crashes) discardMassFailure(now time.Time) (discarded int) {
-	for fingerprint, crashes := range r.crashes {
-		if len(crashes) == 1 && now.Sub(crashes[0].at) <= massFailureWindow {
-			delete(r.crashes, fingerprint)
-			discarded++
+// excuseMassFailure marks the crashes of a mass failure. They are kept: a mass failure hits each stream once, so
+// that a second crash shows that the first one was none, however many other targets crashed beside it.
+func (r *Crashes) excuseMassFailure(now time.Time) (excused int) {
+	for _, crashes := range r.crashes {
+		if len(crashes) == 1 && !crashes[0].massFailure && now.Sub(crashes[0].at) <= massFailureWindow {
+			crashes[0].massFailure = true
+			excused++
 		}
 	}
-	return discarded
+	return excused
+}
+
+// counted returns the crashes that count against the fingerprint.
+func (r *Crashes) counted(fingerprint string, now time.Time) []crash {
+	r.removeIfExpired(fingerprint, now)
+	crashes := r.crashes[fingerprint]
+	if len(crashes) == 1 && crashes[0].massFailure {
+		return nil
+	}
+	return crashes
 }
 
 func addCrash(crashes []crash, added crash) []crash {
@@ -100,17 +112,15 @@
 func (r *Crashes) Count(fingerprint string, now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.removeIfExpired(fingerprint, now)
-	return len(r.crashes[fingerprint])
+	return len(r.counted(fingerprint, now))
 }
 
 // Targets returns the targets whose crashes are recorded against the fingerprint.
 func (r *Crashes) Targets(fingerprint string, now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.removeIfExpired(fingerprint, now)
 	var names []string
-	for _, c := range r.crashes[fingerprint] {
+	for _, c := range r.counted(fingerprint, now) {
 		names = append(names, c.target)
 	}
 	return names
