Refuse the part of a prompt that crashes engines, at all entries

Cause: crashes were recorded against the whole request (method, path, customer, body). Requests whose prompts share the part that crashes engines are no two alike, so that each began without a record, at every entry. Class: a verdict whose key is narrower than what causes the fault, so that the evidence never adds up.

Now a crash before the first event accuses each part of the prompt but the last, a first event clears the parts, and the narrowest parts that explain enough crashes are refused. The same records decide on whole requests as before. Entries share crashes, cleared parts and verdicts by gossip; verdicts are sent again and again while there is nothing else to send. Attempts without an event end at the verdict. Versions of notices no longer depend on clocks that may step.

--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -121,8 +121,9 @@
 		Prober:   fleetProber{f},
 		Seeds:    []membership.Peer{{Address: "10.0.0.0:7000"}, {Address: "10.0.0.1:7000"}, {Address: "10.0.0.2:7000"}},
 		Seed:     uint64(i),
-		OnNotice: e.records.receive,
+		OnNotice: e.records.receive, RetainedKinds: retainedNotices,
 	})
+	e.records.isFirst = func(key string) bool { return membership.Rank(e.members.Live(), key)[0].Address == address }
 	e.records.broadcast = func(notice membership.Notice) { go e.members.Broadcast(notice) }
 	e.relay = generation.NewRelay(generation.RelayOptions{
 		Engine: modelEngineClient{f}, Placer: modelPlacer{f}, Budget: unlimitedRetries{}, CrashRecords: e.records,
--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -1,87 +1,298 @@
 package entry
 
 import (
-	"context"
+	"slices"
+	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/health"
 	"github.com/azurebarrow/azurebarrow/membership"
 )
 
-// Kinds of the notices by which entries share the crashes recorded against request fingerprints. The
-// subject of noticeCleared is the fingerprint; that of noticeCrash is "fingerprint/target".
+// Kinds of the notices by which entries share the crashes of targets.
 const (
-	noticeCrash   membership.NoticeKind = "request-killed-target"
+	// noticeCrash has the subject "fingerprint/target" and the crash's time and suspected parts as value.
+	noticeCrash membership.NoticeKind = "request-killed-target"
+	// noticeCleared: a target began to answer a request with the fingerprint in the subject.
 	noticeCleared membership.NoticeKind = "request-cleared"
+	// noticePartCleared: a target began to answer a request with the part in the subject.
+	noticePartCleared membership.NoticeKind = "prompt-part-cleared"
+	// noticePartsRefused has the parts as subject and the number of crashed targets as value. Its version counts
+	// the changes of the verdict: an odd one means refused, an even one cleared. Entries that decide the same
+	// at the same time thus send the same notice.
+	noticePartsRefused membership.NoticeKind = "prompt-parts-refused"
 )
 
-// sharedCrashRecords records target crashes against request fingerprints and broadcasts the records to
-// the peers. Every entry can then refuse a poison request, and can recognise a mass failure, of which
-// each entry sees only some of the crashes. It implements generation.CrashRecords and is safe for
-// concurrent use.
+// retainedNotices are the kinds of notices that entries get which start, or were cut off, after they were sent.
+var retainedNotices = []membership.NoticeKind{noticePartsRefused}
+
+const (
+	// maxSharedParts limits the parts of a prompt that a crash accuses; the last ones are the most specific.
+	maxSharedParts = 16
+	// maxPartBytes is the length of the longest part ID that is kept as it is; longer ones are hashed.
+	maxPartBytes = 16
+	// hexBase is the base of hashed IDs, which have maxPartBytes digits at most.
+	hexBase = 16
+	// maxVerdicts limits the verdicts whose versions are kept.
+	maxVerdicts = 1024
+	// maxCrashAge is the age up to which the sender's time of a crash is used. Beyond it, clocks differ.
+	maxCrashAge = 10 * time.Second
+)
+
+// sharedCrashRecords records the crashes of targets against the requests that they ran and the parts of their
+// prompts, and broadcasts the records to the peers: each entry sees only some of the crashes. It implements
+// generation.RelayCrashRecords and is safe for concurrent use.
 type sharedCrashRecords struct {
-	crashes        *health.Crashes
-	isolationSlots *generation.IsolationSlots
-	broadcast      func(membership.Notice)
-	log            func(event string, fields ...generation.Field)
-	// version is the version of this entry's last notice; it orders the notices.
-	version atomic.Uint64
+	crashes   *health.Crashes
+	broadcast func(membership.Notice)
+	log       func(event string, fields ...generation.Field)
+	// isFirst reports whether this entry is the first by rendezvous hash of a key.
+	isFirst func(key string) bool
+
+	mu sync.Mutex
+	// version is the highest version of a notice seen or sent; it orders the notices of all entries.
+	version uint64
+	// verdicts holds the versions of verdicts on parts, by key.
+	verdicts *simplelru.LRU[string, uint64]
+	changed  chan struct{}
 }
 
 func newSharedCrashRecords(log func(event string, fields ...generation.Field)) *sharedCrashRecords {
-	s := &sharedCrashRecords{crashes: health.NewCrashes(), isolationSlots: generation.NewIsolationSlots(), log: log}
-	s.version.Store(uint64(time.Now().UnixNano()))
-	return s
+	verdicts, err := simplelru.NewLRU[string, uint64](maxVerdicts, nil)
+	if err != nil {
+		panic(err) // the size is a positive constant
+	}
+	return &sharedCrashRecords{
+		crashes: health.NewCrashes(), log: log, isFirst: func(string) bool { return true },
+		version: uint64(time.Now().UnixNano()), verdicts: verdicts, changed: make(chan struct{}),
+	}
+}
+
+// RecordCrash implements generation.RelayCrashRecords.
+func (s *sharedCrashRecords) RecordCrash(work health.Work, target string) {
+	now := time.Now()
+	work.SharedParts = s.crashes.Suspects(boundedParts(work.SharedParts), now)
+	s.record(work, target, now, now)
+	s.broadcast(membership.Notice{
+		Kind: noticeCrash, Subject: work.Fingerprint + "/" + target, Version: s.nextVersion(), Value: encodeCrash(work.SharedParts, now),
+	})
 }
 
-// RecordCrash implements generation.CrashRecords.
-func (s *sharedCrashRecords) RecordCrash(_ context.Context, fingerprint, target string) {
-	s.record(fingerprint, target)
-	s.broadcast(membership.Notice{Kind: noticeCrash, Subject: fingerprint + "/" + target, Version: s.version.Add(1)})
+// RecordAnswer implements generation.RelayCrashRecords.
+func (s *sharedCrashRecords) RecordAnswer(work health.Work) {
+	if s.crashes.Discard(work.Fingerprint) {
+		s.broadcast(membership.Notice{Kind: noticeCleared, Subject: work.Fingerprint, Version: s.nextVersion()})
+	}
+	s.clearParts(boundedParts(work.SharedParts), 0)
 }
 
-// ClearCrashes implements generation.CrashRecords.
-func (s *sharedCrashRecords) ClearCrashes(_ context.Context, fingerprint string) {
-	s.crashes.Discard(fingerprint)
-	s.broadcast(membership.Notice{Kind: noticeCleared, Subject: fingerprint, Version: s.version.Add(1)})
+// clearParts records that a target began to answer a request with the parts, and tells the peers of those that are
+// suspected. Entries that answer the same crash notice give its version, so that they send the same notices.
+func (s *sharedCrashRecords) clearParts(parts []string, version uint64) {
+	before := s.crashes.AllRefusedParts()
+	suspected := s.crashes.ClearParts(parts, time.Now())
+	if len(suspected) == 0 {
+		return
+	}
+	if version == 0 {
+		version = s.nextVersion()
+	}
+	for _, part := range suspected {
+		s.log("prompt-part-cleared", generation.Field{Key: "part", Value: part})
+		s.broadcast(membership.Notice{Kind: noticePartCleared, Subject: part, Version: version})
+	}
+	s.publishVerdicts(before)
+}
+
+// publishVerdicts tells the peers how the refused parts have changed.
+func (s *sharedCrashRecords) publishVerdicts(before []health.RefusedParts) {
+	left := map[string]bool{}
+	for _, refused := range s.crashes.AllRefusedParts() {
+		left[refused.Key()] = true
+		s.publishVerdict(refused, true)
+	}
+	for _, former := range before {
+		if !left[former.Key()] {
+			s.publishVerdict(former, false)
+		}
+	}
+}
+
+// publishVerdict tells the peers that the parts are refused, or are not any more, unless they know.
+func (s *sharedCrashRecords) publishVerdict(parts health.RefusedParts, refused bool) {
+	key := parts.Key()
+	s.mu.Lock()
+	version, _ := s.verdicts.Get(key)
+	if (version%2 == 1) == refused {
+		s.mu.Unlock()
+		return
+	}
+	s.verdicts.Add(key, version+1)
+	if refused {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	s.mu.Unlock()
+	s.logVerdict(parts, refused, version+1)
+	s.broadcast(membership.Notice{Kind: noticePartsRefused, Subject: key, Version: version + 1, Value: strconv.Itoa(parts.Targets)})
+}
+
+func (s *sharedCrashRecords) logVerdict(parts health.RefusedParts, refused bool, version uint64) {
+	event := "prompt-parts-refused"
+	if !refused {
+		event = "prompt-parts-allowed"
+	}
+	s.log(event, generation.Field{Key: "parts", Value: parts.Key()}, generation.Field{Key: "crashes", Value: parts.Targets},
+		generation.Field{Key: "version", Value: version})
 }
 
 // receive applies a notice. This entry also receives its own notices, which change nothing.
 func (s *sharedCrashRecords) receive(notice membership.Notice) {
+	if notice.Kind != noticePartsRefused {
+		s.observeVersion(notice.Version)
+	}
 	switch notice.Kind {
 	case noticeCrash:
-		if fingerprint, target, found := strings.Cut(notice.Subject, "/"); found {
-			s.record(fingerprint, target)
-			s.log("crash-notice", generation.Field{Key: "fingerprint", Value: fingerprint}, generation.Field{Key: "target", Value: target},
-				generation.Field{Key: "version", Value: notice.Version}, generation.Field{Key: "crashes", Value: s.Crashes(fingerprint)})
-		}
+		s.receiveCrash(notice)
 	case noticeCleared:
 		s.crashes.Discard(notice.Subject)
 		s.log("crashes-cleared", generation.Field{Key: "fingerprint", Value: notice.Subject}, generation.Field{Key: "version", Value: notice.Version})
+	case noticePartCleared:
+		before := s.crashes.AllRefusedParts()
+		s.crashes.ClearParts([]string{notice.Subject}, time.Now())
+		s.publishVerdicts(before)
+	case noticePartsRefused:
+		s.receiveVerdict(notice)
+	}
+}
+
+func (s *sharedCrashRecords) receiveCrash(notice membership.Notice) {
+	fingerprint, target, found := strings.Cut(notice.Subject, "/")
+	if !found {
+		return
+	}
+	now := time.Now()
+	parts, at := decodeCrash(notice.Value, now)
+	s.record(health.Work{Fingerprint: fingerprint, SharedParts: parts}, target, at, now)
+	s.log("crash-notice", generation.Field{Key: "fingerprint", Value: fingerprint}, generation.Field{Key: "target", Value: target},
+		generation.Field{Key: "parts", Value: strings.Join(parts, ",")}, generation.Field{Key: "age", Value: now.Sub(at)},
+		generation.Field{Key: "version", Value: notice.Version}, generation.Field{Key: "crashes", Value: s.Crashes(fingerprint)})
+	suspects := s.crashes.Suspects(parts, now)
+	for _, part := range parts {
+		if slices.Contains(suspects, part) {
+			continue
+		}
+		s.broadcast(membership.Notice{Kind: noticePartCleared, Subject: part, Version: notice.Version})
+	}
+}
+
+func (s *sharedCrashRecords) receiveVerdict(notice membership.Notice) {
+	parts := strings.Split(notice.Subject, ",")
+	targets, err := strconv.Atoi(notice.Value)
+	if err != nil {
+		s.log("verdict-notice-unusable", generation.Field{Key: "subject", Value: notice.Subject}, generation.Field{Key: "error", Value: err})
+		return
+	}
+	s.mu.Lock()
+	if known, _ := s.verdicts.Get(notice.Subject); notice.Version <= known {
+		s.mu.Unlock()
+		return
+	}
+	s.verdicts.Add(notice.Subject, notice.Version)
+	refused := notice.Version%2 == 1
+	s.mu.Unlock()
+	verdict := health.RefusedParts{Parts: parts, Targets: targets}
+	s.logVerdict(verdict, refused, notice.Version)
+	if !refused {
+		s.crashes.AllowParts(parts)
+		return
 	}
+	s.crashes.RefuseParts(parts, targets, time.Now())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
-func (s *sharedCrashRecords) record(fingerprint, target string) {
-	if excused := s.crashes.Record(fingerprint, target, time.Now()); excused > 0 {
+func (s *sharedCrashRecords) record(work health.Work, target string, at, now time.Time) {
+	if excused := s.crashes.Record(work.Fingerprint, target, now); excused > 0 {
 		s.log("crashes-excused", generation.Field{Key: "reason", Value: "mass failure"}, generation.Field{Key: "target", Value: target},
 			generation.Field{Key: "fingerprints", Value: excused})
 	}
+	if s.crashes.RecordParts(work, target, at, now) {
+		s.publishVerdicts(nil)
+	}
+}
+
+// nextVersion returns a version above all that this entry has seen.
+func (s *sharedCrashRecords) nextVersion() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	return s.version
 }
 
-// Crashes implements generation.CrashRecords.
+func (s *sharedCrashRecords) observeVersion(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = max(s.version, version)
+}
+
+// Crashes implements generation.RelayCrashRecords.
 func (s *sharedCrashRecords) Crashes(fingerprint string) int {
 	return s.crashes.Count(fingerprint, time.Now())
 }
 
-// AcquireIsolation implements generation.CrashRecords.
-func (s *sharedCrashRecords) AcquireIsolation(_ context.Context, deployment, holder string, hold time.Duration) bool {
-	return s.isolationSlots.Acquire(deployment, holder, time.Now().Add(hold), time.Now())
+// Judge implements generation.RelayCrashRecords. One entry of the fleet tries refused parts again.
+func (s *sharedCrashRecords) Judge(work health.Work) generation.WorkJudgement {
+	work.SharedParts = boundedParts(work.SharedParts)
+	return generation.JudgeWork(s.crashes, work, time.Now(), func(refused health.RefusedParts) bool { return s.isFirst(refused.Key()) })
+}
+
+// Changed implements generation.RelayCrashRecords.
+func (s *sharedCrashRecords) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
 }
 
-// ReleaseIsolation implements generation.CrashRecords.
-func (s *sharedCrashRecords) ReleaseIsolation(_ context.Context, deployment, holder string) {
-	s.isolationSlots.Release(deployment, holder)
+// boundedParts returns the parts that a crash may accuse, in a form that fits into notices.
+func boundedParts(parts []string) []string {
+	parts = parts[max(0, len(parts)-maxSharedParts):]
+	bounded := make([]string, len(parts))
+	for i, part := range parts {
+		bounded[i] = part
+		if len(part) > maxPartBytes || strings.ContainsAny(part, ",;") {
+			bounded[i] = strconv.FormatUint(xxhash.Sum64String(part), hexBase)
+		}
+	}
+	return bounded
+}
+
+// encodeCrash returns the value of a crash notice: the time in Unix milliseconds, a semicolon, the parts.
+func encodeCrash(parts []string, at time.Time) string {
+	return strconv.FormatInt(at.UnixMilli(), 10) + ";" + strings.Join(parts, ",")
+}
+
+// decodeCrash is the inverse of encodeCrash. The time is now if the sender gave none or its clock differs.
+func decodeCrash(value string, now time.Time) (parts []string, at time.Time) {
+	text, list, _ := strings.Cut(value, ";")
+	if list != "" {
+		parts = strings.Split(list, ",")
+	}
+	milliseconds, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return parts, now
+	}
+	at = time.UnixMilli(milliseconds)
+	if age := now.Sub(at); age < 0 || age > maxCrashAge {
+		return parts, now
+	}
+	return parts, at
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -113,8 +113,9 @@
 		Prober:   peermembership.NewProber(&http.Client{Transport: peermembership.NewTransport()}),
 		Seeds:    seeds,
 		Seed:     rand.Uint64(),
-		OnNotice: e.crashRecords.receive,
+		OnNotice: e.crashRecords.receive, RetainedKinds: retainedNotices,
 	})
+	e.crashRecords.isFirst = func(key string) bool { return membership.Rank(e.members.Live(), key)[0].Name == e.settings.Name }
 	// Broadcast waits for the goroutine that owns the membership; requests must not wait for it.
 	e.crashRecords.broadcast = func(notice membership.Notice) { go e.members.Broadcast(notice) }
 }
--- a/generation/errors.go
+++ b/generation/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -66,14 +67,19 @@
 func (e *GivenUpError) Unwrap() error { return e.Cause }
 
 // PoisonError reports that a request is refused because too many targets crashed while they ran requests
-// with its fingerprint.
+// with its fingerprint, or with parts of its prompt.
 type PoisonError struct {
 	Key Key
 	// Targets is the number of targets that crashed.
 	Targets int
+	// Parts are the parts of the prompt that crashed the targets; empty when it is the request as a whole.
+	Parts []string
 }
 
 // Error implements error.
 func (e *PoisonError) Error() string {
+	if len(e.Parts) > 0 {
+		return fmt.Sprintf("generation: %s refused: %d targets died running prompts with %s", e.Key, e.Targets, strings.Join(e.Parts, " and "))
+	}
 	return fmt.Sprintf("generation: %s refused: %d targets died running its prompt", e.Key, e.Targets)
 }
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/directory"
@@ -24,8 +23,8 @@
 	AddressMismatch func(target *directory.Target, found string)
 	// Prompts locates the cached prompts of streams that callers resume; nil locates none.
 	Prompts PromptLocator
-	// CrashRecords holds the crashes recorded against fingerprints; nil keeps them in this entry only.
-	CrashRecords CrashRecords
+	// CrashRecords holds the crashes of targets before they began to answer; nil keeps them in this entry only.
+	CrashRecords RelayCrashRecords
 	// Log receives events; nil discards them.
 	Log func(event string, fields ...Field)
 }
@@ -46,7 +45,7 @@
 		options.Log = func(string, ...Field) {}
 	}
 	if options.CrashRecords == nil {
-		options.CrashRecords = newLocalCrashRecords()
+		options.CrashRecords = &relayLocalRecords{health.NewCrashes()}
 	}
 	if options.Prompts == nil {
 		options.Prompts = unknownPrompts{}
@@ -87,8 +86,8 @@
 	// empty when unknown.
 	cachedAt string
 	exclude  []string
-	// crashRecorded is true while a target's crash is recorded against the request's fingerprint.
-	crashRecorded bool
+	// onTrial is true while the request is let through although parts of its prompt are refused.
+	onTrial bool
 	// lastAnswer is the last failure that a target answered with.
 	lastAnswer *RelayTargetError
 }
@@ -204,37 +203,13 @@
 	return RetryRestart
 }
 
-// rejectPoison returns a *PoisonError if the request's fingerprint crashed too many targets.
-func (run *relayRun) rejectPoison() error {
-	crashes := run.relay.options.CrashRecords.Crashes(run.request.Fingerprint)
-	if health.RestrictionFor(crashes) != health.RestrictionRefused {
-		return nil
-	}
-	run.relay.stats.PoisonRefused.Add(1)
-	return &PoisonError{Key: Key{ID: run.request.ID}, Targets: crashes}
-}
-
-func (run *relayRun) recordCrash(target *directory.Target) {
-	records, fingerprint := run.relay.options.CrashRecords, run.request.Fingerprint
-	records.RecordCrash(context.Background(), fingerprint, target.ID)
-	run.log("crash-recorded", Field{"target", target.ID}, Field{"fingerprint", fingerprint},
-		Field{"parts", strings.Join(run.request.SharedParts, ",")}, Field{"crashes", records.Crashes(fingerprint)})
-}
-
-// clearCrashes discards the crashes recorded for the request, once a target has survived running
-// it.
-func (run *relayRun) clearCrashes() {
-	if run.crashRecorded {
-		run.crashRecorded = false
-		run.relay.options.CrashRecords.ClearCrashes(context.Background(), run.request.Fingerprint)
-	}
-}
-
 // finalError returns the error of a request whose last attempt ended with ending.
 func (run *relayRun) finalError(ending relayEnding, err error) error {
 	switch ending {
 	case endingCallerDisconnected:
 		return ErrCallerDisconnected
+	case endingUnwanted:
+		return err
 	case endingDeadline:
 		if !run.mayHaveRun {
 			return run.failureError(ErrRelayDeadline)
@@ -418,7 +393,6 @@
 		}
 		placer.ReportLost(a.target)
 		if a.eventCount == 0 && ending == endingBroken {
-			run.crashRecorded = true
 			run.recordCrash(a.target)
 		}
 	case endingStalled:
@@ -503,8 +477,14 @@
 	var probeDone <-chan struct{}
 	var lastProbe time.Time
 	var probeAnswered bool
+	changed := a.run.relay.options.CrashRecords.Changed()
 	for {
 		select {
+		case <-changed:
+			changed = a.run.relay.options.CrashRecords.Changed()
+			if err := a.checkWaiting(); err != nil {
+				return endingUnwanted, err
+			}
 		case message := <-a.messages:
 			ending, ended, err := a.handleMessage(ctx, message)
 			if ended {
@@ -587,7 +567,7 @@
 	}
 	switch {
 	case a.eventCount == 0:
-		run.clearCrashes()
+		run.relay.options.CrashRecords.RecordAnswer(run.work())
 	case !run.relay.connectivity.wasLostSince(a.lastProgress):
 		a.gaps.Observe(now.Sub(a.lastProgress))
 	}
--- a/generation/relaydecide.go
+++ b/generation/relaydecide.go
@@ -24,6 +24,8 @@
 	endingUnsent
 	// endingStalled: the target accepts probes, but the stream makes no progress.
 	endingStalled
+	// endingUnwanted: the request was refused while the target had not begun to answer it.
+	endingUnwanted
 	// endingDeadline and endingCallerDisconnected: the request itself is over.
 	endingDeadline
 	endingCallerDisconnected
@@ -31,7 +33,7 @@
 
 // String returns the ending's name in logs.
 func (e relayEnding) String() string {
-	return [...]string{"complete", "refused", "answered", "broken", "silent", "unsent", "stalled", "deadline", "caller-gone"}[e]
+	return [...]string{"complete", "refused", "answered", "broken", "silent", "unsent", "stalled", "unwanted", "deadline", "caller-gone"}[e]
 }
 
 // retryInput is what the decision to retry depends on.
@@ -67,7 +69,7 @@
 // nextStep decides whether a request is retried.
 func nextStep(in retryInput) relayStep {
 	switch in.ending {
-	case endingComplete, endingDeadline, endingCallerDisconnected:
+	case endingComplete, endingUnwanted, endingDeadline, endingCallerDisconnected:
 		return stepFinish
 	case endingUnsent:
 		// No limit of attempts: nothing reached a target, and a retry waits for connectivity.
--- a/health/crashes.go
+++ b/health/crashes.go
@@ -40,6 +40,7 @@
 	mu            sync.Mutex
 	crashes       map[string][]crash
 	recentCrashes []crash
+	parts         *partRecords
 }
 
 // crash is the crash of one target.
@@ -51,7 +52,7 @@
 }
 
 // NewCrashes returns Crashes without crashes.
-func NewCrashes() *Crashes { return &Crashes{crashes: map[string][]crash{}} }
+func NewCrashes() *Crashes { return &Crashes{crashes: map[string][]crash{}, parts: newPartRecords()} }
 
 // Record records a crash against the fingerprint: the target crashed while it ran a request with it. It returns
 // the number of fingerprints whose only crash it excused as a part of a mass failure.
@@ -101,11 +102,13 @@
 }
 
 // Discard discards the crashes recorded against the fingerprint, because a request with it completed on a
-// target, which shows that it is harmless.
-func (r *Crashes) Discard(fingerprint string) {
+// target, which shows that it is harmless. It reports whether there were any.
+func (r *Crashes) Discard(fingerprint string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	_, found := r.crashes[fingerprint]
 	delete(r.crashes, fingerprint)
+	return found
 }
 
 // Count returns the number of distinct targets whose crashes are recorded against the fingerprint.
@@ -115,6 +118,77 @@
 	return len(r.counted(fingerprint, now))
 }
 
+// RecordParts records that a target crashed at a time before it began to answer a request. It reports whether
+// further parts of prompts are refused from now on.
+func (r *Crashes) RecordParts(work Work, target string, at, now time.Time) (refused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.parts.record(partCrash{target: target, fingerprint: work.Fingerprint, parts: work.SharedParts, at: at}, now)
+	return r.parts.decide(now)
+}
+
+// ClearParts records that a target began to answer a request with the parts. It returns those that were suspected.
+func (r *Crashes) ClearParts(parts []string, now time.Time) (suspected []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.parts.clear(parts, now)
+}
+
+// Suspects returns which of the parts a crash now accuses, because no target survived them lately.
+func (r *Crashes) Suspects(parts []string, now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.parts.suspects(partCrash{parts: parts, at: now})
+}
+
+// RefuseParts adds a refusal that another entry decided. It returns false if it was known.
+func (r *Crashes) RefuseParts(parts []string, targets int, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.parts.refuse(parts, targets, now)
+}
+
+// AllowParts ends a refusal and drops the evidence for it.
+func (r *Crashes) AllowParts(parts []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.parts.allow(parts)
+}
+
+// AllRefusedParts returns the refusals in force.
+func (r *Crashes) AllRefusedParts() []RefusedParts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]RefusedParts, 0, r.parts.refused.Len())
+	for _, refused := range r.parts.refused.Values() {
+		all = append(all, *refused)
+	}
+	return all
+}
+
+// Refusal returns the refusal that applies to a prompt with the parts.
+func (r *Crashes) Refusal(parts []string) (refused RefusedParts, found bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if refusal := r.parts.refusal(parts); refusal != nil {
+		return *refusal, true
+	}
+	return RefusedParts{}, false
+}
+
+// ClaimTrial reports whether a request may try refused parts again now, and counts it as the trial.
+func (r *Crashes) ClaimTrial(refused RefusedParts, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current, found := r.parts.refused.Get(refused.Key())
+	if !found || now.Before(current.nextTrial) {
+		return false
+	}
+	current.trialDelay = min(2*current.trialDelay, maxTrialDelay)
+	current.nextTrial = now.Add(current.trialDelay)
+	return true
+}
+
 // Targets returns the targets whose crashes are recorded against the fingerprint.
 func (r *Crashes) Targets(fingerprint string, now time.Time) []string {
 	r.mu.Lock()
--- a/membership/manager.go
+++ b/membership/manager.go
@@ -159,6 +159,7 @@
 	table        *table
 	updates      updateQueue
 	notices      map[string]Notice
+	retained     retainedNotices
 	random       *rand.Rand
 	gossipBudget tokenBucket
 	// epoch counts the pauses of this entry. Failed probes of an earlier epoch are ignored.
@@ -324,6 +325,9 @@
 	}
 	allowed := l.gossipBudget.limit(now, l.options.MaxDeltaBytes)
 	used := l.updates.fillMessage(&message, allowed, len(l.table.members)+1)
+	if used == 0 {
+		used = l.retained.fillMessage(&message, allowed)
+	}
 	l.gossipBudget.spend(used)
 	return message
 }
@@ -401,6 +405,9 @@
 	}
 	l.notices[key] = notice
 	l.updates.addNotice(notice)
+	if slices.Contains(l.options.RetainedKinds, notice.Kind) {
+		l.retained.add(notice)
+	}
 	if l.options.OnNotice != nil {
 		l.options.OnNotice(notice)
 	}
