Accuse a part that most prompts share only when no narrower one explains its crashes

An entry that has just started has seen no part survive. The part that all prompts of a route share occurs in every crash, also in those of other causes, so that it had evidence enough before the part that crashes the engines: all requests of the route would have been refused there until one of them began elsewhere.

Crashes that a narrower part with two targets explains now count against the wider one only from six targets on.

--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/health"
 	"github.com/azurebarrow/azurebarrow/membership"
 )
 
@@ -368,3 +369,51 @@
 		})
 	}
 }
+
+// Guards against entries that let requests through because they were not there when the verdict fell.
+func TestEntryThatStartsAfterTheVerdictRefusesThePart(t *testing.T) {
+	for _, size := range []int{8, 59, 76} {
+		t.Run(fmt.Sprintf("%d_entries", size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newCrashFleet(ctx, size)
+				time.Sleep(modelHistoryTime)
+				verdict := health.RefusedParts{Parts: []string{badPart}, Targets: evidenceCrashes}
+				f.order[size/2].records.crashes.RefuseParts(verdict.Parts, verdict.Targets, time.Now())
+				f.order[size/2].records.publishVerdict(verdict, true)
+				time.Sleep(time.Minute)
+				f.order[1].stop()
+				f.startEntry(1)
+				time.Sleep(stableWindow)
+				refused := f.order[1].records.Judge(health.Work{Fingerprint: "f", SharedParts: []string{"system", badPart}}).Refused
+				cancel()
+				time.Sleep(time.Minute) // until all goroutines have ended
+				is.True(refused)
+			})
+		})
+	}
+}
+
+// Guards against a verdict that comes too late for the requests that wait for their first event at many engines.
+func TestBurstOfRequestsWithACrashingPartIsStoppedByTheVerdict(t *testing.T) {
+	for _, size := range []int{8, 59, 76} {
+		t.Run(fmt.Sprintf("%d_entries", size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newCrashFleet(ctx, size)
+				go f.generate("sound", 20, func(number int) []string {
+					return []string{"system", fmt.Sprintf("session-%d", number)}
+				}, func(time.Time, bool) {})
+				time.Sleep(modelHistoryTime)
+				go f.generate("bad", 15, func(int) []string { return []string{"system", badPart} }, func(time.Time, bool) {})
+				time.Sleep(2*stableWindow + modelDay)
+				cancel()
+				time.Sleep(time.Minute) // until all goroutines have ended
+				t.Logf("%d crashes, %d late arrivals", len(f.crashes), f.lateArrivals())
+				is.True(f.lateArrivals() <= maxLateArrivals)
+			})
+		})
+	}
+}
--- a/health/parts.go
+++ b/health/parts.go
@@ -12,6 +12,10 @@
 	// minPartFingerprints is the number of different requests whose crashes accuse a part: crashes of a single
 	// one accuse that request.
 	minPartFingerprints = 2
+	// minNarrowerTargets is the number of targets from which a part may explain the crashes of a wider one, and
+	// amplePartTargets the number from which the wider one is refused all the same.
+	minNarrowerTargets = 2
+	amplePartTargets   = 2 * MinCrashesToRefuse
 	// minPartSpan is the shortest time over which crashes accuse a part. An availability zone that fails crashes
 	// the targets of all prompts at once.
 	minPartSpan = time.Second
@@ -161,8 +165,32 @@
 	first, last           time.Time
 }
 
-func (s *partSupport) sufficient() bool {
-	return len(s.targets) >= MinCrashesToRefuse && len(s.fingerprints) >= minPartFingerprints && s.last.Sub(s.first) >= minPartSpan
+// sufficient reports whether the evidence is enough to refuse the part. Crashes that a narrower part may explain count
+// only once there are many: a part that most prompts share occurs in every crash.
+func (s *partSupport) sufficient(all map[string]*partSupport) bool {
+	if len(s.fingerprints) < minPartFingerprints || s.last.Sub(s.first) < minPartSpan {
+		return false
+	}
+	return len(s.targets) >= amplePartTargets || len(s.targets)-s.explainedTargets(all) >= MinCrashesToRefuse
+}
+
+// explainedTargets returns the number of targets in whose crashes the part occurs beside a narrower one with crashes
+// of several targets.
+func (s *partSupport) explainedTargets(all map[string]*partSupport) int {
+	explained := map[string]bool{}
+	for _, other := range all {
+		if len(other.targets) < minNarrowerTargets || len(other.crashes) >= len(s.crashes) || !containsAll(s.crashes, other.crashes) {
+			continue
+		}
+		for target := range other.targets {
+			explained[target] = true
+		}
+	}
+	return len(explained)
+}
+
+func containsAll(crashes, others []int) bool {
+	return !slices.ContainsFunc(others, func(i int) bool { return !slices.Contains(crashes, i) })
 }
 
 // narrower orders supports: the part that explains enough crashes and occurs least beside is accused first.
@@ -183,7 +211,7 @@
 		supports := p.supports(p.unexplained())
 		var narrowest *partSupport
 		for _, support := range supports {
-			if support.sufficient() && (narrowest == nil || support.narrower(narrowest)) {
+			if support.sufficient(supports) && (narrowest == nil || support.narrower(narrowest)) {
 				narrowest = support
 			}
 		}
