--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -115,6 +115,8 @@
 	status     int
 	reason     string
 	retryAfter time.Duration
+	// text is the body, for people; empty for none.
+	text string
 }
 
 // admit checks the request and reads its body. It returns nil if the request may be dispatched, otherwise the
@@ -125,7 +127,7 @@
 		c.snapshot = c.handler.options.Snapshot()
 	}
 	if !c.snapshot.Ready() {
-		return &errorAnswer{http.StatusServiceUnavailable, "no configuration or targets known yet", startRetryAfter}
+		return &errorAnswer{status: http.StatusServiceUnavailable, reason: "no configuration or targets known yet", retryAfter: startRetryAfter}
 	}
 	configuration := c.snapshot.Configuration
 	c.route = configuration.Match(hostOf(c.http.Host), pathOf(c.http))
@@ -141,7 +143,7 @@
 		c.priority = customer.Priority
 	}
 	if !c.handler.options.AcceptsClass(c.route.Class) {
-		return &errorAnswer{http.StatusServiceUnavailable, "entry is stopping", stopRetryAfter}
+		return &errorAnswer{status: http.StatusServiceUnavailable, reason: "entry is stopping", retryAfter: stopRetryAfter}
 	}
 	wait := c.header.Timeout
 	if wait == 0 {
@@ -200,8 +202,9 @@
 		seconds := strconv.FormatFloat(r.retryAfter.Seconds(), 'f', -1, 64)
 		c.writer.Header().Set("Retry-After", seconds)
 	}
-	c.writer.Header().Set("Content-Length", "0")
+	c.writer.Header().Set("Content-Length", strconv.Itoa(len(r.text)))
 	c.writer.WriteHeader(r.status)
+	_, _ = io.WriteString(c.writer, r.text) // the caller may have left
 	c.recordEnd(r.status, r.reason)
 }
 
@@ -308,7 +311,7 @@
 	case err == nil:
 		c.write(result.(*answer))
 	case errors.As(err, &notRun):
-		c.writeError(&errorAnswer{http.StatusServiceUnavailable, notRun.Error(), notRun.RetryAfter})
+		c.writeError(&errorAnswer{status: http.StatusServiceUnavailable, reason: notRun.Error(), retryAfter: notRun.RetryAfter})
 	case errors.Is(err, context.Canceled):
 		c.abort("caller gone")
 	case errors.Is(err, context.DeadlineExceeded):
@@ -374,9 +377,9 @@
 	case errors.As(err, &answered):
 		c.write(answered.Answer.(*answer))
 	case errors.As(err, &givenUp) && !givenUp.MayHaveRun:
-		c.writeError(&errorAnswer{http.StatusServiceUnavailable, givenUp.Cause.Error(), givenUp.RetryAfter})
+		c.writeError(&errorAnswer{status: http.StatusServiceUnavailable, reason: givenUp.Cause.Error(), retryAfter: givenUp.RetryAfter})
 	case errors.As(err, &poison):
-		c.writeError(&errorAnswer{status: http.StatusBadGateway, reason: err.Error()})
+		c.writeError(&errorAnswer{status: http.StatusBadGateway, reason: err.Error(), text: poisonText(poison)})
 	case errors.Is(err, generation.ErrRelayDeadline):
 		c.writeError(&errorAnswer{status: http.StatusGatewayTimeout, reason: err.Error()})
 	default:
@@ -384,6 +387,14 @@
 	}
 }
 
+// poisonText tells a caller that its request must not come back.
+func poisonText(poison *generation.PoisonError) string {
+	if len(poison.Parts) == 0 {
+		return "This request crashes engines and is refused. Do not send it again.\n"
+	}
+	return "Prompts with " + strings.Join(poison.Parts, " and ") + " crash engines and are refused. Do not send them again.\n"
+}
+
 // fingerprintBytes is the length of a fingerprint; short, since entries exchange fingerprints.
 const fingerprintBytes = 12
 
--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -143,6 +143,18 @@
 	s.broadcast(membership.Notice{Kind: noticePartsRefused, Subject: key, Version: version + 1, Value: strconv.Itoa(parts.Targets)})
 }
 
+// allow ends a refusal at all entries, as an operator asks. It returns false if parts with the key are not refused.
+func (s *sharedCrashRecords) allow(key string) bool {
+	for _, refused := range s.crashes.AllRefusedParts() {
+		if refused.Key() == key {
+			s.crashes.AllowParts(refused.Parts)
+			s.publishVerdict(refused, false)
+			return true
+		}
+	}
+	return false
+}
+
 func (s *sharedCrashRecords) logVerdict(parts health.RefusedParts, refused bool, version uint64) {
 	event := "prompt-parts-refused"
 	if !refused {
--- a/entry/crashrecords_test.go
+++ b/entry/crashrecords_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -64,3 +65,20 @@
 		}
 	}
 }
+
+func TestOperatorLiftsAVerdictAtEveryEntry(t *testing.T) {
+	is := is.New(t)
+	entries := newConnectedRecords(4)
+	verdict := health.RefusedParts{Parts: []string{"p"}, Targets: 5}
+	entries[0].crashes.RefuseParts(verdict.Parts, verdict.Targets, time.Now())
+	entries[0].publishVerdict(verdict, true)
+	work := health.Work{Fingerprint: "f", SharedParts: []string{"s", "p"}}
+	for _, entry := range entries {
+		is.True(entry.Judge(work).Refused)
+	}
+	is.True(!entries[2].allow("s"))
+	is.True(entries[2].allow("p"))
+	for _, entry := range entries {
+		is.True(!entry.Judge(work).Refused)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -314,6 +314,11 @@
 func (e *Entry) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", e.metrics.Handler())
+	mux.HandleFunc("POST /prompt-parts/allow", func(w http.ResponseWriter, r *http.Request) {
+		if !e.crashRecords.allow(r.FormValue("parts")) {
+			http.Error(w, "no such parts are refused: "+r.FormValue("parts"), http.StatusNotFound)
+		}
+	})
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return mux
 }
