--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -32,6 +32,7 @@
 	fieldCustomer         = "X-Tenant"
 	fieldCopyHolder       = "X-Kv-Backup"
 	fieldCopySource       = "Kv-From"
+	fieldLimit            = "Server-Limit"
 )
 
 // Options configures a Target.
@@ -47,6 +48,9 @@
 	Events        int
 	EventInterval time.Duration
 	WorkTime      time.Duration
+	// Limit is the number of requests a second that the target's answers name as its limit, for all callers
+	// together; 0 for none. The target does not enforce it.
+	Limit float64
 	// Log receives a record of each step of a request.
 	Log *Log
 }
@@ -128,6 +132,9 @@
 		return
 	}
 	w.Header().Set(FieldRequestID, r.Header.Get(FieldRequestID))
+	if t.options.Limit > 0 {
+		w.Header().Set(fieldLimit, strconv.FormatFloat(t.options.Limit, 'f', -1, 64))
+	}
 	if !t.acquireSlot(r) {
 		t.logRequest(Refused, r)
 		w.Header().Set(fieldNotRun, "1")
