Keep to the limits that targets name, over all entries together

Cause: nothing read Server-Limit; the field was handed on to callers, and targets were chosen by calls in progress. Class: a verdict for the whole fleet that each entry sees in its own answers only.

Now a limit travels to all entries as a retained notice, a few entries share it (token buckets that start empty), and the choice of targets leaves out those without room: first sends, repeats, hedges, resumed streams and probes of breakers. A call that finds none is refused at once with an honest Retry-After. A field that is no number is logged and ignored.

--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
+	"github.com/azurebarrow/azurebarrow/admission"
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/platform"
@@ -21,11 +22,24 @@
 type Targets struct {
 	pool      *targethttp.Pool
 	directory *directory.Manager
+	limits    *admission.TargetLimits
+	log       func(event string, fields ...generation.Field)
 }
 
-// NewTargets returns Targets that sends over the pool and reads the manager's snapshots.
-func NewTargets(pool *targethttp.Pool, manager *directory.Manager) *Targets {
-	return &Targets{pool: pool, directory: manager}
+// NewTargets returns Targets that sends over the pool, reads the manager's snapshots and keeps the limits that targets
+// name.
+func NewTargets(pool *targethttp.Pool, manager *directory.Manager, limits *admission.TargetLimits, log func(event string, fields ...generation.Field)) *Targets {
+	return &Targets{pool: pool, directory: manager, limits: limits, log: log}
+}
+
+// observeLimit records the limit that an answer names.
+func (t *Targets) observeLimit(target string, header http.Header, sent time.Time) {
+	limit, named, err := platform.RequestLimit(header)
+	if err != nil {
+		t.log("target-limit-unusable", generation.Field{Key: "target", Value: target}, generation.Field{Key: "error", Value: err})
+		return
+	}
+	t.limits.Observe(target, limit, named, sent, time.Now())
 }
 
 const (
@@ -67,6 +81,7 @@
 		header.KVCopySource, header.KVCopyName = attempt.Copy.Source, attempt.Copy.Name
 	}
 	request := payload.encode(header)
+	sent := time.Now()
 	received, err := t.pool.Do(ctx, attempt.Target.Key(), attempt.Target.Address, request)
 	if err != nil {
 		var notSent *service.NotSentError
@@ -75,7 +90,11 @@
 		}
 		return nil, err
 	}
-	switch platform.ClassifyAnswer(received.Status, received.Header) {
+	verdict := platform.ClassifyAnswer(received.Status, received.Header)
+	if verdict.IsOfTarget() {
+		t.observeLimit(attempt.Target.ID, received.Header, sent)
+	}
+	switch verdict {
 	case platform.Succeeded:
 		return newStream(received), nil
 	case platform.NotRun:
@@ -152,6 +171,7 @@
 	header := platform.TargetHeader{Instance: target.Name, Timeout: time.Until(call.Deadline)}
 	request := call.Payload.(*targetPayload).encode(header)
 	key := (&directory.Target{ID: target.Name, Address: target.Address}).Key()
+	sent := time.Now()
 	received, err := t.pool.Do(ctx, key, target.Address, request)
 	if err != nil {
 		var notSent *service.NotSentError
@@ -161,6 +181,9 @@
 		return service.SendResult{Verdict: service.SendUnknown, Err: err}
 	}
 	verdict := platform.ClassifyAnswer(received.Status, received.Header)
+	if verdict.IsOfTarget() {
+		t.observeLimit(target.Name, received.Header, sent)
+	}
 	switch verdict {
 	case platform.NotRun:
 		received.Close()
@@ -221,11 +244,15 @@
 // Close implements generation.RelayStream.
 func (s *stream) Close() { s.received.Close() }
 
-// Targets implements service.Directory.
+// Targets implements service.Directory. It leaves out the targets whose limit allows no request now.
 func (t *Targets) Targets(name string) []service.Target {
 	open := t.directory.Snapshot().AvailableTargets(name)
 	targets := make([]service.Target, 0, len(open))
+	now := time.Now()
 	for _, target := range open {
+		if !t.limits.Available(target.ID, now) {
+			continue
+		}
 		targets = append(targets, service.Target{Name: target.ID, Address: target.Address, Concurrency: target.Slots})
 	}
 	return targets
--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -30,7 +30,7 @@
 )
 
 // retainedNotices are the kinds of notices that entries get which start, or were cut off, after they were sent.
-var retainedNotices = []membership.NoticeKind{noticePartsRefused}
+var retainedNotices = []membership.NoticeKind{noticePartsRefused, noticeLimit}
 
 const (
 	// maxSharedParts limits the parts of a prompt that a crash accuses; the last ones are the most specific.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,6 +54,7 @@
 	retryTotals  *admission.RetryTotals
 	peerClient   *http.Client
 	crashRecords *sharedCrashRecords
+	limits       *sharedLimits
 	prompts      *promptindex.Manager
 	callers      *callerListener
 	ready        boundServer
@@ -86,6 +87,7 @@
 	e := &Entry{settings: s.WithDefaults(), log: options.Log, metrics: metrics.New(), retryTotals: admission.NewRetryTotals(), crashRecords: newSharedCrashRecords(options.Log)}
 	e.shutdown = newShutdown(e.settings.Passthrough.StopGrace)
 	e.buildMembership()
+	e.buildLimits()
 	e.buildDirectory()
 	handler := e.buildCallerHandler()
 	e.registerMetrics()
@@ -113,7 +115,7 @@
 		Prober:   peermembership.NewProber(&http.Client{Transport: peermembership.NewTransport()}),
 		Seeds:    seeds,
 		Seed:     rand.Uint64(),
-		OnNotice: e.crashRecords.receive, RetainedKinds: retainedNotices,
+		OnNotice: e.receiveNotice, RetainedKinds: retainedNotices,
 	})
 	e.crashRecords.isFirst = func(key string) bool { return membership.Rank(e.members.Live(), key)[0].Name == e.settings.Name }
 	// Broadcast waits for the goroutine that owns the membership; requests must not wait for it.
@@ -172,7 +174,7 @@
 // buildCallerHandler creates the components that serve callers and returns their handler.
 func (e *Entry) buildCallerHandler() http.Handler {
 	e.pool = targethttp.NewPool(targethttp.Options{})
-	targets := passthrough.NewTargets(e.pool, e.directory)
+	targets := passthrough.NewTargets(e.pool, e.directory, e.limits.TargetLimits, e.log)
 	limits := e.settings.Passthrough
 	e.retries = admission.NewSharedRetryBudget(admission.SharedRetryLimits{
 		Ratio: limits.RetryRatio, Slack: limits.RetrySlack, Window: limits.RetryWindow,
@@ -188,6 +190,7 @@
 		Engine:          targets,
 		Placer:          e.placement,
 		Budget:          e.retries,
+		Limits:          e.limits,
 		Targets:         func(name string) []*directory.Target { return e.directory.Snapshot().AvailableTargets(name) },
 		AddressMismatch: e.directory.ReportAddressMismatch,
 		CrashRecords:    e.crashRecords,
@@ -198,6 +201,7 @@
 		Sender:    targets,
 		Directory: targets,
 		Budget:    e.retries,
+		Limits:    e.limits,
 		Seed:      uint64(time.Now().UnixNano()),
 		Log:       e.logAttempt,
 	})
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -52,12 +52,13 @@
 	e.placement.Sweep()
 	e.forwarder.Sweep()
 	e.crashRecords.crashes.Sweep(time.Now())
-	known := map[string]bool{}
+	known, ids := map[string]bool{}, map[string]bool{}
 	for _, targets := range e.directory.Snapshot().Targets {
 		for _, target := range targets {
-			known[target.Key()] = true
+			known[target.Key()], ids[target.ID] = true, true
 		}
 	}
+	e.limits.Sweep(func(target string) bool { return ids[target] })
 	e.pool.Sweep(func(key string) bool { return known[key] })
 }
 
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -87,6 +87,7 @@
 	m.AddCounter("events_duplicate", stats.Duplicate.Load)
 	m.AddCounter("event_gaps", stats.Gap.Load)
 	m.AddCounter("poison_refused", stats.PoisonRefused.Load)
+	m.AddGauge("targets_limited", func() float64 { return float64(e.limits.LimitedCount()) })
 	m.AddGauge("prompt_parts_refused", func() float64 { return float64(len(e.crashRecords.crashes.AllRefusedParts())) })
 }
 
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -16,6 +16,8 @@
 	Engine RelayEngine
 	Placer RelayPlacer
 	Budget RetryBudget
+	// Limits are the limits that targets name; nil for none.
+	Limits TargetLimits
 	// Targets returns the targets of a service that accept new work.
 	Targets func(service string) []*directory.Target
 	// AddressMismatch is called on an address mismatch: the target with the ID found, empty when unknown,
@@ -47,6 +49,9 @@
 	if options.CrashRecords == nil {
 		options.CrashRecords = &relayLocalRecords{health.NewCrashes()}
 	}
+	if options.Limits == nil {
+		options.Limits = unlimitedTargets{}
+	}
 	if options.Prompts == nil {
 		options.Prompts = unknownPrompts{}
 	}
@@ -250,19 +255,31 @@
 func (run *relayRun) chooseTarget() *directory.Target {
 	query := run.placementQuery()
 	if run.kvCopy != nil {
-		if target := run.copyHolderCandidate(run.kvCopy); target != nil {
+		if target := run.copyHolderCandidate(run.kvCopy); target != nil && run.relay.options.Limits.Take(target.ID) {
 			return target
 		}
 		run.discardCopy()
 	}
-	target := run.relay.options.Placer.Place(query)
+	target := run.placeWithinLimits(query)
 	if target == nil && len(run.exclude) > 0 {
 		run.exclude = nil
-		target = run.relay.options.Placer.Place(run.placementQuery())
+		target = run.placeWithinLimits(run.placementQuery())
 	}
 	return target
 }
 
+// placeWithinLimits returns the cheapest target whose limit allows a request, and takes it from the limit.
+func (run *relayRun) placeWithinLimits(query RelayQuery) *directory.Target {
+	query.Exclude = slices.Clone(query.Exclude)
+	for {
+		target := run.relay.options.Placer.Place(query)
+		if target == nil || run.relay.options.Limits.Take(target.ID) {
+			return target
+		}
+		query.Exclude = append(query.Exclude, target.ID)
+	}
+}
+
 func (run *relayRun) discardCopy() {
 	run.kvCopy = nil
 	run.releaseCopy()
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -162,6 +162,17 @@
 	Refund(service string)
 }
 
+// TargetLimits is the port to the limits that targets name, which all entries share.
+type TargetLimits interface {
+	// Take takes one request from this entry's share of a target's limit; false if none is left.
+	Take(target string) bool
+}
+
+// unlimitedTargets is TargetLimits without any.
+type unlimitedTargets struct{}
+
+func (unlimitedTargets) Take(string) bool { return true }
+
 // PromptLocator records which engine has prefilled a prompt. The records survive the loss of
 // entries. It is safe for concurrent use.
 type PromptLocator interface {
--- a/service/forward.go
+++ b/service/forward.go
@@ -70,12 +70,28 @@
 	Sender    Sender
 	Directory Directory
 	Budget    generation.RetryBudget
+	// Limits are the limits that targets name; nil for none.
+	Limits Limits
 	// Seed initializes the random generator, so that random choices can be reproduced.
 	Seed uint64
 	// Log is called at the end of each attempt; nil discards the events.
 	Log func(event string, call *ForwardedCall, target string, sent SendResult)
 }
 
+// Limits is the port to the limits that targets name, which all entries share.
+type Limits interface {
+	// Take takes one request from this entry's share of a target's limit; false if none is left.
+	Take(target string) bool
+	// RetryAfter returns when a call to the service may find room.
+	RetryAfter(service string) time.Duration
+}
+
+// unlimited is Limits without any.
+type unlimited struct{}
+
+func (unlimited) Take(string) bool                { return true }
+func (unlimited) RetryAfter(string) time.Duration { return forwardRetryAfter }
+
 // Forwarder forwards opaque calls to targets. It is safe for concurrent use.
 type Forwarder struct {
 	options ForwarderOptions
@@ -89,6 +105,9 @@
 	if options.Log == nil {
 		options.Log = func(string, *ForwardedCall, string, SendResult) {}
 	}
+	if options.Limits == nil {
+		options.Limits = unlimited{}
+	}
 	return &Forwarder{options: options, pools: map[string]*pool{}}
 }
 
@@ -194,7 +213,7 @@
 	}
 	defer w.cancelRunning()
 	if !w.startAttempt(ctx) {
-		return nil, &NotRunError{RetryAfter: forwardRetryAfter, Cause: errNoTarget}
+		return nil, &NotRunError{RetryAfter: f.options.Limits.RetryAfter(call.Service), Cause: errNoTarget}
 	}
 	return w.await(ctx)
 }
@@ -285,11 +304,10 @@
 // startAttempt sends the call to a target that has not received it yet. It returns false if there is
 // none.
 func (w *forwardRun) startAttempt(ctx context.Context) bool {
-	lease, ok := w.pool.chooseForward(w.tried)
+	lease, ok := w.chooseTarget()
 	if !ok {
 		return false
 	}
-	w.tried = append(w.tried, lease.target.Name)
 	w.state.running++
 	ctx, cancel := context.WithCancel(ctx)
 	w.cancels = append(w.cancels, cancel)
@@ -301,6 +319,21 @@
 	return true
 }
 
+// chooseTarget returns a lease on a target that has not received the call yet and whose limit allows it.
+func (w *forwardRun) chooseTarget() (*lease, bool) {
+	for {
+		lease, ok := w.pool.chooseForward(w.tried)
+		if !ok {
+			return nil, false
+		}
+		w.tried = append(w.tried, lease.target.Name)
+		if w.forwarder.options.Limits.Take(lease.target.Name) {
+			return lease, true
+		}
+		lease.abandon()
+	}
+}
+
 // recordResult updates the state of the call and of the target at the end of an attempt.
 func (w *forwardRun) recordResult(result forwardResult) {
 	w.state.running--
