Cut off heads and foreign answers that a target sends without end

A target may send bytes that are no answer until its caller closes: in a status line, a header, informational answers, or an answer to another request. The entry read them all until the request's deadline, into memory (net/http's parser reads lines of any length) or at the full speed of its link.

TestBytesWithoutEndAreCutOff failed in all six forms ('context deadline exceeded').

--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -109,6 +109,7 @@
 // receive reads the head of the answer to the request. It skips informational answers, and answers to other
 // requests.
 func (e *exchange) receive(request *Request) (*Answer, error) {
+	e.conn.head.expectHead()
 	for foreign := 0; ; {
 		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -119,6 +120,7 @@
 		}
 		id := response.Header.Get(request.IDHeader)
 		if id == "" || id == request.ID {
+			e.conn.head.endHead()
 			e.response = response
 			e.reusable = foreign == 0 && !response.Close
 			e.idleFor = idleTimeout(response.Header, e.idleFor)
@@ -134,12 +136,23 @@
 		if foreign > maxForeignAnswers {
 			return nil, errAnswerMismatch
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := e.skipBody(response.Body); err != nil {
 			return nil, err
 		}
 	}
 }
 
+// skipBody reads the body of an answer to another request, after which the next head is expected.
+func (e *exchange) skipBody(body io.Reader) error {
+	e.conn.head.endHead()
+	defer e.conn.head.expectHead()
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBytes+1))
+	if err == nil && n > maxForeignBytes {
+		return errForeignTooLarge
+	}
+	return err
+}
+
 // idleMargin is the fraction of a target's idle timeout for which a connection is kept, so that a request does
 // not coincide with the target's close.
 const idleMargin = 0.6
--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -77,6 +77,8 @@
 	net.Conn
 	key    string
 	reader *bufio.Reader
+	// head limits what is read for the head of an answer.
+	head *headLimiter
 	// expires is the time after which the idle connection is not used any more.
 	expires time.Time
 }
@@ -138,7 +140,8 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	return &conn{Conn: opened, key: key, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
+	head := &headLimiter{reader: opened}
+	return &conn{Conn: opened, key: key, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
 // putIdle keeps a connection for a later request, or closes it if the target has enough idle ones.
