Bound the memory that answers without end take

A plain call reads its answer whole, up to 16 MB, with or without a length. Forty calls to a target that sends bytes without end took 637 to 715 MB of heap; an entry has 184 MB in the smallest deployment.

Now an answer without a length is read up to 4 MB, and all answers that are being read take 24 MB together beyond 64 KB each; what exceeds it fails with an unknown outcome. Events of streams were bounded already (256 KB).

--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -23,6 +23,7 @@
 	pool      *targethttp.Pool
 	directory *directory.Manager
 	limits    *admission.TargetLimits
+	answers   answerReader
 	log       func(event string, fields ...generation.Field)
 }
 
@@ -43,8 +44,6 @@
 }
 
 const (
-	// maxAnswerBytes limits an answer that is read as a whole.
-	maxAnswerBytes = 16 << 20
 	// maxEventBytes limits one event of a stream.
 	maxEventBytes = 256 << 10
 	// noLastEvent keeps the caller's own Last-Event-Id in the header.
@@ -53,7 +52,6 @@
 
 var (
 	errUnsigned    = errors.New("the answer is not a target's")
-	errTooLarge    = errors.New("the answer is larger than the bound")
 	errNotRun      = errors.New("target did not run the request")
 	errMisdirected = errors.New("another target has the address")
 )
@@ -106,7 +104,7 @@
 			AddressMismatch: true, FoundID: platform.ResponderID(received.Header), Cause: errMisdirected,
 		}
 	case platform.Failed:
-		whole, err := readAnswer(received)
+		whole, err := t.answers.read(received)
 		if err != nil {
 			return nil, err
 		}
@@ -143,7 +141,7 @@
 	if err != nil {
 		return nil, err
 	}
-	whole, err := readAnswer(received)
+	whole, err := t.answers.read(received)
 	if err != nil {
 		return nil, err
 	}
@@ -153,19 +151,6 @@
 	return whole.body, nil
 }
 
-// readAnswer reads an answer to its end and closes it.
-func readAnswer(received *targethttp.Answer) (*answer, error) {
-	defer received.Close()
-	body, err := io.ReadAll(io.LimitReader(received.Body, maxAnswerBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxAnswerBytes {
-		return nil, errTooLarge
-	}
-	return &answer{status: received.Status, header: received.Header, body: body}, nil
-}
-
 // Send implements service.Sender.
 func (t *Targets) Send(ctx context.Context, target service.Target, call *service.ForwardedCall) service.SendResult {
 	header := platform.TargetHeader{Instance: target.Name, Timeout: time.Until(call.Deadline)}
@@ -196,7 +181,7 @@
 		received.Close()
 		return service.SendResult{Verdict: service.SendUnknown, Err: errUnsigned}
 	}
-	whole, err := readAnswer(received)
+	whole, err := t.answers.read(received)
 	if err != nil {
 		return service.SendResult{Verdict: service.SendUnknown, Err: err}
 	}
--- a/adapters/targethttp/endless_test.go
+++ b/adapters/targethttp/endless_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -65,7 +64,7 @@
 			is.True(err != nil)
 			is.NoErr(ctx.Err()) // before the deadline
 			is.True(sent.Load() <= maxHeadBytes+maxForeignBytes+socketBuffers)
-			t.Log(fmt.Sprintf("%d bytes sent: %v", sent.Load(), err))
+			t.Logf("%d bytes sent: %v", sent.Load(), err)
 		})
 	}
 }
