Soak: prompt parts that crash engines, and targets that name limits

The soak had neither: no request could crash a target, and no target named a limit, so that both incidents stayed unseen. A new theme sends four requests a second, no two alike, with one part that crashes each engine as it begins to answer (the process ends and is started again), and has targets name a limit of one request a second. Checks BUDGET and LIMIT have the users' bounds.

--- a/admission/targetlimits.go
+++ b/admission/targetlimits.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/defect"
 	"github.com/azurebarrow/azurebarrow/membership"
 )
 
@@ -103,7 +104,7 @@
 
 // usableLimit returns the limit to keep; 0 for none.
 func usableLimit(limit float64, named bool) float64 {
-	if !named || math.IsInf(limit, 1) {
+	if !named || math.IsInf(limit, 1) || defect.Enabled(defect.LimitIgnored) {
 		return 0
 	}
 	return max(limit, minTargetLimit)
--- a/bench/soak/defect_test.go
+++ b/bench/soak/defect_test.go
@@ -37,6 +37,12 @@
 	for i := range 16 {
 		stops = append(stops, Step{At: faultAt + time.Duration(i)*stopPause, Kind: StopEntry, Index: i})
 	}
+	// Requests with a bad part, and limits, last for nine seconds each; two in a row leave time for the bound.
+	badRequests := []Step{{At: faultAt, Kind: BadRequests}, {At: faultAt + badRequestsFor, Kind: BadRequests}}
+	var limits []Step
+	for i := range 3 {
+		limits = append(limits, Step{At: faultAt + time.Duration(i)*limitFor, Kind: LimitTarget, Index: i})
+	}
 	cases := []struct {
 		defect defect.Name
 		rule   string
@@ -46,6 +52,8 @@
 		{defect.DrainingIgnored, "DRAIN", drains},
 		{defect.RetryUnsafe, "TWICE", lostAnswers},
 		{defect.NotRunPerAttempt, "REFUSED", lostAnswers},
+		{defect.CrashesByRequest, "BUDGET", badRequests},
+		{defect.LimitIgnored, "LIMIT", limits},
 	}
 	for _, c := range cases {
 		t.Run(string(c.defect), func(t *testing.T) {
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -226,7 +226,7 @@
 	arguments := []string{"target", "--id", id, "--listen", t.listen, "--advertise", t.link.Address(), "--service", t.service,
 		"--zone", zone, "--store", d.options.store, "--heartbeat", heartbeat.String(), "--drain-time", targetDrainTime.String(), "--log", log}
 	if t.service == engineService {
-		return append(arguments, "--slots", fmt.Sprint(engineSlots), "--events", fmt.Sprint(streamEvents), "--event-interval", eventInterval.String())
+		return append(arguments, "--slots", fmt.Sprint(engineSlots), "--events", fmt.Sprint(streamEvents), "--event-interval", eventInterval.String(), "--crash-prefix", badPartPrefix)
 	}
 	return append(arguments, "--slots", fmt.Sprint(recordSlots))
 }
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -46,7 +46,8 @@
 		defer close(ended)
 		callers.run(traffic)
 	}()
-	d.injectFaults(ctx, options.Steps)
+	go d.restartCrashed(traffic)
+	d.injectFaults(ctx, callers, options.Steps)
 	quietFrom := time.Now()
 	select {
 	case <-ctx.Done():
--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -335,6 +335,7 @@
 func TestPromptPartThatCrashesEnginesIsRefusedByTheWholeFleet(t *testing.T) {
 	for _, size := range []int{8, 59, 76} {
 		t.Run(fmt.Sprintf("%d_entries", size), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
@@ -374,6 +375,7 @@
 func TestEntryThatStartsAfterTheVerdictRefusesThePart(t *testing.T) {
 	for _, size := range []int{8, 59, 76} {
 		t.Run(fmt.Sprintf("%d_entries", size), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
@@ -399,6 +401,7 @@
 func TestBurstOfRequestsWithACrashingPartIsStoppedByTheVerdict(t *testing.T) {
 	for _, size := range []int{8, 59, 76} {
 		t.Run(fmt.Sprintf("%d_entries", size), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx, cancel := context.WithCancel(t.Context())
--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -12,6 +12,7 @@
 
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/health"
+	"github.com/azurebarrow/azurebarrow/internal/defect"
 	"github.com/azurebarrow/azurebarrow/membership"
 )
 
@@ -78,6 +79,9 @@
 func (s *sharedCrashRecords) RecordCrash(work health.Work, target string) {
 	now := time.Now()
 	work.SharedParts = s.crashes.Suspects(boundedParts(work.SharedParts), now)
+	if defect.Enabled(defect.CrashesByRequest) {
+		work.SharedParts = nil
+	}
 	s.record(work, target, now, now)
 	s.broadcast(membership.Notice{
 		Kind: noticeCrash, Subject: work.Fingerprint + "/" + target, Version: s.nextVersion(), Value: encodeCrash(work.SharedParts, now),
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -37,4 +37,8 @@
 	RetryUnsafe Name = "repeat-unsafe"
 	// DrainingIgnored routes new work to draining targets.
 	DrainingIgnored Name = "leaving-ignored"
+	// CrashesByRequest records crashes of targets against whole requests only, not against parts of their prompts.
+	CrashesByRequest Name = "crashes-by-request"
+	// LimitIgnored sends requests to targets beyond the limits that they name.
+	LimitIgnored Name = "limit-ignored"
 )
--- a/standin/command/users.go
+++ b/standin/command/users.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -32,6 +33,9 @@
 	return c.serve("store", main, handler)
 }
 
+// crashStatus is the exit status of a target that a prompt crashed.
+const crashStatus = 3
+
 type targetCommand struct {
 	listenOptions
 	ID            string        `long:"id" required:"true" description:"name of this incarnation"`
@@ -43,6 +47,7 @@
 	Slots         int           `long:"slots" default:"6" description:"requests that run at once"`
 	Events        int           `long:"events" description:"events of a stream; 0 makes it a service of plain calls"`
 	EventInterval time.Duration `long:"event-interval" default:"20ms" description:"time between two events"`
+	CrashPrefix   string        `long:"crash-prefix" description:"prompt parts whose IDs begin so crash it as it begins to answer"`
 	WorkTime      time.Duration `long:"work-time" default:"15ms" description:"time of a plain call"`
 	Heartbeat     time.Duration `long:"heartbeat" default:"1200ms" description:"time between two writes to the store"`
 	DrainTime     time.Duration `long:"drain-time" default:"4s" description:"how long it serves on after it has reported that it leaves"`
@@ -60,6 +65,7 @@
 	standin := target.New(target.Options{
 		ID: c.ID, Service: c.Service, AvailabilityZone: c.Zone, Advertise: c.Advertise, Slots: c.Slots,
 		Events: c.Events, EventInterval: c.EventInterval, WorkTime: c.WorkTime, Log: log,
+		CrashPrefix: c.CrashPrefix, Exit: func() { os.Exit(crashStatus) },
 	})
 	main := server.New(c.Listen, standin)
 	if err := main.Start(); err != nil {
--- a/standin/fault/http.go
+++ b/standin/fault/http.go
@@ -46,6 +46,7 @@
 		{RevisionTooOld, "platform", "answer watches that their revision is too old"},
 		{HiddenAddresses, "vmlist", "leave out addresses that contain \"match\""},
 		{WronglyDraining, "vmlist", "report addresses that contain \"match\" as leaving"},
+		{NamedLimit, "target", "answers name \"factor\" requests a second as the limit for all callers together"},
 	}
 }
 
--- a/standin/target/log.go
+++ b/standin/target/log.go
@@ -21,6 +21,8 @@
 	Abandoned RecordKind = "abandoned"
 	// Refused: the target did not run the request, for a lack of slots, a fault or a missing KV cache copy.
 	Refused RecordKind = "refused"
+	// Crashed: the target crashed as it began to answer the request; the process ends.
+	Crashed RecordKind = "crashed"
 	// Draining: the store has accepted that the target is draining.
 	Draining RecordKind = "draining"
 )
@@ -32,6 +34,10 @@
 	Target, Service, Request, Customer, Path string
 	// Left is the time until the request's deadline, as the request's header gives it.
 	Left time.Duration
+	// Prompt is the list of the prompt's parts in the request's header.
+	Prompt string
+	// Limit is the limit that the answer names, in requests a second; 0 for none.
+	Limit float64
 	// KeyLeaked reports whether the caller's key was passed on to the target, which must not happen.
 	KeyLeaked bool
 }
