Send verdicts before their evidence

Cause: an entry sends 2 KB/s of updates, the least sent ones first. Each crash is a new update, so that a verdict that had been sent once waited behind all further evidence. Class: a verdict in one queue with what leads to it.

Now verdicts and limits go before other updates (each is sent a limited number of times, and what is kept for deaths of entries stays), and a crash that a refusal explains is not sent to the peers.

--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -56,9 +57,8 @@
 	random  *rand.Rand
 	engines []*modelEngine
 	starts  int
-	crashes []time.Time
-	// badArrivals are the times at which requests with the bad part reached an engine.
-	badArrivals []time.Time
+	// crashes and arrivals are the times at which requests with a bad part crashed or reached an engine, by part.
+	crashes, arrivals map[string][]time.Time
 	// soundSent and soundBegun count the sound requests sent from a time on and those that began at their first
 	// attempt.
 	soundFrom             time.Time
@@ -103,7 +103,7 @@
 }
 
 func newCrashFleet(ctx context.Context, size int) *crashFleet {
-	f := &crashFleet{ctx: ctx, entries: map[string]*fleetEntry{}, random: rand.New(rand.NewPCG(1, uint64(size)))}
+	f := &crashFleet{ctx: ctx, entries: map[string]*fleetEntry{}, crashes: map[string][]time.Time{}, arrivals: map[string][]time.Time{}, random: rand.New(rand.NewPCG(1, uint64(size)))}
 	for range modelEngines {
 		f.engines = append(f.engines, f.newEngine())
 	}
@@ -170,8 +170,8 @@
 	return nil
 }
 
-// crash ends an engine with all of its streams; another incarnation appears after modelRestart.
-func (f *crashFleet) crash(engine *modelEngine) {
+// crash ends an engine with all of its streams because of a part; another incarnation appears after modelRestart.
+func (f *crashFleet) crash(engine *modelEngine, part string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	index := slices.Index(f.engines, engine)
@@ -179,7 +179,7 @@
 		return
 	}
 	f.engines = slices.Delete(f.engines, index, index+1)
-	f.crashes = append(f.crashes, time.Now())
+	f.crashes[part] = append(f.crashes[part], time.Now())
 	close(engine.crashed)
 	time.AfterFunc(modelRestart, func() {
 		f.mu.Lock()
@@ -197,10 +197,15 @@
 		return nil, &generation.RelayRefusedError{Unreachable: true, Cause: errors.New("connection refused")}
 	}
 	attempt.Request.Payload.(*modelRequest).attempts.Add(1)
-	bad := slices.Contains(attempt.Request.SharedParts, badPart)
-	if bad {
+	bad := ""
+	for _, part := range attempt.Request.SharedParts {
+		if strings.HasPrefix(part, badPart) {
+			bad = part
+		}
+	}
+	if bad != "" {
 		c.fleet.mu.Lock()
-		c.fleet.badArrivals = append(c.fleet.badArrivals, time.Now())
+		c.fleet.arrivals[bad] = append(c.fleet.arrivals[bad], time.Now())
 		c.fleet.mu.Unlock()
 	}
 	return &modelStream{ctx: ctx, fleet: c.fleet, engine: engine, bad: bad}, nil
@@ -217,7 +222,8 @@
 	ctx    context.Context
 	fleet  *crashFleet
 	engine *modelEngine
-	bad    bool
+	// bad is the part that crashes the engine; empty for none.
+	bad    string
 	events int64
 }
 
@@ -237,8 +243,8 @@
 		return generation.RelayEvent{}, s.ctx.Err()
 	}
 	switch {
-	case s.bad:
-		s.fleet.crash(s.engine)
+	case s.bad != "":
+		s.fleet.crash(s.engine, s.bad)
 		return generation.RelayEvent{}, io.ErrUnexpectedEOF
 	case s.events > 0:
 		return generation.RelayEvent{}, io.EOF
@@ -313,17 +319,17 @@
 	}
 }
 
-// lateArrivals returns how many requests with the bad part reached engines later than stableWindow after the
-// crash that completed the evidence.
-func (f *crashFleet) lateArrivals() int {
+// lateArrivals returns how many requests with a bad part reached engines later than stableWindow after the crash that
+// completed the evidence.
+func (f *crashFleet) lateArrivals(part string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.crashes) < evidenceCrashes {
+	if len(f.crashes[part]) < evidenceCrashes {
 		return 0
 	}
-	from := f.crashes[evidenceCrashes-1].Add(stableWindow)
+	from := f.crashes[part][evidenceCrashes-1].Add(stableWindow)
 	late := 0
-	for _, at := range f.badArrivals {
+	for _, at := range f.arrivals[part] {
 		if at.After(from) {
 			late++
 		}
@@ -363,8 +369,8 @@
 				cancel()
 				time.Sleep(time.Minute) // until all goroutines have ended
 				t.Logf("%d crashes, %d requests with the part later than %v after the fifth; %d of %d sound requests begun",
-					len(f.crashes), f.lateArrivals(), stableWindow, f.soundBegun, f.soundSent)
-				is.True(f.lateArrivals() <= maxLateArrivals)
+					len(f.crashes[badPart]), f.lateArrivals(badPart), stableWindow, f.soundBegun, f.soundSent)
+				is.True(f.lateArrivals(badPart) <= maxLateArrivals)
 				is.True(float64(f.soundBegun) >= minFirstBeginShare*float64(f.soundSent))
 			})
 		})
@@ -414,8 +420,38 @@
 				time.Sleep(2*stableWindow + modelDay)
 				cancel()
 				time.Sleep(time.Minute) // until all goroutines have ended
-				t.Logf("%d crashes, %d late arrivals", len(f.crashes), f.lateArrivals())
-				is.True(f.lateArrivals() <= maxLateArrivals)
+				t.Logf("%d crashes, %d late arrivals", len(f.crashes[badPart]), f.lateArrivals(badPart))
+				is.True(f.lateArrivals(badPart) <= maxLateArrivals)
+			})
+		})
+	}
+}
+
+// Guards against verdicts that wait in the gossip behind the crashes that are their evidence.
+func TestManyPartsThatCrashEnginesAtOnceAreAllRefusedInTime(t *testing.T) {
+	const parts = 8
+	for _, size := range []int{4, 8, 59, 76} {
+		t.Run(fmt.Sprintf("%d_entries", size), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newCrashFleet(ctx, size)
+				go f.generate("sound", 20, func(number int) []string {
+					return []string{"system", fmt.Sprintf("session-%d", number)}
+				}, func(time.Time, bool) {})
+				time.Sleep(modelHistoryTime)
+				go f.generate("bad", 4*parts, func(number int) []string {
+					return []string{"system", fmt.Sprintf("%s-%d", badPart, number%parts)}
+				}, func(time.Time, bool) {})
+				time.Sleep(2*stableWindow + modelDay)
+				cancel()
+				time.Sleep(time.Minute) // until all goroutines have ended
+				for i := range parts {
+					part := fmt.Sprintf("%s-%d", badPart, i)
+					t.Logf("%s: %d crashes, %d late arrivals", part, len(f.crashes[part]), f.lateArrivals(part))
+					is.True(f.lateArrivals(part) <= maxLateArrivals)
+				}
 			})
 		})
 	}
--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -78,11 +78,15 @@
 // RecordCrash implements generation.RelayCrashRecords.
 func (s *sharedCrashRecords) RecordCrash(work health.Work, target string) {
 	now := time.Now()
+	_, explained := s.crashes.Refusal(boundedParts(work.SharedParts))
 	work.SharedParts = s.crashes.Suspects(boundedParts(work.SharedParts), now)
 	if defect.Enabled(defect.CrashesByRequest) {
 		work.SharedParts = nil
 	}
 	s.record(work, target, now, now)
+	if explained {
+		return // the peers know, or get the verdict before any crash
+	}
 	s.broadcast(membership.Notice{
 		Kind: noticeCrash, Subject: work.Fingerprint + "/" + target, Version: s.nextVersion(), Value: encodeCrash(work.SharedParts, now),
 	})
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -38,6 +38,8 @@
 	notice *Notice
 	bytes  int
 	sent   int
+	// first reports that the update is sent before others.
+	first bool
 }
 
 // updateQueue holds the updates that this entry still passes on, at most one per subject.
@@ -56,14 +58,15 @@
 	q.byKey[key] = &update{key: key, delta: &delta, bytes: bytes}
 }
 
-func (q *updateQueue) addNotice(notice Notice) {
+// addNotice adds a notice; first puts it before other updates, however often it was sent.
+func (q *updateQueue) addNotice(notice Notice, first bool) {
 	key := noticeKey(notice)
-	q.byKey[key] = &update{key: key, notice: &notice, bytes: notice.encodedBytes()}
+	q.byKey[key] = &update{key: key, notice: &notice, bytes: notice.encodedBytes(), first: first}
 }
 
 func noticeKey(notice Notice) string { return "notice/" + string(notice.Kind) + "/" + notice.Subject }
 
-// fillMessage adds the least sent updates to message, up to maxBytes, and returns the bytes used. It counts
+// fillMessage adds the updates that go first, then the least sent ones, to message, up to maxBytes, and returns the bytes used. It counts
 // the updates as sent and removes those that were sent often enough for the given number of entries.
 func (q *updateQueue) fillMessage(message *Message, maxBytes, members int) (used int) {
 	limit := retransmitFactor * bits.Len(uint(members))
@@ -108,6 +111,9 @@
 		list = append(list, item)
 	}
 	sort.Slice(list, func(i, j int) bool {
+		if list[i].first != list[j].first {
+			return list[i].first
+		}
 		if list[i].sent != list[j].sent {
 			return list[i].sent < list[j].sent
 		}
--- a/membership/manager.go
+++ b/membership/manager.go
@@ -404,8 +404,9 @@
 		l.dropOneNotice()
 	}
 	l.notices[key] = notice
-	l.updates.addNotice(notice)
-	if slices.Contains(l.options.RetainedKinds, notice.Kind) {
+	retained := slices.Contains(l.options.RetainedKinds, notice.Kind)
+	l.updates.addNotice(notice, retained)
+	if retained {
 		l.retained.add(notice)
 	}
 	if l.options.OnNotice != nil {
--- a/membership/options.go
+++ b/membership/options.go
@@ -73,8 +73,8 @@
 	Seed uint64
 	// OnNotice is called with each new notice; it must return quickly.
 	OnNotice func(Notice)
-	// RetainedKinds are the kinds of notices that this entry sends again and again while it has nothing else to
-	// send, so that entries get them that were not there.
+	// RetainedKinds are the kinds of notices that go before other updates, and that this entry sends again and
+	// again while it has nothing else to send, so that entries get them that were not there.
 	RetainedKinds []NoticeKind
 	// OnDirectoryError is called with errors of Directory.List; nil ignores them.
 	OnDirectoryError func(error)
