Answer streams without room within named limits with an honest Retry-After

A stream for which no target had room within the limits that they name got the Retry-After of a full fleet, whatever the limits were, and came back too early. Now it gets the mean time to the next request, as plain calls do.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -232,7 +232,11 @@
 	case run.lastAnswer != nil:
 		return run.lastAnswer
 	}
-	return &GivenUpError{MayHaveRun: run.mayHaveRun, RetryAfter: retryAfter, Cause: cause}
+	after := retryAfter
+	if errors.Is(cause, ErrNoTarget) {
+		after = run.relay.options.Limits.RetryAfter(run.request.Service)
+	}
+	return &GivenUpError{MayHaveRun: run.mayHaveRun, RetryAfter: after, Cause: cause}
 }
 
 func (run *relayRun) streamSize() StreamSize {
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -667,3 +667,72 @@
 		is.Equal(sink.events, []int64{8})
 	})
 }
+
+// countedLimits has a number of requests left for each target.
+type countedLimits map[string]int
+
+func (l countedLimits) Take(target string) bool {
+	if l[target] == 0 {
+		return false
+	}
+	l[target]--
+	return true
+}
+
+func (countedLimits) RetryAfter(string) time.Duration { return 1500 * time.Millisecond }
+
+// Guards against streams, and their resumption, that are sent beyond the limits that targets name.
+func TestStreamsKeepToTheLimitsThatTargetsName(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRelayFixture(map[string][]script{
+			"b": {{events: eventsUpTo(2), end: io.ErrUnexpectedEOF}},
+			"c": {{events: []int64{3}, end: io.EOF}},
+		})
+		f.relay.options.Limits = countedLimits{"b": 1, "c": 1}
+		sink := &recordingSink{}
+		is.NoErr(f.relay.Run(t.Context(), relayRequest(), sink))
+		is.Equal(sink.events, eventsUpTo(3))
+		var givenUp *GivenUpError
+		is.True(errors.As(f.relay.Run(t.Context(), relayRequest(), &recordingSink{}), &givenUp))
+		is.True(!givenUp.MayHaveRun)
+		is.Equal(givenUp.RetryAfter, 1500*time.Millisecond)
+		is.Equal(len(f.engine.attempts), 2)
+	})
+}
+
+// Guards against attempts that go on to crash their engine although the verdict has fallen.
+func TestAttemptWithoutAnEventEndsWhenItsPromptIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRelayFixture(map[string][]script{"a": {{}}})
+		records := &changingRecords{relayLocalRecords: relayLocalRecords{health.NewCrashes()}, changed: make(chan struct{})}
+		f.relay.options.CrashRecords = records
+		request := relayRequest()
+		request.SharedParts = []string{"bad"}
+		time.AfterFunc(time.Second, func() {
+			records.crashes.RefuseParts([]string{"bad"}, 3, time.Now())
+			close(records.changed)
+		})
+		start := time.Now()
+		var poison *PoisonError
+		is.True(errors.As(f.relay.Run(t.Context(), request, &recordingSink{}), &poison))
+		is.Equal(time.Since(start), time.Second)
+		is.Equal(poison.Parts, []string{"bad"})
+	})
+}
+
+// changingRecords are RelayCrashRecords that change once.
+type changingRecords struct {
+	relayLocalRecords
+	changed chan struct{}
+}
+
+func (r *changingRecords) Changed() <-chan struct{} {
+	select {
+	case <-r.changed:
+		return nil
+	default:
+		return r.changed
+	}
+}
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -166,12 +166,15 @@
 type TargetLimits interface {
 	// Take takes one request from this entry's share of a target's limit; false if none is left.
 	Take(target string) bool
+	// RetryAfter returns when a stream of the service may find room.
+	RetryAfter(service string) time.Duration
 }
 
 // unlimitedTargets is TargetLimits without any.
 type unlimitedTargets struct{}
 
-func (unlimitedTargets) Take(string) bool { return true }
+func (unlimitedTargets) Take(string) bool                { return true }
+func (unlimitedTargets) RetryAfter(string) time.Duration { return retryAfter }
 
 // PromptLocator records which engine has prefilled a prompt. The records survive the loss of
 // entries. It is safe for concurrent use.
