--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -109,7 +109,7 @@
 // receive reads the head of the answer to the request. It skips informational answers, and answers to other
 // requests.
 func (e *exchange) receive(request *Request) (*Answer, error) {
-	e.conn.head.expectHead()
+	e.conn.limiter.limit(maxHeadBytes, errHeadTooLarge)
 	for foreign := 0; ; {
 		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -120,7 +120,7 @@
 		}
 		id := response.Header.Get(request.IDHeader)
 		if id == "" || id == request.ID {
-			e.conn.head.endHead()
+			e.conn.limiter.unlimit()
 			e.response = response
 			e.reusable = foreign == 0 && !response.Close
 			e.idleFor = idleTimeout(response.Header, e.idleFor)
@@ -144,12 +144,9 @@
 
 // skipBody reads the body of an answer to another request, after which the next head is expected.
 func (e *exchange) skipBody(body io.Reader) error {
-	e.conn.head.endHead()
-	defer e.conn.head.expectHead()
-	n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBytes+1))
-	if err == nil && n > maxForeignBytes {
-		return errForeignTooLarge
-	}
+	e.conn.limiter.limit(maxForeignBytes, errForeignTooLarge)
+	_, err := io.Copy(io.Discard, body)
+	e.conn.limiter.limit(maxHeadBytes, errHeadTooLarge)
 	return err
 }
 
--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -77,8 +77,8 @@
 	net.Conn
 	key    string
 	reader *bufio.Reader
-	// head limits what is read for the head of an answer.
-	head *headLimiter
+	// limiter limits what is read for a head or a body that is skipped.
+	limiter *readLimiter
 	// expires is the time after which the idle connection is not used any more.
 	expires time.Time
 }
@@ -140,8 +140,8 @@
 	p.mu.Lock()
 	p.dialed++
 	p.mu.Unlock()
-	head := &headLimiter{reader: opened}
-	return &conn{Conn: opened, key: key, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
+	limiter := &readLimiter{reader: opened}
+	return &conn{Conn: opened, key: key, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}, nil
 }
 
 // putIdle keeps a connection for a later request, or closes it if the target has enough idle ones.
