Refuse a part although another one explains some of its crashes

Now crashes of five targets are evidence although refused parts explain some of them, unless the part occurs beside refused ones, as a part does that most prompts share. 64 refusals are kept instead of 256, as many as notices of them: each crash is held against all.

--- a/health/parts.go
+++ b/health/parts.go
@@ -16,6 +16,9 @@
 	// amplePartTargets the number from which the wider one is refused all the same.
 	minNarrowerTargets = 2
 	amplePartTargets   = 2 * MinCrashesToRefuse
+	// minAmbiguousTargets is the number of targets from which crashes accuse a part although other refused parts
+	// explain some of them. The users' bound counts from the fifth crash.
+	minAmbiguousTargets = 5
 	// minPartSpan is the shortest time over which crashes accuse a part. An availability zone that fails crashes
 	// the targets of all prompts at once.
 	minPartSpan = time.Second
@@ -24,7 +27,7 @@
 	// maxPartCrashes, maxClearedParts and maxRefusedParts limit what is remembered; the oldest are dropped.
 	maxPartCrashes  = 256
 	maxClearedParts = 4096
-	maxRefusedParts = 256
+	maxRefusedParts = 64
 	// firstTrialDelay is the time from a refusal to the first request that is let through to try the parts
 	// again. It doubles with each trial, up to maxTrialDelay.
 	firstTrialDelay = 30 * time.Second
@@ -168,12 +171,17 @@
 // sufficient reports whether the evidence is enough to refuse the part. Crashes that a narrower part may explain count
 // only once there are many: a part that most prompts share occurs in every crash.
 func (s *partSupport) sufficient(all map[string]*partSupport) bool {
-	if len(s.fingerprints) < minPartFingerprints || s.last.Sub(s.first) < minPartSpan {
+	if !s.isSpread() {
 		return false
 	}
 	return len(s.targets) >= amplePartTargets || len(s.targets)-s.explainedTargets(all) >= MinCrashesToRefuse
 }
 
+// isSpread reports whether the crashes are of several requests, over some time.
+func (s *partSupport) isSpread() bool {
+	return len(s.fingerprints) >= minPartFingerprints && s.last.Sub(s.first) >= minPartSpan
+}
+
 // explainedTargets returns the number of targets in whose crashes the part occurs beside a narrower one with crashes
 // of several targets.
 func (s *partSupport) explainedTargets(all map[string]*partSupport) int {
@@ -215,6 +223,13 @@
 				narrowest = support
 			}
 		}
+		if narrowest == nil {
+			if p.refused.Len() == 0 {
+				return added
+			}
+			supports = p.supports(p.unattributed())
+			narrowest = p.ampleSupport(supports)
+		}
 		if narrowest == nil {
 			return added
 		}
@@ -243,6 +258,33 @@
 	return slices.DeleteFunc(slices.Clone(p.crashes), func(c partCrash) bool { return explained[c.target] })
 }
 
+// unattributed returns the crashes of requests that no refusal applies to, also those of targets that a refusal
+// explains: a request with another part that crashes targets may have waited there.
+func (p *partRecords) unattributed() []partCrash {
+	return slices.DeleteFunc(slices.Clone(p.crashes), func(c partCrash) bool { return p.refusal(c.parts) != nil })
+}
+
+// ampleSupport returns the narrowest part with crashes of so many targets that they can't all be explained by others;
+// nil for none. A part that occurs beside refused ones is left out: most prompts may share it.
+func (p *partRecords) ampleSupport(supports map[string]*partSupport) *partSupport {
+	var narrowest *partSupport
+	for _, s := range supports {
+		if len(s.targets) < minAmbiguousTargets || !s.isSpread() || p.occursBesideRefused(s.part) {
+			continue
+		}
+		if narrowest == nil || s.narrower(narrowest) {
+			narrowest = s
+		}
+	}
+	return narrowest
+}
+
+func (p *partRecords) occursBesideRefused(part string) bool {
+	return slices.ContainsFunc(p.crashes, func(c partCrash) bool {
+		return slices.Contains(c.parts, part) && p.refusal(c.parts) != nil
+	})
+}
+
 func (p *partRecords) supports(crashes []partCrash) map[string]*partSupport {
 	supports := map[string]*partSupport{}
 	for i, c := range crashes {
--- a/health/parts_test.go
+++ b/health/parts_test.go
@@ -110,3 +110,25 @@
 	is.Equal(len(crashes.parts.crashes), maxPartCrashes)
 	is.Equal(crashes.parts.refused.Len(), maxRefusedParts)
 }
+
+// Guards against a part whose evidence disappears since requests with it waited at targets that another part crashed.
+func TestPartIsRefusedAlthoughAnotherOneExplainsSomeOfItsCrashes(t *testing.T) {
+	is := is.New(t)
+	crashes := NewCrashes()
+	now := time.Unix(1000, 0)
+	for i := range amplePartTargets {
+		now = now.Add(400 * time.Millisecond)
+		target := fmt.Sprint("t", i)
+		if i < MinCrashesToRefuse+1 {
+			crashes.RecordParts(Work{Fingerprint: fmt.Sprint("a", i), SharedParts: []string{"system", "bad"}}, target, now, now)
+		}
+		crashes.RecordParts(Work{Fingerprint: fmt.Sprint("b", i), SharedParts: []string{"system", "worse"}}, target, now, now)
+		crashes.RecordParts(Work{Fingerprint: fmt.Sprint("c", i), SharedParts: []string{"system", fmt.Sprint("own", i)}}, target, now, now)
+	}
+	for _, part := range []string{"bad", "worse"} {
+		_, found := crashes.Refusal([]string{"system", part})
+		is.True(found)
+	}
+	_, found := crashes.Refusal([]string{"system", "own"})
+	is.True(!found) // the part that all share is seen in requests that explain its crashes
+}
