--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -97,23 +97,20 @@
 	if s.crashes.Discard(work.Fingerprint) {
 		s.broadcast(membership.Notice{Kind: noticeCleared, Subject: work.Fingerprint, Version: s.nextVersion()})
 	}
-	s.clearParts(boundedParts(work.SharedParts), 0)
+	s.clearParts(boundedParts(work.SharedParts))
 }
 
 // clearParts records that a target began to answer a request with the parts, and tells the peers of those that are
-// suspected. Entries that answer the same crash notice give its version, so that they send the same notices.
-func (s *sharedCrashRecords) clearParts(parts []string, version uint64) {
+// suspected.
+func (s *sharedCrashRecords) clearParts(parts []string) {
 	before := s.crashes.AllRefusedParts()
 	suspected := s.crashes.ClearParts(parts, time.Now())
 	if len(suspected) == 0 {
 		return
 	}
-	if version == 0 {
-		version = s.nextVersion()
-	}
 	for _, part := range suspected {
 		s.log("prompt-part-cleared", generation.Field{Key: "part", Value: part})
-		s.broadcast(membership.Notice{Kind: noticePartCleared, Subject: part, Version: version})
+		s.broadcast(membership.Notice{Kind: noticePartCleared, Subject: part, Version: s.nextVersion()})
 	}
 	s.publishVerdicts(before)
 }
@@ -208,6 +205,7 @@
 		if slices.Contains(suspects, part) {
 			continue
 		}
+		// With the version of the crash, entries that know the part as sound all send the same notice.
 		s.broadcast(membership.Notice{Kind: noticePartCleared, Subject: part, Version: notice.Version})
 	}
 }
