Name the fingerprint of a plain call in the line of each send

Change: call-send-ended has fingerprint=, computed as for streams. Measured: TestSendsOfOneCallAreLoggedWithOneFingerprintAtEveryEntry (did not find the field before); one call at two entries has one fingerprint, another body another.

--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -299,6 +299,7 @@
 func (c *request) forward() {
 	result, err := c.handler.options.Forwarder.Do(c.http.Context(), &service.ForwardedCall{
 		ID:          c.header.RequestID,
+		Fingerprint: c.fingerprint(),
 		Service:     c.service,
 		Repeatable:  c.route.Repeatable(),
 		MaxAttempts: c.route.MaxAttempts,
--- a/entry/loopback_test.go
+++ b/entry/loopback_test.go
@@ -244,6 +244,30 @@
 	is.True(!ran)
 }
 
+// Guards against sends of one call at several entries that the logs don't show to be the same call.
+func TestSendsOfOneCallAreLoggedWithOneFingerprintAtEveryEntry(t *testing.T) {
+	is := is.New(t)
+	cluster := startCluster(t, 2)
+	for _, each := range []struct {
+		entry    int
+		id, body string
+	}{{0, "first", "312 kg"}, {1, "again", "312 kg"}, {1, "other", "313 kg"}} {
+		_, _, err := cluster.request(each.entry, "POST", "/book/crate", each.id, "k1", each.body)
+		is.NoErr(err)
+	}
+	fingerprint := func(id string) string {
+		cluster.mu.Lock()
+		defer cluster.mu.Unlock()
+		_, rest, found := strings.Cut(cluster.logs[id], "fingerprint=")
+		is.True(found)
+		text, _, _ := strings.Cut(rest, " ")
+		return text
+	}
+	is.True(fingerprint("first") != "")
+	is.Equal(fingerprint("first"), fingerprint("again"))
+	is.True(fingerprint("first") != fingerprint("other"))
+}
+
 func TestBrokenStreamsResumeOnLoopback(t *testing.T) {
 	is := is.New(t)
 	cluster := startCluster(t, 1)
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -130,7 +130,8 @@
 func (e *Entry) logAttempt(event string, call *service.ForwardedCall, target string, sent service.SendResult) {
 	fields := []generation.Field{
 		{Key: "request", Value: call.ID}, {Key: "service", Value: call.Service}, {Key: "target", Value: target},
-		{Key: "verdict", Value: sent.Verdict}, {Key: "left", Value: time.Until(call.Deadline)},
+		{Key: "fingerprint", Value: call.Fingerprint}, {Key: "verdict", Value: sent.Verdict},
+		{Key: "left", Value: time.Until(call.Deadline)},
 	}
 	if sent.Err != nil {
 		fields = append(fields, generation.Field{Key: "error", Value: sent.Err})
--- a/service/forward.go
+++ b/service/forward.go
@@ -16,8 +16,10 @@
 // entry which read it decides alone what may be repeated.
 type ForwardedCall struct {
 	// ID identifies the caller's attempt.
-	ID      string
-	Service string
+	ID string
+	// Fingerprint identifies the work, independent of the ID.
+	Fingerprint string
+	Service     string
 	// Repeatable reports that the call may run more than once.
 	Repeatable bool
 	// MaxAttempts limits the number of targets that may run the call.
