--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/health"
 	"github.com/azurebarrow/azurebarrow/membership"
+	"github.com/azurebarrow/azurebarrow/service"
 )
 
 // Bounds of the users' deployments.
@@ -56,8 +57,11 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	engines []*modelEngine
-	starts  int
-	// crashes and arrivals are the times at which requests with a bad part crashed or reached an engine, by part.
+	// desks are the targets of plain calls.
+	desks  []*modelEngine
+	starts int
+	// crashes and arrivals are the times at which requests with a bad part crashed or reached an engine, by part;
+	// for bad calls, by name.
 	crashes, arrivals map[string][]time.Time
 	// soundSent and soundBegun count the sound requests sent from a time on and those that began at their first
 	// attempt.
@@ -69,7 +73,9 @@
 	records *sharedCrashRecords
 	members *membership.Manager
 	relay   *generation.Relay
-	stop    context.CancelFunc
+	// forwarder serves plain calls.
+	forwarder *service.Forwarder
+	stop      context.CancelFunc
 }
 
 type modelEngine struct {
@@ -107,6 +113,9 @@
 	for range modelEngines {
 		f.engines = append(f.engines, f.newEngine())
 	}
+	for range modelDesks {
+		f.desks = append(f.desks, f.newEngine())
+	}
 	for i := range size {
 		f.startEntry(i)
 	}
@@ -130,6 +139,9 @@
 		Engine: modelEngineClient{f}, Placer: modelPlacer{f}, Budget: unlimitedRetries{}, CrashRecords: e.records,
 		Targets: func(string) []*directory.Target { return f.targets() },
 	})
+	e.forwarder = service.NewForwarder(service.ForwarderOptions{
+		Sender: modelCallSender{f}, Directory: modelCallSender{f}, Budget: unlimitedRetries{}, Seed: uint64(i),
+	})
 	ctx, cancel := context.WithCancel(f.ctx)
 	e.stop = cancel
 	go func() { _ = e.members.Run(ctx) }()
--- a/entry/loopback_test.go
+++ b/entry/loopback_test.go
@@ -33,6 +33,7 @@
 // standinTarget is a running stand-in target.
 type standinTarget struct {
 	address string
+	server  *httptest.Server
 	// log is the path of the file in which the target records what it does.
 	log string
 }
@@ -118,20 +119,28 @@
 	started.address = server.Listener.Addr().String()
 	options.Advertise = started.address
 	options.Log = log
+	started.server = server
 	server.Config.Handler = target.New(options)
 	server.Start()
 	t.Cleanup(server.Close)
-	c.store.Put(target.ObjectKind, options.ID, json.RawMessage(fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":"ready"}`,
-		options.Service, started.address, options.AvailabilityZone, options.Slots)))
+	c.register(started, options, "ready")
 	return started
 }
 
+// register writes the object of a target into the store.
+func (c *testCluster) register(started *standinTarget, options target.Options, state string) {
+	c.store.Put(target.ObjectKind, options.ID, json.RawMessage(fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":%q}`,
+		options.Service, started.address, options.AvailabilityZone, options.Slots, state)))
+}
+
 func (c *testCluster) configure(version int, key string) {
 	c.store.Put("config", "main", json.RawMessage(fmt.Sprintf(`{"version":%d,"routes":[
 	 {"name":"drafts","hostname":"h.example","path_prefix":"/drafts/","kind":"streaming","timeout_ms":10000,"target_latency_ms":4500,"service":"drafts","max_attempts":5,"stream_resume":true,"target_gap_ms":700},
-	 {"name":"book","hostname":"h.example","path_prefix":"/book/","kind":"non_idempotent","timeout_ms":800,"target_latency_ms":100,"service":"records","max_attempts":1}],
-	 "services":[{"name":"drafts","engine":{"slots":64,"kv_capacity":55000,"backups":true,"models":[{"name":"m"}]}},{"name":"records"}],
+	 {"name":"book","hostname":"h.example","path_prefix":"/book/","kind":"non_idempotent","timeout_ms":800,"target_latency_ms":100,"service":"records","max_attempts":1},
+	 {"name":"hold","hostname":"h.example","path_prefix":"/hold/","kind":"non_idempotent","timeout_ms":800,"target_latency_ms":100,"service":"desk","max_attempts":1},
+	 {"name":"find","hostname":"h.example","path_prefix":"/find/","kind":"idempotent","timeout_ms":800,"target_latency_ms":100,"service":"desk","max_attempts":2}],
+	 "services":[{"name":"drafts","engine":{"slots":64,"kv_capacity":55000,"backups":true,"models":[{"name":"m"}]}},{"name":"records"},{"name":"desk"}],
 	 "limits":{"idle_timeout_ms":15000},"tenants":[{"name":"ranch","api_keys":[%q]}]}`, version, key)))
 }
 
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -51,10 +51,10 @@
 	// Limit is the number of requests a second that the target's answers name as its limit, for all callers
 	// together; 0 for none. The target does not enforce it.
 	Limit float64
-	// CrashPrefix, if not empty, begins the IDs of prompt parts that crash the target as it begins to answer.
-	// Exit is called then.
-	CrashPrefix string
-	Exit        func()
+	// CrashPrefix, if not empty, begins the IDs of prompt parts, and CrashPath the paths of requests, that crash the
+	// target as it begins to answer. Exit is called then.
+	CrashPrefix, CrashPath string
+	Exit                   func()
 	// Log receives a record of each step of a request.
 	Log *Log
 }
@@ -167,11 +167,18 @@
 	return t.options.Limit
 }
 
-// crashes reports whether the prompt of a request crashes the target.
-func (t *Target) crashes(r *http.Request) bool {
-	prefix := t.options.CrashPrefix
+// crash ends the target if the request crashes it, and reports whether it did.
+func (t *Target) crash(r *http.Request) bool {
+	prefix, path := t.options.CrashPrefix, t.options.CrashPath
 	prompt := "," + r.Header.Get(FieldPrompt)
-	return prefix != "" && strings.Contains(prompt, ","+prefix)
+	byPart := prefix != "" && strings.Contains(prompt, ","+prefix)
+	byPath := path != "" && strings.HasPrefix(r.URL.Path, path)
+	if !byPart && !byPath {
+		return false
+	}
+	t.logRequest(Crashed, r)
+	t.options.Exit()
+	return true
 }
 
 // Signature returns the header value by which a caller recognizes that a target ran the request.
@@ -202,6 +209,9 @@
 	if err := t.faults.WaitSlow(r.Context(), ""); err != nil {
 		return err
 	}
+	if t.crash(r) {
+		return nil
+	}
 	if _, lost := t.faults.Consume(fault.ResetAfter, ""); lost {
 		fault.ResetConnection(w)
 		return nil
@@ -228,9 +238,7 @@
 		if err := t.faults.WaitSlow(r.Context(), ""); err != nil {
 			return err
 		}
-		if t.crashes(r) {
-			t.logRequest(Crashed, r)
-			t.options.Exit()
+		if t.crash(r) {
 			return nil
 		}
 		event := Event(r.URL.Path, id)
