Refuse plain calls that crash targets, by the records that streams have

What callers saw: one look-up, come again at any entry, crashed the three targets of its service again and again; nearly all calls to the service failed or were refused. Cause: entries recorded crashes under streams only; service.Forwarder neither recorded a crash nor asked before it sent. Change: the forwarder asks the shared records before each send (first, repeat, hedge), records a crash when the target's connection ended before its answer was whole, clears the call at any answer of a target, and drops a running attempt when the verdict falls. A refused call gets 502 with a text, at once. crash-recorded is logged in one place.

--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -308,9 +308,12 @@
 		Payload:     &targetPayload{call: c},
 	})
 	var notRun *service.NotRunError
+	var poison *generation.PoisonError
 	switch {
 	case err == nil:
 		c.write(result.(*answer))
+	case errors.As(err, &poison):
+		c.writePoison(poison)
 	case errors.As(err, &notRun):
 		c.writeError(&errorAnswer{status: http.StatusServiceUnavailable, reason: notRun.Error(), retryAfter: notRun.RetryAfter})
 	case errors.Is(err, context.Canceled):
@@ -380,7 +383,7 @@
 	case errors.As(err, &givenUp) && !givenUp.MayHaveRun:
 		c.writeError(&errorAnswer{status: http.StatusServiceUnavailable, reason: givenUp.Cause.Error(), retryAfter: givenUp.RetryAfter})
 	case errors.As(err, &poison):
-		c.writeError(&errorAnswer{status: http.StatusBadGateway, reason: err.Error(), text: poisonText(poison)})
+		c.writePoison(poison)
 	case errors.Is(err, generation.ErrRelayDeadline):
 		c.writeError(&errorAnswer{status: http.StatusGatewayTimeout, reason: err.Error()})
 	default:
@@ -388,6 +391,12 @@
 	}
 }
 
+// writePoison answers a request that is refused because it crashes targets. The status is none that asks callers to
+// come back.
+func (c *request) writePoison(poison *generation.PoisonError) {
+	c.writeError(&errorAnswer{status: http.StatusBadGateway, reason: poison.Error(), text: poisonText(poison)})
+}
+
 // poisonText tells a caller that its request must not come back.
 func poisonText(poison *generation.PoisonError) string {
 	if len(poison.Parts) == 0 {
--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -163,7 +163,7 @@
 		if errors.As(err, &notSent) {
 			return service.SendResult{Verdict: service.SendNotRun, Err: err}
 		}
-		return service.SendResult{Verdict: service.SendUnknown, Err: err}
+		return service.SendResult{Verdict: service.SendUnknown, Err: err, ConnectionLost: targethttp.IsConnectionLost(err)}
 	}
 	verdict := platform.ClassifyAnswer(received.Status, received.Header)
 	if verdict.IsOfTarget() {
@@ -183,7 +183,7 @@
 	}
 	whole, err := t.answers.read(received)
 	if err != nil {
-		return service.SendResult{Verdict: service.SendUnknown, Err: err}
+		return service.SendResult{Verdict: service.SendUnknown, Err: err, ConnectionLost: targethttp.IsConnectionLost(err)}
 	}
 	if verdict == platform.Failed {
 		return service.SendResult{Verdict: service.SendFailed, Answer: whole}
--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/service"
@@ -87,6 +88,12 @@
 	return answer, nil
 }
 
+// IsConnectionLost reports whether an exchange failed because the target's side of the connection ended, in order or
+// by a reset. A crash of the target looks so; a silent target, or bytes that are no answer, does not.
+func IsConnectionLost(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 func (e *exchange) write(request *Request) {
 	_, err := e.conn.Write(request.encode())
 	e.writeResult <- err
--- a/entry/crashcalls_test.go
+++ b/entry/crashcalls_test.go
@@ -75,13 +75,13 @@
 	select {
 	case <-time.After(work):
 	case <-desk.crashed:
-		return service.SendResult{Verdict: service.SendUnknown, Err: io.ErrUnexpectedEOF}
+		return service.SendResult{Verdict: service.SendUnknown, Err: io.ErrUnexpectedEOF, ConnectionLost: true}
 	case <-ctx.Done():
 		return service.SendResult{Verdict: service.SendUnknown, Err: ctx.Err()}
 	}
 	if bad != "" {
 		s.fleet.crashDesk(desk, bad)
-		return service.SendResult{Verdict: service.SendUnknown, Err: io.ErrUnexpectedEOF}
+		return service.SendResult{Verdict: service.SendUnknown, Err: io.ErrUnexpectedEOF, ConnectionLost: true}
 	}
 	return service.SendResult{Verdict: service.SendAnswered, Answer: "answer"}
 }
--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -141,6 +141,7 @@
 	})
 	e.forwarder = service.NewForwarder(service.ForwarderOptions{
 		Sender: modelCallSender{f}, Directory: modelCallSender{f}, Budget: unlimitedRetries{}, Seed: uint64(i),
+		CrashRecords: e.records,
 	})
 	ctx, cancel := context.WithCancel(f.ctx)
 	e.stop = cancel
--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -48,7 +48,7 @@
 
 // sharedCrashRecords records the crashes of targets against the requests that they ran and the parts of their
 // prompts, and broadcasts the records to the peers: each entry sees only some of the crashes. It implements
-// generation.RelayCrashRecords and is safe for concurrent use.
+// generation.RelayCrashRecords and service.CrashRecords and is safe for concurrent use.
 type sharedCrashRecords struct {
 	crashes   *health.Crashes
 	broadcast func(membership.Notice)
@@ -75,24 +75,27 @@
 	}
 }
 
-// RecordCrash implements generation.RelayCrashRecords.
-func (s *sharedCrashRecords) RecordCrash(work health.Work, target string) {
+// RecordCrash implements generation.RelayCrashRecords and service.CrashRecords.
+func (s *sharedCrashRecords) RecordCrash(work health.Work, target health.CrashedTarget) {
 	now := time.Now()
 	_, explained := s.crashes.Refusal(boundedParts(work.SharedParts))
 	work.SharedParts = s.crashes.Suspects(boundedParts(work.SharedParts), now)
 	if defect.Enabled(defect.CrashesByRequest) {
 		work.SharedParts = nil
 	}
-	s.record(work, target, now, now)
+	s.record(work, target.ID, now, now)
+	s.log("crash-recorded", generation.Field{Key: "request", Value: work.Request}, generation.Field{Key: "target", Value: target.ID},
+		generation.Field{Key: "fingerprint", Value: work.Fingerprint}, generation.Field{Key: "parts", Value: strings.Join(work.SharedParts, ",")},
+		generation.Field{Key: "crashes", Value: s.Crashes(work.Fingerprint)})
 	if explained {
 		return // the peers know, or get the verdict before any crash
 	}
 	s.broadcast(membership.Notice{
-		Kind: noticeCrash, Subject: work.Fingerprint + "/" + target, Version: s.nextVersion(), Value: encodeCrash(work.SharedParts, now),
+		Kind: noticeCrash, Subject: work.Fingerprint + "/" + target.ID, Version: s.nextVersion(), Value: encodeCrash(work.SharedParts, now),
 	})
 }
 
-// RecordAnswer implements generation.RelayCrashRecords.
+// RecordAnswer implements generation.RelayCrashRecords and service.CrashRecords.
 func (s *sharedCrashRecords) RecordAnswer(work health.Work) {
 	if s.crashes.Discard(work.Fingerprint) {
 		s.broadcast(membership.Notice{Kind: noticeCleared, Subject: work.Fingerprint, Version: s.nextVersion()})
@@ -262,18 +265,18 @@
 	s.version = max(s.version, version)
 }
 
-// Crashes implements generation.RelayCrashRecords.
+// Crashes returns the number of distinct targets whose crash is recorded against the fingerprint.
 func (s *sharedCrashRecords) Crashes(fingerprint string) int {
 	return s.crashes.Count(fingerprint, time.Now())
 }
 
-// Judge implements generation.RelayCrashRecords. One entry of the fleet tries refused parts again.
+// Judge implements generation.RelayCrashRecords and service.CrashRecords. One entry of the fleet tries refused parts again.
 func (s *sharedCrashRecords) Judge(work health.Work) generation.WorkJudgement {
 	work.SharedParts = boundedParts(work.SharedParts)
 	return generation.JudgeWork(s.crashes, work, time.Now(), func(refused health.RefusedParts) bool { return s.isFirst(refused.Key()) })
 }
 
-// Changed implements generation.RelayCrashRecords.
+// Changed implements generation.RelayCrashRecords and service.CrashRecords.
 func (s *sharedCrashRecords) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/crashrecords_test.go
+++ b/entry/crashrecords_test.go
@@ -31,10 +31,10 @@
 func TestPoisonRequestIsRefusedAtEveryEntry(t *testing.T) {
 	is := is.New(t)
 	entries := newConnectedRecords(4)
-	entries[0].RecordCrash(health.Work{Fingerprint: "f"}, "t1")
-	entries[1].RecordCrash(health.Work{Fingerprint: "f"}, "t2")
+	entries[0].RecordCrash(health.Work{Fingerprint: "f"}, health.CrashedTarget{ID: "t1"})
+	entries[1].RecordCrash(health.Work{Fingerprint: "f"}, health.CrashedTarget{ID: "t2"})
 	is.Equal(health.RestrictionFor(entries[3].Crashes("f")), health.RestrictionIsolated)
-	entries[2].RecordCrash(health.Work{Fingerprint: "f"}, "t3")
+	entries[2].RecordCrash(health.Work{Fingerprint: "f"}, health.CrashedTarget{ID: "t3"})
 	for _, entry := range entries {
 		is.Equal(health.RestrictionFor(entry.Crashes("f")), health.RestrictionRefused)
 	}
@@ -44,7 +44,7 @@
 func TestCompletedRequestIsClearedAtEveryEntry(t *testing.T) {
 	is := is.New(t)
 	entries := newConnectedRecords(3)
-	entries[0].RecordCrash(health.Work{Fingerprint: "f"}, "t1")
+	entries[0].RecordCrash(health.Work{Fingerprint: "f"}, health.CrashedTarget{ID: "t1"})
 	entries[1].RecordAnswer(health.Work{Fingerprint: "f"})
 	for _, entry := range entries {
 		is.Equal(entry.Crashes("f"), 0)
@@ -57,7 +57,7 @@
 	is := is.New(t)
 	entries := newConnectedRecords(4)
 	for i, fingerprint := range []string{"f0", "f1", "f2", "f3"} {
-		entries[i].RecordCrash(health.Work{Fingerprint: fingerprint}, "t"+fingerprint)
+		entries[i].RecordCrash(health.Work{Fingerprint: fingerprint}, health.CrashedTarget{ID: "t" + fingerprint})
 	}
 	for _, entry := range entries {
 		for _, fingerprint := range []string{"f0", "f1", "f2", "f3"} {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -204,6 +204,8 @@
 		Limits:    e.limits,
 		Seed:      uint64(time.Now().UnixNano()),
 		Log:       e.logAttempt,
+
+		CrashRecords: e.crashRecords,
 	})
 	handler := passthrough.NewHandler(passthrough.Options{
 		Snapshot:     e.directory.Snapshot,
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -86,7 +86,7 @@
 	m.AddCounter("events_relayed", stats.Accepted.Load)
 	m.AddCounter("events_duplicate", stats.Duplicate.Load)
 	m.AddCounter("event_gaps", stats.Gap.Load)
-	m.AddCounter("poison_refused", stats.PoisonRefused.Load)
+	m.AddCounter("poison_refused", func() int64 { return stats.PoisonRefused.Load() + e.forwarder.PoisonRefused() })
 	m.AddGauge("targets_limited", func() float64 { return float64(e.limits.LimitedCount()) })
 	m.AddGauge("prompt_parts_refused", func() float64 { return float64(len(e.crashRecords.crashes.AllRefusedParts())) })
 }
--- a/generation/relayconnectivity_test.go
+++ b/generation/relayconnectivity_test.go
@@ -269,7 +269,7 @@
 		f.engine.startOutage(4 * time.Second)
 		f.engine.openDuringOutage = 1
 		is.NoErr(f.relay.Run(t.Context(), relayRequest(), &recordingSink{}))
-		is.Equal(f.relay.options.CrashRecords.Crashes("f"), 0)
+		is.Equal(f.relay.options.CrashRecords.(*relayLocalRecords).crashes.Count("f", time.Now()), 0)
 		is.Equal(len(f.placer.lost), 0)
 	})
 }
--- a/generation/relaycrashes.go
+++ b/generation/relaycrashes.go
@@ -12,15 +12,13 @@
 // All entries share it. No method waits for other entries.
 type RelayCrashRecords interface {
 	// RecordCrash records that target crashed before it began to answer.
-	RecordCrash(work health.Work, target string)
+	RecordCrash(work health.Work, target health.CrashedTarget)
 	// RecordAnswer records that a target began to answer, which shows that the work is harmless.
 	RecordAnswer(work health.Work)
 	// Judge returns whether the work may be sent to a target.
 	Judge(work health.Work) WorkJudgement
 	// Changed returns a channel that is closed once more work is refused than now.
 	Changed() <-chan struct{}
-	// Crashes returns the number of distinct targets whose crash is recorded against the fingerprint.
-	Crashes(fingerprint string) int
 }
 
 // WorkJudgement is the answer of RelayCrashRecords.Judge.
@@ -41,10 +39,10 @@
 type relayLocalRecords struct{ crashes *health.Crashes }
 
 // RecordCrash implements RelayCrashRecords.
-func (s *relayLocalRecords) RecordCrash(work health.Work, target string) {
+func (s *relayLocalRecords) RecordCrash(work health.Work, target health.CrashedTarget) {
 	now := time.Now()
-	s.crashes.Record(work.Fingerprint, target, now)
-	s.crashes.RecordParts(work, target, now, now)
+	s.crashes.Record(work.Fingerprint, target.ID, now)
+	s.crashes.RecordParts(work, target.ID, now, now)
 }
 
 // RecordAnswer implements RelayCrashRecords.
@@ -58,11 +56,6 @@
 	return JudgeWork(s.crashes, work, time.Now(), func(health.RefusedParts) bool { return true })
 }
 
-// Crashes implements RelayCrashRecords.
-func (s *relayLocalRecords) Crashes(fingerprint string) int {
-	return s.crashes.Count(fingerprint, time.Now())
-}
-
 // JudgeWork judges work by the crashes that are recorded. mayTry reports whether this entry is the one that tries
 // refused parts again.
 func JudgeWork(crashes *health.Crashes, work health.Work, now time.Time, mayTry func(health.RefusedParts) bool) WorkJudgement {
@@ -78,7 +71,7 @@
 }
 
 func (run *relayRun) work() health.Work {
-	return health.Work{Fingerprint: run.request.Fingerprint, SharedParts: run.request.SharedParts}
+	return health.Work{Request: run.request.ID, Fingerprint: run.request.Fingerprint, SharedParts: run.request.SharedParts}
 }
 
 // rejectPoison returns a *PoisonError if the request, or parts of its prompt, crashed too many targets.
@@ -101,10 +94,7 @@
 }
 
 func (run *relayRun) recordCrash(target *directory.Target) {
-	records, work := run.relay.options.CrashRecords, run.work()
-	records.RecordCrash(work, target.ID)
-	run.log("crash-recorded", Field{"target", target.ID}, Field{"fingerprint", work.Fingerprint},
-		Field{"parts", strings.Join(work.SharedParts, ",")}, Field{"crashes", records.Crashes(work.Fingerprint)})
+	run.relay.options.CrashRecords.RecordCrash(run.work(), health.CrashedTarget{ID: target.ID, Address: target.Address})
 }
 
 // checkWaiting returns a *PoisonError if the request was refused since the attempt was sent. An attempt without an
--- a/health/parts.go
+++ b/health/parts.go
@@ -36,12 +36,17 @@
 
 // Work identifies what a request has a target do.
 type Work struct {
+	// Request is the ID of the caller's request, for logs.
+	Request string
 	// Fingerprint identifies the whole request.
 	Fingerprint string
 	// SharedParts are the parts of its prompt that other requests may share.
 	SharedParts []string
 }
 
+// CrashedTarget is a target that seems to have crashed under a request.
+type CrashedTarget struct{ ID, Address string }
+
 // partCrash is the crash of a target before it began to answer a request.
 type partCrash struct {
 	target, fingerprint string
--- a/service/forward.go
+++ b/service/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/generation"
@@ -60,6 +61,9 @@
 	// SendFailed.
 	Answer any
 	Err    error
+	// ConnectionLost reports that the target's connection ended before its answer was whole, as it does when the
+	// target crashes.
+	ConnectionLost bool
 }
 
 // Sender sends a call to a target once, without retries.
@@ -74,6 +78,8 @@
 	Budget    generation.RetryBudget
 	// Limits are the limits that targets name; nil for none.
 	Limits Limits
+	// CrashRecords hold the crashes of targets under calls; nil for none.
+	CrashRecords CrashRecords
 	// Seed initializes the random generator, so that random choices can be reproduced.
 	Seed uint64
 	// Log is called at the end of each attempt; nil discards the events.
@@ -100,8 +106,13 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
+
+	poisonRefused atomic.Int64
 }
 
+// PoisonRefused returns the number of calls that were refused because they crash targets.
+func (f *Forwarder) PoisonRefused() int64 { return f.poisonRefused.Load() }
+
 // NewForwarder returns a Forwarder with the given options.
 func NewForwarder(options ForwarderOptions) *Forwarder {
 	if options.Log == nil {
@@ -110,6 +121,9 @@
 	if options.Limits == nil {
 		options.Limits = unlimited{}
 	}
+	if options.CrashRecords == nil {
+		options.CrashRecords = noCrashRecords{}
+	}
 	return &Forwarder{options: options, pools: map[string]*pool{}}
 }
 
@@ -191,6 +205,10 @@
 	failureAnswer any
 	// hedgeTried reports that a hedge was tried, hedged that one was sent.
 	hedgeTried, hedged bool
+	// onTrial reports that the call is let through although it is refused: it is sent once.
+	onTrial bool
+	// poison is the reason why the call is not sent any more; nil if it may be.
+	poison error
 }
 
 type forwardResult struct {
@@ -200,8 +218,8 @@
 }
 
 // Do forwards a call and returns the target's answer, which may be a failure that the target reports.
-// Any error is a *NotRunError or an *UnknownOutcomeError; the latter wraps the error of ctx if the
-// caller disconnected or the deadline passed.
+// Any error is a *NotRunError, a *generation.PoisonError or an *UnknownOutcomeError; the last wraps the error of
+// ctx if the caller disconnected or the deadline passed.
 func (f *Forwarder) Do(ctx context.Context, call *ForwardedCall) (any, error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
@@ -215,6 +233,9 @@
 	}
 	defer w.cancelRunning()
 	if !w.startAttempt(ctx) {
+		if w.poison != nil {
+			return nil, w.poison
+		}
 		return nil, &NotRunError{RetryAfter: f.options.Limits.RetryAfter(call.Service), Cause: errNoTarget}
 	}
 	return w.await(ctx)
@@ -223,10 +244,17 @@
 func (w *forwardRun) await(ctx context.Context) (any, error) {
 	timer := time.NewTimer(w.hedgeDelay())
 	defer timer.Stop()
+	changed := w.forwarder.options.CrashRecords.Changed()
 	for {
 		select {
+		case <-changed:
+			changed = w.forwarder.options.CrashRecords.Changed()
+			if err := w.checkPoison(); err != nil {
+				return nil, err
+			}
 		case result := <-w.results:
 			w.recordResult(result)
+			w.recordEvidence(ctx, result)
 			if result.sent.Verdict == SendAnswered {
 				return result.sent.Answer, nil
 			}
@@ -247,10 +275,10 @@
 
 // retry sends the call to another target if the state of the call and the retry budget allow it.
 func (w *forwardRun) retry(ctx context.Context) bool {
-	return w.state.mayRetry() && w.startExtraAttempt(ctx, generation.RetryRestart)
+	return !w.onTrial && w.state.mayRetry() && w.startExtraAttempt(ctx, generation.RetryRestart)
 }
 
-func (w *forwardRun) mayHedge() bool { return !w.hedged && w.state.mayHedge() }
+func (w *forwardRun) mayHedge() bool { return !w.hedged && !w.onTrial && w.state.mayHedge() }
 
 // sendHedge sends the call to a second target when the first one is late, if the retry budget allows
 // it.
@@ -297,6 +325,8 @@
 	switch {
 	case w.failureAnswer != nil:
 		return w.failureAnswer, nil
+	case w.poison != nil:
+		return nil, w.poison
 	case w.state.possiblyRan == 0, defect.Enabled(defect.NotRunPerAttempt):
 		return nil, &NotRunError{RetryAfter: forwardRetryAfter, Cause: cause}
 	}
@@ -304,8 +334,11 @@
 }
 
 // startAttempt sends the call to a target that has not received it yet. It returns false if there is
-// none.
+// none, or if the call is refused.
 func (w *forwardRun) startAttempt(ctx context.Context) bool {
+	if w.poison = w.checkPoison(); w.poison != nil {
+		return false
+	}
 	lease, ok := w.chooseTarget()
 	if !ok {
 		return false
