--- a/entry/crashcalls_test.go
+++ b/entry/crashcalls_test.go
@@ -9,12 +9,14 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/service"
 	"github.com/azurebarrow/azurebarrow/standin/target"
 )
@@ -79,6 +81,9 @@
 	case <-ctx.Done():
 		return service.SendResult{Verdict: service.SendUnknown, Err: ctx.Err()}
 	}
+	if s.fleet.breaksConnection() {
+		return service.SendResult{Verdict: service.SendUnknown, Err: syscall.ECONNRESET, ConnectionLost: true}
+	}
 	if bad != "" {
 		s.fleet.crashDesk(desk, bad)
 		return service.SendResult{Verdict: service.SendUnknown, Err: io.ErrUnexpectedEOF, ConnectionLost: true}
@@ -134,12 +139,25 @@
 
 var callKinds = []callKind{{"repeatable", true, 2}, {"at_most_once", false, 1}}
 
-// call sends a call of a kind to an entry and reports whether it was answered.
+// breaksConnection reports whether a target that lives breaks a connection now.
+func (f *crashFleet) breaksConnection() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Float64() < f.brokenShare
+}
+
+// call sends a call of a kind to an entry and reports whether it was answered. It counts sound calls that are refused.
 func (f *crashFleet) call(e *fleetEntry, kind callKind, id, fingerprint, bad string) bool {
 	_, err := e.forwarder.Do(f.ctx, &service.ForwardedCall{
 		ID: id, Fingerprint: fingerprint, Service: callService, Repeatable: kind.repeatable, MaxAttempts: kind.maxAttempts,
 		Deadline: time.Now().Add(modelDeadline), Objective: modelAim, Payload: &modelCall{bad: bad},
 	})
+	var poison *generation.PoisonError
+	if bad == "" && errors.As(err, &poison) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.soundRefused[fingerprint]++
+	}
 	return err == nil
 }
 
--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -60,6 +60,10 @@
 	// desks are the targets of plain calls.
 	desks  []*modelEngine
 	starts int
+	// brokenShare is the share of plain calls whose connection their target breaks without crashing.
+	brokenShare float64
+	// soundRefused counts the refusals of sound calls, by fingerprint.
+	soundRefused map[string]int
 	// crashes and arrivals are the times at which requests with a bad part crashed or reached an engine, by part;
 	// for bad calls, by name.
 	crashes, arrivals map[string][]time.Time
@@ -109,7 +113,7 @@
 }
 
 func newCrashFleet(ctx context.Context, size int) *crashFleet {
-	f := &crashFleet{ctx: ctx, entries: map[string]*fleetEntry{}, crashes: map[string][]time.Time{}, arrivals: map[string][]time.Time{}, random: rand.New(rand.NewPCG(1, uint64(size)))}
+	f := &crashFleet{ctx: ctx, entries: map[string]*fleetEntry{}, crashes: map[string][]time.Time{}, arrivals: map[string][]time.Time{}, soundRefused: map[string]int{}, random: rand.New(rand.NewPCG(1, uint64(size)))}
 	for range modelEngines {
 		f.engines = append(f.engines, f.newEngine())
 	}
