Record no crash against a plain call that was answered within the last minute

Cause: three crashes of targets are enough evidence, but a call that comes often is in flight at every target that is lost, and its many answers discarded only what their own entry had recorded. Change: a whole answer clears a plain call for a minute, as a survived part of a prompt is cleared; entries that know the call as sound tell the one that reports a crash under it. Streams are not cleared so: one that begins may still crash its target.

--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -83,6 +83,11 @@
 	if defect.Enabled(defect.CrashesByRequest) {
 		work.SharedParts = nil
 	}
+	if s.crashes.AnsweredLately(work.Fingerprint, now) {
+		s.log("crash-excused", generation.Field{Key: "reason", Value: "answered lately"}, generation.Field{Key: "request", Value: work.Request},
+			generation.Field{Key: "target", Value: target.ID}, generation.Field{Key: "fingerprint", Value: work.Fingerprint})
+		return
+	}
 	s.record(work, target.ID, now, now)
 	s.log("crash-recorded", generation.Field{Key: "request", Value: work.Request}, generation.Field{Key: "target", Value: target.ID},
 		generation.Field{Key: "fingerprint", Value: work.Fingerprint}, generation.Field{Key: "parts", Value: strings.Join(work.SharedParts, ",")},
@@ -95,14 +100,26 @@
 	})
 }
 
-// RecordAnswer implements generation.RelayCrashRecords and service.CrashRecords.
+// RecordAnswer implements generation.RelayCrashRecords. The beginning of an answer clears the crashes so far, but not
+// those to come: the target may still crash.
 func (s *sharedCrashRecords) RecordAnswer(work health.Work) {
 	if s.crashes.Discard(work.Fingerprint) {
-		s.broadcast(membership.Notice{Kind: noticeCleared, Subject: work.Fingerprint, Version: s.nextVersion()})
+		s.broadcastCleared(work.Fingerprint, s.nextVersion())
 	}
 	s.clearParts(boundedParts(work.SharedParts))
 }
 
+// RecordWholeAnswer implements service.CrashRecords.
+func (s *sharedCrashRecords) RecordWholeAnswer(work health.Work) {
+	if s.crashes.RecordAnswered(work.Fingerprint, time.Now()) {
+		s.broadcastCleared(work.Fingerprint, s.nextVersion())
+	}
+}
+
+func (s *sharedCrashRecords) broadcastCleared(fingerprint string, version uint64) {
+	s.broadcast(membership.Notice{Kind: noticeCleared, Subject: fingerprint, Version: version})
+}
+
 // clearParts records that a target began to answer a request with the parts, and tells the peers of those that are
 // suspected.
 func (s *sharedCrashRecords) clearParts(parts []string) {
@@ -198,6 +215,11 @@
 		return
 	}
 	now := time.Now()
+	if s.crashes.AnsweredLately(fingerprint, now) {
+		// With the version of the crash, entries that know the request as sound all send the same notice.
+		s.broadcastCleared(fingerprint, notice.Version)
+		return
+	}
 	parts, at := decodeCrash(notice.Value, now)
 	s.record(health.Work{Fingerprint: fingerprint, SharedParts: parts}, target, at, now)
 	s.log("crash-notice", generation.Field{Key: "fingerprint", Value: fingerprint}, generation.Field{Key: "target", Value: target},
--- a/health/crashes.go
+++ b/health/crashes.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 const (
@@ -19,6 +21,10 @@
 	crashTTL = 10 * time.Minute
 	// refusalTTL is how long a refusal is kept.
 	refusalTTL = 24 * time.Hour
+	// answerClearance is how long after an answer crashes are not recorded against a request: it was merely there.
+	answerClearance = time.Minute
+	// maxAnswered limits the answered fingerprints that are remembered; the oldest are dropped.
+	maxAnswered = 4096
 )
 
 // Restriction is how requests with a fingerprint may run.
@@ -40,7 +46,9 @@
 	mu            sync.Mutex
 	crashes       map[string][]crash
 	recentCrashes []crash
-	parts         *partRecords
+	// answered holds when a request with the fingerprint was last answered as a whole.
+	answered *simplelru.LRU[string, time.Time]
+	parts    *partRecords
 }
 
 // crash is the crash of one target.
@@ -52,13 +60,19 @@
 }
 
 // NewCrashes returns Crashes without crashes.
-func NewCrashes() *Crashes { return &Crashes{crashes: map[string][]crash{}, parts: newPartRecords()} }
+func NewCrashes() *Crashes {
+	return &Crashes{crashes: map[string][]crash{}, answered: newLRU[time.Time](maxAnswered), parts: newPartRecords()}
+}
 
 // Record records a crash against the fingerprint: the target crashed while it ran a request with it. It returns
-// the number of fingerprints whose only crash it excused as a part of a mass failure.
+// the number of fingerprints whose only crash it excused as a part of a mass failure. A crash shortly after an answer
+// to the same request is not recorded.
 func (r *Crashes) Record(fingerprint, target string, now time.Time) (excused int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.answeredLately(fingerprint, now) {
+		return 0
+	}
 	r.removeIfExpired(fingerprint, now)
 	added := crash{target: target, at: now}
 	r.crashes[fingerprint] = addCrash(r.crashes[fingerprint], added)
@@ -111,6 +125,29 @@
 	return found
 }
 
+// RecordAnswered records that a request with the fingerprint was answered as a whole, and discards its crashes. It
+// reports whether there were any.
+func (r *Crashes) RecordAnswered(fingerprint string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered.Add(fingerprint, now)
+	_, found := r.crashes[fingerprint]
+	delete(r.crashes, fingerprint)
+	return found
+}
+
+// AnsweredLately reports whether crashes are not recorded against the fingerprint now, because it was answered.
+func (r *Crashes) AnsweredLately(fingerprint string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answeredLately(fingerprint, now)
+}
+
+func (r *Crashes) answeredLately(fingerprint string, now time.Time) bool {
+	answered, found := r.answered.Peek(fingerprint)
+	return found && now.Sub(answered) <= answerClearance
+}
+
 // Count returns the number of distinct targets whose crashes are recorded against the fingerprint.
 func (r *Crashes) Count(fingerprint string, now time.Time) int {
 	r.mu.Lock()
--- a/service/callcrashes.go
+++ b/service/callcrashes.go
@@ -12,8 +12,8 @@
 type CrashRecords interface {
 	// RecordCrash records that the target's connection ended before its answer was whole.
 	RecordCrash(work health.Work, target health.CrashedTarget)
-	// RecordAnswer records that a target answered, which shows that the call is harmless.
-	RecordAnswer(work health.Work)
+	// RecordWholeAnswer records that a target answered the call, which shows that it is harmless.
+	RecordWholeAnswer(work health.Work)
 	// Judge returns whether the call may be sent to a target.
 	Judge(work health.Work) generation.WorkJudgement
 	// Changed returns a channel that is closed once more work is refused than now.
@@ -24,7 +24,7 @@
 type noCrashRecords struct{}
 
 func (noCrashRecords) RecordCrash(health.Work, health.CrashedTarget) {}
-func (noCrashRecords) RecordAnswer(health.Work)                      {}
+func (noCrashRecords) RecordWholeAnswer(health.Work)                 {}
 func (noCrashRecords) Judge(health.Work) generation.WorkJudgement    { return generation.WorkJudgement{} }
 func (noCrashRecords) Changed() <-chan struct{}                      { return nil }
 
@@ -52,7 +52,7 @@
 	records := w.forwarder.options.CrashRecords
 	switch {
 	case result.sent.Verdict == SendAnswered, result.sent.Verdict == SendFailed:
-		records.RecordAnswer(w.work())
+		records.RecordWholeAnswer(w.work())
 	case result.sent.ConnectionLost && ctx.Err() == nil:
 		target := result.lease.target
 		records.RecordCrash(w.work(), health.CrashedTarget{ID: target.Name, Address: target.Address})
