Test that connections which targets break without crashing refuse no call, failing

A further case of TestSoundCallsAreNotRefusedWhenTargetsFail: all targets reset all connections for two seconds and are sound before and after.

--- a/entry/crashsound_test.go
+++ b/entry/crashsound_test.go
@@ -32,11 +32,15 @@
 	{"one_target_lost", func(f *crashFleet) { f.crashDesks(1, 0) }},
 	{"all_targets_lost_at_once", func(f *crashFleet) { f.crashDesks(modelDesks, 0) }},
 	{"all_targets_lost_in_turn", func(f *crashFleet) { f.crashDesks(modelDesks, 80*time.Millisecond) }},
-	{"targets_break_connections", func(f *crashFleet) {
-		f.setBrokenShare(0.45)
-		time.Sleep(2 * time.Second)
-		f.setBrokenShare(0)
-	}},
+	{"targets_break_connections", func(f *crashFleet) { f.breakConnections(0.45) }},
+	{"targets_break_all_connections", func(f *crashFleet) { f.breakConnections(1) }},
+}
+
+// breakConnections has all targets of plain calls break a share of the connections for a while; they don't crash.
+func (f *crashFleet) breakConnections(share float64) {
+	f.setBrokenShare(share)
+	time.Sleep(2 * time.Second)
+	f.setBrokenShare(0)
 }
 
 func (f *crashFleet) setBrokenShare(share float64) {
