Take a target for crashed only if it accepts no connection any more

Cause: any connection that a target ended before its answer was whole was recorded as its crash, so that targets which reset connections and live on had calls refused that came for the first time meanwhile. Change: before a crash is recorded, by a call or a stream, the entry opens one connection to the target, shared by all requests that lost it; a target that accepts it has not crashed (crash-excused reason="target accepts connections"). No request waits for it; the connection is kept for later requests.

--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -137,6 +137,7 @@
 		Seed:     uint64(i),
 		OnNotice: e.records.receive, RetainedKinds: retainedNotices,
 	})
+	e.records.isDown = func(target health.CrashedTarget) bool { return f.desk(target.ID) == nil && f.engine(target.ID) == nil }
 	e.records.isFirst = func(key string) bool { return membership.Rank(e.members.Live(), key)[0].Address == address }
 	e.records.broadcast = func(notice membership.Notice) { go e.members.Broadcast(notice) }
 	e.relay = generation.NewRelay(generation.RelayOptions{
--- /dev/null
+++ b/entry/crashprobe.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
+	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/health"
+)
+
+// crashProbeDelay is the time from the end of a connection to the probe: the system may close a process's connections a
+// moment before its listener.
+const crashProbeDelay = 10 * time.Millisecond
+
+// crashProber finds out whether targets whose connections ended have crashed. It is safe for concurrent use.
+type crashProber struct {
+	pool   *targethttp.Pool
+	probes singleflight.Group
+}
+
+// isDown reports whether the target accepts no connection any more. Requests that lost the same target share a probe;
+// a connection that it accepts is kept for later requests.
+func (p *crashProber) isDown(target health.CrashedTarget) bool {
+	key := (&directory.Target{ID: target.ID, Address: target.Address}).Key()
+	down, _, _ := p.probes.Do(key, func() (any, error) {
+		time.Sleep(crashProbeDelay)
+		return p.pool.Connect(context.Background(), key, target.Address) != nil, nil // the pool limits the time
+	})
+	return down.(bool)
+}
--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -53,6 +53,8 @@
 	crashes   *health.Crashes
 	broadcast func(membership.Notice)
 	log       func(event string, fields ...generation.Field)
+	// isDown reports whether a target whose connection ended accepts none any more; nil takes it for crashed.
+	isDown func(target health.CrashedTarget) bool
 	// isFirst reports whether this entry is the first by rendezvous hash of a key.
 	isFirst func(key string) bool
 
@@ -75,8 +77,29 @@
 	}
 }
 
-// RecordCrash implements generation.RelayCrashRecords and service.CrashRecords.
+// RecordCrash implements generation.RelayCrashRecords and service.CrashRecords. A target that still accepts connections
+// has not crashed. Finding out takes a moment, for which no request waits.
 func (s *sharedCrashRecords) RecordCrash(work health.Work, target health.CrashedTarget) {
+	if s.isDown == nil {
+		s.recordConfirmed(work, target)
+		return
+	}
+	go func() {
+		if !s.isDown(target) {
+			s.logExcused(work, target, "target accepts connections")
+			return
+		}
+		s.recordConfirmed(work, target)
+	}()
+}
+
+func (s *sharedCrashRecords) logExcused(work health.Work, target health.CrashedTarget, reason string) {
+	s.log("crash-excused", generation.Field{Key: "reason", Value: reason}, generation.Field{Key: "request", Value: work.Request},
+		generation.Field{Key: "target", Value: target.ID}, generation.Field{Key: "fingerprint", Value: work.Fingerprint})
+}
+
+// recordConfirmed records the crash of a target, here and at the peers.
+func (s *sharedCrashRecords) recordConfirmed(work health.Work, target health.CrashedTarget) {
 	now := time.Now()
 	_, explained := s.crashes.Refusal(boundedParts(work.SharedParts))
 	work.SharedParts = s.crashes.Suspects(boundedParts(work.SharedParts), now)
@@ -84,8 +107,7 @@
 		work.SharedParts = nil
 	}
 	if s.crashes.AnsweredLately(work.Fingerprint, now) {
-		s.log("crash-excused", generation.Field{Key: "reason", Value: "answered lately"}, generation.Field{Key: "request", Value: work.Request},
-			generation.Field{Key: "target", Value: target.ID}, generation.Field{Key: "fingerprint", Value: work.Fingerprint})
+		s.logExcused(work, target, "answered lately")
 		return
 	}
 	s.record(work, target.ID, now, now)
--- a/entry/crashsound_test.go
+++ b/entry/crashsound_test.go
@@ -64,7 +64,7 @@
 					ignore := func(time.Time, bool) {}
 					for _, kind := range callKinds {
 						go f.generateCalls(kind, 200, func(int) (string, string) { return "popular " + kind.name, "" }, ignore)
-						go f.generateCalls(kind, 20, func(number int) (string, string) { return fmt.Sprint(kind.name, number/4), "" }, ignore)
+						go f.generateCalls(kind, 20, func(number int) (string, string) { return fmt.Sprint(kind.name, number/12), "" }, ignore)
 					}
 					time.Sleep(modelHistoryTime)
 					for range rounds {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -174,6 +174,7 @@
 // buildCallerHandler creates the components that serve callers and returns their handler.
 func (e *Entry) buildCallerHandler() http.Handler {
 	e.pool = targethttp.NewPool(targethttp.Options{})
+	e.crashRecords.isDown = (&crashProber{pool: e.pool}).isDown
 	targets := passthrough.NewTargets(e.pool, e.directory, e.limits.TargetLimits, e.log)
 	limits := e.settings.Passthrough
 	e.retries = admission.NewSharedRetryBudget(admission.SharedRetryLimits{
