Keep, try again and lift the refusal of a whole request as one of parts of prompts

Cause: that three targets crashed under a request was no verdict, only evidence that each entry counted. Change: the whole request is one more part that the existing verdict can name (request:FINGERPRINT): a retained notice, which goes before its evidence; a trial by one entry of the fleet after 30 s, 10 min and an hour, three in all, as many as the users' bound allows; an answer, or POST /prompt-parts/allow, ends it everywhere. An entry that answered the call lately objects to the verdict as it does to a crash.

--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -24,7 +24,7 @@
 	noticeCleared membership.NoticeKind = "request-cleared"
 	// noticePartCleared: a target began to answer a request with the part in the subject.
 	noticePartCleared membership.NoticeKind = "prompt-part-cleared"
-	// noticePartsRefused has the parts as subject and the number of crashed targets as value. Its version counts
+	// noticePartsRefused has the parts, or the part that stands for a whole request, as subject and the number of crashed targets as value. Its version counts
 	// the changes of the verdict: an odd one means refused, an even one cleared. Entries that decide the same
 	// at the same time thus send the same notice.
 	noticePartsRefused membership.NoticeKind = "prompt-parts-refused"
@@ -101,8 +101,9 @@
 // recordConfirmed records the crash of a target, here and at the peers.
 func (s *sharedCrashRecords) recordConfirmed(work health.Work, target health.CrashedTarget) {
 	now := time.Now()
-	_, explained := s.crashes.Refusal(boundedParts(work.SharedParts))
-	work.SharedParts = s.crashes.Suspects(boundedParts(work.SharedParts), now)
+	work.SharedParts = boundedParts(work.SharedParts)
+	_, explained := s.crashes.Refusal(work)
+	work.SharedParts = s.crashes.Suspects(work.SharedParts, now)
 	if defect.Enabled(defect.CrashesByRequest) {
 		work.SharedParts = nil
 	}
@@ -128,6 +129,7 @@
 	if s.crashes.Discard(work.Fingerprint) {
 		s.broadcastCleared(work.Fingerprint, s.nextVersion())
 	}
+	s.allowRequest(work.Fingerprint)
 	s.clearParts(boundedParts(work.SharedParts))
 }
 
@@ -136,6 +138,7 @@
 	if s.crashes.RecordAnswered(work.Fingerprint, time.Now()) {
 		s.broadcastCleared(work.Fingerprint, s.nextVersion())
 	}
+	s.allowRequest(work.Fingerprint)
 }
 
 func (s *sharedCrashRecords) broadcastCleared(fingerprint string, version uint64) {
@@ -190,7 +193,7 @@
 	s.broadcast(membership.Notice{Kind: noticePartsRefused, Subject: key, Version: version + 1, Value: strconv.Itoa(parts.Targets)})
 }
 
-// allow ends a refusal at all entries, as an operator asks. It returns false if parts with the key are not refused.
+// allow ends a refusal at all entries. It returns false if no parts or request with the key are refused.
 func (s *sharedCrashRecords) allow(key string) bool {
 	for _, refused := range s.crashes.AllRefusedParts() {
 		if refused.Key() == key {
@@ -202,12 +205,25 @@
 	return false
 }
 
+// allowRequest ends the refusal of a whole request at all entries, if there is one.
+func (s *sharedCrashRecords) allowRequest(fingerprint string) {
+	if s.crashes.RefusesRequest(fingerprint) {
+		s.allow(health.RequestPart(fingerprint))
+	}
+}
+
 func (s *sharedCrashRecords) logVerdict(parts health.RefusedParts, refused bool, version uint64) {
-	event := "prompt-parts-refused"
+	event, subject := "prompt-parts-refused", generation.Field{Key: "parts", Value: parts.Key()}
 	if !refused {
 		event = "prompt-parts-allowed"
 	}
-	s.log(event, generation.Field{Key: "parts", Value: parts.Key()}, generation.Field{Key: "crashes", Value: parts.Targets},
+	if fingerprint, isRequest := parts.Request(); isRequest {
+		event, subject = "request-refused", generation.Field{Key: "fingerprint", Value: fingerprint}
+		if !refused {
+			event = "request-allowed"
+		}
+	}
+	s.log(event, subject, generation.Field{Key: "crashes", Value: parts.Targets},
 		generation.Field{Key: "version", Value: version})
 }
 
@@ -221,6 +237,7 @@
 		s.receiveCrash(notice)
 	case noticeCleared:
 		s.crashes.Discard(notice.Subject)
+		s.allowRequest(notice.Subject)
 		s.log("crashes-cleared", generation.Field{Key: "fingerprint", Value: notice.Subject}, generation.Field{Key: "version", Value: notice.Version})
 	case noticePartCleared:
 		before := s.crashes.AllRefusedParts()
@@ -274,6 +291,10 @@
 	s.mu.Unlock()
 	verdict := health.RefusedParts{Parts: parts, Targets: targets}
 	s.logVerdict(verdict, refused, notice.Version)
+	if fingerprint, isRequest := verdict.Request(); refused && isRequest && s.crashes.AnsweredLately(fingerprint, time.Now()) {
+		s.publishVerdict(verdict, false) // the verdict may arrive before its evidence
+		return
+	}
 	if !refused {
 		s.crashes.AllowParts(parts)
 		return
@@ -286,11 +307,12 @@
 }
 
 func (s *sharedCrashRecords) record(work health.Work, target string, at, now time.Time) {
-	if excused := s.crashes.Record(work.Fingerprint, target, now); excused > 0 {
+	excused, refused := s.crashes.Record(work.Fingerprint, target, now)
+	if excused > 0 {
 		s.log("crashes-excused", generation.Field{Key: "reason", Value: "mass failure"}, generation.Field{Key: "target", Value: target},
 			generation.Field{Key: "fingerprints", Value: excused})
 	}
-	if s.crashes.RecordParts(work, target, at, now) {
+	if s.crashes.RecordParts(work, target, at, now) || refused {
 		s.publishVerdicts(nil)
 	}
 }
@@ -317,7 +339,12 @@
 // Judge implements generation.RelayCrashRecords and service.CrashRecords. One entry of the fleet tries refused parts again.
 func (s *sharedCrashRecords) Judge(work health.Work) generation.WorkJudgement {
 	work.SharedParts = boundedParts(work.SharedParts)
-	return generation.JudgeWork(s.crashes, work, time.Now(), func(refused health.RefusedParts) bool { return s.isFirst(refused.Key()) })
+	judgement := generation.JudgeWork(s.crashes, work, time.Now(), func(refused health.RefusedParts) bool { return s.isFirst(refused.Key()) })
+	if judgement.Trial {
+		s.log("refused-work-tried", generation.Field{Key: "request", Value: work.Request}, generation.Field{Key: "fingerprint", Value: work.Fingerprint},
+			generation.Field{Key: "parts", Value: strings.Join(judgement.Parts, ",")}, generation.Field{Key: "crashes", Value: judgement.Targets})
+	}
+	return judgement
 }
 
 // Changed implements generation.RelayCrashRecords and service.CrashRecords.
--- a/entry/crashverdict_test.go
+++ b/entry/crashverdict_test.go
@@ -92,16 +92,18 @@
 	})
 }
 
-// Guards against evidence that arrives after an entry has refused a call that others know as sound.
+// Guards against a verdict that overtakes its evidence, so that entries which know the call as sound can't object to it.
 func TestCallThatAnotherEntryKnowsAsSoundIsAllowedEverywhere(t *testing.T) {
 	is := is.New(t)
 	entries := newConnectedRecords(3)
 	entries[1].RecordWholeAnswer(health.Work{Fingerprint: "f"})
-	for i := range evidenceCallCrashes {
-		entries[0].crashes.Record("f", fmt.Sprint("t", i), time.Now())
+	deliver := entries[0].broadcast
+	entries[0].broadcast = func(notice membership.Notice) {
+		if notice.Kind != noticeCrash {
+			deliver(notice)
+		}
 	}
-	is.True(entries[0].Judge(health.Work{Fingerprint: "f"}).Refused)
-	entries[0].recordConfirmed(health.Work{Fingerprint: "f"}, health.CrashedTarget{ID: "t9"})
+	crashThrice(entries[0], "f")
 	for _, entry := range entries {
 		is.True(!entry.Judge(health.Work{Fingerprint: "f"}).Refused)
 	}
--- a/generation/relaycrashes.go
+++ b/generation/relaycrashes.go
@@ -1,7 +1,6 @@
 package generation
 
 import (
-	"strings"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/directory"
@@ -59,15 +58,17 @@
 // JudgeWork judges work by the crashes that are recorded. mayTry reports whether this entry is the one that tries
 // refused parts again.
 func JudgeWork(crashes *health.Crashes, work health.Work, now time.Time, mayTry func(health.RefusedParts) bool) WorkJudgement {
-	if count := crashes.Count(work.Fingerprint, now); health.RestrictionFor(count) == health.RestrictionRefused {
-		return WorkJudgement{Refused: true, Targets: count}
-	}
-	refused, found := crashes.Refusal(work.SharedParts)
+	refused, found := crashes.Refusal(work)
 	if !found {
-		return WorkJudgement{}
+		count := crashes.Count(work.Fingerprint, now)
+		return WorkJudgement{Refused: health.RestrictionFor(count) == health.RestrictionRefused, Targets: count}
 	}
 	trial := mayTry(refused) && crashes.ClaimTrial(refused, now)
-	return WorkJudgement{Refused: !trial, Targets: refused.Targets, Parts: refused.Parts, Trial: trial}
+	judgement := WorkJudgement{Refused: !trial, Targets: refused.Targets, Trial: trial}
+	if _, isRequest := refused.Request(); !isRequest {
+		judgement.Parts = refused.Parts
+	}
+	return judgement
 }
 
 func (run *relayRun) work() health.Work {
@@ -78,9 +79,6 @@
 func (run *relayRun) rejectPoison() error {
 	judgement := run.relay.options.CrashRecords.Judge(run.work())
 	run.onTrial = judgement.Trial
-	if judgement.Trial {
-		run.log("refused-parts-tried", Field{"parts", strings.Join(judgement.Parts, ",")}, Field{"crashes", judgement.Targets})
-	}
 	return run.poisonError(judgement)
 }
 
--- a/health/crashes.go
+++ b/health/crashes.go
@@ -48,7 +48,9 @@
 	recentCrashes []crash
 	// answered holds when a request with the fingerprint was last answered as a whole.
 	answered *simplelru.LRU[string, time.Time]
-	parts    *partRecords
+	// refused holds the refusals of whole requests, by key.
+	refused *simplelru.LRU[string, *RefusedParts]
+	parts   *partRecords
 }
 
 // crash is the crash of one target.
@@ -61,17 +63,20 @@
 
 // NewCrashes returns Crashes without crashes.
 func NewCrashes() *Crashes {
-	return &Crashes{crashes: map[string][]crash{}, answered: newLRU[time.Time](maxAnswered), parts: newPartRecords()}
+	return &Crashes{
+		crashes: map[string][]crash{}, answered: newLRU[time.Time](maxAnswered),
+		refused: newLRU[*RefusedParts](maxRefusedRequests), parts: newPartRecords(),
+	}
 }
 
 // Record records a crash against the fingerprint: the target crashed while it ran a request with it. It returns
-// the number of fingerprints whose only crash it excused as a part of a mass failure. A crash shortly after an answer
-// to the same request is not recorded.
-func (r *Crashes) Record(fingerprint, target string, now time.Time) (excused int) {
+// the number of fingerprints whose only crash it excused as a part of a mass failure, and whether the request is refused
+// from now on. A crash shortly after an answer to the same request is not recorded.
+func (r *Crashes) Record(fingerprint, target string, now time.Time) (excused int, refused bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.answeredLately(fingerprint, now) {
-		return 0
+		return 0, false
 	}
 	r.removeIfExpired(fingerprint, now)
 	added := crash{target: target, at: now}
@@ -81,9 +86,10 @@
 	})
 	r.recentCrashes = addCrash(r.recentCrashes, added)
 	if len(r.recentCrashes) >= massFailureTargets {
-		return r.excuseMassFailure(now)
+		excused = r.excuseMassFailure(now)
 	}
-	return 0
+	crashes := len(r.counted(fingerprint, now))
+	return excused, crashes >= MinCrashesToRefuse && r.refuse([]string{RequestPart(fingerprint)}, crashes, now)
 }
 
 // excuseMassFailure marks the crashes of a mass failure. They are kept: a mass failure hits each stream once, so
@@ -178,36 +184,74 @@
 	return r.parts.suspects(partCrash{parts: parts, at: now})
 }
 
-// RefuseParts adds a refusal that another entry decided. It returns false if it was known.
+// RefuseParts adds a refusal that another entry decided, of parts or of a whole request. It returns false if it was
+// known.
 func (r *Crashes) RefuseParts(parts []string, targets int, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.parts.refuse(parts, targets, now)
+	return r.refuse(parts, targets, now)
+}
+
+func (r *Crashes) refuse(parts []string, targets int, now time.Time) bool {
+	if _, isRequest := requestOf(parts); !isRequest {
+		return r.parts.refuse(parts, targets, now)
+	}
+	added := newRefusedParts(parts, targets, now)
+	if r.refused.Contains(added.Key()) {
+		return false
+	}
+	r.refused.Add(added.Key(), added)
+	return true
 }
 
-// AllowParts ends a refusal and drops the evidence for it.
+// AllowParts ends a refusal, of parts or of a whole request, and drops the evidence for it.
 func (r *Crashes) AllowParts(parts []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.parts.allow(parts)
+	fingerprint, isRequest := requestOf(parts)
+	if !isRequest {
+		r.parts.allow(parts)
+		return
+	}
+	r.refused.Remove(RequestPart(fingerprint))
+	delete(r.crashes, fingerprint)
 }
 
-// AllRefusedParts returns the refusals in force.
+// AllRefusedParts returns the refusals in force, those of whole requests last.
 func (r *Crashes) AllRefusedParts() []RefusedParts {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	all := make([]RefusedParts, 0, r.parts.refused.Len())
-	for _, refused := range r.parts.refused.Values() {
+	all := make([]RefusedParts, 0, r.parts.refused.Len()+r.refused.Len())
+	for _, refused := range append(r.parts.refused.Values(), r.refused.Values()...) {
 		all = append(all, *refused)
 	}
 	return all
 }
 
-// Refusal returns the refusal that applies to a prompt with the parts.
-func (r *Crashes) Refusal(parts []string) (refused RefusedParts, found bool) {
+// RefusedCounts returns the number of whole requests, and of parts of prompts, that are refused.
+func (r *Crashes) RefusedCounts() (requests, parts int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refused.Len(), r.parts.refused.Len()
+}
+
+// RefusesRequest reports whether the request with the fingerprint is refused as a whole.
+func (r *Crashes) RefusesRequest(fingerprint string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refused.Len() > 0 && r.refused.Contains(RequestPart(fingerprint))
+}
+
+// Refusal returns the refusal that applies to the work.
+func (r *Crashes) Refusal(work Work) (refused RefusedParts, found bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if refusal := r.parts.refusal(parts); refusal != nil {
+	if r.refused.Len() > 0 {
+		if refusal, found := r.refused.Get(RequestPart(work.Fingerprint)); found {
+			return *refusal, true
+		}
+	}
+	if refusal := r.parts.refusal(work.SharedParts); refusal != nil {
 		return *refusal, true
 	}
 	return RefusedParts{}, false
@@ -217,13 +261,11 @@
 func (r *Crashes) ClaimTrial(refused RefusedParts, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	current, found := r.parts.refused.Get(refused.Key())
-	if !found || now.Before(current.nextTrial) {
-		return false
+	if current, found := r.refused.Get(refused.Key()); found {
+		return current.claimTrial(requestTrialBackoff, now) && current.trials <= maxRequestTrials
 	}
-	current.trialDelay = min(2*current.trialDelay, maxTrialDelay)
-	current.nextTrial = now.Add(current.trialDelay)
-	return true
+	current, found := r.parts.refused.Get(refused.Key())
+	return found && current.claimTrial(partTrialBackoff, now)
 }
 
 // Targets returns the targets whose crashes are recorded against the fingerprint.
--- a/health/parts.go
+++ b/health/parts.go
@@ -29,9 +29,10 @@
 	maxClearedParts = 4096
 	maxRefusedParts = 64
 	// firstTrialDelay is the time from a refusal to the first request that is let through to try the parts
-	// again. It doubles with each trial, up to maxTrialDelay.
-	firstTrialDelay = 30 * time.Second
-	maxTrialDelay   = time.Hour
+	// again. It grows by partTrialBackoff with each trial, up to maxTrialDelay.
+	firstTrialDelay  = 30 * time.Second
+	maxTrialDelay    = time.Hour
+	partTrialBackoff = 2
 )
 
 // Work identifies what a request has a target do.
@@ -63,6 +64,23 @@
 
 	nextTrial  time.Time
 	trialDelay time.Duration
+	// trials counts the trials so far.
+	trials int
+}
+
+func newRefusedParts(parts []string, targets int, now time.Time) *RefusedParts {
+	return &RefusedParts{Parts: parts, Targets: targets, nextTrial: now.Add(firstTrialDelay), trialDelay: firstTrialDelay}
+}
+
+// claimTrial reports whether a trial is due, and counts it.
+func (r *RefusedParts) claimTrial(backoff int, now time.Time) bool {
+	if now.Before(r.nextTrial) {
+		return false
+	}
+	r.trials++
+	r.trialDelay = min(time.Duration(backoff)*r.trialDelay, maxTrialDelay)
+	r.nextTrial = now.Add(r.trialDelay)
+	return true
 }
 
 // Key identifies the parts.
@@ -145,7 +163,7 @@
 
 // refuse adds a refusal; false if it was there.
 func (p *partRecords) refuse(parts []string, targets int, now time.Time) bool {
-	added := &RefusedParts{Parts: parts, Targets: targets, nextTrial: now.Add(firstTrialDelay), trialDelay: firstTrialDelay}
+	added := newRefusedParts(parts, targets, now)
 	if p.refused.Contains(added.Key()) {
 		return false
 	}
--- a/health/parts_test.go
+++ b/health/parts_test.go
@@ -57,11 +57,11 @@
 			}
 			crashes.ClearParts(c.survived, now)
 			for _, parts := range c.refused {
-				_, found := crashes.Refusal(parts)
+				_, found := crashes.Refusal(Work{SharedParts: parts})
 				is.True(found) // is refused
 			}
 			for _, parts := range c.allowed {
-				_, found := crashes.Refusal(parts)
+				_, found := crashes.Refusal(Work{SharedParts: parts})
 				is.True(!found) // is allowed
 			}
 		})
@@ -78,7 +78,7 @@
 		now = now.Add(time.Second)
 		crashes.RecordParts(Work{Fingerprint: fmt.Sprint(i), SharedParts: []string{"part"}}, fmt.Sprint(i), now, now)
 	}
-	_, found := crashes.Refusal([]string{"part"})
+	_, found := crashes.Refusal(Work{SharedParts: []string{"part"}})
 	is.True(found)
 }
 
@@ -87,7 +87,7 @@
 	crashes := NewCrashes()
 	now := time.Unix(1000, 0)
 	is.True(crashes.RefuseParts([]string{"part"}, 5, now))
-	refused, _ := crashes.Refusal([]string{"part"})
+	refused, _ := crashes.Refusal(Work{SharedParts: []string{"part"}})
 	is.True(!crashes.ClaimTrial(refused, now.Add(firstTrialDelay-time.Second)))
 	now = now.Add(firstTrialDelay)
 	is.True(crashes.ClaimTrial(refused, now))
@@ -126,9 +126,9 @@
 		crashes.RecordParts(Work{Fingerprint: fmt.Sprint("c", i), SharedParts: []string{"system", fmt.Sprint("own", i)}}, target, now, now)
 	}
 	for _, part := range []string{"bad", "worse"} {
-		_, found := crashes.Refusal([]string{"system", part})
+		_, found := crashes.Refusal(Work{SharedParts: []string{"system", part}})
 		is.True(found)
 	}
-	_, found := crashes.Refusal([]string{"system", "own"})
+	_, found := crashes.Refusal(Work{SharedParts: []string{"system", "own"}})
 	is.True(!found) // the part that all share is seen in requests that explain its crashes
 }
