--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -238,7 +238,7 @@
 		if !t.limits.Available(target.ID, now) {
 			continue
 		}
-		targets = append(targets, service.Target{Name: target.ID, Address: target.Address, Concurrency: target.Slots})
+		targets = append(targets, service.Target{Name: target.ID, Address: target.Address, StartedMs: target.StartedMs, Concurrency: target.Slots})
 	}
 	return targets
 }
--- a/entry/crashcalls_test.go
+++ b/entry/crashcalls_test.go
@@ -56,7 +56,7 @@
 	defer s.fleet.mu.Unlock()
 	var listed []service.Target
 	for _, desk := range s.fleet.desks {
-		listed = append(listed, service.Target{Name: desk.target.ID, Address: desk.target.Address, Concurrency: 6})
+		listed = append(listed, service.Target{Name: desk.target.ID, Address: desk.target.Address, StartedMs: desk.target.StartedMs, Concurrency: 6})
 	}
 	return listed
 }
@@ -123,8 +123,13 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		for i := range f.desks {
-			if f.desks[i] == desk {
-				f.desks[i] = f.newEngine()
+			if f.desks[i] != desk {
+				continue
+			}
+			f.desks[i] = f.newEngine()
+			if f.keepsIDs {
+				f.desks[i].target.ID, f.desks[i].target.Address = desk.target.ID, desk.target.Address
+				f.desks[i].target.StartedMs = time.Now().UnixMilli()
 			}
 		}
 	})
@@ -227,6 +232,29 @@
 	}
 }
 
+// Guards against targets that start again under their IDs, of which a small service has too few for the evidence.
+func TestCallIsRefusedWhenTargetsStartAgainUnderTheirIDs(t *testing.T) {
+	for _, desks := range []int{1, 2} {
+		t.Run(fmt.Sprintf("%d_targets", desks), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newCrashFleet(ctx, 8)
+				f.desks, f.keepsIDs = f.desks[:desks], true
+				time.Sleep(modelHistoryTime)
+				go f.generateCalls(callKinds[0], 2, func(int) (string, string) { return "bad call", "bad call" }, func(time.Time, bool) {})
+				time.Sleep(2*stableWindow + modelDay)
+				cancel()
+				time.Sleep(time.Minute) // until all goroutines have ended
+				t.Logf("%d crashes, %d sends later than %v after the third", len(f.crashes["bad call"]), f.lateCalls("bad call"), stableWindow)
+				is.True(len(f.crashes["bad call"]) >= evidenceCallCrashes)
+				is.True(f.lateCalls("bad call") <= maxLateCalls)
+			})
+		})
+	}
+}
+
 // soundCalls counts the sound calls sent from a time on and those of them that were answered.
 type soundCalls struct {
 	fleet          *crashFleet
--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -60,6 +60,8 @@
 	// desks are the targets of plain calls.
 	desks  []*modelEngine
 	starts int
+	// keepsIDs reports that targets of plain calls start again under the IDs that they had.
+	keepsIDs bool
 	// brokenShare is the share of plain calls whose connection their target breaks without crashing.
 	brokenShare float64
 	// soundRefused counts the refusals of sound calls, by fingerprint.
--- a/service/service.go
+++ b/service/service.go
@@ -83,6 +83,9 @@
 type Target struct {
 	Name    string
 	Address string
+	// StartedMs is when this incarnation of the target started, in Unix milliseconds; 0 if unknown. It may keep its
+	// name when it starts again.
+	StartedMs int64
 	// Concurrency is the number of concurrent calls that the target handles well; 0 means no limit.
 	Concurrency int
 	// Deduplicates reports that the target runs a call at most once for each request key.
