Count the crashes of a target that starts again under its ID

Cause: crashes under a request were counted by the target's ID, which it may keep when it starts again; a service of one or two such targets never gave enough evidence. Change: a crash names the incarnation, by ID and start; where an entry doesn't know the start, crashes within 2 s, less than a restart takes, are taken for one. Streams and calls alike. In a fleet half of the former build, its entries count a crash that both halves report twice.

--- a/entry/crashcalls_test.go
+++ b/entry/crashcalls_test.go
@@ -129,7 +129,6 @@
 			f.desks[i] = f.newEngine()
 			if f.keepsIDs {
 				f.desks[i].target.ID, f.desks[i].target.Address = desk.target.ID, desk.target.Address
-				f.desks[i].target.StartedMs = time.Now().UnixMilli()
 			}
 		}
 	})
--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -166,7 +166,7 @@
 func (f *crashFleet) newEngine() *modelEngine {
 	f.starts++
 	id := fmt.Sprintf("i-%d", f.starts)
-	return &modelEngine{target: &directory.Target{ID: id, Address: id + ":1"}, crashed: make(chan struct{})}
+	return &modelEngine{target: &directory.Target{ID: id, Address: id + ":1", StartedMs: time.Now().UnixMilli()}, crashed: make(chan struct{})}
 }
 
 func (f *crashFleet) targets() []*directory.Target {
--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -18,7 +18,7 @@
 
 // Kinds of the notices by which entries share the crashes of targets.
 const (
-	// noticeCrash has the subject "fingerprint/target" and the crash's time and suspected parts as value.
+	// noticeCrash has the subject "fingerprint/incarnation of the target" and the crash's time and suspected parts as value.
 	noticeCrash membership.NoticeKind = "request-killed-target"
 	// noticeCleared: a target began to answer a request with the fingerprint in the subject.
 	noticeCleared membership.NoticeKind = "request-cleared"
@@ -111,7 +111,7 @@
 		s.logExcused(work, target, "answered lately")
 		return
 	}
-	s.record(work, target.ID, now, now)
+	s.record(work, target.Incarnation(), now, now)
 	s.log("crash-recorded", generation.Field{Key: "request", Value: work.Request}, generation.Field{Key: "target", Value: target.ID},
 		generation.Field{Key: "fingerprint", Value: work.Fingerprint}, generation.Field{Key: "parts", Value: strings.Join(work.SharedParts, ",")},
 		generation.Field{Key: "crashes", Value: s.Crashes(work.Fingerprint)})
@@ -119,7 +119,7 @@
 		return // the peers know, or get the verdict before any crash
 	}
 	s.broadcast(membership.Notice{
-		Kind: noticeCrash, Subject: work.Fingerprint + "/" + target.ID, Version: s.nextVersion(), Value: encodeCrash(work.SharedParts, now),
+		Kind: noticeCrash, Subject: work.Fingerprint + "/" + target.Incarnation(), Version: s.nextVersion(), Value: encodeCrash(work.SharedParts, now),
 	})
 }
 
--- a/generation/relaycrashes.go
+++ b/generation/relaycrashes.go
@@ -40,8 +40,8 @@
 // RecordCrash implements RelayCrashRecords.
 func (s *relayLocalRecords) RecordCrash(work health.Work, target health.CrashedTarget) {
 	now := time.Now()
-	s.crashes.Record(work.Fingerprint, target.ID, now)
-	s.crashes.RecordParts(work, target.ID, now, now)
+	s.crashes.Record(work.Fingerprint, target.Incarnation(), now)
+	s.crashes.RecordParts(work, target.Incarnation(), now, now)
 }
 
 // RecordAnswer implements RelayCrashRecords.
@@ -92,7 +92,7 @@
 }
 
 func (run *relayRun) recordCrash(target *directory.Target) {
-	run.relay.options.CrashRecords.RecordCrash(run.work(), health.CrashedTarget{ID: target.ID, Address: target.Address})
+	run.relay.options.CrashRecords.RecordCrash(run.work(), health.CrashedTarget{ID: target.ID, Address: target.Address, StartedMs: target.StartedMs})
 }
 
 // checkWaiting returns a *PoisonError if the request was refused since the attempt was sent. An attempt without an
--- a/health/crashes.go
+++ b/health/crashes.go
@@ -115,7 +115,7 @@
 }
 
 func addCrash(crashes []crash, added crash) []crash {
-	if slices.ContainsFunc(crashes, func(c crash) bool { return c.target == added.target }) {
+	if slices.ContainsFunc(crashes, func(c crash) bool { return isSameCrash(c.target, added.target, added.at.Sub(c.at)) }) {
 		return crashes
 	}
 	return append(crashes, added)
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -103,3 +103,17 @@
 		is.Equal(RestrictionFor(crashes.Count(fmt.Sprintf("f%d", i), now)), RestrictionRefused)
 	}
 }
+
+// Guards against targets that keep their IDs when they start again, and against entries that don't know the start: one
+// crash must not count twice.
+func TestEachIncarnationOfATargetCountsOnce(t *testing.T) {
+	is := is.New(t)
+	crashes := NewCrashes()
+	now := time.Unix(1000, 0)
+	for _, target := range []CrashedTarget{{ID: "t", StartedMs: 1}, {ID: "t"}, {ID: "t", StartedMs: 1}, {ID: "t", StartedMs: 2}} {
+		crashes.Record("f", target.Incarnation(), now)
+	}
+	is.Equal(crashes.Count("f", now), 2)
+	crashes.Record("f", "t", now.Add(minRestartTime))
+	is.Equal(crashes.Count("f", now), 3)
+}
--- a/health/parts.go
+++ b/health/parts.go
@@ -45,9 +45,6 @@
 	SharedParts []string
 }
 
-// CrashedTarget is a target that seems to have crashed under a request.
-type CrashedTarget struct{ ID, Address string }
-
 // partCrash is the crash of a target before it began to answer a request.
 type partCrash struct {
 	target, fingerprint string
@@ -107,7 +104,9 @@
 }
 
 func (p *partRecords) record(crash partCrash, now time.Time) {
-	known := func(c partCrash) bool { return c.target == crash.target && c.fingerprint == crash.fingerprint }
+	known := func(c partCrash) bool {
+		return c.fingerprint == crash.fingerprint && isSameCrash(c.target, crash.target, crash.at.Sub(c.at))
+	}
 	if len(crash.parts) == 0 || slices.ContainsFunc(p.crashes, known) {
 		return
 	}
--- a/service/callcrashes.go
+++ b/service/callcrashes.go
@@ -55,6 +55,6 @@
 		records.RecordWholeAnswer(w.work())
 	case result.sent.ConnectionLost && ctx.Err() == nil:
 		target := result.lease.target
-		records.RecordCrash(w.work(), health.CrashedTarget{ID: target.Name, Address: target.Address})
+		records.RecordCrash(w.work(), health.CrashedTarget{ID: target.Name, Address: target.Address, StartedMs: target.StartedMs})
 	}
 }
