Tell requests to different hosts apart by their fingerprints

Cause: the fingerprint of a request was made of method, request URI, customer and body. Look-ups have no body, so that the same path of another host counted as the same request, and would be refused with it; the same request in absolute form, or with a port in its host, counted as another one. Change: host (without case and port), path and query as they go to the target, customer, body; the body is no longer copied. Entries of the former build gather their own evidence while a fleet is mixed.

--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -174,6 +174,14 @@
 	return path
 }
 
+// uriOf returns the path and query as the caller sent them, without scheme and host.
+func uriOf(r *http.Request) string {
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return r.URL.RequestURI()
+	}
+	return r.RequestURI
+}
+
 func (c *request) readBody(limit int64) *errorAnswer {
 	if limit <= 0 {
 		limit = defaultBodyBytes
@@ -251,13 +259,9 @@
 func (o *targetPayload) encode(header platform.TargetHeader) *targethttp.Request {
 	header.Customer = o.call.customer
 	r := o.call.http
-	uri := r.RequestURI
-	if !strings.HasPrefix(uri, "/") {
-		uri = r.URL.RequestURI()
-	}
 	return &targethttp.Request{
 		Method:   r.Method,
-		URI:      uri,
+		URI:      uriOf(r),
 		Host:     r.Host,
 		Header:   header.Encode(r.Header),
 		Body:     o.call.body,
@@ -408,12 +412,13 @@
 // fingerprintBytes is the length of a fingerprint; short, since entries exchange fingerprints.
 const fingerprintBytes = 12
 
-// fingerprint identifies what a target runs: method, path, customer and body.
+// fingerprint identifies what a target runs: method, host, path, query, customer and body.
 func (c *request) fingerprint() string {
 	sum := sha256.New()
-	for _, part := range []string{c.http.Method, c.http.RequestURI, c.customer, string(c.body)} {
+	for _, part := range []string{c.http.Method, strings.ToLower(hostOf(c.http.Host)), uriOf(c.http), c.customer} {
 		_, _ = sum.Write([]byte(strconv.Itoa(len(part)) + ":" + part)) // never fails
 	}
+	_, _ = sum.Write(c.body)
 	return hex.EncodeToString(sum.Sum(nil)[:fingerprintBytes])
 }
 
