Refuse native calls that crash targets, by the records of generations

Cause: service.Executor neither recorded a crash nor asked before it sent. Change: all sends of the executor go through one function that asks the port which the forwarder has, records a lost connection and clears the call at an answer. Entries share it by the crash records of generations (journalpeer). A refused call ends at once, code crashes-targets, 502. Not done: native entries learn of evidence by calls between peers, not by notices; they don't probe a target before they record.

--- a/adapters/callerhttp/services.go
+++ b/adapters/callerhttp/services.go
@@ -204,6 +204,7 @@
 	service.CodeRecordCorrupt:     {http.StatusInternalServerError, "the record of calls is damaged; operators must look"},
 	service.CodeKeyReused:         {http.StatusUnprocessableEntity, "the key belongs to a call with another content; this one was not sent"},
 	service.CodeAnswerOmitted:     {http.StatusConflict, "the call was answered before, and the answer was too large to be kept"},
+	service.CodeCrashesTargets:    {http.StatusBadGateway, "calls with this content crash targets and are refused; do not send it again"},
 	service.CodeInternal:          {http.StatusInternalServerError, "internal error"},
 }
 
--- a/adapters/peertwirp/journalpeer/crashrecords.go
+++ b/adapters/peertwirp/journalpeer/crashrecords.go
@@ -58,7 +58,7 @@
 
 // ClearCrashes implements generation.CrashRecords.
 func (s *CrashRecords) ClearCrashes(ctx context.Context, fingerprint string) {
-	s.crashes.Discard(fingerprint)
+	s.crashes.AllowParts([]string{health.RequestPart(fingerprint)})
 	request := &SuspectRequest{Action: SuspectAction_SUSPECT_ACTION_CLEAR, Fingerprint: fingerprint}
 	s.callAll(ctx, s.client.view.Live(), request)
 }
--- a/adapters/peertwirp/journalpeer/server.go
+++ b/adapters/peertwirp/journalpeer/server.go
@@ -103,7 +103,7 @@
 			s.crashes.Record(request.Fingerprint, target, now)
 		}
 	case SuspectAction_SUSPECT_ACTION_CLEAR:
-		s.crashes.Discard(request.Fingerprint)
+		s.crashes.AllowParts([]string{health.RequestPart(request.Fingerprint)})
 	case SuspectAction_SUSPECT_ACTION_ISOLATE:
 		until := now.Add(time.Duration(request.HoldMs) * time.Millisecond)
 		reply.Granted = s.isolationSlots.Acquire(request.Deployment, request.Holder, until, now)
--- a/service/atmostonce.go
+++ b/service/atmostonce.go
@@ -156,7 +156,7 @@
 	request.Once = true
 	sent := false
 	for {
-		answer, err := e.options.Transport.Do(ctx, lease.target, request)
+		answer, err := e.send(ctx, lease.target, call, request)
 		if err == nil {
 			lease.release(targetSucceeded)
 			e.options.Ledger.Finish(attempt, idempotency.StateAnswered, &answer)
--- a/service/executor.go
+++ b/service/executor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
+	"github.com/azurebarrow/azurebarrow/health"
 	"github.com/azurebarrow/azurebarrow/idempotency"
 )
 
@@ -16,6 +17,8 @@
 	Ledger    *idempotency.Ledger
 	Transport Transport
 	Directory Directory
+	// CrashRecords hold the crashes of targets under calls; nil keeps them in this entry only.
+	CrashRecords CrashRecords
 	// Entries returns the number of live entries; nil means one.
 	Entries func() int
 	// Seed initializes the random generator, so that random choices can be reproduced.
@@ -67,6 +70,9 @@
 	if options.CallTimeout == 0 {
 		options.CallTimeout = DefaultCallTimeout
 	}
+	if options.CrashRecords == nil {
+		options.CrashRecords = localCrashRecords{health.NewCrashes()}
+	}
 	if options.Entries == nil {
 		options.Entries = func() int { return 1 }
 	}
--- a/service/hedge.go
+++ b/service/hedge.go
@@ -90,7 +90,7 @@
 	start := time.Now()
 	h.running = append(h.running, &runningAttempt{lease: lease, start: start, cancel: cancel})
 	go func() {
-		answer, err := h.executor.options.Transport.Do(ctx, lease.target, h.call.request())
+		answer, err := h.executor.send(ctx, lease.target, h.call, h.call.request())
 		h.ended <- attemptResult{lease: lease, answer: answer, err: err, took: time.Since(start)}
 	}()
 	return true
--- a/service/repeatable.go
+++ b/service/repeatable.go
@@ -54,7 +54,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
-		answer, err := e.options.Transport.Do(ctx, lease.target, call.request())
+		answer, err := e.send(ctx, lease.target, call, call.request())
 		if (attemptResult{answer: answer, err: err}).succeeded() {
 			lease.release(targetSucceeded)
 			return
@@ -78,6 +78,9 @@
 		if ok && last.succeeded() {
 			return Result{Outcome: OutcomeAnswered, Answer: &last.answer}
 		}
+		if errors.Is(last.err, errCrashesTargets) {
+			return failedCallResult(call, last, ok, possiblyRan)
+		}
 		if ok {
 			tried = append(tried, last.lease.target.Name)
 			possiblyRan = possiblyRan || mayHaveRun(last.err)
@@ -97,7 +100,7 @@
 	if !ok {
 		return attemptResult{}, false
 	}
-	answer, err := e.options.Transport.Do(ctx, lease.target, call.request())
+	answer, err := e.send(ctx, lease.target, call, call.request())
 	end := attemptResult{lease: lease, answer: answer, err: err}
 	if end.succeeded() {
 		lease.release(targetSucceeded)
@@ -113,6 +116,9 @@
 	if tried && last.err == nil {
 		return Result{Outcome: OutcomeAnswered, Answer: &last.answer}
 	}
+	if errors.Is(last.err, errCrashesTargets) {
+		return Result{Outcome: OutcomeUnknown, Code: CodeCrashesTargets}
+	}
 	if !possiblyRan && call.KeyMinted {
 		return Result{Outcome: OutcomeNotRun, Code: CodeNoTarget, RetryAfter: defaultRetryAfter, WithholdKey: true}
 	}
--- a/service/service.go
+++ b/service/service.go
@@ -63,6 +63,8 @@
 	CodeKeyReused Code = "key-reused"
 	// CodeAnswerOmitted: the call was answered before, but the answer was too large to be stored.
 	CodeAnswerOmitted Code = "answer-omitted"
+	// CodeCrashesTargets: targets crashed under calls with this content, which is not sent any more.
+	CodeCrashesTargets Code = "crashes-targets"
 	// CodeInternal: an invariant of the program was violated.
 	CodeInternal Code = "internal"
 )
--- a/serviceplane.go
+++ b/serviceplane.go
@@ -11,6 +11,7 @@
 
 	"github.com/azurebarrow/azurebarrow/adapters/callerhttp"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp"
+	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/journalpeer"
 	"github.com/azurebarrow/azurebarrow/adapters/platformhttp"
 	"github.com/azurebarrow/azurebarrow/adapters/servicehttp"
 	"github.com/azurebarrow/azurebarrow/idempotency"
@@ -66,8 +67,11 @@
 		Ledger:    s.ledger,
 		Transport: s.transport,
 		Directory: serviceDirectory{e},
-		Entries:   func() int { return len(view.Live()) },
-		Seed:      e.incarnation,
+
+		CrashRecords: journalpeer.NewCallCrashRecords(e.recovery.crashRecords),
+
+		Entries: func() int { return len(view.Live()) },
+		Seed:    e.incarnation,
 	})
 	s.handler = callerhttp.NewServices(callerhttp.ServicesOptions{
 		Configuration: e.configuration,
