Take a target for alive only if a probe's connection stays open

Cause: a host in front of a target, as a link or a load balancer, accepts connections of a target that is gone and closes them at once. Change: the connection of the probe must stay open for 20 ms.

--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -8,6 +8,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -105,6 +106,29 @@
 	return nil
 }
 
+// errClosedAtOnce: a connection was accepted and closed.
+var errClosedAtOnce = errors.New("the connection was closed as soon as it was accepted")
+
+// Probe is Connect for a target that may be gone: the connection must also stay open for a while, since a host in front
+// of the target may accept it and then find nobody behind.
+func (p *Pool) Probe(ctx context.Context, key, address string, open time.Duration) error {
+	c, err := p.dial(ctx, key, address)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-time.After(open):
+	case <-ctx.Done():
+	}
+	if !c.usable() {
+		_ = c.Close()
+		return errClosedAtOnce
+	}
+	c.expires = time.Now().Add(p.options.IdleTimeout)
+	p.putIdle(c)
+	return nil
+}
+
 // getConn returns an idle connection or a new one. The key identifies the target's incarnation.
 func (p *Pool) getConn(ctx context.Context, key, address string) (*conn, error) {
 	for {
--- a/entry/crashprobe.go
+++ b/entry/crashprobe.go
@@ -15,6 +15,9 @@
 // moment before its listener.
 const crashProbeDelay = 10 * time.Millisecond
 
+// crashProbeOpen is the time for which the connection of a probe must stay open.
+const crashProbeOpen = 20 * time.Millisecond
+
 // crashProber finds out whether targets whose connections ended have crashed. It is safe for concurrent use.
 type crashProber struct {
 	pool   *targethttp.Pool
@@ -27,7 +30,7 @@
 	key := (&directory.Target{ID: target.ID, Address: target.Address}).Key()
 	down, _, _ := p.probes.Do(key, func() (any, error) {
 		time.Sleep(crashProbeDelay)
-		return p.pool.Connect(context.Background(), key, target.Address) != nil, nil // the pool limits the time
+		return p.pool.Probe(context.Background(), key, target.Address, crashProbeOpen) != nil, nil // the pool limits the time
 	})
 	return down.(bool)
 }
