Soak: plain calls that crash targets

The same look-up or booking comes four times a second for nine seconds and crashes the target of each; the check is the users' bound (three sends later than 3 s after the third crash). The deliberate defect call-crashes-ignored is found (BUDGET) by its test. The stand-in crashes by an element of the path, so that one flag serves both classes.

--- a/bench/soak/defect_test.go
+++ b/bench/soak/defect_test.go
@@ -39,6 +39,7 @@
 	}
 	// Requests with a bad part, and limits, last for nine seconds each; two in a row leave time for the bound.
 	badRequests := []Step{{At: faultAt, Kind: BadRequests}, {At: faultAt + badRequestsFor, Kind: BadRequests}}
+	badCalls := []Step{{At: faultAt, Kind: BadCalls}, {At: faultAt, Kind: BadCalls, Variant: 1}}
 	var limits []Step
 	for i := range 3 {
 		limits = append(limits, Step{At: faultAt + time.Duration(i)*limitFor, Kind: LimitTarget, Index: i})
@@ -53,6 +54,7 @@
 		{defect.RetryUnsafe, "TWICE", lostAnswers},
 		{defect.NotRunPerAttempt, "REFUSED", lostAnswers},
 		{defect.CrashesByRequest, "BUDGET", badRequests},
+		{defect.CallCrashesIgnored, "BUDGET", badCalls},
 		{defect.LimitIgnored, "LIMIT", limits},
 	}
 	for _, c := range cases {
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -228,7 +228,7 @@
 	if t.service == engineService {
 		return append(arguments, "--slots", fmt.Sprint(engineSlots), "--events", fmt.Sprint(streamEvents), "--event-interval", eventInterval.String(), "--crash-prefix", badPartPrefix)
 	}
-	return append(arguments, "--slots", fmt.Sprint(recordSlots))
+	return append(arguments, "--slots", fmt.Sprint(recordSlots), "--crash-path", badPartPrefix)
 }
 
 func (d *deployment) addEntries(store string) error {
--- a/bench/soak/evidence.go
+++ b/bench/soak/evidence.go
@@ -31,7 +31,7 @@
 	Class Class
 	Path  string
 	Body  string
-	// BadPart is a part of the prompt that crashes engines; empty for none.
+	// BadPart is a part of the prompt, or the end of the path, that crashes targets; empty for none.
 	BadPart string
 	// Key is the caller's API key.
 	Key string
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -75,6 +75,7 @@
 	DelayCallers Kind = "delay callers"
 	DelayTarget  Kind = "delay target"
 	BadRequests  Kind = "requests with a part that crashes engines"
+	BadCalls     Kind = "calls that crash targets"
 	LimitTarget  Kind = "limit target"
 	// Crash is no step: it is the crash of a target by a request.
 	Crash Kind = "crash"
@@ -97,7 +98,7 @@
 	Targets: {KillTarget, KillTarget, PauseTarget, TargetFault, TargetFault, DrainTarget},
 	Links:   {CutCallers, CutStore, CutTarget, ResetCallers, ResetTarget, ResetStore, DelayCallers, DelayTarget},
 	// Verdicts have a phase of their own, in which the entries stay in touch.
-	Verdicts: {BadRequests, LimitTarget, LimitTarget, Reload},
+	Verdicts: {BadRequests, BadCalls, LimitTarget, LimitTarget, Reload},
 	Store:    {StoreFault, StoreFault, PauseStore, Configure, DrainTarget},
 }
 
@@ -189,6 +190,8 @@
 		d.drainTarget(ctx, t)
 	case BadRequests:
 		d.sendBadRequests(ctx, c, step)
+	case BadCalls:
+		d.sendBadCalls(ctx, c, step)
 	case LimitTarget:
 		d.limitTarget(ctx, step)
 	case KillEntry:
--- a/bench/soak/verdicts.go
+++ b/bench/soak/verdicts.go
@@ -14,7 +14,7 @@
 
 // Settings of the faults about which the entries must agree.
 const (
-	// badPartPrefix begins the IDs of prompt parts that crash engines.
+	// badPartPrefix begins the IDs of prompt parts, and the ends of paths, that crash targets.
 	badPartPrefix = "bad"
 	// badRequestsPerSecond and badRequestsFor determine the requests with one such part.
 	badRequestsPerSecond = 4
@@ -32,6 +32,8 @@
 	// requests with the part that may reach engines after it.
 	evidenceCrashes    = 5
 	maxLateBadArrivals = 3
+	// evidenceCallCrashes is evidenceCrashes for one call that comes again.
+	evidenceCallCrashes = 3
 	// In limitWindow, a target gets limitRatio times what its limit allows, plus limitSlack.
 	limitWindow = 4 * time.Second
 	limitRatio  = 1.5
@@ -59,6 +61,28 @@
 	_ = c.sendAttempt(c.clients[chosen.client], attempt, c.deployment.pickEntry(chosen.number), 0) // it is not sent again
 }
 
+// sendBadCalls sends the same call, which crashes the target that runs it, again and again to all entries.
+func (d *deployment) sendBadCalls(ctx context.Context, c *callers, step Step) {
+	class := []Class{Lookup, Booking}[step.Variant%2]
+	part := fmt.Sprintf("%s-%s-%d", badPartPrefix, class, step.At.Milliseconds())
+	d.options.Logf("calls with %s", part)
+	for end := time.Now().Add(badRequestsFor); time.Now().Before(end); {
+		go c.sendBadCall(class, part)
+		if wait.For(ctx, time.Second/badRequestsPerSecond) != nil {
+			return
+		}
+	}
+}
+
+func (c *callers) sendBadCall(class Class, part string) {
+	chosen := c.draw()
+	attempt := &Attempt{
+		ID: fmt.Sprintf("%s-%d", part, chosen.number), Class: class, Path: fmt.Sprintf("/%s/%s", class, part),
+		Body: part, BadPart: part, Key: c.deployment.key(), Timeout: callTimeout,
+	}
+	_ = c.sendAttempt(c.clients[chosen.client], attempt, c.deployment.pickEntry(chosen.number), 0) // the next one comes by itself
+}
+
 // restartCrashed starts targets again that a prompt crashed, until ctx ends.
 func (d *deployment) restartCrashed(ctx context.Context) {
 	for wait.For(ctx, pollInterval) == nil {
@@ -111,13 +135,17 @@
 	})
 }
 
-// checkBadParts checks that requests with a part that crashes engines reach none once there is evidence.
+// checkBadParts checks that requests with a part that crashes engines, and calls that crash targets, reach none once
+// there is evidence.
 func (e *Evidence) checkBadParts(map[string][]target.Record) []Violation {
 	entries := e.entriesByRequest()
 	crashes := map[string][]time.Time{}
 	late := map[string]int{}
 	for _, record := range e.Records {
-		part := badPartOf(record.Prompt)
+		part, needed := badPartOf(record.Prompt), evidenceCrashes
+		if part == "" {
+			part, needed = badCallOf(record.Path), evidenceCallCrashes
+		}
 		if part == "" {
 			continue
 		}
@@ -125,11 +153,11 @@
 			crashes[part] = append(crashes[part], record.At)
 			continue
 		}
-		if record.What != target.Began || len(crashes[part]) < evidenceCrashes {
+		if record.What != target.Began || len(crashes[part]) < needed {
 			continue
 		}
-		fifth := crashes[part][evidenceCrashes-1]
-		if record.At.After(fifth.Add(stableWindow)) && e.undisturbed(record.At, record.At, entries[record.Request]) {
+		enough := crashes[part][needed-1]
+		if record.At.After(enough.Add(stableWindow)) && e.undisturbed(record.At, record.At, entries[record.Request]) {
 			late[part]++
 		}
 	}
@@ -153,6 +181,15 @@
 	return ""
 }
 
+// badCallOf returns the end of the path of a call that crashes targets; empty for other paths.
+func badCallOf(path string) string {
+	last := path[strings.LastIndex(path, "/")+1:]
+	if !strings.HasPrefix(last, badPartPrefix) {
+		return ""
+	}
+	return last
+}
+
 func (e *Evidence) entriesByRequest() map[string]string {
 	entries := map[string]string{}
 	for _, attempt := range e.Attempts {
--- a/entry/crashcalls_test.go
+++ b/entry/crashcalls_test.go
@@ -299,7 +299,7 @@
 // start starts one target, which a successor with another ID replaces once it has crashed.
 func (c *crashingTargets) start(t *testing.T, index, incarnation int) {
 	options := target.Options{
-		ID: fmt.Sprintf("i-%d-%d", index, incarnation), Service: "desk", AvailabilityZone: "a", Slots: 6, WorkTime: modelWork, CrashPath: crashPath,
+		ID: fmt.Sprintf("i-%d-%d", index, incarnation), Service: "desk", AvailabilityZone: "a", Slots: 6, WorkTime: modelWork, CrashPath: "bad",
 	}
 	var once sync.Once
 	var self *standinTarget
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -39,6 +39,8 @@
 	DrainingIgnored Name = "leaving-ignored"
 	// CrashesByRequest records crashes of targets against whole requests only, not against parts of their prompts.
 	CrashesByRequest Name = "crashes-by-request"
+	// CallCrashesIgnored records no crashes of targets under plain calls.
+	CallCrashesIgnored Name = "call-crashes-ignored"
 	// LimitIgnored sends requests to targets beyond the limits that they name.
 	LimitIgnored Name = "limit-ignored"
 )
--- a/service/callcrashes.go
+++ b/service/callcrashes.go
@@ -5,6 +5,7 @@
 
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/health"
+	"github.com/azurebarrow/azurebarrow/internal/defect"
 )
 
 // CrashRecords is the port to what is known of calls that crash targets. All entries share it, with the records of
@@ -49,6 +50,9 @@
 
 // recordEvidence tells the crash records how an attempt ended. A connection that this entry closed shows nothing.
 func (w *forwardRun) recordEvidence(ctx context.Context, result forwardResult) {
+	if defect.Enabled(defect.CallCrashesIgnored) {
+		return
+	}
 	records := w.forwarder.options.CrashRecords
 	switch {
 	case result.sent.Verdict == SendAnswered, result.sent.Verdict == SendFailed:
--- a/standin/command/users.go
+++ b/standin/command/users.go
@@ -48,7 +48,7 @@
 	Events        int           `long:"events" description:"events of a stream; 0 makes it a service of plain calls"`
 	EventInterval time.Duration `long:"event-interval" default:"20ms" description:"time between two events"`
 	CrashPrefix   string        `long:"crash-prefix" description:"prompt parts whose IDs begin so crash it as it begins to answer"`
-	CrashPath     string        `long:"crash-path" description:"paths that begin so crash it as it begins to answer"`
+	CrashPath     string        `long:"crash-path" description:"paths with an element that begins so crash it as it begins to answer"`
 	WorkTime      time.Duration `long:"work-time" default:"15ms" description:"time of a plain call"`
 	Heartbeat     time.Duration `long:"heartbeat" default:"1200ms" description:"time between two writes to the store"`
 	DrainTime     time.Duration `long:"drain-time" default:"4s" description:"how long it serves on after it has reported that it leaves"`
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -51,8 +51,8 @@
 	// Limit is the number of requests a second that the target's answers name as its limit, for all callers
 	// together; 0 for none. The target does not enforce it.
 	Limit float64
-	// CrashPrefix, if not empty, begins the IDs of prompt parts, and CrashPath the paths of requests, that crash the
-	// target as it begins to answer. Exit is called then.
+	// CrashPrefix, if not empty, begins the IDs of prompt parts, and CrashPath the last elements of paths of requests,
+	// that crash the target as it begins to answer. Exit is called then.
 	CrashPrefix, CrashPath string
 	Exit                   func()
 	// Log receives a record of each step of a request.
@@ -172,7 +172,7 @@
 	prefix, path := t.options.CrashPrefix, t.options.CrashPath
 	prompt := "," + r.Header.Get(FieldPrompt)
 	byPart := prefix != "" && strings.Contains(prompt, ","+prefix)
-	byPath := path != "" && strings.HasPrefix(r.URL.Path, path)
+	byPath := path != "" && strings.Contains(r.URL.Path, "/"+path)
 	if !byPart && !byPath {
 		return false
 	}
