Name the engine's version, and what a caller resumes, in the line of each attempt

Change: attempt-sent has version= and resumes=; the caller's Resumes field is decoded, and nothing uses it yet.

--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -350,6 +350,7 @@
 		OutputTokens:        c.header.OutputTokens,
 		Affinity:            affinity,
 		LastEvent:           lastEvent,
+		Resumes:             c.header.Resumes,
 		Deadline:            c.deadline,
 		FirstEventObjective: c.route.LatencyObjective,
 		GapObjective:        c.route.GapObjective,
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -324,7 +324,7 @@
 	defer run.relay.monitors.release(a.monitor)
 	defer a.placed.Ended()
 	run.log("attempt-sent", Field{"target", target.ID}, Field{"address", target.Address}, Field{"zone", target.AvailabilityZone},
-		Field{"after_event", run.lastEvent}, Field{"copy_at", targetID(attempt.Copy.holder())},
+		Field{"version", target.Version}, Field{"resumes", run.request.Resumes}, Field{"after_event", run.lastEvent}, Field{"copy_at", targetID(attempt.Copy.holder())},
 		Field{"cached_at", run.cachedAt}, Field{"backup", targetID(attempt.Backup)})
 	go a.readStream(attemptCtx, attempt)
 	ending, err := a.forwardStream(ctx)
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -27,6 +27,8 @@
 	Affinity string
 	// LastEvent is the ID of the last event that the caller has; -1 when it has none.
 	LastEvent int64
+	// Resumes is the ID of the caller's request that brought the stream's first event; empty if none is named.
+	Resumes string
 	// Deadline is when the request times out at the caller or the route.
 	Deadline time.Time
 	// FirstEventObjective and GapObjective are the times after which the first event or a further
