Test that streams go on at the software version that began them, failing

Engines of two versions serve, engines and entries are lost, and callers take their streams up at other entries, naming the attempt that brought the first event. In the relay alone a stream goes on at, and is copied to, another version.

--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -50,7 +50,9 @@
 
 // crashFleet is a fleet of entries with real membership and relays, before engines that a part of a prompt crashes.
 type crashFleet struct {
-	ctx     context.Context
+	ctx context.Context
+	// client serves the streams of all entries.
+	client  generation.RelayEngine
 	entries map[string]*fleetEntry
 	order   []*fleetEntry
 
@@ -81,7 +83,9 @@
 	relay   *generation.Relay
 	// forwarder serves plain calls.
 	forwarder *service.Forwarder
-	stop      context.CancelFunc
+	// ctx ends when the entry stops.
+	ctx  context.Context
+	stop context.CancelFunc
 }
 
 type modelEngine struct {
@@ -115,7 +119,13 @@
 }
 
 func newCrashFleet(ctx context.Context, size int) *crashFleet {
+	return newFleet(ctx, size, func(f *crashFleet) generation.RelayEngine { return modelEngineClient{f} })
+}
+
+// newFleet returns a running fleet whose streams are served by a client.
+func newFleet(ctx context.Context, size int, client func(*crashFleet) generation.RelayEngine) *crashFleet {
 	f := &crashFleet{ctx: ctx, entries: map[string]*fleetEntry{}, crashes: map[string][]time.Time{}, arrivals: map[string][]time.Time{}, soundRefused: map[string]int{}, random: rand.New(rand.NewPCG(1, uint64(size)))}
+	f.client = client(f)
 	for range modelEngines {
 		f.engines = append(f.engines, f.newEngine())
 	}
@@ -143,7 +153,7 @@
 	e.records.isFirst = func(key string) bool { return membership.Rank(e.members.Live(), key)[0].Address == address }
 	e.records.broadcast = func(notice membership.Notice) { go e.members.Broadcast(notice) }
 	e.relay = generation.NewRelay(generation.RelayOptions{
-		Engine: modelEngineClient{f}, Placer: modelPlacer{f}, Budget: unlimitedRetries{}, CrashRecords: e.records,
+		Engine: f.client, Placer: modelPlacer{f}, Budget: unlimitedRetries{}, CrashRecords: e.records,
 		Targets: func(string) []*directory.Target { return f.targets() },
 	})
 	e.forwarder = service.NewForwarder(service.ForwarderOptions{
@@ -151,7 +161,7 @@
 		CrashRecords: e.records,
 	})
 	ctx, cancel := context.WithCancel(f.ctx)
-	e.stop = cancel
+	e.ctx, e.stop = ctx, cancel
 	go func() { _ = e.members.Run(ctx) }()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -204,7 +214,9 @@
 	time.AfterFunc(modelRestart, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.engines = append(f.engines, f.newEngine())
+		successor := f.newEngine()
+		successor.target.Version = engine.target.Version
+		f.engines = append(f.engines, successor)
 	})
 }
 
