Keep a stream, and its copies, to engines of the version that began it

What callers saw: answers that hold events of two software versions, which don't fit together. Change: the first event binds a stream to the version of its engine; further attempts and copies are placed only where it fits. While several versions serve, an engine of unknown version doesn't fit. An engine that started again under its ID with another version is found at the first event of an attempt. With one version nothing changes.

--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -289,12 +289,13 @@
 type modelPlacer struct{ fleet *crashFleet }
 
 func (p modelPlacer) Place(query generation.RelayQuery) *directory.Target {
-	if len(query.Engines) == 0 {
+	fitting := slices.DeleteFunc(slices.Clone(query.Engines), func(engine *directory.Target) bool { return query.Fits != nil && !query.Fits(engine) })
+	if len(fitting) == 0 {
 		return nil
 	}
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	return query.Engines[p.fleet.random.IntN(len(query.Engines))]
+	return fitting[p.fleet.random.IntN(len(fitting))]
 }
 func (modelPlacer) Backup(generation.RelayQuery, *directory.Target) *directory.Target { return nil }
 func (modelPlacer) AddStream(*directory.Target, generation.StreamSize, int) generation.PlacedStream {
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -93,6 +93,8 @@
 	exclude  []string
 	// onTrial is true while the request is let through although parts of its prompt are refused.
 	onTrial bool
+	// version is the software version that began the stream.
+	version streamVersion
 	// lastAnswer is the last failure that a target answered with.
 	lastAnswer *RelayTargetError
 }
@@ -244,16 +246,25 @@
 }
 
 func (run *relayRun) placementQuery() RelayQuery {
+	available := run.relay.options.Targets(run.request.Service)
 	return RelayQuery{
-		Engines:  run.relay.options.Targets(run.request.Service),
+		Engines:  available,
 		Spec:     run.request.Spec,
 		Size:     run.streamSize(),
 		Affinity: run.request.Affinity,
 		CachedAt: run.cachedAt,
 		Exclude:  run.exclude,
+		Fits:     run.version.fits(available),
 	}
 }
 
+// backupQuery is the query for the holder of a KV cache copy of a run at the target.
+func (run *relayRun) backupQuery(target *directory.Target) RelayQuery {
+	query := run.placementQuery()
+	query.Fits = versionOf(target).fits(query.Engines)
+	return query
+}
+
 // chooseTarget returns the target of the next attempt: the copy holder, or else the cheapest
 // target.
 func (run *relayRun) chooseTarget() *directory.Target {
@@ -353,7 +364,7 @@
 	}
 	run.discardCopy()
 	if run.request.Resumable && run.request.Spec != nil && run.request.Spec.ContinuousKVCopy {
-		attempt.Backup = run.relay.options.Placer.Backup(run.placementQuery(), target)
+		attempt.Backup = run.relay.options.Placer.Backup(run.backupQuery(target), target)
 	}
 	return attempt
 }
@@ -588,6 +599,9 @@
 	}
 	switch {
 	case a.eventCount == 0:
+		if err := a.bindVersion(); err != nil {
+			return endingStalled, true, err
+		}
 		run.relay.options.CrashRecords.RecordAnswer(run.work())
 	case !run.relay.connectivity.wasLostSince(a.lastProgress):
 		a.gaps.Observe(now.Sub(a.lastProgress))
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -203,7 +204,7 @@
 
 func (p *firstPlacer) Place(query RelayQuery) *directory.Target {
 	for _, engine := range query.Engines {
-		if !contains(query.Exclude, engine.ID) {
+		if query.Allows(engine) {
 			return engine
 		}
 	}
@@ -211,11 +212,15 @@
 }
 
 func (p *firstPlacer) Backup(query RelayQuery, engine *directory.Target) *directory.Target {
-	last := query.Engines[len(query.Engines)-1]
-	if last.ID == engine.ID {
-		return nil
+	for _, last := range slices.Backward(query.Engines) {
+		if query.Fits == nil || query.Fits(last) {
+			if last.ID == engine.ID {
+				return nil
+			}
+			return last
+		}
 	}
-	return last
+	return nil
 }
 
 func (p *firstPlacer) AddStream(*directory.Target, StreamSize, int) PlacedStream { return noopPlaced{} }
@@ -231,15 +236,6 @@
 func (noopPlaced) PrefillDone() {}
 func (noopPlaced) Ended()       {}
 
-func contains(names []string, name string) bool {
-	for _, each := range names {
-		if each == name {
-			return true
-		}
-	}
-	return false
-}
-
 // countedRetries is a retry budget with a fixed number of retries.
 type countedRetries struct{ left, spent, refunded int }
 
--- a/generation/relaycopy.go
+++ b/generation/relaycopy.go
@@ -95,7 +95,7 @@
 	if holder := run.copyHolder(c.commandedCopy); holder != nil {
 		return holder
 	}
-	return run.relay.options.Placer.Backup(run.placementQuery(), c.attempt.target)
+	return run.relay.options.Placer.Backup(run.backupQuery(c.attempt.target), c.attempt.target)
 }
 
 // sendCopyCommand has the target copy the run's KV cache, in a separate goroutine.
@@ -165,7 +165,7 @@
 	if kvCopy == nil {
 		return nil
 	}
-	for _, target := range run.relay.options.Targets(run.request.Service) {
+	for _, target := range run.targets() {
 		if target.SameIncarnation(kvCopy.Holder) {
 			return target
 		}
@@ -219,7 +219,7 @@
 
 // targetAt returns an available target at the address that satisfies matches; nil if there is none.
 func (run *relayRun) targetAt(address string, matches func(*directory.Target) bool) *directory.Target {
-	for _, target := range run.relay.options.Targets(run.request.Service) {
+	for _, target := range run.targets() {
 		if target.Address == address && matches(target) {
 			return target
 		}
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/directory"
@@ -220,6 +221,13 @@
 	CachedAt string
 	// Exclude lists the IDs of engines that must not be chosen.
 	Exclude []string
+	// Fits reports whether an engine may take the stream up, by its software version; nil for any.
+	Fits func(engine *directory.Target) bool
+}
+
+// Allows reports whether the engine may be chosen.
+func (q RelayQuery) Allows(engine *directory.Target) bool {
+	return !slices.Contains(q.Exclude, engine.ID) && (q.Fits == nil || q.Fits(engine))
 }
 
 // PlacedStream accounts for a stream at its engine. Ended must be called once.
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -198,7 +198,7 @@
 	var best *directory.Target
 	var lowest time.Duration
 	for _, engine := range query.Engines {
-		if slices.Contains(query.Exclude, engine.ID) {
+		if !query.Allows(engine) {
 			continue
 		}
 		cost := costOf(engine) + time.Duration(p.random.Float64()*float64(p.options.Model.RandomSpread))
--- a/routing/placement_test.go
+++ b/routing/placement_test.go
@@ -85,6 +85,18 @@
 	}
 }
 
+// Guards against streams and copies at engines that can't go on with the stream.
+func TestPlacementKeepsToEnginesThatFit(t *testing.T) {
+	is := is.New(t)
+	placement := NewPlacement(PlacementOptions{AvailabilityZone: "a"})
+	query := draftQuery(engineFleet(9))
+	fitting := query.Engines[4]
+	query.Fits = func(engine *directory.Target) bool { return engine == fitting }
+	is.Equal(placement.Place(query), fitting)
+	is.Equal(placement.Backup(query, query.Engines[0]), fitting)
+	is.Equal(placement.Backup(query, fitting), nil)
+}
+
 func TestPlacementAvoidsEnginesThatPrefill(t *testing.T) {
 	is := is.New(t)
 	engines := engineFleet(9)[:6:6]
