Have entries know the version that began a stream before its first event goes out

What callers saw: a stream that broke off, taken up at another entry, held events of two software versions. Change: while several versions serve, the first event waits (60 ms at most) until two of three peers, the first by rank of the stream in each availability zone, hold its version; streams that began while one version served are shared once a second comes. An entry at which a caller takes a stream up asks eight ranked peers and binds the stream to the answer; where nobody knows and several versions serve, or none of the version is left, it refuses at once (503, Retry-After). With one version nothing is sent. Another customer's record counts as none.

--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -343,6 +343,7 @@
 	err := c.handler.options.Relay.Run(c.http.Context(), &generation.RelayRequest{
 		ID:                  c.header.RequestID,
 		Fingerprint:         c.fingerprint(),
+		Customer:            c.customer,
 		SharedParts:         sharedParts(c.header.Prompt),
 		Service:             c.service,
 		Spec:                c.snapshot.Configuration.Services[c.service].Engine,
--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/azurebarrow/azurebarrow/health"
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/service"
+	"github.com/azurebarrow/azurebarrow/streamversion"
 )
 
 // Bounds of the users' deployments.
@@ -78,9 +79,10 @@
 }
 
 type fleetEntry struct {
-	records *sharedCrashRecords
-	members *membership.Manager
-	relay   *generation.Relay
+	records  *sharedCrashRecords
+	members  *membership.Manager
+	relay    *generation.Relay
+	versions *streamversion.Manager
 	// forwarder serves plain calls.
 	forwarder *service.Forwarder
 	// ctx ends when the entry stops.
@@ -112,6 +114,37 @@
 	return p.Probe(ctx, peer, message)
 }
 
+// fleetVersions carries records of versions between the entries of a fleet. It implements streamversion.Transport.
+type fleetVersions struct{ fleet *crashFleet }
+
+func (v fleetVersions) Put(ctx context.Context, peer membership.Peer, record streamversion.Record) error {
+	to, err := v.reach(ctx, peer)
+	if err == nil {
+		to.versions.Put(record)
+	}
+	return err
+}
+
+func (v fleetVersions) Get(ctx context.Context, peer membership.Peer, stream string) (streamversion.Record, bool, error) {
+	to, err := v.reach(ctx, peer)
+	if err != nil {
+		return streamversion.Record{}, false, err
+	}
+	record, found := to.versions.Get(stream)
+	return record, found, nil
+}
+
+// reach returns the peer's entry after the network's delay; an entry that has ended doesn't answer.
+func (v fleetVersions) reach(ctx context.Context, peer membership.Peer) (*fleetEntry, error) {
+	to := v.fleet.entry(peer.Address)
+	if to == nil || to.ctx.Err() != nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(2 * modelNetwork)
+	return to, nil
+}
+
 func (f *crashFleet) entry(address string) *fleetEntry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -149,12 +182,13 @@
 		Seed:     uint64(i),
 		OnNotice: e.records.receive, RetainedKinds: retainedNotices,
 	})
+	e.versions = streamversion.NewManager(e.members, fleetVersions{f})
 	e.records.isDown = func(target health.CrashedTarget) bool { return f.desk(target.ID) == nil && f.engine(target.ID) == nil }
 	e.records.isFirst = func(key string) bool { return membership.Rank(e.members.Live(), key)[0].Address == address }
 	e.records.broadcast = func(notice membership.Notice) { go e.members.Broadcast(notice) }
 	e.relay = generation.NewRelay(generation.RelayOptions{
 		Engine: f.client, Placer: modelPlacer{f}, Budget: unlimitedRetries{}, CrashRecords: e.records,
-		Targets: func(string) []*directory.Target { return f.targets() },
+		Targets: func(string) []*directory.Target { return f.targets() }, Versions: sharedVersions{e.versions},
 	})
 	e.forwarder = service.NewForwarder(service.ForwarderOptions{
 		Sender: modelCallSender{f}, Directory: modelCallSender{f}, Budget: unlimitedRetries{}, Seed: uint64(i),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/directorypeer"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/peermembership"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/retrypeer"
+	"github.com/azurebarrow/azurebarrow/adapters/streamversionpeer"
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
 	"github.com/azurebarrow/azurebarrow/admission"
 	"github.com/azurebarrow/azurebarrow/directory"
@@ -29,6 +30,7 @@
 	"github.com/azurebarrow/azurebarrow/routing"
 	"github.com/azurebarrow/azurebarrow/service"
 	"github.com/azurebarrow/azurebarrow/settings"
+	"github.com/azurebarrow/azurebarrow/streamversion"
 )
 
 // Options configures what the settings file does not: it is set by the embedding program.
@@ -55,6 +57,7 @@
 	peerClient   *http.Client
 	crashRecords *sharedCrashRecords
 	limits       *sharedLimits
+	versions     *streamversion.Manager
 	prompts      *promptindex.Manager
 	callers      *callerListener
 	ready        boundServer
@@ -145,6 +148,7 @@
 	e.peerClient = &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout,
 	}}
+	e.versions = streamversion.NewManager(e.members, streamversionpeer.NewClient(e.peerClient))
 	e.transfers = &directorypeer.Transfers{Report: e.logTransfer}
 	e.directory = directory.NewManager(directory.Options{
 		Store:      store,
@@ -168,6 +172,7 @@
 	mux.Handle(peermembership.NewHandler(e.members))
 	mux.Handle(directorypeer.NewHandler(e.directory.Feed(), e.transfers))
 	mux.Handle(retrypeer.NewHandler(e.retryTotals))
+	mux.Handle(streamversionpeer.NewHandler(e.versions))
 	return mux
 }
 
@@ -195,6 +200,7 @@
 		Targets:         func(name string) []*directory.Target { return e.directory.Snapshot().AvailableTargets(name) },
 		AddressMismatch: e.directory.ReportAddressMismatch,
 		CrashRecords:    e.crashRecords,
+		Versions:        sharedVersions{e.versions},
 		Prompts:         e.prompts,
 		Log:             e.log,
 	})
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -52,6 +52,7 @@
 	e.placement.Sweep()
 	e.forwarder.Sweep()
 	e.crashRecords.crashes.Sweep(time.Now())
+	e.versions.Sweep(time.Now())
 	known, ids := map[string]bool{}, map[string]bool{}
 	for _, targets := range e.directory.Snapshot().Targets {
 		for _, target := range targets {
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -23,6 +23,8 @@
 	// AddressMismatch is called on an address mismatch: the target with the ID found, empty when unknown,
 	// answered at target's address. Nil ignores mismatches.
 	AddressMismatch func(target *directory.Target, found string)
+	// Versions shares the versions that began streams; nil shares none.
+	Versions StreamVersions
 	// Prompts locates the cached prompts of streams that callers resume; nil locates none.
 	Prompts PromptLocator
 	// CrashRecords holds the crashes of targets before they began to answer; nil keeps them in this entry only.
@@ -38,6 +40,7 @@
 	options      RelayOptions
 	connectivity *connectivity
 	monitors     *targetMonitors
+	spread       versionSpread
 	stats        Stats
 }
 
@@ -52,6 +55,9 @@
 	if options.Limits == nil {
 		options.Limits = unlimitedTargets{}
 	}
+	if options.Versions == nil {
+		options.Versions = unsharedVersions{}
+	}
 	if options.Prompts == nil {
 		options.Prompts = unknownPrompts{}
 	}
@@ -93,8 +99,11 @@
 	exclude  []string
 	// onTrial is true while the request is let through although parts of its prompt are refused.
 	onTrial bool
-	// version is the software version that began the stream.
-	version streamVersion
+	// version is the software version that began the stream; versionShared reports that other entries were told.
+	version       streamVersion
+	versionShared bool
+	// versionChecked is when it was last checked whether the version must be shared.
+	versionChecked time.Time
 	// lastAnswer is the last failure that a target answered with.
 	lastAnswer *RelayTargetError
 }
@@ -108,6 +117,9 @@
 	run := &relayRun{relay: r, request: request, sink: sink, lastEvent: request.LastEvent, releaseCopy: func() {}}
 	defer func() { run.releaseCopy() }()
 	r.options.Budget.Earn(request.Service)
+	if err := run.recoverVersion(ctx); err != nil {
+		return err
+	}
 	run.cachedAt = run.locatePrompt(ctx)
 	err := run.runAttempts(ctx)
 	r.options.Prompts.RecordEnd(request.Affinity, err == nil)
@@ -534,6 +546,10 @@
 			return contextEnding(ctx), ctx.Err()
 		}
 		now := time.Now()
+		if now.Sub(a.run.versionChecked) >= versionCheckInterval {
+			a.run.versionChecked = now
+			a.run.shareVersion(ctx)
+		}
 		a.copier.checkCopy(ctx, now)
 		step := judgeSilence(silenceInput{
 			limits:  silenceLimitsFor(a.run.request, a.eventCount > 0, &a.gaps),
@@ -602,6 +618,7 @@
 		if err := a.bindVersion(); err != nil {
 			return endingStalled, true, err
 		}
+		run.shareVersion(ctx)
 		run.relay.options.CrashRecords.RecordAnswer(run.work())
 	case !run.relay.connectivity.wasLostSince(a.lastProgress):
 		a.gaps.Observe(now.Sub(a.lastProgress))
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -18,6 +18,8 @@
 	ID string
 	// Fingerprint identifies the work, independent of the ID.
 	Fingerprint string
+	// Customer is the name of the caller's customer; empty on public routes.
+	Customer string
 	// SharedParts are the IDs of the parts of the prompt that other requests may share, in order.
 	SharedParts []string
 	Service     string
--- a/generation/relayversion.go
+++ b/generation/relayversion.go
@@ -1,8 +1,11 @@
 package generation
 
 import (
+	"context"
 	"errors"
 	"slices"
+	"sync"
+	"time"
 
 	"github.com/azurebarrow/azurebarrow/directory"
 )
@@ -14,6 +17,9 @@
 	known bool
 }
 
+// versionCheckInterval is the time between checks whether a second version has come while a stream runs.
+const versionCheckInterval = 500 * time.Millisecond
+
 // errOtherVersion: an engine turned out to be of another version than the one that began the stream.
 var errOtherVersion = errors.New("the engine has another version than the one that began the stream")
 
@@ -22,6 +28,42 @@
 	return !slices.ContainsFunc(targets, func(t *directory.Target) bool { return t.Version != targets[0].Version })
 }
 
+// versionSpread remembers whether a service's targets have one version. Their slice changes only with the directory. It
+// is safe for concurrent use.
+type versionSpread struct {
+	mu        sync.Mutex
+	byService map[string]spreadOf
+}
+
+type spreadOf struct {
+	targets []*directory.Target
+	one     bool
+}
+
+func (s *versionSpread) servesOne(service string, targets []*directory.Target) bool {
+	if len(targets) == 0 {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.byService[service]
+	if len(last.targets) == len(targets) && &last.targets[0] == &targets[0] {
+		return last.one
+	}
+	last = spreadOf{targets: targets, one: servesOneVersion(targets)}
+	if s.byService == nil {
+		s.byService = map[string]spreadOf{}
+	}
+	s.byService[service] = last
+	return last.one
+}
+
+// servesOneVersion reports whether all available targets of the request's service have the same version.
+func (run *relayRun) servesOneVersion() bool {
+	service := run.request.Service
+	return run.relay.spread.servesOne(service, run.relay.options.Targets(service))
+}
+
 // fits returns the function that reports whether a stream of the version may go on at a target; nil if it may at any of
 // the targets. While several versions serve, a target whose version is not known is left out: an empty one, or that of a
 // replacement that is not in the store yet.
@@ -49,6 +91,57 @@
 	return slices.DeleteFunc(slices.Clone(available), func(target *directory.Target) bool { return !fits(target) })
 }
 
+// StreamVersions is the port to the versions that began streams, which entries share. No request is held up for long.
+type StreamVersions interface {
+	// ShareVersion has other entries know the version that began the stream of a request, before its first event goes
+	// to the caller. It returns how many know it.
+	ShareVersion(ctx context.Context, request *RelayRequest, version string) (peers int)
+	// FindVersion returns the version that began the stream which the request resumes; false if no entry knows it.
+	FindVersion(ctx context.Context, request *RelayRequest) (version string, found bool)
+}
+
+// unsharedVersions is StreamVersions of an entry without others.
+type unsharedVersions struct{}
+
+func (unsharedVersions) ShareVersion(context.Context, *RelayRequest, string) int { return 0 }
+func (unsharedVersions) FindVersion(context.Context, *RelayRequest) (string, bool) {
+	return "", false
+}
+
+// errVersionUnknown: a caller takes a stream up, several versions serve, and no entry knows which of them began it.
+var errVersionUnknown = errors.New("no entry knows the version that began the stream")
+
+// recoverVersion binds a stream that its caller takes up to the version that began it. It returns a *GivenUpError if that
+// is not known and matters: two versions in one stream are worse than a refusal.
+func (run *relayRun) recoverVersion(ctx context.Context) error {
+	if run.request.LastEvent < 0 {
+		return nil
+	}
+	name, found := run.relay.options.Versions.FindVersion(ctx, run.request)
+	if found {
+		run.version = streamVersion{name: name, known: true}
+		run.log("stream-version-found", Field{"version", name}, Field{"resumes", run.request.Resumes})
+		return nil
+	}
+	if run.servesOneVersion() {
+		return nil
+	}
+	run.relay.stats.VersionsUnknown.Add(1)
+	run.log("stream-version-unknown", Field{"resumes", run.request.Resumes})
+	return &GivenUpError{RetryAfter: retryAfter, Cause: errVersionUnknown}
+}
+
+// shareVersion has other entries know the version of the stream, once several versions serve: its caller may take it up
+// there.
+func (run *relayRun) shareVersion(ctx context.Context) {
+	if !run.version.known || run.versionShared || run.servesOneVersion() {
+		return
+	}
+	run.versionShared = true
+	peers := run.relay.options.Versions.ShareVersion(ctx, run.request, run.version.name)
+	run.log("stream-version-shared", Field{"version", run.version.name}, Field{"peers", peers})
+}
+
 // bindVersion binds the stream to the version of the attempt's target at the attempt's first event. It returns an error
 // if the stream is bound to another version: the target may have started again under its ID since the attempt was sent.
 func (a *activeAttempt) bindVersion() error {
--- a/generation/relayversion_test.go
+++ b/generation/relayversion_test.go
@@ -1,12 +1,17 @@
 package generation
 
 import (
+	"context"
 	"errors"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/azurebarrow/azurebarrow/directory"
 )
 
 // newVersionFixture is a relayFixture whose targets have the versions, in the order a, b, c.
@@ -62,3 +67,101 @@
 		is.Equal(f.engine.attempts[1].Target.ID, "b")
 	})
 }
+
+// fakeVersions is StreamVersions with fixed answers. It counts what is shared.
+type fakeVersions struct {
+	found  map[string]string
+	shared []string
+}
+
+func (f *fakeVersions) ShareVersion(_ context.Context, request *RelayRequest, version string) int {
+	f.shared = append(f.shared, request.ID+" "+version)
+	return 2
+}
+
+func (f *fakeVersions) FindVersion(_ context.Context, request *RelayRequest) (string, bool) {
+	version, found := f.found[request.Resumes]
+	return version, found
+}
+
+// Guards against streams that a caller takes up at an engine of another version, and against their refusal where it
+// doesn't matter.
+func TestTakenUpStreamGoesOnAtTheVersionThatBeganIt(t *testing.T) {
+	for _, each := range []struct {
+		name     string
+		versions []string
+		resumes  string
+		target   string
+		refused  bool
+	}{
+		{"known", []string{"v1", "v2", "v1"}, "first", "b", false},
+		{"nobody knows", []string{"v1", "v2", "v1"}, "lost", "", true},
+		{"the caller names none", []string{"v1", "v2", "v1"}, "", "", true},
+		{"nobody knows, but one version serves", []string{"v1", "v1", "v1"}, "lost", "a", false},
+		{"no engine of the version is left", []string{"v1", "v3", "v1"}, "first", "", true},
+		{"engines without a version", []string{"v1", "", "v1"}, "unnamed", "", true},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				goesOn := []script{{events: []int64{8, 9}, end: io.EOF}}
+				f := newVersionFixture(each.versions, map[string][]script{"a": goesOn, "b": goesOn, "c": goesOn})
+				f.relay.options.Versions = &fakeVersions{found: map[string]string{"first": "v2", "unnamed": ""}}
+				request := relayRequest()
+				request.LastEvent, request.Resumes = 7, each.resumes
+				err := f.relay.Run(t.Context(), request, &recordingSink{})
+				if each.refused {
+					var givenUp *GivenUpError
+					is.True(errors.As(err, &givenUp))
+					is.True(!givenUp.MayHaveRun && givenUp.RetryAfter > 0)
+					is.Equal(len(f.engine.attempts), 0)
+					return
+				}
+				is.NoErr(err)
+				is.Equal(f.engine.attempts[0].Target.ID, each.target)
+			})
+		})
+	}
+}
+
+// Guards against streams whose version nobody else knows since only one served when they began, and against sharing it
+// while one serves.
+func TestVersionIsSharedOnceASecondOneServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newVersionFixture([]string{"v1", "v1", "v1"}, map[string][]script{"a": {{events: eventsUpTo(40), pause: 100 * time.Millisecond, end: io.EOF}}})
+		versions := &fakeVersions{}
+		f.relay.options.Versions = versions
+		time.AfterFunc(2*time.Second, func() {
+			is.Equal(len(versions.shared), 0)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			second := *f.openTargets[2]
+			second.Version = "v2"
+			f.openTargets = append(slices.Clone(f.openTargets[:2]), &second)
+		})
+		is.NoErr(f.relay.Run(t.Context(), relayRequest(), &recordingSink{}))
+		is.Equal(versions.shared, []string{"r v1"})
+	})
+}
+
+// Guards against an engine that started again under its ID with another version after the attempt was sent to it.
+func TestStreamLeavesAnEngineThatChangedItsVersionUnderItsID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newVersionFixture([]string{"v1", "v1", "v2"}, map[string][]script{
+			"a": {{events: []int64{1, 2}, end: io.ErrUnexpectedEOF}},
+			"b": {{events: []int64{3, 4}, pause: 200 * time.Millisecond, end: io.EOF}},
+		})
+		time.AfterFunc(100*time.Millisecond, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			again := *f.openTargets[1]
+			again.Version, again.StartedMs = "v2", 9
+			f.openTargets = []*directory.Target{f.openTargets[0], &again, f.openTargets[2]}
+		})
+		sink := &recordingSink{}
+		is.Equal(f.relay.Run(t.Context(), relayRequest(), sink), ErrRelayBroken)
+		is.Equal(sink.events, []int64{1, 2})
+	})
+}
--- a/generation/stats.go
+++ b/generation/stats.go
@@ -26,6 +26,8 @@
 	Degraded atomic.Int64
 	// PoisonRefused counts requests that were refused because of their fingerprint.
 	PoisonRefused atomic.Int64
+	// VersionsUnknown counts streams that callers took up and that were refused since no entry knew their version.
+	VersionsUnknown atomic.Int64
 }
 
 func (s *Stats) count(verdict Verdict) {
