--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -118,11 +118,11 @@
 	}
 	deadline := time.Now().Add(timeout)
 	path := fmt.Sprintf("/%s/%d", class, chosen.number)
-	after := 0
+	after, resumes := 0, ""
 	for try := 0; try <= maxRetries && time.Now().Before(deadline); try++ {
 		attempt := &Attempt{
 			ID: fmt.Sprintf("%s-%d-%d", class, chosen.number, try), Class: class, Path: path,
-			Body: fmt.Sprintf("body of %d", chosen.number), Key: c.deployment.key(), LastEvent: after, Timeout: time.Until(deadline),
+			Body: fmt.Sprintf("body of %d", chosen.number), Key: c.deployment.key(), LastEvent: after, Resumes: resumes, Timeout: time.Until(deadline),
 		}
 		if class != Stream {
 			attempt.Key = c.deployment.chooseKey(chosen.key)
@@ -133,6 +133,9 @@
 		}
 		retryAfter := c.sendAttempt(c.clients[chosen.client], attempt, c.deployment.pickEntry(chosen.number+try), disconnectAfter)
 		after = lastEvent(attempt)
+		if resumes == "" && after > 0 {
+			resumes = attempt.ID
+		}
 		if !mayRetry(attempt) {
 			return
 		}
@@ -204,6 +207,9 @@
 		// The last part of the prompt is unique to the request and the same for all of its attempts.
 		request.Header.Set(target.FieldPrompt, fmt.Sprintf("%s%x:50", shared, a.Path))
 	}
+	if a.Resumes != "" {
+		request.Header.Set(target.FieldResumes, a.Resumes)
+	}
 	if a.LastEvent > 0 {
 		request.Header.Set(target.FieldLastEvent, strconv.Itoa(a.LastEvent))
 	}
@@ -217,7 +223,7 @@
 	a.Signature = response.Header.Get(target.FieldSignature)
 	a.ResponseRequestID = response.Header.Get(target.FieldRequestID)
 	text, err := io.ReadAll(response.Body)
-	a.Text = string(text)
+	a.Text, a.Versions = target.SplitVersions(string(text))
 	a.Complete = err == nil
 	if err != nil {
 		a.Error = err.Error()
--- a/bench/soak/checks_test.go
+++ b/bench/soak/checks_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -144,3 +145,21 @@
 	evidence.Disturbances = []Disturbance{{Subject: "entry-0", Fault: KillEntry, From: at(8), To: at(9)}}
 	is.Equal(rules(), []string{"RECOVER"})
 }
+
+func TestStreamsOfTwoVersionsAreFound(t *testing.T) {
+	is := is.New(t)
+	evidence := &Evidence{}
+	for i := range maxJoinedStreams + 1 {
+		path := fmt.Sprintf("/stream/%d", i)
+		is.Equal(len(evidence.checkVersions(nil)), 0)
+		for _, version := range engineVersions {
+			text := target.VersionedEvent(path, 1, version)
+			plain, versions := target.SplitVersions(text + text[:len(text)-3])
+			is.True(strings.HasPrefix(plain, target.Event(path, 1)))
+			evidence.Attempts = append(evidence.Attempts, &Attempt{Class: Stream, Path: path, Text: plain, Versions: versions})
+		}
+	}
+	found := evidence.checkVersions(nil)
+	is.Equal(len(found), 1)
+	is.Equal(found[0].Rule, "ORDER")
+}
--- a/bench/soak/defect_test.go
+++ b/bench/soak/defect_test.go
@@ -40,6 +40,11 @@
 	// Requests with a bad part, and limits, last for nine seconds each; two in a row leave time for the bound.
 	badRequests := []Step{{At: faultAt, Kind: BadRequests}, {At: faultAt + badRequestsFor, Kind: BadRequests}}
 	badCalls := []Step{{At: faultAt, Kind: BadCalls}, {At: faultAt, Kind: BadCalls, Variant: 1}}
+	// Engines of both versions are lost, one after the other, under the streams that they run.
+	var losses []Step
+	for i := range 24 {
+		losses = append(losses, Step{At: faultAt + time.Duration(i)*stopPause, Kind: KillTarget, Index: i % options.Engines, Duration: time.Second})
+	}
 	var limits []Step
 	for i := range 3 {
 		limits = append(limits, Step{At: faultAt + time.Duration(i)*limitFor, Kind: LimitTarget, Index: i})
@@ -55,6 +60,7 @@
 		{defect.NotRunPerAttempt, "REFUSED", lostAnswers},
 		{defect.CrashesByRequest, "BUDGET", badRequests},
 		{defect.CallCrashesIgnored, "BUDGET", badCalls},
+		{defect.VersionIgnored, "ORDER", losses},
 		{defect.LimitIgnored, "LIMIT", limits},
 	}
 	for _, c := range cases {
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -47,6 +47,9 @@
 	recordService = "records"
 )
 
+// engineVersions are the software versions of engines, which serve side by side.
+var engineVersions = []string{"v1", "v2"}
+
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
 // deployment is the processes of one run and the links between them.
@@ -140,6 +143,13 @@
 	link    *cluster.Forwarder
 	listen  string
 	busy    sync.Mutex
+	// releases counts the changes of the target's software version.
+	releases atomic.Int64
+}
+
+// version returns the version of the target's software.
+func (t *soakTarget) version() string {
+	return engineVersions[t.releases.Load()%int64(len(engineVersions))]
 }
 
 // newDeployment starts the store, the targets and the entries, and waits until all are ready.
@@ -209,6 +219,7 @@
 		return err
 	}
 	t := &soakTarget{service: service, link: link, listen: listen}
+	t.releases.Store(int64(index))
 	t.program = program{name: fmt.Sprintf("%s-%d", service, index), binary: d.options.StandIn, logFile: d.file(fmt.Sprintf("%s-%d.log", service, index))}
 	d.targets = append(d.targets, t)
 	t.args = func() []string { return d.targetArguments(t, zones[index%len(zones)]) }
@@ -226,7 +237,8 @@
 	arguments := []string{"target", "--id", id, "--listen", t.listen, "--advertise", t.link.Address(), "--service", t.service,
 		"--zone", zone, "--store", d.options.store, "--heartbeat", heartbeat.String(), "--drain-time", targetDrainTime.String(), "--log", log}
 	if t.service == engineService {
-		return append(arguments, "--slots", fmt.Sprint(engineSlots), "--events", fmt.Sprint(streamEvents), "--event-interval", eventInterval.String(), "--crash-prefix", badPartPrefix)
+		return append(arguments, "--slots", fmt.Sprint(engineSlots), "--events", fmt.Sprint(streamEvents), "--event-interval", eventInterval.String(), "--crash-prefix", badPartPrefix,
+			"--version", t.version())
 	}
 	return append(arguments, "--slots", fmt.Sprint(recordSlots), "--crash-path", badPartPrefix)
 }
--- a/bench/soak/evidence.go
+++ b/bench/soak/evidence.go
@@ -35,6 +35,8 @@
 	BadPart string
 	// Key is the caller's API key.
 	Key string
+	// Resumes is the ID of the attempt that brought the stream's first event; empty if there is none.
+	Resumes string
 	// LastEvent is the ID of the last event that the caller received in earlier attempts.
 	LastEvent int
 	// Sent is when the request was sent, Ended when its response or connection ended.
@@ -52,6 +54,8 @@
 	// properly.
 	Text     string
 	Complete bool
+	// Versions are the software versions of the engines whose events were received; Text doesn't name them.
+	Versions []string
 	Error    string
 }
 
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -270,7 +270,7 @@
 	})
 }
 
-// drainTarget drains and stops a target, and starts its replacement at the same address.
+// drainTarget drains and stops a target, and starts its replacement, of the other version, at the same address.
 func (d *deployment) drainTarget(ctx context.Context, t *soakTarget) {
 	if !t.busy.TryLock() {
 		return
@@ -279,6 +279,7 @@
 	d.disturb(t.name, DrainTarget, true, func() {
 		_ = t.signal(syscall.SIGTERM)
 		_ = t.waitExit(ctx)
+		t.releases.Add(1)
 		d.restart(&t.program)
 	})
 }
--- a/generation/relayversion.go
+++ b/generation/relayversion.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/internal/defect"
 )
 
 // streamVersion is the software version of the engine that made a stream's first event. What engines of two versions
@@ -68,6 +69,9 @@
 // the targets. While several versions serve, a target whose version is not known is left out: an empty one, or that of a
 // replacement that is not in the store yet.
 func (v streamVersion) fits(targets []*directory.Target) func(*directory.Target) bool {
+	if defect.Enabled(defect.VersionIgnored) {
+		return nil
+	}
 	if !v.known || len(targets) == 0 || targets[0].Version == v.name && servesOneVersion(targets) {
 		return nil
 	}
@@ -152,7 +156,7 @@
 			now = versionOf(target)
 		}
 	}
-	if run.version.known && run.version != now {
+	if run.version.known && run.version != now && !defect.Enabled(defect.VersionIgnored) {
 		return errOtherVersion
 	}
 	run.version = now
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -41,6 +41,8 @@
 	CrashesByRequest Name = "crashes-by-request"
 	// CallCrashesIgnored records no crashes of targets under plain calls.
 	CallCrashesIgnored Name = "call-crashes-ignored"
+	// VersionIgnored has streams go on at engines of any software version.
+	VersionIgnored Name = "version-ignored"
 	// LimitIgnored sends requests to targets beyond the limits that they name.
 	LimitIgnored Name = "limit-ignored"
 )
--- a/standin/command/users.go
+++ b/standin/command/users.go
@@ -41,6 +41,7 @@
 	ID            string        `long:"id" required:"true" description:"name of this incarnation"`
 	Service       string        `long:"service" required:"true" description:"the service that it serves"`
 	Zone          string        `long:"zone" required:"true" description:"availability zone"`
+	Version       string        `long:"version" description:"version of its software, which it registers and names in each event"`
 	Advertise     string        `long:"advertise" description:"host:port to register under; the listening one by default"`
 	Store         string        `long:"store" required:"true" description:"base URL of the store"`
 	Log           string        `long:"log" required:"true" description:"file of what it does"`
@@ -64,7 +65,7 @@
 		c.Advertise = c.Listen
 	}
 	standin := target.New(target.Options{
-		ID: c.ID, Service: c.Service, AvailabilityZone: c.Zone, Advertise: c.Advertise, Slots: c.Slots,
+		ID: c.ID, Service: c.Service, AvailabilityZone: c.Zone, Advertise: c.Advertise, Slots: c.Slots, Version: c.Version,
 		Events: c.Events, EventInterval: c.EventInterval, WorkTime: c.WorkTime, Log: log,
 		CrashPrefix: c.CrashPrefix, CrashPath: c.CrashPath, Exit: func() { os.Exit(crashStatus) },
 	})
--- a/standin/target/register.go
+++ b/standin/target/register.go
@@ -20,6 +20,7 @@
 	Service      string `json:"service"`
 	Address      string `json:"address"`
 	Zone         string `json:"zone"`
+	Version      string `json:"version,omitempty"`
 	Slots        int    `json:"slots"`
 	State        string `json:"state"`
 	CallSequence int    `json:"call_seq"`
@@ -40,7 +41,7 @@
 // for lack of heartbeats.
 func (t *Target) Run(ctx context.Context, registration Registration) {
 	spec := targetSpec{
-		Service: t.options.Service, Address: t.options.Advertise, Zone: t.options.AvailabilityZone,
+		Service: t.options.Service, Address: t.options.Advertise, Zone: t.options.AvailabilityZone, Version: t.options.Version,
 		Slots: t.options.Slots, State: "ready", StartedMs: time.Now().UnixMilli(),
 	}
 	for {
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 	FieldRequestID        = "X-Request-Id"
 	FieldSignature        = "X-Response-Signature"
 	FieldLastEvent        = "Last-Event-Id"
+	FieldResumes          = "Resumes"
 	FieldDeadline         = "X-Deadline-Ms"
 	FieldAuthorization    = "Authorization"
 	FieldTokenUsage       = "X-Token-Usage"
@@ -48,6 +50,8 @@
 	Events        int
 	EventInterval time.Duration
 	WorkTime      time.Duration
+	// Version is the version of the target's software; it is registered, and each event names it. Empty for none.
+	Version string
 	// Limit is the number of requests a second that the target's answers name as its limit, for all callers
 	// together; 0 for none. The target does not enforce it.
 	Limit float64
@@ -223,6 +227,34 @@
 // Event returns one event of the stream at the path, in the format text/event-stream.
 func Event(path string, id int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", id, path, id) }
 
+// versionComment begins the line of an event that names the version of the target that made it.
+const versionComment = ": version "
+
+// VersionedEvent is Event with a line that names the version of the target, unless it is empty.
+func VersionedEvent(path string, id int, version string) string {
+	event := Event(path, id)
+	if version == "" {
+		return event
+	}
+	return strings.TrimSuffix(event, "\n") + versionComment + version + "\n\n"
+}
+
+// SplitVersions returns a stream's text without the lines that name versions, and the versions that whole lines name.
+func SplitVersions(text string) (plain string, versions []string) {
+	var kept strings.Builder
+	for _, line := range strings.SplitAfter(text, "\n") {
+		if !strings.HasPrefix(line, ":") {
+			kept.WriteString(line)
+			continue
+		}
+		version, whole := strings.CutSuffix(strings.TrimPrefix(line, versionComment), "\n")
+		if whole && !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
+	}
+	return kept.String(), versions
+}
+
 // serveStream answers with the events after the one in Last-Event-Id. An error means that the stream was
 // abandoned.
 func (t *Target) serveStream(w http.ResponseWriter, r *http.Request) error {
@@ -241,7 +273,7 @@
 		if t.crash(r) {
 			return nil
 		}
-		event := Event(r.URL.Path, id)
+		event := VersionedEvent(r.URL.Path, id, t.options.Version)
 		if _, reset := t.faults.ConsumeAt(fault.ResetStream, "", id); reset {
 			_, _ = io.WriteString(w, event[:len(event)/2]) // the stream breaks within an event
 			_ = http.NewResponseController(w).Flush()
