Begin new streams at versions that several engines serve

Cause: during a release, a stream could begin at the only engine of a version. Once that was lost or replaced, no engine of the version was left, and the stream couldn't go on. Change: while several versions serve, a new stream begins at a version with two engines or more, if there is one that takes it; any version is better than none. Two tests of the relay began their streams at the only engine of a version; they begin now at one of two, of which both are lost, and assert the same: no event of another version, and free choice without an event.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -266,7 +266,7 @@
 		Affinity: run.request.Affinity,
 		CachedAt: run.cachedAt,
 		Exclude:  run.exclude,
-		Fits:     run.version.fits(available),
+		Fits:     run.placementFits(available),
 	}
 }
 
@@ -288,6 +288,10 @@
 		run.discardCopy()
 	}
 	target := run.placeWithinLimits(query)
+	if target == nil && !run.version.known {
+		query.Fits = nil // any version is better than none
+		target = run.placeWithinLimits(query)
+	}
 	if target == nil && len(run.exclude) > 0 {
 		run.exclude = nil
 		target = run.placeWithinLimits(run.placementQuery())
--- a/generation/relayversion.go
+++ b/generation/relayversion.go
@@ -80,6 +80,31 @@
 	}
 }
 
+// minVersionTargets is the number of targets from which a version takes new streams while several versions serve: a
+// stream whose only target is lost or replaced can't go on.
+const minVersionTargets = 2
+
+// fitsNew returns the function that reports whether a target may begin a stream; nil if any of the targets may.
+func fitsNew(targets []*directory.Target) func(*directory.Target) bool {
+	counts := map[string]int{}
+	for _, target := range targets {
+		counts[target.Version]++
+	}
+	lasting := func(target *directory.Target) bool { return counts[target.Version] >= minVersionTargets }
+	if !slices.ContainsFunc(targets, lasting) {
+		return nil
+	}
+	return lasting
+}
+
+// placementFits returns the function that reports whether the next attempt may be placed at a target; nil for any.
+func (run *relayRun) placementFits(available []*directory.Target) func(*directory.Target) bool {
+	if run.version.known || run.servesOneVersion() {
+		return run.version.fits(available)
+	}
+	return fitsNew(available)
+}
+
 // versionOf returns the version of a stream that the target begins.
 func versionOf(target *directory.Target) streamVersion {
 	return streamVersion{name: target.Version, known: true}
