Decide on whole requests only for plain calls, so that verdicts on parts aren't delayed

Where eight parts of prompts crash engines at once, dozens of streams got one each, and the verdicts on the parts waited behind them. Change: only plain calls, which have no prompt, get a verdict on the whole request; the notice of a crash under one names the part that stands for it. Streams are refused as wholes by their evidence, as before.

--- a/adapters/peertwirp/journalpeer/callcrashes.go
+++ b/adapters/peertwirp/journalpeer/callcrashes.go
@@ -46,8 +46,9 @@
 
 // Judge implements service.CrashRecords. One entry of the fleet tries a refused call again.
 func (c CallCrashRecords) Judge(work health.Work) generation.WorkJudgement {
-	view := c.records.client.view
-	return generation.JudgeWork(c.records.crashes, work, time.Now(), func(refused health.RefusedParts) bool {
+	view, now := c.records.client.view, time.Now()
+	c.records.crashes.RefuseIfProven(work.Fingerprint, now)
+	return generation.JudgeWork(c.records.crashes, work, now, func(refused health.RefusedParts) bool {
 		ranked := membership.Rank(view.Live(), refused.Key())
 		return len(ranked) == 0 || ranked[0].Name == view.Self().Name
 	})
--- a/entry/crashrecords.go
+++ b/entry/crashrecords.go
@@ -119,7 +119,7 @@
 		return // the peers know, or get the verdict before any crash
 	}
 	s.broadcast(membership.Notice{
-		Kind: noticeCrash, Subject: work.Fingerprint + "/" + target.Incarnation(), Version: s.nextVersion(), Value: encodeCrash(work.SharedParts, now),
+		Kind: noticeCrash, Subject: work.Fingerprint + "/" + target.Incarnation(), Version: s.nextVersion(), Value: encodeCrash(accusedParts(work), now),
 	})
 }
 
@@ -260,7 +260,11 @@
 		return
 	}
 	parts, at := decodeCrash(notice.Value, now)
-	s.record(health.Work{Fingerprint: fingerprint, SharedParts: parts}, target, at, now)
+	work := health.Work{Fingerprint: fingerprint, SharedParts: parts}
+	if slices.Equal(parts, accusedParts(health.Work{Fingerprint: fingerprint, Call: true})) {
+		work.Call, work.SharedParts, parts = true, nil, nil
+	}
+	s.record(work, target, at, now)
 	s.log("crash-notice", generation.Field{Key: "fingerprint", Value: fingerprint}, generation.Field{Key: "target", Value: target},
 		generation.Field{Key: "parts", Value: strings.Join(parts, ",")}, generation.Field{Key: "age", Value: now.Sub(at)},
 		generation.Field{Key: "version", Value: notice.Version}, generation.Field{Key: "crashes", Value: s.Crashes(fingerprint)})
@@ -307,12 +311,19 @@
 }
 
 func (s *sharedCrashRecords) record(work health.Work, target string, at, now time.Time) {
-	excused, refused := s.crashes.Record(work.Fingerprint, target, now)
+	excused := s.crashes.Record(work.Fingerprint, target, now)
 	if excused > 0 {
 		s.log("crashes-excused", generation.Field{Key: "reason", Value: "mass failure"}, generation.Field{Key: "target", Value: target},
 			generation.Field{Key: "fingerprints", Value: excused})
 	}
-	if s.crashes.RecordParts(work, target, at, now) || refused {
+	var refused bool
+	if work.Call {
+		refused = s.crashes.RefuseIfProven(work.Fingerprint, now)
+	} else {
+		// A verdict on each of many streams would delay the one on the part of the prompt that they share.
+		refused = s.crashes.RecordParts(work, target, at, now)
+	}
+	if refused {
 		s.publishVerdicts(nil)
 	}
 }
@@ -367,6 +378,15 @@
 	return bounded
 }
 
+// accusedParts returns the parts that the notice of a crash names: for a plain call, the one that stands for the whole
+// request.
+func accusedParts(work health.Work) []string {
+	if work.Call {
+		return []string{health.RequestPart(work.Fingerprint)}
+	}
+	return work.SharedParts
+}
+
 // encodeCrash returns the value of a crash notice: the time in Unix milliseconds, a semicolon, the parts.
 func encodeCrash(parts []string, at time.Time) string {
 	return strconv.FormatInt(at.UnixMilli(), 10) + ";" + strings.Join(parts, ",")
--- a/health/crashes.go
+++ b/health/crashes.go
@@ -70,13 +70,13 @@
 }
 
 // Record records a crash against the fingerprint: the target crashed while it ran a request with it. It returns
-// the number of fingerprints whose only crash it excused as a part of a mass failure, and whether the request is refused
-// from now on. A crash shortly after an answer to the same request is not recorded.
-func (r *Crashes) Record(fingerprint, target string, now time.Time) (excused int, refused bool) {
+// the number of fingerprints whose only crash it excused as a part of a mass failure. A crash shortly after an answer
+// to the same request is not recorded.
+func (r *Crashes) Record(fingerprint, target string, now time.Time) (excused int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.answeredLately(fingerprint, now) {
-		return 0, false
+		return 0
 	}
 	r.removeIfExpired(fingerprint, now)
 	added := crash{target: target, at: now}
@@ -88,8 +88,15 @@
 	if len(r.recentCrashes) >= massFailureTargets {
 		excused = r.excuseMassFailure(now)
 	}
+	return excused
+}
+
+// RefuseIfProven refuses the request as a whole if enough crashes are recorded against it. It reports whether it did now.
+func (r *Crashes) RefuseIfProven(fingerprint string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	crashes := len(r.counted(fingerprint, now))
-	return excused, crashes >= MinCrashesToRefuse && r.refuse([]string{RequestPart(fingerprint)}, crashes, now)
+	return crashes >= MinCrashesToRefuse && r.refuse([]string{RequestPart(fingerprint)}, crashes, now)
 }
 
 // excuseMassFailure marks the crashes of a mass failure. They are kept: a mass failure hits each stream once, so
--- a/health/parts.go
+++ b/health/parts.go
@@ -41,6 +41,8 @@
 	Request string
 	// Fingerprint identifies the whole request.
 	Fingerprint string
+	// Call reports that the request is a plain call, which has no prompt.
+	Call bool
 	// SharedParts are the parts of its prompt that other requests may share.
 	SharedParts []string
 }
--- a/service/callcrashes.go
+++ b/service/callcrashes.go
@@ -30,7 +30,7 @@
 func (noCrashRecords) Changed() <-chan struct{}                      { return nil }
 
 func (w *forwardRun) work() health.Work {
-	return health.Work{Request: w.call.ID, Fingerprint: w.call.Fingerprint}
+	return health.Work{Request: w.call.ID, Fingerprint: w.call.Fingerprint, Call: true}
 }
 
 // checkPoison returns a *generation.PoisonError if the call crashed too many targets. A call on trial is sent once, and
--- a/service/executorcrashes.go
+++ b/service/executorcrashes.go
@@ -34,7 +34,7 @@
 // send sends the call to a target unless it crashed too many, and records what the end shows. All sends of the
 // executor go through it.
 func (e *Executor) send(ctx context.Context, target Target, call Call, request Request) (idempotency.Answer, error) {
-	work := health.Work{Request: call.Key, Fingerprint: call.fingerprint()}
+	work := health.Work{Request: call.Key, Fingerprint: call.fingerprint(), Call: true}
 	if e.options.CrashRecords.Judge(work).Refused {
 		return idempotency.Answer{}, &NotSentError{Cause: errCrashesTargets}
 	}
@@ -63,7 +63,9 @@
 
 // RecordCrash implements CrashRecords.
 func (l localCrashRecords) RecordCrash(work health.Work, target health.CrashedTarget) {
-	l.crashes.Record(work.Fingerprint, target.Incarnation(), time.Now())
+	now := time.Now()
+	l.crashes.Record(work.Fingerprint, target.Incarnation(), now)
+	l.crashes.RefuseIfProven(work.Fingerprint, now)
 }
 
 // RecordWholeAnswer implements CrashRecords.
