Choose other ports in tests of entries when one is taken meanwhile

Cause: TestConfigurationAndOutageOnLoopback failed once with 'bind: address already in use': a test chooses a free port and closes it before the entry listens there, and a connection of another process of the machine took it. Traced by the message; the entry had not started. Change: the entry of a test chooses other ports after that error, and after no other. Measured: the loopback tests pass; the race itself was not reproduced.

--- a/entry/loopback_test.go
+++ b/entry/loopback_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -155,23 +157,36 @@
 	return listener.Addr().String()
 }
 
-func (c *testCluster) startEntry(t *testing.T, index int, store string, seeds []string) {
+// newEntry returns an entry with addresses of its own. Between the choice of a port and its use, another connection of
+// this machine may take the port; then others are chosen.
+func (c *testCluster) newEntry(t *testing.T, index int, store string, seeds []string) *Entry {
 	t.Helper()
-	s := settings.Settings{
-		Name: fmt.Sprintf("e%d", index), AvailabilityZone: "a", Interface: settings.InterfacePassthrough,
-		CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), AdminAddress: freeAddress(t),
-		Platform: settings.Platform{URL: store},
-		Passthrough: settings.Passthrough{
-			ReadyAddress: freeAddress(t), Seeds: seeds, RetryRatio: 0.8, RetrySlack: 150, StopGrace: 2 * time.Second,
-		},
-	}
-	if findings := settings.Check("test", s); len(findings) > 0 {
-		t.Fatal(findings)
-	}
-	entry, err := New(s, Options{Log: func(event string, fields ...generation.Field) { c.recordEvent(event, fields) }})
-	if err != nil {
-		t.Fatal(err)
+	const maxChoices = 5
+	for choice := 1; ; choice++ {
+		s := settings.Settings{
+			Name: fmt.Sprintf("e%d", index), AvailabilityZone: "a", Interface: settings.InterfacePassthrough,
+			CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), AdminAddress: freeAddress(t),
+			Platform: settings.Platform{URL: store},
+			Passthrough: settings.Passthrough{
+				ReadyAddress: freeAddress(t), Seeds: seeds, RetryRatio: 0.8, RetrySlack: 150, StopGrace: 2 * time.Second,
+			},
+		}
+		if findings := settings.Check("test", s); len(findings) > 0 {
+			t.Fatal(findings)
+		}
+		entry, err := New(s, Options{Log: func(event string, fields ...generation.Field) { c.recordEvent(event, fields) }})
+		if err == nil {
+			return entry
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || choice == maxChoices {
+			t.Fatal(err)
+		}
 	}
+}
+
+func (c *testCluster) startEntry(t *testing.T, index int, store string, seeds []string) {
+	t.Helper()
+	entry := c.newEntry(t, index, store, seeds)
 	ctx, stop := context.WithCancel(context.Background())
 	c.entries = append(c.entries, entry)
 	c.stops = append(c.stops, stop)
