--- a/entry/observe.go
+++ b/entry/observe.go
@@ -83,6 +83,12 @@
 	m.AddCounter("streams_broken", stats.Broken.Load)
 	m.AddCounter("streams_stalled", stats.Suspicions.Load)
 	m.AddCounter("connectivity_losses", stats.ConnectivityLosses.Load)
+	m.AddGauge("connectivity_lost", func() float64 {
+		if e.relay.ConnectivityLost() {
+			return 1
+		}
+		return 0
+	})
 	m.AddCounter("events_relayed", stats.Accepted.Load)
 	m.AddCounter("events_duplicate", stats.Duplicate.Load)
 	m.AddCounter("event_gaps", stats.Gap.Load)
@@ -133,7 +139,7 @@
 	fields := []generation.Field{
 		{Key: "request", Value: call.ID}, {Key: "service", Value: call.Service}, {Key: "target", Value: target},
 		{Key: "fingerprint", Value: call.Fingerprint}, {Key: "verdict", Value: sent.Verdict},
-		{Key: "left", Value: time.Until(call.Deadline)},
+		{Key: "left", Value: time.Until(call.Deadline)}, {Key: "connectivity_lost", Value: e.relay.ConnectivityLost()},
 	}
 	if sent.Err != nil {
 		fields = append(fields, generation.Field{Key: "error", Value: sent.Err})
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -73,6 +73,9 @@
 // Stats returns the counters.
 func (r *Relay) Stats() *Stats { return &r.stats }
 
+// ConnectivityLost reports whether the entry has found that it reaches no target.
+func (r *Relay) ConnectivityLost() bool { return r.connectivity.isLost() }
+
 // relayRun is one request while it is relayed. Only the caller's goroutine uses it.
 type relayRun struct {
 	relay   *Relay
@@ -352,7 +355,7 @@
 	defer a.placed.Ended()
 	run.log("attempt-sent", Field{"target", target.ID}, Field{"address", target.Address}, Field{"zone", target.AvailabilityZone},
 		Field{"version", target.Version}, Field{"resumes", run.request.Resumes}, Field{"after_event", run.lastEvent}, Field{"copy_at", targetID(attempt.Copy.holder())},
-		Field{"cached_at", run.cachedAt}, Field{"backup", targetID(attempt.Backup)})
+		Field{"cached_at", run.cachedAt}, Field{"backup", targetID(attempt.Backup)}, Field{"connectivity_lost", run.relay.ConnectivityLost()})
 	go a.readStream(attemptCtx, attempt)
 	ending, err := a.forwardStream(ctx)
 	// Close the connection, which stops the run at this target, before another target resumes the
