--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -23,6 +23,8 @@
 	IdleTimeout time.Duration
 	// MaxIdleConnsPerTarget is the maximum number of idle connections per target.
 	MaxIdleConnsPerTarget int
+	// Dial opens a TCP connection to an address; nil dials it from this host.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Defaults of Options.
@@ -43,7 +45,6 @@
 // Pool keeps idle connections by target. It is safe for concurrent use.
 type Pool struct {
 	options Options
-	dialer  net.Dialer
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -61,16 +62,12 @@
 	if options.MaxIdleConnsPerTarget == 0 {
 		options.MaxIdleConnsPerTarget = DefaultMaxIdleConnsPerTarget
 	}
-	return &Pool{
-		options: options,
-		dialer: net.Dialer{
-			Timeout: options.DialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveProbes,
-			},
-		},
-		idle: map[string][]*conn{},
+	if options.Dial == nil {
+		options.Dial = (&net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveProbes,
+		}}).DialContext
 	}
+	return &Pool{options: options, idle: map[string][]*conn{}}
 }
 
 // conn is a connection that carries one request at a time.
@@ -157,7 +154,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, key, address string) (*conn, error) {
-	opened, err := p.dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
+	defer cancel()
+	opened, err := p.options.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,11 +37,14 @@
 type Options struct {
 	// Log is called with each log event, one per decision; nil discards them.
 	Log func(event string, fields ...generation.Field)
+	// DialTarget opens the connections to targets; nil dials them from this host.
+	DialTarget func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Entry is one entry with the passthrough interface.
 type Entry struct {
 	settings  settings.Settings
+	options   Options
 	log       func(event string, fields ...generation.Field)
 	members   *membership.Manager
 	directory *directory.Manager
@@ -87,7 +90,7 @@
 	if options.Log == nil {
 		options.Log = func(string, ...generation.Field) {}
 	}
-	e := &Entry{settings: s.WithDefaults(), log: options.Log, metrics: metrics.New(), retryTotals: admission.NewRetryTotals(), crashRecords: newSharedCrashRecords(options.Log)}
+	e := &Entry{settings: s.WithDefaults(), options: options, log: options.Log, metrics: metrics.New(), retryTotals: admission.NewRetryTotals(), crashRecords: newSharedCrashRecords(options.Log)}
 	e.shutdown = newShutdown(e.settings.Passthrough.StopGrace)
 	e.buildMembership()
 	e.buildLimits()
@@ -178,7 +181,7 @@
 
 // buildCallerHandler creates the components that serve callers and returns their handler.
 func (e *Entry) buildCallerHandler() http.Handler {
-	e.pool = targethttp.NewPool(targethttp.Options{})
+	e.pool = targethttp.NewPool(targethttp.Options{Dial: e.options.DialTarget})
 	e.crashRecords.isDown = (&crashProber{pool: e.pool}).isDown
 	targets := passthrough.NewTargets(e.pool, e.directory, e.limits.TargetLimits, e.log)
 	limits := e.settings.Passthrough
--- a/entry/loopback_test.go
+++ b/entry/loopback_test.go
@@ -73,8 +73,10 @@
 	engines []*standinTarget
 	records *standinTarget
 	entries []*Entry
-	stops   []context.CancelFunc
-	ended   sync.WaitGroup
+	// links are the links of the entries to the targets; nil if they dial the targets themselves.
+	links []*targetLinks
+	stops []context.CancelFunc
+	ended sync.WaitGroup
 
 	mu sync.Mutex
 	// logs holds the log lines of the entries, by request ID.
@@ -84,7 +86,13 @@
 // startCluster starts a store, three engines, a records service and entries on loopback.
 func startCluster(t *testing.T, entries int) *testCluster {
 	t.Helper()
-	cluster := &testCluster{store: standinplatform.New(standinplatform.Options{}), logs: map[string]string{}}
+	return startClusterWithLinks(t, entries, nil)
+}
+
+// startClusterWithLinks is startCluster with links to the targets for each entry; nil for none.
+func startClusterWithLinks(t *testing.T, entries int, links []*targetLinks) *testCluster {
+	t.Helper()
+	cluster := &testCluster{links: links, store: standinplatform.New(standinplatform.Options{}), logs: map[string]string{}}
 	store := httptest.NewServer(cluster.store.UsersAPIHandler())
 	t.Cleanup(store.Close)
 	for i, zone := range []string{"a", "b", "c"} {
@@ -174,7 +182,11 @@
 		if findings := settings.Check("test", s); len(findings) > 0 {
 			t.Fatal(findings)
 		}
-		entry, err := New(s, Options{Log: func(event string, fields ...generation.Field) { c.recordEvent(event, fields) }})
+		options := Options{Log: func(event string, fields ...generation.Field) { c.recordEvent(event, fields) }}
+		if c.links != nil {
+			options.DialTarget = c.links[index].dial
+		}
+		entry, err := New(s, options)
 		if err == nil {
 			return entry
 		}
