Let streams go on through peers while their entry's links are lost

A stream whose connection hung with the links of its entry was found link-lost within 0.3 s and then waited for connectivity, 8.4 s in the test, as before there was a way around. It waits only after an attempt for which no peer helped.

--- a/entry/loopback_test.go
+++ b/entry/loopback_test.go
@@ -147,10 +147,11 @@
 func (c *testCluster) configure(version int, key string) {
 	c.store.Put("config", "main", json.RawMessage(fmt.Sprintf(`{"version":%d,"routes":[
 	 {"name":"drafts","hostname":"h.example","path_prefix":"/drafts/","kind":"streaming","timeout_ms":10000,"target_latency_ms":4500,"service":"drafts","max_attempts":5,"stream_resume":true,"target_gap_ms":700},
+	 {"name":"long","hostname":"h.example","path_prefix":"/long/","kind":"streaming","timeout_ms":10000,"target_latency_ms":1500,"service":"long","max_attempts":5,"stream_resume":true,"target_gap_ms":700},
 	 {"name":"book","hostname":"h.example","path_prefix":"/book/","kind":"non_idempotent","timeout_ms":800,"target_latency_ms":100,"service":"records","max_attempts":1},
 	 {"name":"hold","hostname":"h.example","path_prefix":"/hold/","kind":"non_idempotent","timeout_ms":800,"target_latency_ms":100,"service":"desk","max_attempts":1},
 	 {"name":"find","hostname":"h.example","path_prefix":"/find/","kind":"idempotent","timeout_ms":800,"target_latency_ms":100,"service":"desk","max_attempts":2}],
-	 "services":[{"name":"drafts","engine":{"slots":64,"kv_capacity":55000,"backups":true,"models":[{"name":"m"}]}},{"name":"records"},{"name":"desk"}],
+	 "services":[{"name":"drafts","engine":{"slots":64,"kv_capacity":55000,"backups":true,"models":[{"name":"m"}]}},{"name":"long","engine":{"slots":64,"kv_capacity":55000,"backups":true,"models":[{"name":"m"}]}},{"name":"records"},{"name":"desk"}],
 	 "limits":{"idle_timeout_ms":15000},"tenants":[{"name":"ranch","api_keys":[%q]}]}`, version, key)))
 }
 
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/health"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 )
 
 // RelayOptions configure a Relay.
@@ -182,9 +183,14 @@
 // awaitConnectivity has a stream that its caller has in part wait while the entry's own connectivity is lost:
 // an attempt would fail, and hold a part of the retry budget meanwhile.
 func (run *relayRun) awaitConnectivity(ctx context.Context) error {
-	if !run.headSent || (run.unsentAttempts == 0 && !run.relay.connectivity.IsLost()) {
+	hasDetour := run.relay.options.Detour != nil
+	if !run.headSent || run.unsentAttempts == 0 && (hasDetour || !run.relay.connectivity.IsLost()) {
 		return nil
 	}
+	if hasDetour {
+		// A peer may help before connectivity is back.
+		return wait.For(ctx, regainBackoff(run.unsentAttempts))
+	}
 	return run.relay.connectivity.awaitRegained(ctx, run.controlCandidates, regainBackoff(run.unsentAttempts))
 }
 
