--- a/adapters/peerexchange/peerexchange_test.go
+++ b/adapters/peerexchange/peerexchange_test.go
@@ -35,7 +35,9 @@
 	handler := NewHandler(HandlerOptions{
 		Router: detour.NewRouter(detour.Options{
 			View: membership.Static{This: self, Peers: []membership.Peer{self}}, Connectivity: soundLinks{},
-			Connect: func(ctx context.Context, target detour.Target) error { return pool.Ready(ctx, target.Key(), target.Address) },
+			Connect: func(ctx context.Context, target detour.Target) error {
+				return pool.Ready(ctx, target.Key(), target.Address)
+			},
 		}),
 		Send: func(ctx context.Context, target detour.Target, request *targethttp.Request) (*targethttp.Answer, error) {
 			return pool.Do(ctx, target.Key(), target.Address, request)
