Soak: cut entries' links to all targets, by entry and by kind

The soak gains a theme of partitions: up to three of four entries lose their links in one of four ways, beside restarts and calls that crash targets; first tries at cut entries are held against the stated bound. The entry program of the soak is built with the tag linkfault, which replaces the dialling of targets; a program without it doesn't confirm the cut, and is not counted as cut. Cut entries stay in touch for all other promises.

--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,10 @@
 
 .PHONY: build test test-defects lint proto demo ci
 
+# bin/soak/azurebarrow is the program with which the soak cuts links to targets.
 build:
 	$(GO) build -o bin/ ./cmd/...
+	$(GO) build -tags linkfault -o bin/soak/ ./cmd/azurebarrow
 
 # Packages whose tests run entries in real time, as processes or over loopback; they run one after
 # the other, so that no other test takes the processor from them.
--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -230,7 +230,11 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	system, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := system.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/bench/command/command.go
+++ b/bench/command/command.go
@@ -128,12 +128,13 @@
 
 func (c *runCommand) environment() (experiment.Environment, func(), error) {
 	env := experiment.Environment{
-		Seed:      c.Seed,
-		Binary:    c.Binary,
-		Directory: c.Keep,
-		Minutes:   c.Minutes,
-		Processes: c.Processes,
-		Plot:      c.Plot,
+		Seed:        c.Seed,
+		Binary:      c.Binary,
+		BinaryGiven: c.Binary != "",
+		Directory:   c.Keep,
+		Minutes:     c.Minutes,
+		Processes:   c.Processes,
+		Plot:        c.Plot,
 	}
 	if !c.Quiet {
 		env.Progress = os.Stderr
--- a/bench/experiment/experiment.go
+++ b/bench/experiment/experiment.go
@@ -59,6 +59,8 @@
 	Seed int64
 	// Binary is the path of the azurebarrow program, for entries that run as processes.
 	Binary string
+	// BinaryGiven reports that the caller chose Binary.
+	BinaryGiven bool
 	// Directory holds the run's files, such as the entries' logs.
 	Directory string
 	// Minutes sets the duration of experiments that can run for any time; 0 for their short default.
--- a/bench/experiments/soak_passthrough.go
+++ b/bench/experiments/soak_passthrough.go
@@ -16,6 +16,9 @@
 	})
 }
 
+// soakProgram is the entry program that can cut its links to targets; another one can't, and is not cut.
+const soakProgram = "soak/azurebarrow"
+
 // Sizes of the soak of the passthrough interface.
 const (
 	passthroughPhases  = 4
@@ -32,8 +35,12 @@
 	if err != nil {
 		return err
 	}
+	binary := env.Binary
+	if soakBinary, err := cluster.FindProgram(soakProgram); err == nil && !env.BinaryGiven {
+		binary = soakBinary
+	}
 	evidence, err := passthroughsoak.Run(ctx, passthroughsoak.Options{
-		Binary: env.Binary, StandIn: standIn, Directory: env.Directory, Seed: env.Seed, Logf: env.Logf,
+		Binary: binary, StandIn: standIn, Directory: env.Directory, Seed: env.Seed, Logf: env.Logf,
 		Steps:   passthroughsoak.Schedule(env.Seed, passthroughsoak.DrawThemes(env.Seed, passthroughPhases)),
 		Entries: passthroughEntries, Engines: passthroughEngines, Records: passthroughRecords,
 	})
--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -121,7 +121,7 @@
 	after, resumes := 0, ""
 	for try := 0; try <= maxRetries && time.Now().Before(deadline); try++ {
 		attempt := &Attempt{
-			ID: fmt.Sprintf("%s-%d-%d", class, chosen.number, try), Class: class, Path: path,
+			ID: fmt.Sprintf("%s-%d-%d", class, chosen.number, try), Try: try, Class: class, Path: path,
 			Body: fmt.Sprintf("body of %d", chosen.number), Key: c.deployment.key(), LastEvent: after, Resumes: resumes, Timeout: time.Until(deadline),
 		}
 		if class != Stream {
--- a/bench/soak/defect_test.go
+++ b/bench/soak/defect_test.go
@@ -11,7 +11,7 @@
 
 // TestDefectsAreFoundBySoak checks that each deliberate defect is found by the check of its guarantee.
 func TestDefectsAreFoundBySoak(t *testing.T) {
-	options := buildPrograms(t, "-tags", "defect")
+	options := buildPrograms(t, "-tags", "defect,linkfault")
 	const (
 		faultAt  = 4 * time.Second
 		faultFor = 3 * time.Second
@@ -49,6 +49,13 @@
 	for i := range 3 {
 		limits = append(limits, Step{At: faultAt + time.Duration(i)*limitFor, Kind: LimitTarget, Index: i})
 	}
+	// Three of four entries lose their links again and again, for longer than stableWindow each time.
+	var cuts []Step
+	for i := range 3 {
+		for wave := range 2 {
+			cuts = append(cuts, Step{At: faultAt + time.Duration(wave)*(cutFor+time.Second), Kind: CutLinks, Index: i, Variant: wave})
+		}
+	}
 	cases := []struct {
 		defect defect.Name
 		rule   string
@@ -62,6 +69,7 @@
 		{defect.CallCrashesIgnored, "BUDGET", badCalls},
 		{defect.VersionIgnored, "ORDER", losses},
 		{defect.LimitIgnored, "LIMIT", limits},
+		{defect.NoDetour, "RECOVER", cuts},
 	}
 	for _, c := range cases {
 		t.Run(string(c.defect), func(t *testing.T) {
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/settings"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
+	"github.com/azurebarrow/azurebarrow/standin/linkfault"
 	"github.com/azurebarrow/azurebarrow/standin/target"
 )
 
@@ -130,6 +132,10 @@
 	readyAddress string
 	// callers and toStore are the links from callers and to the store.
 	callers, toStore *cluster.Forwarder
+	// links is the file that says how the entry's links to targets are cut.
+	links string
+	// cutting is held while they are cut.
+	cutting sync.Mutex
 	// inRotation reports whether the load balancer sends new connections to the entry.
 	inRotation atomic.Bool
 	// busy is held by a fault that stops or pauses the process.
@@ -279,7 +285,9 @@
 		}); err != nil {
 			return err
 		}
-		e.program = program{name: name, binary: d.options.Binary, environment: d.options.Environment, logFile: d.file(name + ".log"), args: func() []string {
+		e.links = d.file(name + ".links")
+		environment := append(slices.Clone(d.options.Environment), linkfault.EnvironmentVariable+"="+e.links)
+		e.program = program{name: name, binary: d.options.Binary, environment: environment, logFile: d.file(name + ".log"), args: func() []string {
 			return []string{"run", "--settings", file}
 		}}
 		d.entries = append(d.entries, e)
--- a/bench/soak/evidence.go
+++ b/bench/soak/evidence.go
@@ -28,6 +28,8 @@
 type Attempt struct {
 	ID    string
 	Entry string
+	// Try counts the attempts at the caller's request, from 0.
+	Try   int
 	Class Class
 	Path  string
 	Body  string
@@ -113,10 +115,11 @@
 }
 
 // undisturbed reports whether no fault of the subjects was active from stableWindow before from until to. A
-// reload and the planned draining of a target don't count, since they disturb no request.
+// reload and the planned draining of a target don't count, since they disturb no request, nor does a cut of an entry's
+// links to targets, in which all promises hold.
 func (e *Evidence) undisturbed(from, to time.Time, subjects ...string) bool {
 	return !slices.ContainsFunc(e.Disturbances, func(d Disturbance) bool {
-		return d.Fault != Reload && d.Fault != DrainTarget && slices.Contains(subjects, d.Subject) && d.overlaps(from, to)
+		return d.Fault != Reload && d.Fault != DrainTarget && d.Fault != CutLinks && slices.Contains(subjects, d.Subject) && d.overlaps(from, to)
 	})
 }
 
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -25,6 +25,7 @@
 	Links      Theme = "links"
 	Store      Theme = "store"
 	Verdicts   Theme = "verdicts"
+	Partitions Theme = "partitions"
 	Everything Theme = "everything"
 )
 
@@ -77,6 +78,7 @@
 	BadRequests  Kind = "requests with a part that crashes engines"
 	BadCalls     Kind = "calls that crash targets"
 	LimitTarget  Kind = "limit target"
+	CutLinks     Kind = "cut an entry's links to targets"
 	// Crash is no step: it is the crash of a target by a request.
 	Crash Kind = "crash"
 )
@@ -99,16 +101,18 @@
 	Links:   {CutCallers, CutStore, CutTarget, ResetCallers, ResetTarget, ResetStore, DelayCallers, DelayTarget},
 	// Verdicts have a phase of their own, in which the entries stay in touch.
 	Verdicts: {BadRequests, BadCalls, LimitTarget, LimitTarget, Reload},
-	Store:    {StoreFault, StoreFault, PauseStore, Configure, DrainTarget},
+	// Partitions cut most entries off from the targets, beside entries that restart.
+	Partitions: {CutLinks, CutLinks, CutLinks, StopEntry, BadCalls},
+	Store:      {StoreFault, StoreFault, PauseStore, Configure, DrainTarget},
 }
 
 func init() {
-	for _, theme := range []Theme{Planned, Entries, Targets, Links, Store, Verdicts} {
+	for _, theme := range []Theme{Planned, Entries, Targets, Links, Store, Verdicts, Partitions} {
 		kinds[Everything] = append(kinds[Everything], kinds[theme]...)
 	}
 }
 
-var themes = []Theme{Planned, Entries, Targets, Links, Store, Everything, Verdicts}
+var themes = []Theme{Planned, Entries, Targets, Links, Store, Everything, Verdicts, Partitions}
 
 // DrawThemes draws the themes of a run's phases at random. A theme repeats only after all were used.
 func DrawThemes(seed int64, phases int) []Theme {
@@ -194,6 +198,8 @@
 		d.sendBadCalls(ctx, c, step)
 	case LimitTarget:
 		d.limitTarget(ctx, step)
+	case CutLinks:
+		d.cutLinks(ctx, e, step)
 	case KillEntry:
 		d.killEntry(e, waitForEnd)
 	case KillEntries:
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -14,7 +14,7 @@
 func buildPrograms(t *testing.T, flags ...string) Options {
 	t.Helper()
 	directory := t.TempDir()
-	arguments := append([]string{"build", "-o", directory + string(filepath.Separator)}, flags...)
+	arguments := append([]string{"build", "-tags", "linkfault", "-o", directory + string(filepath.Separator)}, flags...)
 	arguments = append(arguments, "../../cmd/azurebarrow", "../../cmd/"+cluster.StandInProgram)
 	if output, err := exec.Command("go", arguments...).CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, output)
@@ -42,7 +42,7 @@
 	is := is.New(t)
 	options := buildPrograms(t, "-race")
 	options.Seed = 1
-	options.Steps = Schedule(options.Seed, []Theme{Planned, Verdicts, Everything})
+	options.Steps = Schedule(options.Seed, []Theme{Planned, Verdicts, Partitions, Everything})
 	violations, evidence := runAndCheck(t, options)
 	for _, violation := range violations {
 		t.Error(violation)
--- a/cmd/azurebarrow/commands.go
+++ b/cmd/azurebarrow/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"reflect"
@@ -87,6 +88,9 @@
 	return nativeEntry.Run(ctx)
 }
 
+// dialTarget opens the connections to targets; nil except in builds with the tag "linkfault".
+var dialTarget func(ctx context.Context, network, address string) (net.Conn, error)
+
 // logFlushTimeout limits the wait at the end of the process until the last log lines are written.
 const logFlushTimeout = 200 * time.Millisecond
 
@@ -95,7 +99,7 @@
 func (c *runCommand) runPassthrough(loaded settings.Settings) error {
 	log := eventlog.New(os.Stdout, loaded.Log.Level)
 	defer log.Flush(logFlushTimeout)
-	passthroughEntry, err := entry.New(loaded, entry.Options{Log: log.Event})
+	passthroughEntry, err := entry.New(loaded, entry.Options{Log: log.Event, DialTarget: dialTarget})
 	if err != nil {
 		return err
 	}
--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -193,38 +193,45 @@
 	return count
 }
 
+// playPopularCalls has five of eight entries lose their links again and again, while all entries send the same sound call
+// and the same sound stream.
+func playPopularCalls(t *testing.T, cut *partition) *testCluster {
+	const entries, partitioned, rounds = 8, 5, 4
+	c := startClusterWithLinks(t, entries, newTargetLinks(t, entries))
+	c.startDesks(t, 60, 200*time.Millisecond)
+	var calls sync.WaitGroup
+	for round := range rounds {
+		for entry := range entries {
+			for _, path := range []string{"/find/popular", "/drafts/popular"} {
+				calls.Go(func() {
+					_, _, _ = c.request(entry, "POST", path, fmt.Sprintf("p-%d-%d-%s", round, entry, path), "k1", "") // many are lost
+				})
+			}
+		}
+		time.Sleep(100 * time.Millisecond) // the calls are at the targets
+		c.severAll(partitioned, cut)
+		time.Sleep(500 * time.Millisecond)
+		for _, links := range c.links {
+			links.restore()
+		}
+		time.Sleep(time.Second)
+	}
+	calls.Wait()
+	return c
+}
+
 // Guards against crashes that entries record because their own links broke: peers would refuse sound requests.
 func TestPartitionedEntriesAccuseNoSoundRequest(t *testing.T) {
-	const entries, partitioned, rounds = 8, 5, 4
 	for _, cut := range partitions[1:3] {
 		t.Run(cut.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			c := startClusterWithLinks(t, entries, newTargetLinks(t, entries))
-			c.startDesks(t, 60, 200*time.Millisecond)
-			var calls sync.WaitGroup
-			for round := range rounds {
-				for entry := range entries {
-					for _, path := range []string{"/find/popular", "/drafts/popular"} {
-						calls.Go(func() {
-							_, _, _ = c.request(entry, "POST", path, fmt.Sprintf("p-%d-%d-%s", round, entry, path), "k1", "") // many are lost
-						})
-					}
-				}
-				time.Sleep(100 * time.Millisecond) // the calls are at the targets
-				c.severAll(partitioned, &cut)
-				time.Sleep(500 * time.Millisecond)
-				for _, links := range c.links {
-					links.restore()
-				}
-				time.Sleep(time.Second)
-			}
-			calls.Wait()
+			c := playPopularCalls(t, &cut)
 			t.Logf("%d connections that ended were excused", c.eventCount("crash-excused"))
 			is.True(c.eventCount("crash-excused") > 0)
 			is.Equal(c.eventCount("crash-recorded"), 0)
 			is.Equal(c.eventCount("request-refused"), 0)
-			response, _, err := c.request(entries-1, "POST", "/find/popular", "last", "k1", "")
+			response, _, err := c.request(len(c.entries)-1, "POST", "/find/popular", "last", "k1", "")
 			is.NoErr(err)
 			is.Equal(response.StatusCode, http.StatusOK)
 		})
