--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -189,7 +189,8 @@
 	switch verdict {
 	case platform.NotRun:
 		received.Close()
-		return service.SendResult{Verdict: service.SendNotRun, Err: errNotRun}
+		pause, _ := platform.AskedPause(received.Status, received.Header) // what can't be read asks for nothing
+		return service.SendResult{Verdict: service.SendNotRun, Err: errNotRun, AskedPause: pause}
 	case platform.Misdirected:
 		received.Close()
 		t.reportAddressMismatch(call.Service, target, platform.ResponderID(received.Header))
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -145,6 +145,9 @@
 		{Key: "fingerprint", Value: call.Fingerprint}, {Key: "verdict", Value: sent.Verdict},
 		{Key: "left", Value: time.Until(call.Deadline)}, {Key: "connectivity_lost", Value: e.connectivity.IsLost()},
 	}
+	if sent.AskedPause > 0 {
+		fields = append(fields, generation.Field{Key: "asked_pause", Value: sent.AskedPause})
+	}
 	if sent.Err != nil {
 		fields = append(fields, generation.Field{Key: "error", Value: sent.Err})
 	}
--- a/service/forward.go
+++ b/service/forward.go
@@ -66,6 +66,8 @@
 	ConnectionLost bool
 	// NoPath reports that this entry found no path to targets, which tells nothing of the target.
 	NoPath bool
+	// AskedPause is the time for which the target wants no further request of this entry; 0 if it asked for none.
+	AskedPause time.Duration
 }
 
 // Sender sends a call to a target once, without retries.
