--- a/entry/loopback_test.go
+++ b/entry/loopback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -40,6 +41,23 @@
 	log string
 }
 
+// inject activates a fault in the target.
+func (s *standinTarget) inject(t *testing.T, injected fault.Fault) {
+	t.Helper()
+	body, err := json.Marshal(injected)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.Post("http://"+s.address+"/faults", "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		t.Fatal("fault not taken: ", response.Status)
+	}
+}
+
 // breakStreams makes the target reset the connection of each stream in the middle of the event.
 func (s *standinTarget) breakStreams(t *testing.T, event int) {
 	t.Helper()
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -41,6 +41,7 @@
 	HiddenAddresses   Kind = "hidden"
 	WronglyDraining   Kind = "wrongly-leaving"
 	NamedLimit        Kind = "named-limit"
+	AskedPause        Kind = "asked-pause"
 )
 
 // Fault is a fault to inject, the body of POST /faults.
@@ -55,7 +56,8 @@
 	Count int `json:"count,omitempty"`
 	// Delay is the delay that Slow and DelayedToken add, and the time from Drain to the announced termination.
 	Delay v1.Duration `json:"delay,omitempty"`
-	// Factor is by how much Slow multiplies the step time of an engine, and the requests a second that NamedLimit names.
+	// Factor is by how much Slow multiplies the step time of an engine, the requests a second that NamedLimit names, and
+	// the seconds for which AskedPause wants no further request.
 	Factor float64 `json:"factor,omitempty"`
 	// Match restricts the fault to prompts, paths, object kinds or addresses that contain this text.
 	Match string `json:"match,omitempty"`
--- a/standin/target/log.go
+++ b/standin/target/log.go
@@ -38,6 +38,8 @@
 	Prompt string
 	// Limit is the limit that the answer names, in requests a second; 0 for none.
 	Limit float64
+	// AskedPause is the time for which the answer asks the sender to send nothing; 0 for none.
+	AskedPause time.Duration
 	// KeyLeaked reports whether the caller's key was passed on to the target, which must not happen.
 	KeyLeaked bool
 }
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -35,6 +35,7 @@
 	fieldCopyHolder       = "X-Kv-Backup"
 	fieldCopySource       = "Kv-From"
 	fieldLimit            = "Server-Limit"
+	fieldRetryAfter       = "Retry-After"
 )
 
 // Options configures a Target.
@@ -143,6 +144,13 @@
 	if limit := t.namedLimit(); limit > 0 {
 		w.Header().Set(fieldLimit, strconv.FormatFloat(limit, 'f', -1, 64))
 	}
+	if pause := t.askedPause(); pause > 0 {
+		t.logRequest(Refused, r)
+		w.Header().Set(fieldRetryAfter, strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
+		w.Header().Set(fieldNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if !t.acquireSlot(r) {
 		t.logRequest(Refused, r)
 		w.Header().Set(fieldNotRun, "1")
@@ -171,6 +179,12 @@
 	return t.options.Limit
 }
 
+// askedPause returns the time for which the target wants nothing of those that it turns away now; 0 if it serves.
+func (t *Target) askedPause() time.Duration {
+	asked, _ := t.faults.Active(fault.AskedPause, "")
+	return time.Duration(asked.Factor * float64(time.Second))
+}
+
 // crash ends the target if the request crashes it, and reports whether it did.
 func (t *Target) crash(r *http.Request) bool {
 	prefix, path := t.options.CrashPrefix, t.options.CrashPath
@@ -194,7 +208,7 @@
 		At: time.Now(), What: what, Target: t.options.ID, Service: t.options.Service,
 		Request: r.Header.Get(FieldRequestID), Customer: r.Header.Get(fieldCustomer), Path: r.URL.Path,
 		Left: time.Duration(left) * time.Millisecond, KeyLeaked: r.Header.Get(FieldAuthorization) != "",
-		Prompt: r.Header.Get(FieldPrompt), Limit: t.namedLimit(),
+		Prompt: r.Header.Get(FieldPrompt), Limit: t.namedLimit(), AskedPause: t.askedPause(),
 	})
 }
 
