Keep requests away from targets that ask for a pause

The cause: Retry-After of a target's 503 was read by nothing, and such a refusal counted as a failure like any other. The class: what a target asks of one entry alone, beside limits and draining, which concern all.

admission.TargetPauses holds the pauses by target and start. Paths asks them before every request that leaves this entry, for callers and for peers; the choice of targets leaves paused ones out. If all that could serve are paused, a call is refused at once with the shortest rest, spread by a quarter. A pause doesn't open a breaker. The list of ways to a target says for each how it keeps to pauses.

The test of package service now gets its pauses from admission, where they are kept; what it asserts is the same.

--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
-	"github.com/azurebarrow/azurebarrow/admission"
 	"github.com/azurebarrow/azurebarrow/detour"
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
@@ -24,14 +23,14 @@
 	pool      *targethttp.Pool
 	paths     *Paths
 	directory *directory.Manager
-	limits    *admission.TargetLimits
+	limits    Limits
 	answers   answerReader
 	log       func(event string, fields ...generation.Field)
 }
 
 // NewTargets returns Targets that sends over the paths, reads the manager's snapshots and keeps the limits that targets
 // name.
-func NewTargets(pool *targethttp.Pool, paths *Paths, manager *directory.Manager, limits *admission.TargetLimits, log func(event string, fields ...generation.Field)) *Targets {
+func NewTargets(pool *targethttp.Pool, paths *Paths, manager *directory.Manager, limits Limits, log func(event string, fields ...generation.Field)) *Targets {
 	return &Targets{pool: pool, paths: paths, directory: manager, limits: limits, log: log}
 }
 
--- a/adapters/passthrough/targets_test.go
+++ b/adapters/passthrough/targets_test.go
@@ -8,7 +8,6 @@
 	"github.com/matryer/is"
 
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
-	"github.com/azurebarrow/azurebarrow/admission"
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
 )
@@ -18,7 +17,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	targets := NewTargets(targethttp.NewPool(targethttp.Options{}), nil, nil, admission.NewTargetLimits(admission.TargetLimitsOptions{}), func(string, ...generation.Field) {})
+	targets := NewTargets(targethttp.NewPool(targethttp.Options{}), nil, nil, nil, func(string, ...generation.Field) {})
 	target := &directory.Target{ID: "t", Address: listener.Addr().String()}
 	is.NoErr(targets.Probe(t.Context(), target))
 	is.NoErr(listener.Close())
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -225,6 +225,8 @@
 	TargetsKnown bool
 	// available are the targets of each service that may get new work.
 	available map[string][]*Target
+	// byID are all known targets.
+	byID map[string]*Target
 	// ConfigurationRevision and TargetsRevision are the revisions of the store that the snapshot reflects.
 	ConfigurationRevision, TargetsRevision int64
 }
@@ -236,6 +238,9 @@
 // the same slice, which must not be changed.
 func (s *Snapshot) AvailableTargets(service string) []*Target { return s.available[service] }
 
+// Target returns the target with the ID; nil if it is not known.
+func (s *Snapshot) Target(id string) *Target { return s.byID[id] }
+
 // availableTargets returns the targets that may get new work. If there are none, it returns the
 // unregistered ones that aren't draining: objects expire while the store is unavailable, although their
 // targets run.
--- a/directory/manager.go
+++ b/directory/manager.go
@@ -399,12 +399,14 @@
 		Configuration:         m.configuration,
 		Targets:               make(map[string][]*Target),
 		available:             make(map[string][]*Target),
+		byID:                  make(map[string]*Target, len(m.known)),
 		TargetsKnown:          m.targetsKnown,
 		ConfigurationRevision: m.configRevision,
 		TargetsRevision:       m.targetRevision,
 	}
 	latest := latestAtAddress(m.known)
 	for id, target := range m.known {
+		next.byID[id] = target
 		if latest[target.Address] == target && m.mismatched[id] == nil {
 			next.Targets[target.Service] = append(next.Targets[target.Service], target)
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,6 +57,7 @@
 	connectivity *generation.Connectivity
 	router       *detour.Router
 	exchanges    *peerexchange.Client
+	paths        *passthrough.Paths
 	placement    *routing.Placement
 	relay        *generation.Relay
 	forwarder    *service.Forwarder
@@ -65,7 +66,7 @@
 	retryTotals  *admission.RetryTotals
 	peerClient   *http.Client
 	crashRecords *sharedCrashRecords
-	limits       *sharedLimits
+	limits       *sendLimits
 	versions     *streamversion.Manager
 	prompts      *promptindex.Manager
 	callers      *callerListener
@@ -190,7 +191,7 @@
 func (e *Entry) buildCallerHandler() http.Handler {
 	e.buildPaths()
 	e.crashRecords.isDown = (&crashProber{pool: e.pool, router: e.router}).isDown
-	targets := passthrough.NewTargets(e.pool, passthrough.NewPaths(e.pool, e.router, e.exchanges), e.directory, e.limits.TargetLimits, e.log)
+	targets := passthrough.NewTargets(e.pool, e.paths, e.directory, e.limits, e.log)
 	limits := e.settings.Passthrough
 	e.retries = admission.NewSharedRetryBudget(admission.SharedRetryLimits{
 		Ratio: limits.RetryRatio, Slack: limits.RetrySlack, Window: limits.RetryWindow,
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -38,6 +38,7 @@
 		Seed:         rand.Uint64(),
 		Log:          e.log,
 	})
+	e.paths = passthrough.NewPaths(e.pool, e.router, e.exchanges, e.limits)
 }
 
 // routerConnectivity implements detour.Connectivity.
@@ -82,9 +83,7 @@
 func (e *Entry) exchangeHandler() *peerexchange.Handler {
 	return peerexchange.NewHandler(peerexchange.HandlerOptions{
 		Router: e.router,
-		Send: func(ctx context.Context, target detour.Target, request *targethttp.Request) (*targethttp.Answer, error) {
-			return e.pool.Do(ctx, target.Key(), target.Address, request)
-		},
+		Send:   e.paths.SendDirectly,
 		ProbeOpen: func(ctx context.Context, target detour.Target, open time.Duration) error {
 			return e.pool.Probe(ctx, target.Key(), target.Address, open)
 		},
@@ -92,9 +91,9 @@
 	})
 }
 
-// servesForPeers reports whether this entry sends requests of peers to the target.
+// servesForPeers reports whether this entry sends requests of peers to the target: its pause holds for them too.
 func (e *Entry) servesForPeers(target detour.Target) bool {
-	return !e.shutdown.stopping() && slices.ContainsFunc(e.allTargets(), func(known *directory.Target) bool { return known.Key() == target.Key() })
+	return !e.shutdown.stopping() && e.limits.pauses.Left(target.ID, e.limits.startOf(target.ID), time.Now()) == 0 && slices.ContainsFunc(e.allTargets(), func(known *directory.Target) bool { return known.Key() == target.Key() })
 }
 
 // countRunning counts the requests of a handler as in progress, for which the shutdown waits.
--- a/entry/targetlimits.go
+++ b/entry/targetlimits.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/admission"
+	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/membership"
 )
@@ -12,35 +14,78 @@
 // noticeLimit has a target's ID as subject and its limit in requests a second as value; 0 if it has none any more.
 const noticeLimit membership.NoticeKind = "target-limit"
 
-// sharedLimits shares the limits that targets name among the entries. It implements service.Limits and
-// generation.TargetLimits.
-type sharedLimits struct {
+// sendLimits are what targets say about the requests that they want: the limits that they name for all entries
+// together, and the pauses that they ask of this entry. It implements service.Limits, generation.TargetLimits and
+// passthrough.Limits.
+type sendLimits struct {
 	*admission.TargetLimits
-	// targetIDs returns the IDs of a service's targets.
-	targetIDs func(service string) []string
+	pauses *admission.TargetPauses
+	// targets returns a service's targets, startOf when a target's incarnation started.
+	targets func(service string) []*directory.Target
+	startOf func(target string) int64
 }
 
-// Take implements service.Limits.
-func (s *sharedLimits) Take(target string) bool { return s.TargetLimits.Take(target, time.Now()) }
+// Available implements passthrough.Limits.
+func (s *sendLimits) Available(target string, now time.Time) bool {
+	return s.pauses.Left(target, s.startOf(target), now) == 0 && s.TargetLimits.Available(target, now)
+}
+
+// Take implements service.Limits. The pause is taken from where the request is sent.
+func (s *sendLimits) Take(target string) bool {
+	now := time.Now()
+	return s.pauses.Left(target, s.startOf(target), now) == 0 && s.TargetLimits.Take(target, now)
+}
 
-// RetryAfter implements service.Limits.
-func (s *sharedLimits) RetryAfter(service string) time.Duration {
-	return s.TargetLimits.RetryAfter(s.targetIDs(service))
+// TakePause implements passthrough.Limits.
+func (s *sendLimits) TakePause(target string) bool {
+	return s.pauses.Take(target, s.startOf(target), time.Now())
+}
+
+// ObservePause implements passthrough.Limits.
+func (s *sendLimits) ObservePause(target string, pause time.Duration) {
+	s.pauses.Observe(target, s.startOf(target), pause, time.Now())
+}
+
+// retryAfterSpread is the share by which a Retry-After that follows from pauses is lengthened at random, so that callers
+// don't return together.
+const retryAfterSpread = 0.25
+
+// RetryAfter implements service.Limits: if all targets are paused, it is the shortest rest of a pause.
+func (s *sendLimits) RetryAfter(service string) time.Duration {
+	now, shortest := time.Now(), time.Duration(0)
+	var ids []string
+	for _, target := range s.targets(service) {
+		left := s.pauses.Left(target.ID, target.StartedMs, now)
+		if left == 0 {
+			ids = append(ids, target.ID)
+			continue
+		}
+		if shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	if len(ids) > 0 || shortest == 0 {
+		return s.TargetLimits.RetryAfter(ids)
+	}
+	return shortest + time.Duration(retryAfterSpread*rand.Float64()*float64(shortest))
 }
 
 func (e *Entry) buildLimits() {
-	e.limits = &sharedLimits{
+	e.limits = &sendLimits{
 		TargetLimits: admission.NewTargetLimits(admission.TargetLimitsOptions{
 			Members: e.members,
 			Share:   func(limit admission.TargetLimit) { go e.members.Broadcast(limitNotice(limit)) },
 			Log:     e.logLimit,
 		}),
-		targetIDs: func(service string) []string {
-			var ids []string
-			for _, target := range e.directory.Snapshot().AvailableTargets(service) {
-				ids = append(ids, target.ID)
+		pauses: admission.NewTargetPauses(func(target string, pause time.Duration) {
+			e.log("target-pause", generation.Field{Key: "target", Value: target}, generation.Field{Key: "asked", Value: pause})
+		}),
+		targets: func(service string) []*directory.Target { return e.directory.Snapshot().AvailableTargets(service) },
+		startOf: func(target string) int64 {
+			if known := e.directory.Snapshot().Target(target); known != nil {
+				return known.StartedMs
 			}
-			return ids
+			return 0
 		},
 	}
 }
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -45,6 +45,8 @@
 	VersionIgnored Name = "version-ignored"
 	// LimitIgnored sends requests to targets beyond the limits that they name.
 	LimitIgnored Name = "limit-ignored"
+	// PauseIgnored sends requests to targets that have asked for a pause.
+	PauseIgnored Name = "pause-ignored"
 	// NoDetour leaves an entry its own links as the only path to targets.
 	NoDetour Name = "no-detour"
 	// CutEvidenceBelieved has entries that lost their links to targets record these as crashed.
--- a/internal/targetcalls_test.go
+++ b/internal/targetcalls_test.go
@@ -20,23 +20,24 @@
 	call string
 	// test guards the way; empty if reason says why it needs none.
 	test, reason string
+	// pause says why the way keeps to the pauses that targets ask for.
+	pause string
 }
 
 var targetWays = []targetWay{
-	{"service/forward.go startAttempt Sender.Send", "TestCallThatCrashesTargetsIsRefusedByTheWholeFleet", ""},
-	{"generation/relay.go readStream Engine.Open", "TestRequestThatCrashesThreeEnginesIsRefused", ""},
-	{"service/executorcrashes.go send Transport.Do", "TestCallOfAnyClassThatCrashesTargetsIsRefused", ""},
-	{"generation/start.go openStream Engine.Generate", "TestPoisonRequestKillsAtMostThreeTargets", ""},
-	{"generation/produceractions.go attach Engine.Attach", "", "reads a run that the target still has; nothing is run"},
-	{"generation/relaycopy.go sendCopyCommand engine.CopyKVCache", "", "copies the cache of a run in progress; nothing is run"},
-	{"adapters/passthrough/targets.go Open paths.Do", "", "behind Engine.Open"},
-	{"adapters/passthrough/targets.go Send paths.Do", "", "behind Sender.Send"},
-	{"adapters/passthrough/targets.go callEngine paths.Do", "", "behind CopyKVCache and FreeCopy: the engine's management interface"},
-	{"adapters/passthrough/paths.go Do pool.Do", "", "behind paths.Do"},
-	{"adapters/passthrough/paths.go Do peers.Do", "", "behind paths.Do, through a peer"},
-	{"adapters/peerexchange/client.go Do pool.Do", "", "behind peers.Do: a connection to the peer"},
-	{"adapters/peerexchange/client.go Probe pool.Do", "", "asks a peer to connect to a target; nothing is run"},
-	{"entry/paths.go exchangeHandler pool.Do", "", "a request that the peer which asks has judged behind paths.Do"},
+	{"service/forward.go startAttempt Sender.Send", "TestCallThatCrashesTargetsIsRefusedByTheWholeFleet", "", "behind paths.Do"},
+	{"generation/relay.go readStream Engine.Open", "TestRequestThatCrashesThreeEnginesIsRefused", "", "behind paths.Do"},
+	{"service/executorcrashes.go send Transport.Do", "TestCallOfAnyClassThatCrashesTargetsIsRefused", "", "native interface: a 503 is the answer of the service, and asks its caller"},
+	{"generation/start.go openStream Engine.Generate", "TestPoisonRequestKillsAtMostThreeTargets", "", "native interface: its engines ask for no pause"},
+	{"generation/produceractions.go attach Engine.Attach", "", "reads a run that the target still has; nothing is run", "native interface: its engines ask for no pause"},
+	{"generation/relaycopy.go sendCopyCommand engine.CopyKVCache", "", "copies the cache of a run in progress; nothing is run", "behind paths.Do"},
+	{"adapters/passthrough/targets.go Open paths.Do", "", "behind Engine.Open", "behind paths.Do"},
+	{"adapters/passthrough/targets.go Send paths.Do", "", "behind Sender.Send", "behind paths.Do"},
+	{"adapters/passthrough/targets.go callEngine paths.Do", "", "behind CopyKVCache and FreeCopy: the engine's management interface", "behind paths.Do"},
+	{"adapters/passthrough/paths.go SendDirectly pool.Do", "", "behind paths.Do, or a request that the peer which asks has judged behind its own", "asks TakePause"},
+	{"adapters/passthrough/paths.go Do peers.Do", "", "behind paths.Do, through a peer", "asks TakePause before it, and the peer asks its own"},
+	{"adapters/peerexchange/client.go Do pool.Do", "", "behind peers.Do: a connection to the peer", "behind peers.Do"},
+	{"adapters/peerexchange/client.go Probe pool.Do", "", "asks a peer to connect to a target; nothing is run", "a connection without a request"},
 }
 
 var targetCall = regexp.MustCompile(`^((pool|paths|peers)\.Do|Sender\.Send|Transport\.Do|Engine\.(Open|Generate|Attach)|engine\.CopyKVCache)$`)
@@ -99,7 +100,7 @@
 	return calls, tests
 }
 
-// Guards against a new way to a target that neither records the crashes of targets nor asks before it sends.
+// Guards against a new way to a target that sends within the pauses which targets ask for, or that neither records the crashes of targets nor asks before it sends.
 func TestEveryWayToATargetIsGuardedAgainstRequestsThatCrashIt(t *testing.T) {
 	calls, tests := findTargetCalls(t)
 	for _, call := range calls {
@@ -114,5 +115,8 @@
 		if (way.test == "") == (way.reason == "") || way.test != "" && !tests[way.test] {
 			t.Errorf("%s needs a test that exists, or a reason", way.call)
 		}
+		if way.pause == "" {
+			t.Errorf("%s doesn't say how it keeps to the pauses that targets ask for", way.call)
+		}
 	}
 }
--- a/service/askedpause_test.go
+++ b/service/askedpause_test.go
@@ -9,17 +9,24 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/azurebarrow/azurebarrow/admission"
 )
 
 // pausingSender answers calls at all targets but one, which turns them away and asks for a pause.
 type pausingSender struct {
 	asking string
 	pause  time.Duration
+	pauses *admission.TargetPauses
 
 	mu    sync.Mutex
 	sends []time.Time
 }
 
+// Take implements Limits.
+func (s *pausingSender) Take(target string) bool         { return s.pauses.Take(target, 0, time.Now()) }
+func (s *pausingSender) RetryAfter(string) time.Duration { return forwardRetryAfter }
+
 func (s *pausingSender) Send(_ context.Context, target Target, _ *ForwardedCall) SendResult {
 	if target.Name != s.asking {
 		time.Sleep(quick)
@@ -28,6 +35,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sends = append(s.sends, time.Now())
+	s.pauses.Observe(target.Name, 0, s.pause, time.Now())
 	return SendResult{Verdict: SendNotRun, Err: errors.New("turned away"), AskedPause: s.pause}
 }
 
@@ -38,8 +46,8 @@
 	for _, repeatable := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			sender := &pausingSender{asking: "a", pause: pause}
-			f := NewForwarder(ForwarderOptions{Sender: sender, Directory: fixedTargets{}, Budget: unlimitedRetries{}, Seed: 1})
+			sender := &pausingSender{asking: "a", pause: pause, pauses: admission.NewTargetPauses(nil)}
+			f := NewForwarder(ForwarderOptions{Sender: sender, Limits: sender, Directory: fixedTargets{}, Budget: unlimitedRetries{}, Seed: 1})
 			for range int(lasts.Seconds()) * perSecond {
 				go func() {
 					answer, err := f.Do(t.Context(), &ForwardedCall{Service: "s", Repeatable: repeatable, MaxAttempts: 2, Deadline: time.Now().Add(time.Second)})
--- a/service/forward.go
+++ b/service/forward.go
@@ -394,8 +394,9 @@
 		result.lease.release(targetFailed)
 	case SendNotRun, SendAddressMismatch:
 		w.state.notRun++
-		if result.sent.NoPath {
-			w.noPath = true
+		w.noPath = w.noPath || result.sent.NoPath
+		if result.sent.NoPath || result.sent.AskedPause > 0 {
+			// Neither tells that the target fails; a pause keeps requests away by itself.
 			result.lease.release(noTargetResult)
 			break
 		}
