Soak: targets that ask entries for pauses

A step of the verdicts' theme has a target turn requests away for 4 s and ask for 3 s each; no more than two requests of an entry may reach it in that time.

--- a/bench/soak/defect_test.go
+++ b/bench/soak/defect_test.go
@@ -56,6 +56,10 @@
 			cuts = append(cuts, Step{At: faultAt + time.Duration(wave)*(cutFor+time.Second), Kind: CutLinks, Index: i, Variant: wave})
 		}
 	}
+	var pauses []Step
+	for i := range options.Engines + options.Records {
+		pauses = append(pauses, Step{At: faultAt + time.Duration(i)*stopPause, Kind: AskPause, Index: i})
+	}
 	cases := []struct {
 		defect defect.Name
 		rule   string
@@ -70,6 +74,7 @@
 		{defect.VersionIgnored, "ORDER", losses},
 		{defect.LimitIgnored, "LIMIT", limits},
 		{defect.NoDetour, "RECOVER", cuts},
+		{defect.PauseIgnored, "BUDGET", pauses},
 	}
 	for _, c := range cases {
 		t.Run(string(c.defect), func(t *testing.T) {
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -78,6 +78,7 @@
 	BadRequests  Kind = "requests with a part that crashes engines"
 	BadCalls     Kind = "calls that crash targets"
 	LimitTarget  Kind = "limit target"
+	AskPause     Kind = "ask for a pause"
 	CutLinks     Kind = "cut an entry's links to targets"
 	// Crash is no step: it is the crash of a target by a request.
 	Crash Kind = "crash"
@@ -100,7 +101,7 @@
 	Targets: {KillTarget, KillTarget, PauseTarget, TargetFault, TargetFault, DrainTarget},
 	Links:   {CutCallers, CutStore, CutTarget, ResetCallers, ResetTarget, ResetStore, DelayCallers, DelayTarget},
 	// Verdicts have a phase of their own, in which the entries stay in touch.
-	Verdicts: {BadRequests, BadCalls, LimitTarget, LimitTarget, Reload},
+	Verdicts: {BadRequests, BadCalls, LimitTarget, LimitTarget, AskPause, AskPause, Reload},
 	// Partitions cut most entries off from the targets, beside entries that restart.
 	Partitions: {CutLinks, CutLinks, CutLinks, StopEntry, BadCalls},
 	Store:      {StoreFault, StoreFault, PauseStore, Configure, DrainTarget},
@@ -198,6 +199,8 @@
 		d.sendBadCalls(ctx, c, step)
 	case LimitTarget:
 		d.limitTarget(ctx, step)
+	case AskPause:
+		d.askPause(ctx, d.targets[step.Index%len(d.targets)])
 	case CutLinks:
 		d.cutLinks(ctx, e, step)
 	case KillEntry:
