Take a target's word in an answer that it leaves

Nothing read the field. directory.Manager gains it as one more source of draining: the incarnation gets no new work at once, until another one registers.

--- a/adapters/passthrough/paths.go
+++ b/adapters/passthrough/paths.go
@@ -24,6 +24,8 @@
 
 // Limits is the port to what targets say about the requests that they want.
 type Limits interface {
+	// ObserveLeaving records that an answer of the target says that it leaves.
+	ObserveLeaving(target string)
 	// Available reports whether this entry may send a request to the target now.
 	Available(target string, now time.Time) bool
 	// Observe records the limit that an answer of the target names, or that it names none.
@@ -50,12 +52,15 @@
 	return p.observed(target)(p.pool.Do(ctx, target.Key(), target.Address, request))
 }
 
-// observed records the pause that an answer asks for.
+// observed records what an answer says about further requests.
 func (p *Paths) observed(target detour.Target) func(*targethttp.Answer, error) (*targethttp.Answer, error) {
 	return func(answer *targethttp.Answer, err error) (*targethttp.Answer, error) {
 		if err == nil && platform.ClassifyAnswer(answer.Status, answer.Header).IsOfTarget() {
 			pause, _ := platform.AskedPause(answer.Status, answer.Header) // what can't be read asks for nothing
 			p.limits.ObservePause(target.ID, pause)
+			if platform.SaysLeaving(answer.Header) {
+				p.limits.ObserveLeaving(target.ID)
+			}
 		}
 		return answer, err
 	}
--- a/directory/manager.go
+++ b/directory/manager.go
@@ -40,6 +40,8 @@
 	EventTargetAppeared EventKind = "target-appeared"
 	// EventTargetDraining: a target is draining.
 	EventTargetDraining EventKind = "target-leaving"
+	// EventTargetSaysLeaving: a target said in an answer that it leaves.
+	EventTargetSaysLeaving EventKind = "target-says-leaving"
 	// EventTargetUnregistered: the object of a target was removed from the store.
 	EventTargetUnregistered EventKind = "target-gone"
 	// EventTargetRemoved: a target was removed from the directory.
@@ -122,6 +124,8 @@
 	// mismatched are the targets at whose address another one answers. They are not used until another
 	// incarnation registers under their ID.
 	mismatched map[string]*Target
+	// leaving are the words of targets that they leave.
+	leaving map[string]leavingReport
 	// provisionalSince is when each provisional target was added.
 	provisionalSince map[string]time.Time
 	// storeRegainedAt is when the store last became available again.
@@ -145,6 +149,7 @@
 		unregisteredSince: map[string]time.Time{},
 
 		mismatched:       map[string]*Target{},
+		leaving:          map[string]leavingReport{},
 		provisionalSince: map[string]time.Time{},
 	}
 	m.syncer = newSyncer(options, m.feed, m.deliver)
@@ -196,6 +201,9 @@
 			apply(time.Now())
 		case now := <-ticker.C:
 			m.removeUnregistered(now)
+			if len(m.leaving) > 0 {
+				m.publish()
+			}
 		}
 	}
 }
@@ -382,6 +390,7 @@
 	delete(m.known, id)
 	delete(m.unregisteredSince, id)
 	delete(m.mismatched, id)
+	delete(m.leaving, id)
 }
 
 func (m *Manager) report(kind EventKind, target *Target) {
@@ -406,14 +415,18 @@
 	}
 	latest := latestAtAddress(m.known)
 	for id, target := range m.known {
+		target = m.withLeaving(target)
 		next.byID[id] = target
-		if latest[target.Address] == target && m.mismatched[id] == nil {
+		if latest[target.Address] == m.known[id] && m.mismatched[id] == nil {
 			next.Targets[target.Service] = append(next.Targets[target.Service], target)
 		}
 	}
 	for service, targets := range next.Targets {
 		slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
 		next.available[service] = availableTargets(targets)
+		if len(next.available[service]) == 0 {
+			next.available[service] = m.lastResorts(targets, time.Now())
+		}
 	}
 	m.snapshot.Store(next)
 	if next.Ready() {
--- a/entry/targetlimits.go
+++ b/entry/targetlimits.go
@@ -23,6 +23,8 @@
 	// targets returns a service's targets, startOf when a target's incarnation started.
 	targets func(service string) []*directory.Target
 	startOf func(target string) int64
+	// leaving is called with a target that says it leaves.
+	leaving func(target string)
 }
 
 // Available implements passthrough.Limits.
@@ -41,6 +43,9 @@
 	return s.pauses.Take(target, s.startOf(target), time.Now())
 }
 
+// ObserveLeaving implements passthrough.Limits.
+func (s *sendLimits) ObserveLeaving(target string) { s.leaving(target) }
+
 // ObservePause implements passthrough.Limits.
 func (s *sendLimits) ObservePause(target string, pause time.Duration) {
 	s.pauses.Observe(target, s.startOf(target), pause, time.Now())
@@ -81,6 +86,7 @@
 			e.log("target-pause", generation.Field{Key: "target", Value: target}, generation.Field{Key: "asked", Value: pause})
 		}),
 		targets: func(service string) []*directory.Target { return e.directory.Snapshot().AvailableTargets(service) },
+		leaving: func(target string) { e.directory.ReportLeaving(target) },
 		startOf: func(target string) int64 {
 			if known := e.directory.Snapshot().Target(target); known != nil {
 				return known.StartedMs
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -42,6 +42,7 @@
 	WronglyDraining   Kind = "wrongly-leaving"
 	NamedLimit        Kind = "named-limit"
 	AskedPause        Kind = "asked-pause"
+	SaysLeaving       Kind = "says-leaving"
 )
 
 // Fault is a fault to inject, the body of POST /faults.
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -36,6 +36,7 @@
 	fieldCopySource       = "Kv-From"
 	fieldLimit            = "Server-Limit"
 	fieldRetryAfter       = "Retry-After"
+	fieldLeaving          = "Server-Leaving"
 )
 
 // Options configures a Target.
@@ -144,6 +145,9 @@
 	if limit := t.namedLimit(); limit > 0 {
 		w.Header().Set(fieldLimit, strconv.FormatFloat(limit, 'f', -1, 64))
 	}
+	if _, leaving := t.faults.Active(fault.SaysLeaving, ""); leaving {
+		w.Header().Set(fieldLeaving, "1")
+	}
 	if pause := t.askedPause(); pause > 0 {
 		t.logRequest(Refused, r)
 		w.Header().Set(fieldRetryAfter, strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
