Send brittle targets few requests at a time, and back off when they turn one away

Nothing read the field: 128 turned away by one target in a second where 8 are borne, eight entries on loopback with more calls than three targets have room for. admission.BrittleTargets has each entry send such a target an equal part of its slots at a time, one at least; in fleets of more than two entries for each slot, only so many send to it; an entry that was turned away sends nothing for a time in which all entries together stay below the number. It is asked in the choice beside limits that targets name.

--- a/adapters/passthrough/paths.go
+++ b/adapters/passthrough/paths.go
@@ -32,6 +32,11 @@
 	Observe(target string, limit float64, named bool, sent, now time.Time)
 	// TakePause reports whether the target has not asked for a pause that still lasts; it is asked before each request.
 	TakePause(target string) bool
+	// Begin counts a request to the target until end is called.
+	Begin(target string) (end func())
+	// ObserveBrittle records whether an answer, to a request sent at sent, says that the target fails when it must turn
+	// away more requests in a second, and whether it turned this one away.
+	ObserveBrittle(target string, perSecond float64, brittle, turnedAway bool, sent time.Time)
 	// ObservePause records the pause that an answer of the target asks for; 0 for none.
 	ObservePause(target string, pause time.Duration)
 }
@@ -49,21 +54,30 @@
 	if !p.limits.TakePause(target.ID) {
 		return nil, &service.NotSentError{Cause: errPaused}
 	}
-	return p.observed(target)(p.pool.Do(ctx, target.Key(), target.Address, request))
+	return p.observed(target, func() (*targethttp.Answer, error) { return p.pool.Do(ctx, target.Key(), target.Address, request) })
 }
 
-// observed records what an answer says about further requests.
-func (p *Paths) observed(target detour.Target) func(*targethttp.Answer, error) (*targethttp.Answer, error) {
-	return func(answer *targethttp.Answer, err error) (*targethttp.Answer, error) {
-		if err == nil && platform.ClassifyAnswer(answer.Status, answer.Header).IsOfTarget() {
-			pause, _ := platform.AskedPause(answer.Status, answer.Header) // what can't be read asks for nothing
-			p.limits.ObservePause(target.ID, pause)
-			if platform.SaysLeaving(answer.Header) {
-				p.limits.ObserveLeaving(target.ID)
-			}
-		}
-		return answer, err
+// observed sends a request and records what its answer says about further ones.
+func (p *Paths) observed(target detour.Target, send func() (*targethttp.Answer, error)) (*targethttp.Answer, error) {
+	sent, end := time.Now(), p.limits.Begin(target.ID)
+	answer, err := send()
+	if err != nil {
+		end()
+		return nil, err
+	}
+	answer.OnClose(end)
+	verdict := platform.ClassifyAnswer(answer.Status, answer.Header)
+	if !verdict.IsOfTarget() {
+		return answer, nil
+	}
+	perSecond, brittle := platform.BrittleLimit(answer.Header)
+	p.limits.ObserveBrittle(target.ID, perSecond, brittle, verdict == platform.NotRun, sent)
+	pause, _ := platform.AskedPause(answer.Status, answer.Header) // what can't be read asks for nothing
+	p.limits.ObservePause(target.ID, pause)
+	if platform.SaysLeaving(answer.Header) {
+		p.limits.ObserveLeaving(target.ID)
 	}
+	return answer, nil
 }
 
 // Do sends a request once. The request is built when a path is found, so that it names the time that is left then. An
@@ -87,7 +101,9 @@
 			sendErr = &service.NotSentError{Cause: errPaused}
 			return detour.Result{Outcome: detour.Sent}
 		}
-		answer, sendErr = p.observed(target)(p.peers.Do(ctx, *peer, target, time.Until(deadline), request))
+		answer, sendErr = p.observed(target, func() (*targethttp.Answer, error) {
+			return p.peers.Do(ctx, *peer, target, time.Until(deadline), request)
+		})
 		return peerResult(sendErr)
 	})
 	if err != nil {
--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -40,8 +40,13 @@
 	Body   io.Reader
 
 	exchange *exchange
+	// onClose is called once when the answer is closed; nil for nothing.
+	onClose func()
 }
 
+// OnClose has a function called when the answer is closed, in place of an earlier one.
+func (a *Answer) OnClose(closed func()) { a.onClose = closed }
+
 // exchange is one request and its answer on a connection.
 type exchange struct {
 	pool     *Pool
@@ -179,7 +184,12 @@
 // Close ends the exchange. The connection is kept if the answer was read to its end and the target sent
 // nothing more.
 func (a *Answer) Close() {
-	a.exchange.closeOnce.Do(a.exchange.release)
+	a.exchange.closeOnce.Do(func() {
+		a.exchange.release()
+		if a.onClose != nil {
+			a.onClose()
+		}
+	})
 }
 
 func (e *exchange) release() {
--- a/entry/defect_test.go
+++ b/entry/defect_test.go
@@ -18,3 +18,11 @@
 	is.True(c.eventCount("crash-recorded") > 0)
 	is.True(c.eventCount("request-refused") > 0)
 }
+
+func TestDefectBrittleIgnoredHasTargetsTurnManyAway(t *testing.T) {
+	is := is.New(t)
+	defer defect.Set(defect.Set(defect.BrittleIgnored))
+	most, served := playBrittleTargets(t, brittleBears)
+	t.Logf("at most %d turned away in a second, %d served", most, served)
+	is.True(most > brittleBears)
+}
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -60,6 +60,7 @@
 		}
 	}
 	e.limits.Sweep(func(target string) bool { return ids[target] })
+	e.limits.brittle.Sweep(func(target string) bool { return ids[target] })
 	e.exchanges.Sweep()
 	e.limits.pauses.Sweep(time.Now())
 	e.pool.Sweep(func(key string) bool { return known[key] })
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -98,6 +98,7 @@
 	m.AddCounter("event_gaps", stats.Gap.Load)
 	m.AddCounter("poison_refused", func() int64 { return stats.PoisonRefused.Load() + e.forwarder.PoisonRefused() })
 	m.AddCounter("stream_versions_unknown", stats.VersionsUnknown.Load)
+	m.AddGauge("targets_brittle", func() float64 { return float64(e.limits.brittle.BrittleCount()) })
 	m.AddCounter("target_pauses", e.limits.pauses.Count)
 	m.AddGauge("targets_paused", func() float64 { return float64(e.limits.pauses.PausedCount(time.Now())) })
 	m.AddGauge("targets_limited", func() float64 { return float64(e.limits.LimitedCount()) })
--- a/entry/targetlimits.go
+++ b/entry/targetlimits.go
@@ -19,23 +19,54 @@
 // passthrough.Limits.
 type sendLimits struct {
 	*admission.TargetLimits
-	pauses *admission.TargetPauses
+	pauses  *admission.TargetPauses
+	brittle *admission.BrittleTargets
 	// targets returns a service's targets, startOf when a target's incarnation started.
 	targets func(service string) []*directory.Target
 	startOf func(target string) int64
+	// serviceOf returns the service of a target; empty if it is not known.
+	serviceOf func(target string) string
+	log       func(event string, fields ...generation.Field)
 	// leaving is called with a target that says it leaves.
 	leaving func(target string)
 }
 
 // Available implements passthrough.Limits.
 func (s *sendLimits) Available(target string, now time.Time) bool {
-	return s.pauses.Left(target, s.startOf(target), now) == 0 && s.TargetLimits.Available(target, now)
+	return s.pauses.Left(target, s.startOf(target), now) == 0 && s.allowsBrittle(target, now) && s.TargetLimits.Available(target, now)
+}
+
+// allowsBrittle reports whether a target has room for a request of this entry if it is brittle.
+func (s *sendLimits) allowsBrittle(target string, now time.Time) bool {
+	if s.brittle.BrittleCount() == 0 {
+		return true
+	}
+	var service []admission.BrittleTarget
+	for _, each := range s.targets(s.serviceOf(target)) {
+		service = append(service, admission.BrittleTarget{ID: each.ID, Slots: each.Slots})
+	}
+	return s.brittle.Allows(target, service, now)
+}
+
+// Begin implements passthrough.Limits.
+func (s *sendLimits) Begin(target string) (end func()) { return s.brittle.Begin(target) }
+
+// ObserveBrittle implements passthrough.Limits.
+func (s *sendLimits) ObserveBrittle(target string, perSecond float64, brittle, turnedAway bool, sent time.Time) {
+	now := time.Now()
+	if s.brittle.Observe(target, perSecond, brittle, sent, now) {
+		s.log("target-brittle", generation.Field{Key: "target", Value: target}, generation.Field{Key: "brittle", Value: brittle},
+			generation.Field{Key: "turned_away_per_second", Value: perSecond})
+	}
+	if turnedAway {
+		s.brittle.TurnedAway(target, now)
+	}
 }
 
 // Take implements service.Limits. The pause is taken from where the request is sent.
 func (s *sendLimits) Take(target string) bool {
 	now := time.Now()
-	return s.pauses.Left(target, s.startOf(target), now) == 0 && s.TargetLimits.Take(target, now)
+	return s.pauses.Left(target, s.startOf(target), now) == 0 && s.allowsBrittle(target, now) && s.TargetLimits.Take(target, now)
 }
 
 // TakePause implements passthrough.Limits.
@@ -86,6 +117,14 @@
 			e.log("target-pause", generation.Field{Key: "target", Value: target}, generation.Field{Key: "asked", Value: pause})
 		}),
 		targets: func(service string) []*directory.Target { return e.directory.Snapshot().AvailableTargets(service) },
+		brittle: admission.NewBrittleTargets(e.members),
+		log:     e.log,
+		serviceOf: func(target string) string {
+			if known := e.directory.Snapshot().Target(target); known != nil {
+				return known.Service
+			}
+			return ""
+		},
 		leaving: func(target string) { e.directory.ReportLeaving(target) },
 		startOf: func(target string) int64 {
 			if known := e.directory.Snapshot().Target(target); known != nil {
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -47,6 +47,8 @@
 	LimitIgnored Name = "limit-ignored"
 	// PauseIgnored sends requests to targets that have asked for a pause.
 	PauseIgnored Name = "pause-ignored"
+	// BrittleIgnored sends requests to brittle targets as to others.
+	BrittleIgnored Name = "brittle-ignored"
 	// NoDetour leaves an entry its own links as the only path to targets.
 	NoDetour Name = "no-detour"
 	// CutEvidenceBelieved has entries that lost their links to targets record these as crashed.
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -43,6 +43,7 @@
 	NamedLimit        Kind = "named-limit"
 	AskedPause        Kind = "asked-pause"
 	SaysLeaving       Kind = "says-leaving"
+	Brittle           Kind = "brittle"
 )
 
 // Fault is a fault to inject, the body of POST /faults.
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -37,6 +37,7 @@
 	fieldLimit            = "Server-Limit"
 	fieldRetryAfter       = "Retry-After"
 	fieldLeaving          = "Server-Leaving"
+	fieldBrittle          = "Server-Brittle"
 )
 
 // Options configures a Target.
@@ -148,6 +149,9 @@
 	if _, leaving := t.faults.Active(fault.SaysLeaving, ""); leaving {
 		w.Header().Set(fieldLeaving, "1")
 	}
+	if brittle, on := t.faults.Active(fault.Brittle, ""); on {
+		w.Header().Set(fieldBrittle, strconv.FormatFloat(brittle.Factor, 'f', -1, 64))
+	}
 	if pause := t.askedPause(); pause > 0 {
 		t.logRequest(Refused, r)
 		w.Header().Set(fieldRetryAfter, strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
