--- a/adapters/peerexchange/handler.go
+++ b/adapters/peerexchange/handler.go
@@ -24,8 +24,9 @@
 	Send func(ctx context.Context, target detour.Target, request *targethttp.Request) (*targethttp.Answer, error)
 	// ProbeOpen opens a connection to the target that must stay open for a while.
 	ProbeOpen func(ctx context.Context, target detour.Target, open time.Duration) error
-	// Serves reports whether this entry sends requests to the target now.
-	Serves func(target detour.Target) bool
+	// Stopping reports whether this entry is about to end, Serves whether it sends requests to the target now.
+	Stopping func() bool
+	Serves   func(target detour.Target) bool
 }
 
 // Handler sends requests of peers to targets.
@@ -46,19 +47,26 @@
 	timeout time.Duration
 }
 
-func (h *Handler) question(r *http.Request) (question, bool) {
+// question returns what a peer asks, and detour.Sent if this entry may send to the target.
+func (h *Handler) question(r *http.Request) (question, detour.Outcome) {
 	if from := r.Header.Get(fieldFrom); from != "" {
 		h.options.Router.RecordLost(from)
 	}
 	milliseconds, err := strconv.ParseInt(r.Header.Get(fieldTimeout), 10, 64)
 	asked := question{detour.Target{ID: r.Header.Get(fieldTargetID), Address: r.Header.Get(fieldAddress)}, time.Duration(milliseconds) * time.Millisecond}
-	return asked, err == nil && h.options.Serves(asked.target)
+	switch {
+	case err != nil, h.options.Stopping():
+		return asked, detour.Refused
+	case !h.options.Serves(asked.target):
+		return asked, detour.Unserved
+	}
+	return asked, detour.Sent
 }
 
 func (h *Handler) serveProbe(w http.ResponseWriter, r *http.Request) {
-	asked, ok := h.question(r)
-	result := detour.Result{Outcome: detour.Refused}
-	if ok {
+	asked, outcome := h.question(r)
+	result := detour.Result{Outcome: outcome}
+	if outcome == detour.Sent {
 		result = h.options.Router.HelpConnect(r.Context(), asked.target)
 	}
 	if result.Outcome == detour.Sent && asked.timeout > 0 && h.options.ProbeOpen(r.Context(), asked.target, asked.timeout) != nil {
@@ -81,9 +89,9 @@
 }
 
 func (h *Handler) serveExchange(w http.ResponseWriter, r *http.Request) {
-	asked, ok := h.question(r)
-	if !ok {
-		writeResult(w, detour.Result{Outcome: detour.Refused})
+	asked, outcome := h.question(r)
+	if outcome != detour.Sent {
+		writeResult(w, detour.Result{Outcome: outcome})
 		return
 	}
 	request, err := readRequest(http.MaxBytesReader(w, r.Body, maxRequestBytes), r.Header.Get(fieldIDHeader))
--- a/adapters/peerexchange/peerexchange_test.go
+++ b/adapters/peerexchange/peerexchange_test.go
@@ -45,7 +45,8 @@
 		ProbeOpen: func(ctx context.Context, target detour.Target, open time.Duration) error {
 			return pool.Probe(ctx, target.Key(), target.Address, open)
 		},
-		Serves: func(target detour.Target) bool { return strings.HasPrefix(target.ID, "t") },
+		Stopping: func() bool { return false },
+		Serves:   func(target detour.Target) bool { return strings.HasPrefix(target.ID, "t") },
 	})
 	mux := http.NewServeMux()
 	handler.Register(mux, func(h http.Handler) http.Handler { return h })
@@ -178,7 +179,7 @@
 	unknown := detour.Target{ID: "unknown", Address: silent.Address}
 	_, err = client.Do(t.Context(), peer, unknown, time.Second, request("POST"))
 	is.True(errors.As(err, &notSent))
-	is.Equal(notSent.Result.Outcome, detour.Refused)
+	is.Equal(notSent.Result.Outcome, detour.Unserved)
 
 	former := httptest.NewServer(http.NotFoundHandler())
 	t.Cleanup(former.Close)
--- a/detour/detour.go
+++ b/detour/detour.go
@@ -34,18 +34,20 @@
 	Unreachable
 	// LinksLost: the entry that was to send has lost its links to targets, or to this one.
 	LinksLost
-	// Refused: the peer sends nothing to the target for others now.
+	// Refused: the peer sends nothing for others now.
 	Refused
+	// Unserved: the peer sends nothing to this target, which it doesn't know or which has asked it for a pause.
+	Unserved
 )
 
 // String returns the outcome as it is written to logs and between entries.
 func (o Outcome) String() string {
-	return [...]string{"sent", "unreachable", "links-lost", "refused"}[o]
+	return [...]string{"sent", "unreachable", "links-lost", "refused", "unserved"}[o]
 }
 
 // ParseOutcome is the inverse of Outcome.String.
 func ParseOutcome(text string) (outcome Outcome, ok bool) {
-	for _, outcome := range []Outcome{Sent, Unreachable, LinksLost, Refused} {
+	for _, outcome := range []Outcome{Sent, Unreachable, LinksLost, Refused, Unserved} {
 		if outcome.String() == text {
 			return outcome, true
 		}
@@ -226,7 +228,7 @@
 		if err == nil {
 			return Sent
 		}
-		return r.withoutPeers(<-asked)
+		return r.withoutPeers(target, <-asked)
 	case outcome := <-asked:
 		if outcome != Refused {
 			return outcome
@@ -236,20 +238,20 @@
 	if <-connected == nil {
 		return Sent
 	}
-	return r.withoutPeers(Refused)
+	return r.withoutPeers(target, Refused)
 }
 
 // judgeFailed is judgeOwnLink for a connection that was not accepted.
 func (r *Router) judgeFailed(ctx context.Context, target Target) Outcome {
-	return r.withoutPeers(r.judgeOwnLink(ctx, target))
+	return r.withoutPeers(target, r.judgeOwnLink(ctx, target))
 }
 
-// withoutPeers judges a link of which no peer could tell: what the entry knows of its links to all targets decides.
-func (r *Router) withoutPeers(outcome Outcome) Outcome {
+// withoutPeers judges a link of which no peer could tell: the entry's links to other targets decide.
+func (r *Router) withoutPeers(target Target, outcome Outcome) Outcome {
 	switch {
 	case outcome != Refused:
 		return outcome
-	case r.options.Connectivity.IsLost():
+	case r.options.Connectivity.IsLost(), r.options.Connectivity.CheckLost(target):
 		return LinksLost
 	}
 	return Unreachable
--- a/detour/fleet_test.go
+++ b/detour/fleet_test.go
@@ -63,6 +63,8 @@
 	kind cutKind
 	// gone entries answer no peer; refusing ones refuse to help.
 	gone, refusing bool
+	// unserved holds the targets that this entry doesn't know.
+	unserved map[string]bool
 	// connected holds the targets to which a connection is ready.
 	connected map[string]bool
 	// helping is the number of requests in progress for peers, most its highest value.
@@ -203,6 +205,9 @@
 	if refuses {
 		return Result{Outcome: Refused}
 	}
+	if e.unserved[target.ID] {
+		return Result{Outcome: Unserved}
+	}
 	return e.router.HelpConnect(ctx, target)
 }
 
@@ -432,6 +437,39 @@
 	})
 }
 
+// Guards against a peer that is taken for unable because it doesn't know one target, as while targets restart, and against
+// the only peer that reaches targets being given up because it was slow once.
+func TestOnlyPeerWithLinksIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 4)
+		for _, e := range f.entries[:3] {
+			e.sever(cutRefuses, allTargets()...)
+		}
+		last := f.entries[3]
+		last.unserved = map[string]bool{modelTarget(0).ID: true}
+		served, sent := 0, 0
+		for i := range 40 {
+			if i == 20 {
+				last.refusing = true
+				f.send(f.entries[0], "refused", modelTarget(1))
+				last.refusing = false
+			}
+			f.send(f.entries[0], fmt.Sprint("unserved", i), modelTarget(0))
+			sent++
+			if f.send(f.entries[0], fmt.Sprint("r", i), modelTarget(1+i%(modelTargets-1))) {
+				served++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		cancel()
+		time.Sleep(time.Second)
+		t.Logf("%d of %d served", served, sent)
+		is.Equal(served, sent)
+	})
+}
+
 // Links come and go every second.
 func TestCutThatComesAndGoes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/detour/helpers.go
+++ b/detour/helpers.go
@@ -30,7 +30,7 @@
 }
 
 type helper struct {
-	ableUntil, unableUntil time.Time
+	ableUntil, lostUntil, refusedUntil time.Time
 	// running counts the requests that this entry sends through the peer now.
 	running int
 }
@@ -46,11 +46,13 @@
 	peer := h.helper(name)
 	switch outcome {
 	case Sent, Unreachable:
-		peer.ableUntil, peer.unableUntil = now.Add(ableMemory), time.Time{}
+		*peer = helper{ableUntil: now.Add(ableMemory), running: peer.running}
 	case LinksLost:
-		peer.ableUntil, peer.unableUntil = time.Time{}, now.Add(lostMemory)
+		*peer = helper{lostUntil: now.Add(lostMemory), running: peer.running}
 	case Refused:
-		peer.ableUntil, peer.unableUntil = time.Time{}, now.Add(refusedMemory)
+		*peer = helper{refusedUntil: now.Add(refusedMemory), running: peer.running}
+	case Unserved:
+		// This tells of one target only.
 	}
 }
 
@@ -86,15 +88,23 @@
 	}
 }
 
-// candidates returns the peers that may help, in random order.
+// candidates returns the peers that may help, in random order. Those that refused or failed a moment ago are among them
+// only if there are no others.
 func (h *helpers) candidates(now time.Time, tried []string) []membership.Peer {
 	self := h.view.Self().Name
-	var peers []membership.Peer
+	var peers, refused []membership.Peer
 	for _, peer := range h.view.Live() {
-		if peer.Name == self || slices.Contains(tried, peer.Name) || now.Before(h.helper(peer.Name).unableUntil) {
-			continue
+		known := h.helper(peer.Name)
+		switch {
+		case peer.Name == self, slices.Contains(tried, peer.Name), now.Before(known.lostUntil):
+		case now.Before(known.refusedUntil):
+			refused = append(refused, peer)
+		default:
+			peers = append(peers, peer)
 		}
-		peers = append(peers, peer)
+	}
+	if len(peers) == 0 {
+		peers = refused
 	}
 	h.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	return peers
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -87,13 +87,14 @@
 		ProbeOpen: func(ctx context.Context, target detour.Target, open time.Duration) error {
 			return e.pool.Probe(ctx, target.Key(), target.Address, open)
 		},
-		Serves: e.servesForPeers,
+		Stopping: e.shutdown.stopping,
+		Serves:   e.servesForPeers,
 	})
 }
 
 // servesForPeers reports whether this entry sends requests of peers to the target: its pause holds for them too.
 func (e *Entry) servesForPeers(target detour.Target) bool {
-	return !e.shutdown.stopping() && e.limits.pauses.Left(target.ID, e.limits.startOf(target.ID), time.Now()) == 0 && slices.ContainsFunc(e.allTargets(), func(known *directory.Target) bool { return known.Key() == target.Key() })
+	return e.limits.pauses.Left(target.ID, e.limits.startOf(target.ID), time.Now()) == 0 && slices.ContainsFunc(e.allTargets(), func(known *directory.Target) bool { return known.Key() == target.Key() })
 }
 
 // countRunning counts the requests of a handler as in progress, for which the shutdown waits.
