Send retained notices to entries that join beside others, so that they learn verdicts at once

Retained notices were sent only while a peer had no others. A message to an entry that started less than 10 s ago now begins with the newest retained ones, up to half of its size. TestEntryThatJoinsGetsRetainedNoticesBesideOthers failed before.

--- a/membership/manager.go
+++ b/membership/manager.go
@@ -324,7 +324,12 @@
 		return message
 	}
 	allowed := l.gossipBudget.limit(now, l.options.MaxDeltaBytes)
-	used := l.updates.fillMessage(&message, allowed, len(l.table.members)+1)
+	used := 0
+	if isJoining(peer, now) {
+		// It was not there when they were sent, and others of its requests are decided by them.
+		used = l.retained.fillMessageForJoiner(&message, allowed/2)
+	}
+	used += l.updates.fillMessage(&message, allowed-used, len(l.table.members)+1)
 	if used == 0 {
 		used = l.retained.fillMessage(&message, allowed)
 	}
@@ -332,6 +337,13 @@
 	return message
 }
 
+// isJoining reports whether a peer has started less than joiningPeriod ago, by its incarnation, which begins with the time
+// of its start in nanoseconds.
+func isJoining(peer Peer, now time.Time) bool {
+	age := now.Sub(time.Unix(0, int64(peer.Incarnation)))
+	return age >= -joiningPeriod && age < joiningPeriod
+}
+
 // answerProbe merges the updates of a probe and returns the answer.
 func (l *eventLoop) answerProbe(message Message, now time.Time) Message {
 	l.mergeMessage(message, now)
--- a/membership/retained.go
+++ b/membership/retained.go
@@ -34,3 +34,16 @@
 	message.Notices = append(message.Notices, notice)
 	return notice.encodedBytes()
 }
+
+// fillMessageForJoiner adds the newest notices to a message to an entry that has just started, as far as they fit into
+// maxBytes, and returns the bytes used.
+func (r *retainedNotices) fillMessageForJoiner(message *Message, maxBytes int) (used int) {
+	for _, notice := range slices.Backward(r.notices) {
+		if used+notice.encodedBytes() > maxBytes {
+			break
+		}
+		message.Notices = append(message.Notices, notice)
+		used += notice.encodedBytes()
+	}
+	return used
+}
