Let a peer that has lost one link help with other targets

The only entry with links had found its link to one restarting target lost, by the word of a peer whose old connection was open, and said so when asked for that target; it was then taken to have lost all links for 3 s. TestPeerThatLostOneLinkHelpsWithOthers failed before (0 of 40).

--- a/detour/detour.go
+++ b/detour/detour.go
@@ -32,11 +32,11 @@
 	Sent Outcome = iota
 	// Unreachable: the target accepts no connection from an entry that reaches others.
 	Unreachable
-	// LinksLost: the entry that was to send has lost its links to targets, or to this one.
+	// LinksLost: the entry that was to send has lost its links to targets; its judgement of its own link, to this one.
 	LinksLost
 	// Refused: the peer sends nothing for others now.
 	Refused
-	// Unserved: the peer sends nothing to this target, which it doesn't know or which has asked it for a pause.
+	// Unserved: the peer sends nothing to this target: it doesn't know it, was asked for a pause, or has lost its link to it.
 	Unserved
 )
 
@@ -299,7 +299,7 @@
 				return got.peer, Sent
 			case Unreachable:
 				votes++
-			case LinksLost:
+			case LinksLost, Unserved:
 				if got.result.Helper != "" {
 					hint = got.result.Helper
 				}
@@ -403,9 +403,12 @@
 
 // HelpConnect opens a connection to a target for a peer that asks.
 func (r *Router) HelpConnect(ctx context.Context, target Target) Result {
-	if r.options.Connectivity.IsLost() || r.links.isLost(target.Key(), time.Now()) {
+	if r.options.Connectivity.IsLost() {
 		return r.linksLost(target)
 	}
+	if r.links.isLost(target.Key(), time.Now()) {
+		return Result{Outcome: Unserved, Helper: r.links.helperOf(target.Key())}
+	}
 	connecting, cancel := context.WithTimeout(ctx, helpConnectTimeout)
 	defer cancel()
 	if r.options.Connect(connecting, target) == nil {
--- a/detour/fleet_test.go
+++ b/detour/fleet_test.go
@@ -470,6 +470,34 @@
 	})
 }
 
+// Guards against a peer that is taken to have lost all links because it has lost the one that was asked for.
+func TestPeerThatLostOneLinkHelpsWithOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 4)
+		for _, e := range f.entries[:3] {
+			e.sever(cutRefuses, allTargets()...)
+		}
+		f.entries[3].sever(cutRefuses, 0)
+		f.entries[3].router.links.lose(modelTarget(0), "e000", time.Now())
+		served, sent := 0, 0
+		for i := range 40 {
+			f.entries[3].router.links.isLost(modelTarget(0).Key(), time.Now()) // it is wanted there
+			f.send(f.entries[0], fmt.Sprint("lost", i), modelTarget(0))
+			sent++
+			if f.send(f.entries[0], fmt.Sprint("r", i), modelTarget(1+i%(modelTargets-1))) {
+				served++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		cancel()
+		time.Sleep(time.Second)
+		t.Logf("%d of %d served", served, sent)
+		is.Equal(served, sent)
+	})
+}
+
 // Links come and go every second.
 func TestCutThatComesAndGoes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
