--- a/adapters/peerexchange/handler.go
+++ b/adapters/peerexchange/handler.go
@@ -24,9 +24,9 @@
 	Send func(ctx context.Context, target detour.Target, request *targethttp.Request) (*targethttp.Answer, error)
 	// ProbeOpen opens a connection to the target that must stay open for a while.
 	ProbeOpen func(ctx context.Context, target detour.Target, open time.Duration) error
-	// Stopping reports whether this entry is about to end, Serves whether it sends requests to the target now.
-	Stopping func() bool
-	Serves   func(target detour.Target) bool
+	// Lasts reports whether this entry runs for so long, Serves whether it sends requests to the target now.
+	Lasts  func(timeout time.Duration) bool
+	Serves func(target detour.Target) bool
 }
 
 // Handler sends requests of peers to targets.
@@ -55,7 +55,7 @@
 	milliseconds, err := strconv.ParseInt(r.Header.Get(fieldTimeout), 10, 64)
 	asked := question{detour.Target{ID: r.Header.Get(fieldTargetID), Address: r.Header.Get(fieldAddress)}, time.Duration(milliseconds) * time.Millisecond}
 	switch {
-	case err != nil, h.options.Stopping():
+	case err != nil, !h.options.Lasts(asked.timeout):
 		return asked, detour.Refused
 	case !h.options.Serves(asked.target):
 		return asked, detour.Unserved
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -87,8 +87,8 @@
 		ProbeOpen: func(ctx context.Context, target detour.Target, open time.Duration) error {
 			return e.pool.Probe(ctx, target.Key(), target.Address, open)
 		},
-		Stopping: e.shutdown.stopping,
-		Serves:   e.servesForPeers,
+		Lasts:  func(timeout time.Duration) bool { return e.shutdown.lasts(timeout, time.Now()) },
+		Serves: e.servesForPeers,
 	})
 }
 
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -87,6 +87,13 @@
 	return since+expected < time.Duration(abortShare*float64(s.grace))
 }
 
+// lasts reports whether a request that takes up to a timeout ends before the remaining ones are aborted.
+func (s *shutdown) lasts(timeout time.Duration, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.beganAt.IsZero() || now.Sub(s.beganAt)+timeout < time.Duration(abortShare*float64(s.grace))
+}
+
 // shouldExit reports whether the process should exit, given the number of running requests.
 func (s *shutdown) shouldExit(now time.Time, running int64) bool {
 	s.mu.Lock()
--- a/entry/shutdown_test.go
+++ b/entry/shutdown_test.go
@@ -29,3 +29,15 @@
 	is.True(!s.shouldExit(now.Add(7*time.Second), 1))
 	is.True(s.shouldExit(now.Add(7600*time.Millisecond), 1)) // before SIGKILL
 }
+
+// Guards against an entry that stops and refuses the short requests of peers that have no other helper.
+func TestEntryThatStopsHelpsWithWhatEndsInTime(t *testing.T) {
+	is := is.New(t)
+	s := newShutdown(8 * time.Second)
+	now := time.Now()
+	is.True(s.lasts(time.Hour, now))
+	s.begin(now)
+	is.True(s.lasts(1500*time.Millisecond, now.Add(time.Second)))
+	is.True(!s.lasts(10*time.Second, now.Add(time.Second)))
+	is.True(!s.lasts(1500*time.Millisecond, now.Add(7*time.Second)))
+}
