Soak: give all entries the same seeds; log what is known of peers when there is no path

Traced with the new fields of request-without-path (live=1): the soak's first entry had only itself as a seed. After a restart it saw nobody, and the second only the first, for the rest of the run: the others had forgotten them as dead.

--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -250,19 +250,14 @@
 }
 
 func (d *deployment) addEntries(store string) error {
-	var seeds []string
-	for i := range d.options.Entries {
+	// Every entry has the same seeds, as in the users' deployments: an entry that restarts finds the others by them.
+	all, seeds, err := chooseAddresses(d.options.Entries)
+	if err != nil {
+		return err
+	}
+	for i, addresses := range all {
 		name := fmt.Sprintf("entry-%d", i)
 		e := &entry{}
-		addresses := make([]string, 4)
-		for j := range addresses {
-			address, err := cluster.FreeAddress()
-			if err != nil {
-				return err
-			}
-			addresses[j] = address
-		}
-		var err error
 		if e.callers, err = cluster.NewForwarder(addresses[0]); err != nil {
 			return err
 		}
@@ -270,9 +265,6 @@
 			return err
 		}
 		e.readyAddress = addresses[2]
-		if len(seeds) < 3 {
-			seeds = append(seeds, addresses[1])
-		}
 		file := d.file(name + ".yaml")
 		if err := writeSettings(file, settings.Settings{
 			Name: name, AvailabilityZone: zones[i%len(zones)], Interface: settings.InterfacePassthrough,
@@ -298,6 +290,25 @@
 	return nil
 }
 
+// maxSeeds is the number of entries that are seeds.
+const maxSeeds = 3
+
+// chooseAddresses returns four addresses for each entry: of callers, peers, readiness and administration; and the seeds.
+func chooseAddresses(entries int) (all [][4]string, seeds []string, err error) {
+	all = make([][4]string, entries)
+	for i := range all {
+		for j := range all[i] {
+			if all[i][j], err = cluster.FreeAddress(); err != nil {
+				return nil, nil, err
+			}
+		}
+		if len(seeds) < maxSeeds {
+			seeds = append(seeds, all[i][1])
+		}
+	}
+	return all, seeds, nil
+}
+
 func writeSettings(file string, s settings.Settings) error {
 	text, err := yaml.Marshal(s)
 	if err != nil {
--- a/detour/detour.go
+++ b/detour/detour.go
@@ -191,6 +191,7 @@
 	if errors.Is(err, ErrNoPath) {
 		r.pathless.Add(1)
 		r.options.Log("request-without-path", generation.Field{Key: "request", Value: request}, generation.Field{Key: "target", Value: target.ID},
+			generation.Field{Key: "live", Value: len(r.options.View.Live())}, generation.Field{Key: "peers", Value: r.helpers.describe(time.Now())},
 			generation.Field{Key: "connectivity_lost", Value: r.options.Connectivity.IsLost()})
 	}
 	return err
--- a/detour/helpers.go
+++ b/detour/helpers.go
@@ -1,6 +1,7 @@
 package detour
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -139,3 +140,23 @@
 	})
 	return candidates[:min(count, len(candidates))]
 }
+
+// describe returns what is known of the peers now, for logs: how many have lost their links, refused, or may help.
+func (h *helpers) describe(now time.Time) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	lost, refused, others := 0, 0, 0
+	for _, peer := range h.view.Live() {
+		known := h.helper(peer.Name)
+		switch {
+		case peer.Name == h.view.Self().Name:
+		case now.Before(known.lostUntil):
+			lost++
+		case now.Before(known.refusedUntil):
+			refused++
+		default:
+			others++
+		}
+	}
+	return fmt.Sprintf("%d lost, %d refused, %d others", lost, refused, others)
+}
