--- a/admission/targetpauses.go
+++ b/admission/targetpauses.go
@@ -116,14 +116,14 @@
 	return true
 }
 
-// Count returns the number of pauses that targets have asked for, PausedCount that of targets that are paused now.
+// Count returns the number of pauses that targets have asked for.
 func (p *TargetPauses) Count() int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.count
 }
 
-// PausedCount is documented at Count.
+// PausedCount returns the number of targets that are paused now.
 func (p *TargetPauses) PausedCount(now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/detour/detour.go
+++ b/detour/detour.go
@@ -117,10 +117,10 @@
 	maxLinkProbes = 3
 )
 
-// ErrNoPath: neither the entry nor a peer that it could ask reaches the target. Nothing was sent.
+// ErrNoPath reports that neither the entry nor a peer that it could ask reaches the target. Nothing was sent.
 var ErrNoPath = errors.New("detour: no path to the target")
 
-// ErrUnreachable: peers that reach other targets don't reach this one either. Nothing was sent.
+// ErrUnreachable reports that peers which reach other targets don't reach this one either. Nothing was sent.
 var ErrUnreachable = errors.New("detour: the target accepts no connection")
 
 // Router sends requests over the paths that work. It is safe for concurrent use.
@@ -141,14 +141,13 @@
 	return &Router{options: options, links: newLinks(), helpers: newHelpers(options.View, options.Seed)}
 }
 
-// DetouredCount returns the number of requests sent through peers, HelpedCount that of requests sent for peers, and
-// PathlessCount that of requests for which there was no path.
+// DetouredCount returns the number of requests sent through peers.
 func (r *Router) DetouredCount() int64 { return r.detoured.Load() }
 
-// HelpedCount is documented at DetouredCount.
+// HelpedCount returns the number of requests sent for peers.
 func (r *Router) HelpedCount() int64 { return r.helped.Load() }
 
-// PathlessCount is documented at DetouredCount.
+// PathlessCount returns the number of requests for which there was no path.
 func (r *Router) PathlessCount() int64 { return r.pathless.Load() }
 
 // LostLinkCount returns the number of targets that only peers reach.
