--- a/admission/brittletargets_test.go
+++ b/admission/brittletargets_test.go
@@ -79,6 +79,7 @@
 				}
 				served, refused := 0, 0
 				var mu sync.Mutex
+				var calls sync.WaitGroup
 				started := time.Now()
 				for time.Since(started) < 6*time.Second {
 					present := service
@@ -86,7 +87,8 @@
 						present = service[:(len(service)+1)/2] // half of them are away
 					}
 					guard := guards[random.IntN(len(guards))]
-					go func(order []int) {
+					order := random.Perm(len(present))
+					calls.Go(func() {
 						for _, i := range order {
 							id := present[i].ID
 							if !guard.Allows(id, present, time.Now()) {
@@ -107,11 +109,10 @@
 						mu.Lock()
 						defer mu.Unlock()
 						refused++
-					}(random.Perm(len(present)))
+					})
 					time.Sleep(time.Second / time.Duration(perTarget*each.targets))
 				}
-				synctest.Wait()
-				time.Sleep(time.Second)
+				calls.Wait()
 				most, all := 0, 0
 				for _, model := range models {
 					most = max(most, model.mostInASecond(started))
