Soak: compare cut entries with the others over the whole time in which some are cut

Overlapping cuts are one time in which some entries are cut, as the users' rule says, and are checked as one; shares and allowances are the same.

--- a/bench/soak/partitions.go
+++ b/bench/soak/partitions.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/internal/wait"
@@ -66,23 +67,40 @@
 	return false
 }
 
-// checkPartitions checks that entries whose links to all targets are cut serve first tries as the others do.
+// checkPartitions checks that entries whose links to all targets are cut serve first tries as the others do, over each
+// time in which some are cut: in parts of it the others get too few tries to compare with.
 func (e *Evidence) checkPartitions(map[string][]target.Record) []Violation {
 	var found []Violation
-	for _, d := range e.Disturbances {
-		if d.Fault != CutLinks {
-			continue
-		}
-		cut, others := e.countFirstTries(d.From.Add(stableWindow), d.To)
+	for _, period := range e.cutPeriods() {
+		cut, others := e.countFirstTries(period.From.Add(stableWindow), period.To)
 		allowed := allowedCutFailures + maxCutFailureShare*float64(cut.sent+others.sent)
 		if cut.share() < minCutShare*others.share() && float64(cut.sent-cut.served) > allowed {
-			found = append(found, Violation{"RECOVER", d.Subject, fmt.Sprintf(
+			found = append(found, Violation{"RECOVER", period.Subject, fmt.Sprintf(
 				"entries without links to targets served %d of %d first tries, the others %d of %d", cut.served, cut.sent, others.served, others.sent)})
 		}
 	}
 	return found
 }
 
+// cutPeriods returns the times in which links of some entries were cut; cuts that overlap are one.
+func (e *Evidence) cutPeriods() []Disturbance {
+	cuts := slices.DeleteFunc(slices.Clone(e.Disturbances), func(d Disturbance) bool { return d.Fault != CutLinks })
+	slices.SortFunc(cuts, func(a, b Disturbance) int { return a.From.Compare(b.From) })
+	var periods []Disturbance
+	for _, cut := range cuts {
+		last := len(periods) - 1
+		if last < 0 || cut.From.After(periods[last].To) {
+			periods = append(periods, cut)
+			continue
+		}
+		periods[last].Subject += ", " + cut.Subject
+		if cut.To.After(periods[last].To) {
+			periods[last].To = cut.To
+		}
+	}
+	return periods
+}
+
 // tries counts first tries.
 type tries struct{ sent, served int }
 
