Test of streams' versions over the loss of all entries, known red

The model loses all entries three times, with two versions in service, with the old one just gone, gone meanwhile, a third one, a release just before, and with one version only.

--- /dev/null
+++ b/entry/versionloss_test.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurebarrow/azurebarrow/generation"
+)
+
+// Course of the losses of all entries.
+const (
+	lossInterval = 15 * time.Second
+	lossDuration = 2 * time.Second
+	lossCount    = 3
+	// silentTakeUp is the time after which a caller gives up a connection that fell silent when its entry lost power.
+	silentTakeUp = 18 * time.Second
+	// lossStreams is the number of streams that are sent a second.
+	lossStreams = 12
+	// minGoOnShare is the share of taken-up streams that must go on where engines of their version serve.
+	minGoOnShare = 0.95
+)
+
+// lossFleet is a versionFleet that loses all entries at once, several times.
+type lossFleet struct {
+	*versionFleet
+	// down reports that the entries are without power.
+	down bool
+	// servedTakenUp and servedResumed count the take-ups of streams whose version serves, and those that went on.
+	servedTakenUp, servedResumed int
+}
+
+// setVersions gives the engines the versions in turn. Engines whose version changes are replaced by others.
+func (f *lossFleet) setVersions(versions ...string) {
+	f.crashFleet.mu.Lock()
+	defer f.crashFleet.mu.Unlock()
+	for i, engine := range f.engines {
+		version := versions[i%len(versions)]
+		if engine.target.Version == version {
+			continue
+		}
+		successor := f.newEngine()
+		successor.target.Version = version
+		f.engines[i] = successor
+		close(engine.crashed)
+	}
+}
+
+// serves reports whether an engine of the version serves.
+func (f *lossFleet) serves(version string) bool {
+	for _, target := range f.targets() {
+		if target.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitEntry returns an entry once the entries have power.
+func (f *lossFleet) awaitEntry() *fleetEntry {
+	for {
+		f.crashFleet.mu.Lock()
+		e, down := f.order[f.random.IntN(len(f.order))], f.down
+		f.crashFleet.mu.Unlock()
+		if !down {
+			return e
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// stream sends a stream and takes it up, up to twice, when its entry is lost: every other caller notices at once, the others
+// after silentTakeUp.
+func (f *lossFleet) stream(number int) {
+	caller := &versionCaller{}
+	resumes, sentAt := "", time.Now()
+	for try := range 3 {
+		e := f.awaitEntry()
+		request := &generation.RelayRequest{
+			ID: fmt.Sprintf("s%d-%d", number, try), Fingerprint: fmt.Sprint("f", number), Service: "drafts", Customer: "ranch", LastEvent: -1, Resumes: resumes,
+			Deadline: sentAt.Add(40 * time.Second), FirstEventObjective: 4500 * time.Millisecond, GapObjective: 700 * time.Millisecond,
+			MaxAttempts: 5, Resumable: true,
+		}
+		had := caller.last
+		if had > 0 {
+			request.LastEvent = had
+		}
+		served := had > 0 && f.serves(caller.versions[0])
+		err := e.relay.Run(e.ctx, request, caller)
+		if f.ctx.Err() != nil {
+			return
+		}
+		f.countTakeUp(served, had, caller)
+		if err == nil || e.ctx.Err() == nil {
+			break
+		}
+		if resumes == "" && caller.last > 0 {
+			resumes = request.ID
+		}
+		if number%2 == 0 && had == 0 {
+			time.Sleep(silentTakeUp)
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(caller.versions) > 1 {
+		f.joined++
+	}
+}
+
+func (f *lossFleet) countTakeUp(served bool, had int64, caller *versionCaller) {
+	f.count(had, caller)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !served {
+		return
+	}
+	f.servedTakenUp++
+	if caller.last > had {
+		f.servedResumed++
+	}
+}
+
+// loseAll takes the power from all entries, and gives it back.
+func (f *lossFleet) loseAll(meanwhile func()) {
+	f.crashFleet.mu.Lock()
+	f.down = true
+	for _, e := range f.order {
+		e.stop()
+	}
+	f.crashFleet.mu.Unlock()
+	meanwhile()
+	time.Sleep(lossDuration)
+	for i := range f.order {
+		f.startEntry(i)
+	}
+	f.crashFleet.mu.Lock()
+	f.down = false
+	f.crashFleet.mu.Unlock()
+}
+
+// lossCourse is what serves before, during and after each loss of all entries.
+type lossCourse struct {
+	name string
+	// before is called 1.5 s before a loss and during while no entry runs; n counts the losses.
+	start, before, during func(f *lossFleet, n int)
+	// onlyOne reports that one version has ever served.
+	onlyOne bool
+	sizes   []int
+}
+
+// Numbers of entries; the largest takes seconds of processor time a second of the model.
+var (
+	allSizes   = []int{8, 59, 76, 195}
+	smallSizes = []int{8, 59}
+)
+
+func version(n int) string { return fmt.Sprint("v", n) }
+
+func unchanged(*lossFleet, int) {}
+
+var lossCourses = []lossCourse{
+	{name: "two versions serve", sizes: allSizes, before: unchanged, during: unchanged,
+		start: func(f *lossFleet, _ int) { f.setVersions("v1", "v2") }},
+	{name: "the old version has just left", sizes: allSizes, during: unchanged,
+		start:  func(f *lossFleet, _ int) { f.setVersions("v1") },
+		before: func(f *lossFleet, n int) { f.setVersions(version(n + 2)) }},
+	{name: "the old version leaves meanwhile", sizes: smallSizes, before: unchanged,
+		start:  func(f *lossFleet, _ int) { f.setVersions("v1") },
+		during: func(f *lossFleet, n int) { f.setVersions(version(n + 2)) }},
+	{name: "a third version comes meanwhile", sizes: smallSizes, before: unchanged,
+		start:  func(f *lossFleet, _ int) { f.setVersions("v1", "v2") },
+		during: func(f *lossFleet, _ int) { f.setVersions("v1", "v2", "v3") }},
+	{name: "a release begins just before", sizes: smallSizes, during: unchanged,
+		start:  func(f *lossFleet, _ int) { f.setVersions("v1") },
+		before: func(f *lossFleet, n int) { f.setVersions(version(n+1), version(n+2)) }},
+	{name: "one version only", sizes: smallSizes, before: unchanged, during: unchanged, onlyOne: true,
+		start: func(f *lossFleet, _ int) { f.setVersions("v1") }},
+}
+
+// play runs a course to its end.
+func (f *lossFleet) play(course lossCourse) {
+	course.start(f, 0)
+	time.Sleep(modelHistoryTime)
+	go func() {
+		for number := 0; f.ctx.Err() == nil; number++ {
+			go f.stream(number)
+			time.Sleep(time.Second / lossStreams)
+		}
+	}()
+	for n := range lossCount {
+		time.Sleep(lossInterval - 1500*time.Millisecond)
+		course.before(f, n)
+		time.Sleep(1500 * time.Millisecond)
+		f.loseAll(func() { course.during(f, n) })
+	}
+	time.Sleep(silentTakeUp + lossInterval)
+}
+
+// Guards against streams that are joined from two versions, or not taken up although their version serves, after the loss
+// of all entries: then nobody remembers what began them, and an entry that has just started sees only what serves now.
+func TestStreamsKeepTheirVersionOverTheLossOfAllEntries(t *testing.T) {
+	for _, course := range lossCourses {
+		for _, size := range course.sizes {
+			t.Run(fmt.Sprintf("%s/%d_entries", course.name, size), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					is := is.NewRelaxed(t)
+					ctx, cancel := context.WithCancel(t.Context())
+					f := &lossFleet{versionFleet: &versionFleet{crashFleet: newFleet(ctx, size, func(f *crashFleet) generation.RelayEngine { return versionClient{f} })}}
+					f.play(course)
+					cancel()
+					time.Sleep(time.Minute) // until all goroutines have ended
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					t.Logf("%d of %d streams begun; taken up %d, go on %d, of those whose version serves %d of %d; %d joined",
+						f.begun, f.sent, f.takenUp, f.resumed, f.servedResumed, f.servedTakenUp, f.joined)
+					is.True(f.takenUp > 0)
+					is.Equal(f.joined, 0)
+					is.True(f.servedTakenUp > 0 || !course.onlyOne)
+					is.True(float64(f.servedResumed) >= minGoOnShare*float64(f.servedTakenUp))
+				})
+			})
+		}
+	}
+}
