Keep streams of a test from having timers that expire at one instant, which crash the race runtime

Cause: as in, two goroutines of a synctest bubble that receive from expired timers at once. No check or bound is changed.

--- a/generation/relayconnectivity_test.go
+++ b/generation/relayconnectivity_test.go
@@ -312,8 +312,11 @@
 		f.relay.connectivity.options.Log = func(event string, _ ...Field) { events = append(events, event) }
 		time.AfterFunc(200*time.Millisecond, func() { f.engine.startOutage(outage) })
 		var running sync.WaitGroup
-		for range targets * streamsPerTarget {
+		for i := range targets * streamsPerTarget {
 			running.Go(func() {
+				// No two streams have timers that expire at the same instant: two goroutines of a bubble that receive from such
+				// timers crash the race runtime (Go 1.26.8).
+				time.Sleep(time.Duration(i) * time.Nanosecond)
 				sink := &recordingSink{}
 				is.NoErr(f.relay.Run(t.Context(), relayRequest(), sink))
 				is.Equal(sink.events, eventsUpTo(20))
