Keep the versions that began streams in the store, and which versions have served lately

Cause: records of versions lived in entries' memory, so that after the loss of all entries nobody knew them; and an entry that had just started took the versions that it saw for all that had ever served, and sent streams of unknown version to the only one.

Change: package streamversion keeps both in the store, one object for each entry. A stream's version is written, with those of the others since the last write, while streams of several versions may be taken up. Three entries (by rank) keep the versions that served within two minutes, as long as records live; a stream without a record goes on only where these, the store's and the directory's, are one version, and is then bound to it. Peers tell an entry that the store turns away, and keep its records there. Objects of entries that left for good are deleted.

--- a/adapters/streamversionpeer/streamversionpeer.go
+++ b/adapters/streamversionpeer/streamversionpeer.go
@@ -16,10 +16,13 @@
 
 const (
 	path = "/stream-versions"
-	// streamParameter names the stream in the query of a GET.
-	streamParameter = "stream"
-	// maxRecordBytes limits what is read of one record.
+	// streamParameter and customerParameter name the stream and its customer in the query of a GET.
+	streamParameter   = "stream"
+	customerParameter = "customer"
+	// maxRecordBytes limits what is read of one record, or of the versions that have served lately.
 	maxRecordBytes = 4 << 10
+	// servingParameter in the query of a GET asks for the versions that have served lately.
+	servingParameter = "serving"
 )
 
 // Client implements streamversion.Transport.
@@ -39,8 +42,8 @@
 }
 
 // Get implements streamversion.Transport.
-func (c *Client) Get(ctx context.Context, peer membership.Peer, stream string) (streamversion.Record, bool, error) {
-	query := url.Values{streamParameter: {stream}}.Encode()
+func (c *Client) Get(ctx context.Context, peer membership.Peer, stream, customer string) (streamversion.Record, bool, error) {
+	query := url.Values{streamParameter: {stream}, customerParameter: {customer}}.Encode()
 	body, found, err := c.do(ctx, http.MethodGet, "http://"+peer.Address+path+"?"+query, nil)
 	if err != nil || !found {
 		return streamversion.Record{}, false, err
@@ -52,6 +55,19 @@
 	return record, record.Stream == stream, nil
 }
 
+// Serving implements streamversion.Transport.
+func (c *Client) Serving(ctx context.Context, peer membership.Peer) (map[string][]string, bool, error) {
+	body, known, err := c.do(ctx, http.MethodGet, "http://"+peer.Address+path+"?"+servingParameter, nil)
+	if err != nil || !known {
+		return nil, false, err
+	}
+	var serving map[string][]string
+	if err := json.Unmarshal(body, &serving); err != nil {
+		return nil, false, err
+	}
+	return serving, true, nil
+}
+
 // do sends a request; found is false after status 204.
 func (c *Client) do(ctx context.Context, method, address string, body []byte) (answer []byte, found bool, err error) {
 	request, err := http.NewRequestWithContext(ctx, method, address, bytes.NewReader(body))
@@ -83,15 +99,26 @@
 			records.Put(record)
 			w.WriteHeader(http.StatusNoContent)
 		case http.MethodGet:
-			record, found := records.Get(r.URL.Query().Get(streamParameter))
-			if !found {
-				w.WriteHeader(http.StatusNoContent)
+			query := r.URL.Query()
+			if query.Has(servingParameter) {
+				serving, known := records.Serving()
+				writeAnswer(w, serving, known)
 				return
 			}
-			w.Header().Set("Content-Type", "application/json")
-			_ = json.NewEncoder(w).Encode(record) // the peer may have left
+			record, found := records.Get(query.Get(streamParameter), query.Get(customerParameter))
+			writeAnswer(w, record, found)
 		default:
 			w.WriteHeader(http.StatusMethodNotAllowed)
 		}
 	})
 }
+
+// writeAnswer answers a GET; status 204 says that the entry doesn't know it.
+func writeAnswer(w http.ResponseWriter, answer any, known bool) {
+	if !known {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer) // the peer may have left
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -6,6 +6,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -144,6 +146,8 @@
 	KeysRequired bool
 	// routes are the routes by host, those with the longest path prefix first.
 	routes map[string][]*Route
+	// streamServices are the services of routes whose responses are streams.
+	streamServices map[string]bool
 }
 
 // NewConfiguration returns a configuration with the given routes and no services or customers. The hosts
@@ -154,9 +158,16 @@
 		Services:  map[string]Service{},
 		Customers: map[string]Customer{},
 		routes:    map[string][]*Route{},
+
+		streamServices: map[string]bool{},
 	}
 	for _, route := range routes {
 		c.routes[route.Host] = append(c.routes[route.Host], route)
+		for _, weighted := range route.Services {
+			if route.Class == Stream {
+				c.streamServices[weighted.Service] = true
+			}
+		}
 	}
 	for _, hostRoutes := range c.routes {
 		slices.SortStableFunc(hostRoutes, func(a, b *Route) int {
@@ -166,6 +177,9 @@
 	return c
 }
 
+// StreamServices returns the services of routes whose responses are streams.
+func (c *Configuration) StreamServices() iter.Seq[string] { return maps.Keys(c.streamServices) }
+
 // Match returns the route of the host whose path prefix is the longest that matches, nil if there is
 // none. The host is compared without regard to case.
 func (c *Configuration) Match(host, path string) *Route {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -158,7 +158,9 @@
 	e.peerClient = &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout,
 	}}
-	e.versions = streamversion.NewManager(e.members, streamversionpeer.NewClient(e.peerClient))
+	e.versions = streamversion.NewManager(streamversion.Options{
+		View: e.members, Transport: streamversionpeer.NewClient(e.peerClient), Store: store, Observe: e.logStreamVersions,
+	})
 	e.transfers = &directorypeer.Transfers{Report: e.logTransfer}
 	e.directory = directory.NewManager(directory.Options{
 		Store:      store,
@@ -283,6 +285,7 @@
 	addActor(&group, e.members.Run)
 	addActor(&group, e.directory.Run)
 	addActor(&group, e.prompts.Run)
+	addActor(&group, e.versions.Run)
 	addActor(&group, e.maintain)
 	addActor(&group, e.router.Run)
 	addActor(&group, func(ctx context.Context) error {
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
 )
 
@@ -25,6 +26,7 @@
 	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
 	last := bootTime()
+	var observed *directory.Snapshot
 	for count := 1; ; count++ {
 		select {
 		case <-ctx.Done():
@@ -40,6 +42,10 @@
 		if configuration := e.directory.Snapshot().Configuration; configuration != nil {
 			e.callers.apply(configuration.Limits)
 		}
+		if snapshot := e.directory.Snapshot(); snapshot != observed || count%sweepEvery == 0 {
+			observed = snapshot
+			e.observeServing(snapshot)
+		}
 		if count%sweepEvery == 0 {
 			e.sweep()
 		}
--- a/entry/streamversions.go
+++ b/entry/streamversions.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
 
+	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/streamversion"
 )
@@ -17,11 +21,41 @@
 
 // FindVersion implements generation.StreamVersions.
 func (s sharedVersions) FindVersion(ctx context.Context, request *generation.RelayRequest) (version string, found bool) {
-	record, found := s.Find(ctx, request.Resumes)
-	if !found || record.Customer != request.Customer {
-		return "", false
+	return s.Find(ctx, request.Service, request.Resumes, request.Customer)
+}
+
+// EndStream implements generation.StreamVersions.
+func (s sharedVersions) EndStream(request *generation.RelayRequest, complete bool) {
+	s.End(streamOf(request), request.Customer, complete)
+}
+
+// observeServing records the versions of the targets that serve streams.
+func (e *Entry) observeServing(snapshot *directory.Snapshot) {
+	if snapshot.Configuration == nil {
+		return
+	}
+	for service := range snapshot.Configuration.StreamServices() {
+		versions := map[string]bool{}
+		for _, target := range snapshot.AvailableTargets(service) {
+			versions[target.Version] = true
+		}
+		e.versions.ObserveServing(service, slices.Collect(maps.Keys(versions)))
+	}
+}
+
+// logStreamVersions logs what the entry learned of the versions that began streams.
+func (e *Entry) logStreamVersions(event streamversion.Event) {
+	fields := []generation.Field{{Key: "entries", Value: event.Entries}, {Key: "streams", Value: event.Streams}}
+	if event.Entry != "" {
+		fields = append(fields, generation.Field{Key: "entry", Value: event.Entry})
+	}
+	for _, service := range slices.Sorted(maps.Keys(event.Serving)) {
+		fields = append(fields, generation.Field{Key: "serving", Value: service + " " + strings.Join(event.Serving[service], " ")})
+	}
+	if event.Err != nil {
+		fields = append(fields, generation.Field{Key: "error", Value: event.Err})
 	}
-	return record.Version, true
+	e.log(string(event.Kind), fields...)
 }
 
 // streamOf returns the ID of the request that brought the first event of the request's stream.
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -107,9 +107,9 @@
 	exclude  []string
 	// onTrial is true while the request is let through although parts of its prompt are refused.
 	onTrial bool
-	// version is the software version that began the stream; versionShared reports that other entries were told.
-	version       streamVersion
-	versionShared bool
+	// version is the software version that began the stream; versionSharedAt is when other entries were told last.
+	version         streamVersion
+	versionSharedAt time.Time
 	// versionChecked is when it was last checked whether the version must be shared.
 	versionChecked time.Time
 	// lastAnswer is the last failure that a target answered with.
@@ -130,6 +130,9 @@
 	}
 	run.cachedAt = run.locatePrompt(ctx)
 	err := run.runAttempts(ctx)
+	if !run.versionSharedAt.IsZero() {
+		r.options.Versions.EndStream(request, err == nil)
+	}
 	r.options.Prompts.RecordEnd(request.Affinity, err == nil)
 	return err
 }
--- a/generation/relayversion.go
+++ b/generation/relayversion.go
@@ -125,8 +125,13 @@
 	// ShareVersion has other entries know the version that began the stream of a request, before its first event goes
 	// to the caller. It returns how many know it.
 	ShareVersion(ctx context.Context, request *RelayRequest, version string) (peers int)
-	// FindVersion returns the version that began the stream which the request resumes; false if no entry knows it.
+	// FindVersion returns the version that began the stream which the request resumes; false if it is not known.
 	FindVersion(ctx context.Context, request *RelayRequest) (version string, found bool)
+	// IsOnlyVersion reports whether every stream of the service that a caller may take up began at the version. It is false also if
+	// what served before is not known.
+	IsOnlyVersion(service, version string) bool
+	// EndStream is called when the stream of a request whose version was shared has ended here.
+	EndStream(request *RelayRequest, complete bool)
 }
 
 // unsharedVersions is StreamVersions of an entry without others.
@@ -136,9 +141,15 @@
 func (unsharedVersions) FindVersion(context.Context, *RelayRequest) (string, bool) {
 	return "", false
 }
+func (unsharedVersions) IsOnlyVersion(string, string) bool { return true }
+func (unsharedVersions) EndStream(*RelayRequest, bool)     {}
 
-// errVersionUnknown: a caller takes a stream up, several versions serve, and no entry knows which of them began it.
-var errVersionUnknown = errors.New("no entry knows the version that began the stream")
+// versionRenewal is the time after which the version of a running stream is shared once more: those who hold it forget it after
+// twice as long.
+const versionRenewal = time.Minute
+
+// errVersionUnknown: a caller takes a stream up, several versions may have begun it, and it is not known which of them did.
+var errVersionUnknown = errors.New("the version that began the stream is not known")
 
 // recoverVersion binds a stream that its caller takes up to the version that began it. It returns a *GivenUpError if that
 // is not known and matters: two versions in one stream are worse than a refusal.
@@ -152,7 +163,12 @@
 		run.log("stream-version-found", Field{"version", name}, Field{"resumes", run.request.Resumes})
 		return nil
 	}
-	if run.servesOneVersion() {
+	targets := run.relay.options.Targets(run.request.Service)
+	if len(targets) == 0 {
+		return run.failureError(ErrNoTarget)
+	}
+	if only := versionOf(targets[0]); run.isOnlyVersion(only) {
+		run.version = only
 		return nil
 	}
 	run.relay.stats.VersionsUnknown.Add(1)
@@ -160,13 +176,19 @@
 	return &GivenUpError{RetryAfter: retryAfter, Cause: errVersionUnknown}
 }
 
-// shareVersion has other entries know the version of the stream, once several versions serve: its caller may take it up
-// there.
+// isOnlyVersion reports whether every stream of the request's service belongs to the version.
+func (run *relayRun) isOnlyVersion(version streamVersion) bool {
+	return run.servesOneVersion() && run.relay.options.Versions.IsOnlyVersion(run.request.Service, version.name)
+}
+
+// shareVersion has other entries know the version of the stream, once streams of several versions may be taken up.
 func (run *relayRun) shareVersion(ctx context.Context) {
-	if !run.version.known || run.versionShared || run.servesOneVersion() {
+	now := time.Now()
+	isDue := run.versionSharedAt.IsZero() || now.Sub(run.versionSharedAt) >= versionRenewal
+	if !run.version.known || !isDue || run.isOnlyVersion(run.version) {
 		return
 	}
-	run.versionShared = true
+	run.versionSharedAt = now
 	peers := run.relay.options.Versions.ShareVersion(ctx, run.request, run.version.name)
 	run.log("stream-version-shared", Field{"version", run.version.name}, Field{"peers", peers})
 }
--- a/generation/relayversion_test.go
+++ b/generation/relayversion_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"testing"
@@ -74,6 +75,17 @@
 type fakeVersions struct {
 	found  map[string]string
 	shared []string
+	// formerVersions are versions that served before the entry started.
+	formerVersions []string
+	ended          []string
+}
+
+func (f *fakeVersions) IsOnlyVersion(_, version string) bool {
+	return !slices.ContainsFunc(f.formerVersions, func(former string) bool { return former != version })
+}
+
+func (f *fakeVersions) EndStream(request *RelayRequest, complete bool) {
+	f.ended = append(f.ended, fmt.Sprint(request.ID, " ", complete))
 }
 
 func (f *fakeVersions) ShareVersion(_ context.Context, request *RelayRequest, version string) int {
@@ -188,3 +200,77 @@
 		})
 	}
 }
+
+// Guards against a stream that an entry which has just started sends to the only version that it sees, although another one
+// served before, or may have.
+func TestTakenUpStreamOfUnknownVersionIsRefusedIfAnotherVersionServedBefore(t *testing.T) {
+	for _, each := range []struct {
+		former  []string
+		refused bool
+	}{{nil, false}, {[]string{"v2"}, false}, {[]string{"v1", "v2"}, true}, {[]string{"v1"}, true}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			goesOn := []script{{events: []int64{8, 9}, end: io.EOF}}
+			f := newVersionFixture([]string{"v2", "v2", "v2"}, map[string][]script{"a": goesOn})
+			f.relay.options.Versions = &fakeVersions{formerVersions: each.former}
+			request := relayRequest()
+			request.LastEvent, request.Resumes = 7, "lost"
+			err := f.relay.Run(t.Context(), request, &recordingSink{})
+			var givenUp *GivenUpError
+			is.Equal(errors.As(err, &givenUp), each.refused)
+			is.True(!each.refused || !givenUp.MayHaveRun && givenUp.RetryAfter > 0)
+			is.Equal(len(f.engine.attempts) == 0, each.refused)
+		})
+	}
+}
+
+// engineWithHook calls a function before each attempt.
+type engineWithHook struct {
+	*scriptedEngine
+	beforeOpen func()
+}
+
+func (e engineWithHook) Open(ctx context.Context, attempt RelayAttempt) (RelayStream, error) {
+	e.beforeOpen()
+	return e.scriptedEngine.Open(ctx, attempt)
+}
+
+// Guards against a stream that began while one version served and goes on at one that came since its caller took it up.
+func TestTakenUpStreamIsBoundToTheOnlyVersionThatEverServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newVersionFixture([]string{"v1", "v1", "v1"}, map[string][]script{
+			"a": {{refuse: &RelayRefusedError{Cause: errors.New("full")}}},
+			"b": {{events: []int64{8, 9}, end: io.EOF}},
+			"c": {{events: []int64{8, 9}, end: io.EOF}},
+		})
+		f.relay.options.Versions = &fakeVersions{}
+		f.relay.options.Engine = engineWithHook{f.engine, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			newer := *f.openTargets[1]
+			newer.Version = "v2"
+			f.openTargets = []*directory.Target{f.openTargets[0], &newer, f.openTargets[2]}
+		}}
+		request := relayRequest()
+		request.LastEvent, request.Resumes = 7, "lost"
+		is.NoErr(f.relay.Run(t.Context(), request, &recordingSink{}))
+		is.Equal(f.engine.attempts[1].Target.ID, "c")
+	})
+}
+
+// Guards against streams whose version is known no longer, since they run for longer than records are held, and against records
+// that are kept of complete streams.
+func TestVersionOfALongStreamIsSharedAgainAndItsEndReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newVersionFixture([]string{"v1", "v1", "v2"}, map[string][]script{"a": {{events: eventsUpTo(1300), pause: 100 * time.Millisecond, end: io.EOF}}})
+		versions := &fakeVersions{}
+		f.relay.options.Versions = versions
+		request := relayRequest()
+		request.Deadline = time.Now().Add(10 * time.Minute)
+		is.NoErr(f.relay.Run(t.Context(), request, &recordingSink{}))
+		is.Equal(versions.shared, []string{"r v1", "r v1", "r v1"}) // at 0 s, 60 s and 120 s of 130 s
+		is.Equal(versions.ended, []string{"r true"})
+	})
+}
--- /dev/null
+++ b/streamversion/store_test.go
@@ -0,0 +1,266 @@
+package streamversion
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurebarrow/azurebarrow/membership"
+)
+
+// memoryStore is a Store in memory.
+type memoryStore struct {
+	mu            sync.Mutex
+	objects       map[string]Object
+	revision      int64
+	writes, reads int
+	down          bool
+}
+
+var errDown = errors.New("down")
+
+func newMemoryStore() *memoryStore { return &memoryStore{objects: map[string]Object{}} }
+
+func (s *memoryStore) WriteStreamVersions(_ context.Context, entry string, content Content) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	if s.down {
+		return errDown
+	}
+	s.revision++
+	s.objects[entry] = Object{Entry: entry, Revision: s.revision, Content: content}
+	return nil
+}
+
+func (s *memoryStore) ReadStreamVersions(context.Context, bool) ([]Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return nil, errDown
+	}
+	var all []Object
+	for _, object := range s.objects {
+		all = append(all, object)
+	}
+	return all, nil
+}
+
+func (s *memoryStore) DeleteStreamVersions(_ context.Context, entry string, revision int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[entry].Revision == revision {
+		delete(s.objects, entry)
+	}
+	return nil
+}
+
+func (s *memoryStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *memoryStore) snapshot() (objects map[string]Object, writes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.objects), s.writes
+}
+
+// storedEntries are entries that see each other and share a store. They run until stop is called.
+type storedEntries struct {
+	*memoryPeers
+	store *memoryStore
+	live  []membership.Peer
+	stop  context.CancelFunc
+}
+
+func startEntries(t *testing.T, store *memoryStore, count int) *storedEntries {
+	peers, live := newPeers(count)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	for _, self := range live {
+		manager := NewManager(Options{View: membership.Static{This: self, Peers: live}, Transport: peers, Store: store})
+		peers.managers[self.Name] = manager
+		go func() { _ = manager.Run(ctx) }()
+	}
+	synctest.Wait()
+	return &storedEntries{peers, store, live, cancel}
+}
+
+// observe has all entries observe what serves for a time, as their maintenance does.
+func (e *storedEntries) observe(duration time.Duration, versions ...string) {
+	for until := time.Now().Add(duration); time.Now().Before(until); time.Sleep(time.Second) {
+		for _, manager := range e.managers {
+			manager.ObserveServing("drafts", versions)
+		}
+	}
+}
+
+// Guards against streams whose version nobody knows once all entries are lost, also twice in a row.
+func TestVersionsOutliveAllEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemoryStore()
+		e := startEntries(t, store, 8)
+		e.managers["e03"].Share(t.Context(), Record{Stream: "s", Customer: "ranch", Version: "v1"})
+		time.Sleep(time.Second)
+		for range 2 {
+			e.stop()
+			synctest.Wait()
+			e = startEntries(t, store, 8)
+			version, found := e.managers["e05"].Find(t.Context(), "drafts", "s", "ranch")
+			is.True(found)
+			is.Equal(version, "v1")
+			_, found = e.managers["e05"].Find(t.Context(), "drafts", "s", "another")
+			is.True(!found)
+			time.Sleep(time.Second)
+		}
+		e.stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against a version that is taken for the only one by entries that saw no other, and against streams refused for ever.
+func TestOnlyVersionIsKnownForAsLongAsStreamsOfAnotherMayBeTakenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemoryStore()
+		e := startEntries(t, store, 8)
+		e.observe(10*time.Second, "v1")
+		is.True(e.managers["e00"].IsOnlyVersion("drafts", "v1"))
+		e.observe(2*time.Second, "v2")
+		e.stop()
+		synctest.Wait()
+		e = startEntries(t, store, 8)
+		e.observe(time.Second, "v2")
+		for _, manager := range e.managers {
+			is.True(!manager.IsOnlyVersion("drafts", "v2"))
+			is.True(manager.IsOnlyVersion("book", "v2"))
+		}
+		e.observe(servingTTL, "v2")
+		for _, manager := range e.managers {
+			is.True(manager.IsOnlyVersion("drafts", "v2"))
+		}
+		e.observe(removeInterval+10*time.Second, "v2")
+		objects, _ := store.snapshot()
+		for _, object := range objects {
+			is.True(len(object.Serving["drafts"]) <= 1) // the store forgets v1 too
+		}
+		e.stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against entries that conclude from what they see while they could not read what served before, and against entries
+// that never conclude because the store stays away: peers know.
+func TestServingVersionsAreLearnedFromPeersWhileTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemoryStore()
+		e := startEntries(t, store, 8)
+		e.observe(5*time.Second, "v1")
+		store.setDown(true)
+		ctx, cancel := context.WithCancel(t.Context())
+		late := NewManager(Options{View: membership.Static{This: e.live[0], Peers: e.live}, Transport: e.memoryPeers, Store: store})
+		is.True(!late.IsOnlyVersion("drafts", "v1"))
+		go func() { _ = late.Run(ctx) }()
+		synctest.Wait()
+		is.True(late.IsOnlyVersion("drafts", "v1"))
+		is.True(!late.IsOnlyVersion("drafts", "v2"))
+
+		alone := NewManager(Options{View: membership.Static{This: e.live[0]}, Transport: e.memoryPeers, Store: store})
+		go func() { _ = alone.Run(ctx) }()
+		time.Sleep(time.Second)
+		is.True(!alone.IsOnlyVersion("drafts", "v1")) // nobody could tell it
+		cancel()
+		e.stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against records that are lost with all entries because their entry can't write to the store: holders keep them there.
+func TestHoldersKeepTheRecordsOfAnEntryThatTheStoreTurnsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemoryStore()
+		e := startEntries(t, store, 8)
+		ctx, cancel := context.WithCancel(t.Context())
+		denied := newMemoryStore()
+		denied.setDown(true)
+		cut := NewManager(Options{View: membership.Static{This: e.live[0], Peers: e.live}, Transport: e.memoryPeers, Store: denied})
+		go func() { _ = cut.Run(ctx) }()
+		synctest.Wait()
+		cut.Share(t.Context(), Record{Stream: "s", Customer: "ranch", Version: "v1"})
+		time.Sleep(time.Second)
+		cancel()
+		e.stop()
+		synctest.Wait()
+		e = startEntries(t, store, 8)
+		version, found := e.managers["e05"].Find(t.Context(), "drafts", "s", "ranch")
+		is.True(found)
+		is.Equal(version, "v1")
+		e.stop()
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against calls to the store that nobody needs: one version serves, or nothing has changed.
+func TestStoreIsWrittenOnlyWhileItMatters(t *testing.T) {
+	for _, count := range []int{8, 59, 195} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			store := newMemoryStore()
+			e := startEntries(t, store, count)
+			e.observe(time.Minute, "v1")
+			objects, writes := store.snapshot()
+			is.Equal(writes, keepers) // each writes once which version serves
+			is.Equal(len(objects), keepers)
+			is.Equal(store.reads, count)
+			manager := e.managers["e01"]
+			for number := range 200 {
+				manager.Share(t.Context(), Record{Stream: fmt.Sprint("s", number), Version: "v1"})
+				time.Sleep(10 * time.Millisecond)
+			}
+			_, after := store.snapshot()
+			spacing := max(minWriteInterval, time.Duration(count)*fleetWriteSpacing)
+			is.True(after-writes <= int(2*time.Second/spacing)+2)
+			for number := range 200 {
+				manager.End(fmt.Sprint("s", number), "", true)
+			}
+			e.observe(removeInterval+2*time.Second, "v1")
+			objects, last := store.snapshot()
+			is.Equal(len(objects["e01"].Streams), 0)
+			is.True(last-after <= 2)
+			e.stop()
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// Guards against a restart that forgets what its former process wrote, and against what entries that never come back leave behind.
+func TestObjectsOfEntriesThatLeftAreDeletedOnceNobodyNeedsThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemoryStore()
+		is.NoErr(store.WriteStreamVersions(t.Context(), "former", Content{Serving: map[string][]string{"drafts": {"v0"}}}))
+		e := startEntries(t, store, 8)
+		e.observe(servingTTL, "v1")
+		objects, _ := store.snapshot()
+		is.Equal(objects["former"].Serving["drafts"], []string{"v0"})
+		e.observe(2*servingTTL, "v1")
+		objects, _ = store.snapshot()
+		is.Equal(objects["former"].Entry, "")
+		is.Equal(len(objects), keepers)
+		e.stop()
+		time.Sleep(time.Minute)
+	})
+}
