Write records of versions again soon after the store is back

Cause: after a write that failed, the next one waited for a new record or for up to a second. Change: a failed write is tried again after 250 ms, as is the next of an entry whose fleet is larger.

--- a/streamversion/store_test.go
+++ b/streamversion/store_test.go
@@ -340,3 +340,22 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against streams that begin just after an outage of the store and are not kept there for a second, because the write that
+// began during the outage has to fail first.
+func TestRecordsAreWrittenSoonAfterTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemoryStore()
+		e := startEntries(t, store, 8)
+		store.setDown(true)
+		e.managers["e00"].Share(t.Context(), Record{Stream: "s", Version: "v1"})
+		time.Sleep(5 * time.Second)
+		store.setDown(false)
+		time.Sleep(rewriteInterval)
+		objects, _ := store.snapshot()
+		is.Equal(len(objects["e00"].Streams["v1"]), 1)
+		e.stop()
+		time.Sleep(time.Minute)
+	})
+}
--- a/streamversion/sync.go
+++ b/streamversion/sync.go
@@ -15,6 +15,8 @@
 	// and 400 of 20 and more, which the smallest store takes. Streams that begin are fewer.
 	minWriteInterval  = 50 * time.Millisecond
 	fleetWriteSpacing = 2500 * time.Microsecond
+	// rewriteInterval is the minimum time between a write that failed and the next.
+	rewriteInterval = 250 * time.Millisecond
 	// removeInterval is the time after which a write is made only to remove what is no longer needed.
 	removeInterval = 30 * time.Second
 	// writeTimeout and readTimeout limit calls to the store, which answers in milliseconds.
@@ -79,17 +81,22 @@
 	check := time.NewTicker(minReadInterval)
 	defer check.Stop()
 	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-m.unsaved:
-		case <-check.C:
-		}
 		m.collectGarbage(ctx)
-		if !m.writeStore(ctx) {
-			continue
+		called, err := m.writeStore(ctx)
+		pause := max(minWriteInterval, time.Duration(len(m.options.View.Live()))*fleetWriteSpacing)
+		switch {
+		case err != nil:
+			pause = max(pause, rewriteInterval)
+		case !called:
+			pause = 0
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-m.unsaved:
+			case <-check.C:
+			}
 		}
-		if wait.For(ctx, max(minWriteInterval, time.Duration(len(m.options.View.Live()))*fleetWriteSpacing)) != nil {
+		if wait.For(ctx, pause) != nil {
 			return nil
 		}
 	}
@@ -122,24 +129,24 @@
 	return content
 }
 
-// writeStore brings the store's object up to date. It reports whether a call was made.
-func (m *Manager) writeStore(ctx context.Context) bool {
+// writeStore brings the store's object up to date. It reports whether it made a call, which failed if err is set.
+func (m *Manager) writeStore(ctx context.Context) (called bool, err error) {
 	now := time.Now()
 	content := m.content(now)
 	isNew := m.saved.lacks(content)
 	isSurplus := content.lacks(m.saved)
 	if !isNew && (!isSurplus || now.Sub(m.savedAt) < removeInterval) {
-		return false
+		return false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	err := m.options.Store.WriteStreamVersions(ctx, m.options.View.Self().Name, content)
+	err = m.options.Store.WriteStreamVersions(ctx, m.options.View.Self().Name, content)
 	m.stats.Writes.Add(1)
 	m.recordStoreState(err)
 	if err == nil {
 		m.saved, m.savedAt = content, now
 	}
-	return true
+	return true, err
 }
 
 // readStore reads the store, or waits for the read in progress. It reports whether the store has been read since the start.
