Soak: lose all entries beside releases, and check that their streams go on

A new theme, losses, and a new step: 24 streams in progress, all entries killed at once, with engines of both versions or those of one replaced meanwhile; callers take their streams up once the entries are back. The defect versions-forgotten is found as ORDER and as LOST.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -87,7 +87,7 @@
 		if wait.For(ctx, pause) != nil {
 			return
 		}
-		requests.Go(func() { c.sendRequest(class) })
+		requests.Go(func() { c.sendRequest(class, nil) })
 	}
 }
 
@@ -109,8 +109,8 @@
 	}
 }
 
-// sendRequest sends one request, and its retries to other entries.
-func (c *callers) sendRequest(class Class) {
+// sendRequest sends one request, and its retries to other entries: at once, or once back is closed, unless it is nil.
+func (c *callers) sendRequest(class Class, back <-chan struct{}) {
 	chosen := c.draw()
 	timeout := callTimeout
 	if class == Stream {
@@ -139,6 +139,9 @@
 		if !mayRetry(attempt) {
 			return
 		}
+		if back != nil {
+			<-back
+		}
 		time.Sleep(min(retryAfter, time.Duration(maxRetryAfterShare*float64(time.Until(deadline)))))
 	}
 }
--- a/bench/soak/checks_test.go
+++ b/bench/soak/checks_test.go
@@ -163,3 +163,50 @@
 	is.Equal(len(found), 1)
 	is.Equal(found[0].Rule, "ORDER")
 }
+
+// Guards against a check that streams which are taken up after the loss of all entries can't fail, or fail where nobody can
+// serve them.
+func TestStreamsThatAreNotTakenUpAreFound(t *testing.T) {
+	for _, each := range []struct {
+		name             string
+		serving          []string
+		goOn, begun      bool
+		sentAfter        float64
+		expectedFindings int
+	}{
+		{"refused while their version serves", engineVersions, false, true, 1, 1},
+		{"go on", engineVersions, true, true, 1, 0},
+		{"their version is gone", engineVersions[1:], false, true, 1, 0},
+		{"new streams don't begin either", engineVersions, false, false, 1, 0},
+		{"sent long after", engineVersions, false, true, 5, 0},
+		{"began while the store was paused", engineVersions, false, true, 1, 0},
+		{"began before the store was paused", engineVersions, false, true, 1, 1},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			is := is.New(t)
+			evidence := &Evidence{Disturbances: []Disturbance{{Fault: LoseEntries, From: at(2), To: at(10), Serving: each.serving}}}
+			switch each.name {
+			case "began while the store was paused":
+				evidence.Disturbances = append(evidence.Disturbances, Disturbance{Subject: subjectStore, Fault: PauseStore, From: at(0), To: at(1.5)})
+			case "began before the store was paused":
+				evidence.Disturbances = append(evidence.Disturbances, Disturbance{Subject: subjectStore, Fault: PauseStore, From: at(2), To: at(5)})
+			}
+			for i := range minTakenUp {
+				path := fmt.Sprintf("/stream/%d", i)
+				first := &Attempt{Class: Stream, Path: path, Sent: at(1), Versions: engineVersions[:1]}
+				again := &Attempt{Class: Stream, Path: path, Sent: at(10 + each.sentAfter), LastEvent: 7, Status: 503}
+				fresh := &Attempt{Class: Stream, Path: path + "-new", Sent: at(10 + each.sentAfter), Status: 503}
+				if each.goOn {
+					again.Status, again.Text = 200, "events"
+				}
+				if each.begun {
+					fresh.Status, fresh.Text = 200, "events"
+				}
+				evidence.Attempts = append(evidence.Attempts, first, again, fresh)
+			}
+			found := evidence.checkTakenUp(nil)
+			is.Equal(len(found), each.expectedFindings)
+			is.True(len(found) == 0 || found[0].Rule == "LOST")
+		})
+	}
+}
--- a/bench/soak/defect_test.go
+++ b/bench/soak/defect_test.go
@@ -19,6 +19,8 @@
 		wavePause = targetDrainTime + time.Second
 		// stopPause is long enough for each of four entries to restart before its next stop.
 		stopPause = 700 * time.Millisecond
+		// lossPause is long enough for all entries to be back and for their callers to take streams up.
+		lossPause = lossFor + takeUpTime + 2*time.Second
 		// wayLostAnswer is the variant of TargetFault that loses the responses of calls that ran.
 		wayLostAnswer = 2
 	)
@@ -60,6 +62,13 @@
 	for i := range options.Engines + options.Records {
 		pauses = append(pauses, Step{At: faultAt + time.Duration(i)*stopPause, Kind: AskPause, Index: i})
 	}
+	// All entries are lost, time after time, while engines of both versions serve, or those of one are replaced.
+	entryLosses := func(variant int) (steps []Step) {
+		for i := range 3 {
+			steps = append(steps, Step{At: faultAt + time.Duration(i)*lossPause, Kind: LoseEntries, Index: i, Variant: variant})
+		}
+		return steps
+	}
 	cases := []struct {
 		defect defect.Name
 		rule   string
@@ -72,6 +81,8 @@
 		{defect.CrashesByRequest, "BUDGET", badRequests},
 		{defect.CallCrashesIgnored, "BUDGET", badCalls},
 		{defect.VersionIgnored, "ORDER", losses},
+		{defect.VersionsForgotten, "ORDER", entryLosses(lossOneLeaves)},
+		{defect.VersionsForgotten, "LOST", entryLosses(lossBothServe)},
 		{defect.LimitIgnored, "LIMIT", limits},
 		{defect.NoDetour, "RECOVER", cuts},
 		{defect.PauseIgnored, "BUDGET", pauses},
--- a/bench/soak/evidence.go
+++ b/bench/soak/evidence.go
@@ -84,6 +84,8 @@
 	// Planned reports whether it is planned work: a stop, a reload or the draining of a target.
 	Planned  bool
 	From, To time.Time
+	// Serving are the versions of engines that have served through the loss of all entries.
+	Serving []string
 }
 
 // KeyLifetime is the period during which an API key was valid. The time of an event that hasn't happened is zero.
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -26,6 +26,7 @@
 	Store      Theme = "store"
 	Verdicts   Theme = "verdicts"
 	Partitions Theme = "partitions"
+	Losses     Theme = "losses"
 	Everything Theme = "everything"
 )
 
@@ -80,6 +81,7 @@
 	LimitTarget  Kind = "limit target"
 	AskPause     Kind = "ask for a pause"
 	CutLinks     Kind = "cut an entry's links to targets"
+	LoseEntries  Kind = "lose all entries beside releases"
 	// Crash is no step: it is the crash of a target by a request.
 	Crash Kind = "crash"
 )
@@ -104,16 +106,18 @@
 	Verdicts: {BadRequests, BadCalls, LimitTarget, LimitTarget, AskPause, AskPause, Reload},
 	// Partitions cut most entries off from the targets, beside entries that restart.
 	Partitions: {CutLinks, CutLinks, CutLinks, StopEntry, BadCalls},
-	Store:      {StoreFault, StoreFault, PauseStore, Configure, DrainTarget},
+	// Losses have releases and faults of the store beside them.
+	Losses: {LoseEntries, LoseEntries, DrainTarget, StoreFault, PauseStore},
+	Store:  {StoreFault, StoreFault, PauseStore, Configure, DrainTarget},
 }
 
 func init() {
-	for _, theme := range []Theme{Planned, Entries, Targets, Links, Store, Verdicts, Partitions} {
+	for _, theme := range []Theme{Planned, Entries, Targets, Links, Store, Verdicts, Partitions, Losses} {
 		kinds[Everything] = append(kinds[Everything], kinds[theme]...)
 	}
 }
 
-var themes = []Theme{Planned, Entries, Targets, Links, Store, Everything, Verdicts, Partitions}
+var themes = []Theme{Planned, Entries, Targets, Links, Store, Everything, Verdicts, Partitions, Losses}
 
 // DrawThemes draws the themes of a run's phases at random. A theme repeats only after all were used.
 func DrawThemes(seed int64, phases int) []Theme {
@@ -203,6 +207,8 @@
 		d.askPause(ctx, d.targets[step.Index%len(d.targets)])
 	case CutLinks:
 		d.cutLinks(ctx, e, step)
+	case LoseEntries:
+		d.loseEntries(ctx, c, step)
 	case KillEntry:
 		d.killEntry(e, waitForEnd)
 	case KillEntries:
--- /dev/null
+++ b/bench/soak/losses.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/azurebarrow/azurebarrow/standin/target"
+)
+
+// Losses of all entries, beside releases.
+const (
+	// lossFor is how long no entry runs: longer than the registrations of targets that were replaced last.
+	lossFor = 4 * heartbeat
+	// lossStreams is the number of streams that are in progress when the entries are lost, and lossDelay the time from when they
+	// are sent until then: they have their first events.
+	lossStreams = 24
+	lossDelay   = 250 * time.Millisecond
+	// minGoOnShare is the share of taken-up streams that must go on while engines of their version serve, of the share of new
+	// streams that begin; minTakenUp is the number from which it is checked.
+	minGoOnShare = 0.5
+	minTakenUp   = 8
+	// takeUpTime is the time after a loss in which streams are taken up and new ones are sent that are compared with them.
+	takeUpTime = 3 * time.Second
+)
+
+// Variants of LoseEntries: engines of both versions serve all the while, or those of one are replaced while no entry runs.
+const (
+	lossBothServe = iota
+	lossOneLeaves
+	lossVariants
+)
+
+// loseEntries kills all entries at once while streams are in progress. Their callers take them up once the entries are back.
+func (d *deployment) loseEntries(ctx context.Context, c *callers, step Step) {
+	locked := 0
+	for _, e := range d.entries {
+		if !e.busy.TryLock() {
+			break
+		}
+		locked++
+	}
+	defer func() {
+		for _, e := range d.entries[:locked] {
+			e.busy.Unlock()
+		}
+	}()
+	if locked < len(d.entries) {
+		return // one of them is being stopped or restarted
+	}
+	back := make(chan struct{})
+	var streams sync.WaitGroup
+	for range lossStreams {
+		streams.Go(func() { c.sendRequest(Stream, back) })
+	}
+	time.Sleep(lossDelay)
+	d.disturb("all entries", LoseEntries, false, func() {
+		for _, e := range d.entries {
+			_ = e.signal(syscall.SIGKILL)
+		}
+		if step.Variant%lossVariants == lossOneLeaves {
+			d.replaceVersion(engineVersions[step.Index%len(engineVersions)])
+		}
+		time.Sleep(lossFor)
+		for _, e := range d.entries {
+			_ = e.waitExit(ctx)
+			d.restart(&e.program)
+		}
+		for _, e := range d.entries {
+			if err := d.waitReady(ctx, e); err != nil {
+				d.options.Logf("%v", err)
+			}
+		}
+	})
+	d.recordServing()
+	close(back)
+	streams.Wait()
+}
+
+// replaceVersion kills the engines of a version and starts engines of the other one in their place.
+func (d *deployment) replaceVersion(version string) {
+	for _, t := range d.targets {
+		if t.service != engineService || t.version() != version || !t.busy.TryLock() {
+			continue
+		}
+		t.kill()
+		t.releases.Add(1)
+		d.restart(&t.program)
+		t.busy.Unlock()
+	}
+}
+
+// recordServing notes in the latest loss of all entries which versions of engines have served through it.
+func (d *deployment) recordServing() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	last := &d.disturbances[len(d.disturbances)-1]
+	for _, t := range d.targets {
+		if t.service == engineService && !slices.Contains(last.Serving, t.version()) {
+			last.Serving = append(last.Serving, t.version())
+		}
+	}
+}
+
+// checkTakenUp checks that streams which are taken up after the loss of all entries go on, where engines of their version serve,
+// at least half as often as new streams begin. Nothing can outlive the entries of a stream that begins while the store doesn't
+// answer; it may be refused.
+func (e *Evidence) checkTakenUp(map[string][]target.Record) []Violation {
+	versions, sentAt := map[string]string{}, map[string]time.Time{}
+	for _, attempt := range e.Attempts {
+		if attempt.LastEvent == 0 && len(attempt.Versions) > 0 {
+			versions[attempt.Path], sentAt[attempt.Path] = attempt.Versions[0], attempt.Sent
+		}
+	}
+	takenUp, goOn, sent, begun := 0, 0, 0, 0
+	first := ""
+	for _, attempt := range e.Attempts {
+		loss := e.lossBefore(attempt.Sent)
+		if attempt.Class != Stream || attempt.BadPart != "" || loss == nil {
+			continue
+		}
+		began := attempt.Status == 200 && attempt.Text != ""
+		switch {
+		case attempt.LastEvent == 0:
+			sent++
+			if began {
+				begun++
+			}
+		case slices.Contains(loss.Serving, versions[attempt.Path]) && !e.storeDisturbed(sentAt[attempt.Path], loss.From):
+			takenUp++
+			if began {
+				goOn++
+			} else if first == "" {
+				first = attempt.ID
+			}
+		}
+	}
+	if takenUp < minTakenUp || float64(goOn)*float64(sent) >= minGoOnShare*float64(begun)*float64(takenUp) {
+		return nil
+	}
+	return []Violation{{"LOST", first, fmt.Sprintf("%d of %d streams go on that were taken up while their version serves; %d of %d new ones begin", goOn, takenUp, begun, sent)}}
+}
+
+// storeDisturbed reports whether a fault of the store was active at some time between two.
+func (e *Evidence) storeDisturbed(from, to time.Time) bool {
+	return slices.ContainsFunc(e.Disturbances, func(d Disturbance) bool {
+		return d.Subject == subjectStore && d.From.Before(to) && d.To.After(from)
+	})
+}
+
+// lossBefore returns the loss of all entries that ended within takeUpTime before a time; nil if there is none.
+func (e *Evidence) lossBefore(at time.Time) *Disturbance {
+	for i := range e.Disturbances {
+		d := &e.Disturbances[i]
+		if d.Fault == LoseEntries && !at.Before(d.To) && at.Before(d.To.Add(takeUpTime)) {
+			return d
+		}
+	}
+	return nil
+}
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -42,7 +42,7 @@
 	is := is.New(t)
 	options := buildPrograms(t, "-race")
 	options.Seed = 1
-	options.Steps = Schedule(options.Seed, []Theme{Planned, Verdicts, Partitions, Everything})
+	options.Steps = Schedule(options.Seed, []Theme{Planned, Verdicts, Partitions, Losses, Everything})
 	violations, evidence := runAndCheck(t, options)
 	for _, violation := range violations {
 		t.Error(violation)
