Keep no connection to a target after a call without an ID, and skip answers with one

Cause: calls of an engine's management interface (copies of a run's KV cache) carry no request ID, and any answer was taken for theirs: a late second answer to another request, or to another such call, on a kept connection. The copy would then have been named that is another stream's. Change: such a call skips answers that name a request, and its connection is not used again.

--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -153,7 +153,7 @@
 // callEngine sends a call to an engine's management interface and returns the body of its answer.
 func (t *Targets) callEngine(ctx context.Context, target *directory.Target, call platform.EngineCall) ([]byte, error) {
 	received, err := t.paths.Do(ctx, pathTarget(target), time.Now().Add(engineCallTimeout), func() *targethttp.Request {
-		return &targethttp.Request{Method: call.Method, URI: call.Path, Host: target.Address, Header: call.Header, Body: call.Body}
+		return &targethttp.Request{Method: call.Method, URI: call.Path, Host: target.Address, Header: call.Header, Body: call.Body, IDHeader: platform.RequestIDHeader}
 	})
 	if err != nil {
 		return nil, err
--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -25,7 +25,8 @@
 	Body   []byte
 	// HasBody reports whether the caller sent a body, which may be empty.
 	HasBody bool
-	// IDHeader is the name of the header field that holds ID in the request and its answer.
+	// IDHeader is the name of the header field that holds ID in the request and its answer. ID is empty for a call whose answer
+	// can't be told from a second answer to another such call; its connection is not kept.
 	IDHeader string
 	ID       string
 }
@@ -134,7 +135,7 @@
 		if id == "" || id == request.ID {
 			e.conn.limiter.unlimit()
 			e.response = response
-			e.reusable = foreign == 0 && !response.Close
+			e.reusable = foreign == 0 && !response.Close && request.ID != ""
 			e.idleFor = idleTimeout(response.Header, e.idleFor)
 			return &Answer{
 				Status:   response.StatusCode,
--- a/adapters/targethttp/exchange_test.go
+++ b/adapters/targethttp/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -249,3 +250,35 @@
 	is.Equal(idleTimeout(http.Header{"Keep-Alive": {"timeout=60"}}, 4*time.Second), 4*time.Second)
 	is.Equal(idleTimeout(http.Header{}, 4*time.Second), 4*time.Second)
 }
+
+// Guards against a call without an ID, of a target's management interface, that takes the late second answer to another request, or
+// to another such call, for its own: a copy would be named that is another stream's.
+func TestLateSecondAnswerIsNotTakenByACallWithoutAnID(t *testing.T) {
+	is := is.New(t)
+	target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
+		for previous := ""; ; {
+			request, ok := target.read(reader)
+			if !ok {
+				return
+			}
+			own := answerText(request.Header.Get("X-Request-Id"), request.URL.Path)
+			if request.Header.Get("X-Request-Id") == "" {
+				own = "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(request.URL.Path)) + "\r\n\r\n" + request.URL.Path
+			}
+			_, _ = io.WriteString(conn, previous+own) // the second answer to the request before
+			previous = own
+		}
+	})
+	p := NewPool(Options{})
+	for i, id := range []string{"1", "", "", "2", "", "3"} {
+		request := newTestRequest(id)
+		request.URI = "/call-" + strconv.Itoa(i)
+		if id == "" {
+			request.Header.Del("X-Request-Id")
+		}
+		body, err := exchangeBody(t, p, target.address(), request)
+		is.NoErr(err)
+		is.Equal(body, request.URI)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
