Move a stalled stream only where another target can take it up, and leave it where it is otherwise

Cause: a stream that made no event for 0.7 of the pause objective was ended at its target before it was known whether it could go on elsewhere: with all attempts used, the retry budget spent or a route that can't be resumed, a slow but sound stream was cut. Where all engines were slow, each attempt brought an event or so until the fifth was cut. Change: the move is claimed first (attempts left, another target that has not failed the stream, a retry of the budget); without it the stream stays until its deadline. Each move doubles the silence before the next.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -105,6 +105,10 @@
 	// empty when unknown.
 	cachedAt string
 	exclude  []string
+	// moves counts the attempts that were given up as stalled. moveClaimed reports that the retry budget has paid for the next
+	// attempt.
+	moves       int
+	moveClaimed bool
 	// onTrial is true while the request is let through although parts of its prompt are refused.
 	onTrial bool
 	// version is the software version that began the stream; versionSharedAt is when other entries were told last.
@@ -162,9 +166,10 @@
 		if target == nil {
 			return run.failureError(ErrNoTarget)
 		}
-		if run.attempts > 0 && !r.options.Budget.Spend(request.Service, run.retryUrgency()) {
+		if run.attempts > 0 && !run.moveClaimed && !r.options.Budget.Spend(request.Service, run.retryUrgency()) {
 			return run.failureError(errBudgetSpent)
 		}
+		run.moveClaimed = false
 		ending, err := run.runAttempt(ctx, target)
 		input := retryInput{
 			ending: ending, resumable: request.Resumable,
@@ -581,12 +586,15 @@
 		}
 		a.copier.checkCopy(ctx, now)
 		step := judgeSilence(silenceInput{
-			limits:  silenceLimitsFor(a.run.request, a.eventCount > 0, &a.gaps),
+			limits:  silenceLimitsFor(a.run.request, a.eventCount > 0, &a.gaps, a.run.moves),
 			silence: a.silence(now), sinceProbe: now.Sub(lastProbe), hasProbe: lastProbe.After(a.lastProgress),
 			probeAnswered: probeAnswered,
 		})
 		if step.stalled {
-			return endingStalled, errStalled
+			if a.run.claimMove(a.target) {
+				return endingStalled, errStalled
+			}
+			step.checkIn, step.probeIn = silentProbeInterval, silentProbeInterval
 		}
 		if probeDone == nil && (step.probeIn <= 0 || a.run.relay.connectivity.ClaimRegainCheck(now)) {
 			probeDone = a.probe()
@@ -614,7 +622,7 @@
 
 // isSilent reports whether the target has been silent for so long that it is probed.
 func (a *activeAttempt) isSilent(now time.Time) bool {
-	return a.silence(now) >= silenceLimitsFor(a.run.request, a.eventCount > 0, &a.gaps).probeAfter
+	return a.silence(now) >= silenceLimitsFor(a.run.request, a.eventCount > 0, &a.gaps, a.run.moves).probeAfter
 }
 
 func (a *activeAttempt) probe() <-chan struct{} {
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -598,11 +598,11 @@
 		return 1 + int((span-limits.probeAfter)/limits.probeInterval)
 	}
 	request := &RelayRequest{FirstEventObjective: 4500 * time.Millisecond, GapObjective: 700 * time.Millisecond}
-	prefilling := silenceLimitsFor(request, false, &health.Gaps{})
+	prefilling := silenceLimitsFor(request, false, &health.Gaps{}, 0)
 	is.True(probesWithin(prefilling, 1200*time.Millisecond) <= 2)
 	is.True(prefilling.probeAfter <= request.FirstEventObjective/8) // the rest is for a retry at another target
 	shortObjective := &RelayRequest{FirstEventObjective: time.Second}
-	is.Equal(silenceLimitsFor(shortObjective, false, &health.Gaps{}).probeAfter, minFirstProbeDelay)
+	is.Equal(silenceLimitsFor(shortObjective, false, &health.Gaps{}, 0).probeAfter, minFirstProbeDelay)
 }
 
 // fakePrompts locates every prompt at one engine, and records the calls.
--- a/generation/relaydecide.go
+++ b/generation/relaydecide.go
@@ -1,8 +1,10 @@
 package generation
 
 import (
+	"slices"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/health"
 )
 
@@ -103,6 +105,8 @@
 	stallShare = 0.7
 	// stallMeanGaps is the number of mean gaps within which a stream never counts as stalled.
 	stallMeanGaps = 6
+	// maxStallDoublings limits the doublings of the silence after which a stream is moved.
+	maxStallDoublings = 5
 	// firstEventStallShare is the share of the first event's objective after which a stream without
 	// an event is moved to another target.
 	firstEventStallShare = 0.85
@@ -127,25 +131,52 @@
 	probeAfter, probeInterval, stallTimeout time.Duration
 }
 
-// silenceLimitsFor returns the limits of an attempt. hasEvents reports whether it has sent an event,
-// gaps are the times between its events.
-func silenceLimitsFor(request *RelayRequest, hasEvents bool, gaps *health.Gaps) silenceLimits {
+// silenceLimitsFor returns the limits of an attempt. hasEvents reports whether it has sent an event, gaps are the times between its
+// events. moves counts the earlier attempts that stalled: each doubles the silence after which the stream is moved again, since
+// all engines may be slow.
+func silenceLimitsFor(request *RelayRequest, hasEvents bool, gaps *health.Gaps, moves int) silenceLimits {
+	moves = min(moves, maxStallDoublings)
 	if !hasEvents {
 		objective := request.FirstEventObjective
 		if objective <= 0 {
 			objective = defaultFirstEventObjective
 		}
 		interval := max(minFirstProbeDelay, scale(objective, firstProbeShare))
-		return silenceLimits{probeAfter: interval, probeInterval: interval, stallTimeout: scale(objective, firstEventStallShare)}
+		return silenceLimits{probeAfter: interval, probeInterval: interval, stallTimeout: scale(objective, firstEventStallShare) << moves}
 	}
 	objective := request.GapObjective
 	if objective <= 0 {
 		objective = defaultGapObjective
 	}
-	stall := max(scale(objective, stallShare), stallMeanGaps*gaps.Mean())
+	stall := max(scale(objective, stallShare)<<moves, stallMeanGaps*gaps.Mean())
 	return silenceLimits{probeAfter: gaps.SilenceLimit(probeSensitivity), probeInterval: silentProbeInterval, stallTimeout: stall}
 }
 
+// claimMove reports whether a stream that stalls at a target is moved: another attempt is allowed, another target could take it
+// up, and the retry budget pays for it. Otherwise it stays, since an answer that goes on slowly is worth more than none.
+func (run *relayRun) claimMove(from *directory.Target) bool {
+	input := retryInput{
+		ending: endingStalled, resumable: run.request.Resumable, attemptsRun: run.attemptsRun + 1, maxAttempts: run.request.MaxAttempts,
+		attempts: run.attempts, remaining: time.Until(run.request.Deadline),
+	}
+	if nextStep(input) != stepRetry || !run.hasOtherTarget(from) {
+		return false
+	}
+	if !run.relay.options.Budget.Spend(run.request.Service, run.retryUrgency()) {
+		return false
+	}
+	run.moveClaimed = true
+	run.moves++
+	return true
+}
+
+// hasOtherTarget reports whether a target besides one may take the stream up that has not failed it.
+func (run *relayRun) hasOtherTarget(from *directory.Target) bool {
+	return slices.ContainsFunc(run.targets(), func(target *directory.Target) bool {
+		return target.ID != from.ID && !slices.Contains(run.exclude, target.ID)
+	})
+}
+
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
 // silenceInput is what the judgement of an attempt's silence depends on.
