Let a target that refused a stream take it before one at which it stalled

Cause: a target that refuses to resume a stream from a copy which it doesn't have was excluded as one that lost the stream is. Change: when all are excluded, those that only refused are tried first.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -104,7 +104,8 @@
 	// cachedAt is the engine that prefilled the prompt for an earlier connection of the caller;
 	// empty when unknown.
 	cachedAt string
-	exclude  []string
+	// exclude are the targets that the next attempt avoids; failed are those of them that ran the stream and lost it.
+	exclude, failed []string
 	// moves counts the attempts that were given up as stalled. moveClaimed reports that the retry budget has paid for the next
 	// attempt.
 	moves       int
@@ -313,8 +314,12 @@
 		query.Fits = nil // any version is better than none
 		target = run.placeWithinLimits(query)
 	}
+	if target == nil && len(run.exclude) > len(run.failed) {
+		run.exclude = slices.Clone(run.failed) // one that refused, since a copy was not there, say, may take the stream now
+		target = run.placeWithinLimits(run.placementQuery())
+	}
 	if target == nil && len(run.exclude) > 0 {
-		run.exclude = nil
+		run.exclude, run.failed = nil, nil
 		target = run.placeWithinLimits(run.placementQuery())
 	}
 	return target
@@ -449,12 +454,12 @@
 	case endingAnswered:
 		run.mayHaveRun = true
 		run.attemptsRun++
-		run.exclude = append(run.exclude, a.target.ID)
+		run.excludeFailed(a.target.ID)
 		run.discardCopy()
 		return
 	case endingBroken, endingSilent:
 		run.mayHaveRun = true
-		run.exclude = append(run.exclude, a.target.ID)
+		run.excludeFailed(a.target.ID)
 		run.relay.stats.Broken.Add(1)
 		lost := run.relay.connectivity.IsLost()
 		if lost && run.relay.options.Detour == nil {
@@ -469,11 +474,11 @@
 		}
 	case endingLinkLost:
 		run.mayHaveRun = true
-		run.exclude = append(run.exclude, a.target.ID)
+		run.excludeFailed(a.target.ID)
 	case endingStalled:
 		run.mayHaveRun = true
 		run.attemptsRun++
-		run.exclude = append(run.exclude, a.target.ID)
+		run.excludeFailed(a.target.ID)
 		run.relay.stats.Suspicions.Add(1)
 		placer.ReportRefused(a.target)
 	default:
@@ -486,6 +491,12 @@
 	}
 }
 
+// excludeFailed keeps the stream from a target that it was lost at.
+func (run *relayRun) excludeFailed(target string) {
+	run.exclude = append(run.exclude, target)
+	run.failed = append(run.failed, target)
+}
+
 // recordUnsent takes back what an attempt counted that never left this process.
 func (run *relayRun) recordUnsent(attempt RelayAttempt) {
 	run.attempts--
--- a/generation/slowstream_test.go
+++ b/generation/slowstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -103,3 +104,20 @@
 		is.Equal(time.Since(start), 25*time.Second)
 	})
 }
+
+// Guards against a stream that goes back to the target at which it stalled, since the only other one refused to resume it from a copy
+// that it doesn't have.
+func TestStalledStreamGoesToTheTargetThatLacksItsCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRelayFixture(map[string][]script{
+			"a": {{events: []int64{1, 2}, pause: 30 * time.Millisecond}, {events: []int64{3}, pause: time.Minute}},
+			"b": {{refuse: &RelayRefusedError{Cause: errors.New("no such copy")}}, {events: []int64{3, 4}, end: io.EOF}},
+		})
+		f.openTargets = f.openTargets[:2]
+		sink := &recordingSink{}
+		is.NoErr(f.relay.Run(t.Context(), relayRequest(), sink))
+		is.Equal(sink.events, []int64{1, 2, 3, 4})
+		is.Equal(len(f.engine.attempts), 3)
+	})
+}
