Answer requests that were accepted in the moment in which a stop ends

Cause: once no request was counted as running, the stop closed all connections at once; one accepted, or read and not counted yet, in between was cut off without an answer. Change: connections with a request in progress are closed once it has ended, or after 100 ms. Measured: TestRequestAcceptedAsTheStopEndsIsAnswered failed with 'EOF' before.

--- a/entry/callerlistener.go
+++ b/entry/callerlistener.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -22,6 +23,9 @@
 	idleTimeoutMargin = time.Second
 	// acceptRetryDelay is the delay after a failed accept, for example when no file descriptor is free.
 	acceptRetryDelay = 20 * time.Millisecond
+	// closeTimeout is the time for requests that were accepted as the stop ended. A call takes milliseconds, and the time between
+	// abortShare and the end of a grace of 2 s or more is longer.
+	closeTimeout = 100 * time.Millisecond
 )
 
 // callerListener accepts callers' connections and serves them under the configured limits. New limits
@@ -105,15 +109,23 @@
 	}
 }
 
-// close closes the listener and all connections immediately.
+// close closes the listener and all connections: those with a request in progress once it has ended, or after closeTimeout.
 func (l *callerListener) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
 	_ = l.listener.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	var servers sync.WaitGroup
 	for _, server := range l.servers {
-		_ = server.http.Close()
+		servers.Go(func() {
+			if server.http.Shutdown(ctx) != nil {
+				_ = server.http.Close()
+			}
+		})
 	}
+	servers.Wait()
 }
 
 // channelListener is a net.Listener for connections that another listener has accepted.
