--- a/entry/versionloss_test.go
+++ b/entry/versionloss_test.go
@@ -270,6 +270,9 @@
 					time.Sleep(time.Minute) // until all goroutines have ended
 					f.mu.Lock()
 					defer f.mu.Unlock()
+					f.store.set(func(s *modelStore) {
+						t.Logf("%d writes to the store, %d reads, %d objects", s.writes, s.reads, len(s.objects))
+					})
 					t.Logf("%d of %d streams begun; taken up %d, go on %d, of those whose version serves %d of %d; %d joined",
 						f.begun, f.sent, f.takenUp, f.resumed, f.servedResumed, f.servedTakenUp, f.joined)
 					is.True(f.takenUp > 0)
