Soak: tell apart what no entry can know after a loss of all, and record the loss for each entry

The check now asks the store which versions are ready, and leaves out streams beside whose life the store was disturbed until the take-up ended, as before only until the loss. RECOVER: the loss of all was recorded as of no entry, so that other checks counted the killed entries as undisturbed; it is recorded for each now.

--- a/bench/soak/checks_test.go
+++ b/bench/soak/checks_test.go
@@ -180,7 +180,8 @@
 		{"new streams don't begin either", engineVersions, false, false, 1, 0},
 		{"sent long after", engineVersions, false, true, 5, 0},
 		{"began while the store was paused", engineVersions, false, true, 1, 0},
-		{"began before the store was paused", engineVersions, false, true, 1, 1},
+		{"taken up while the store was paused", engineVersions, false, true, 1, 0},
+		{"taken up before the store was paused", engineVersions, false, true, 1, 1},
 	} {
 		t.Run(each.name, func(t *testing.T) {
 			is := is.New(t)
@@ -188,13 +189,15 @@
 			switch each.name {
 			case "began while the store was paused":
 				evidence.Disturbances = append(evidence.Disturbances, Disturbance{Subject: subjectStore, Fault: PauseStore, From: at(0), To: at(1.5)})
-			case "began before the store was paused":
-				evidence.Disturbances = append(evidence.Disturbances, Disturbance{Subject: subjectStore, Fault: PauseStore, From: at(2), To: at(5)})
+			case "taken up while the store was paused":
+				evidence.Disturbances = append(evidence.Disturbances, Disturbance{Subject: subjectStore, Fault: PauseStore, From: at(5), To: at(10.5)})
+			case "taken up before the store was paused":
+				evidence.Disturbances = append(evidence.Disturbances, Disturbance{Subject: subjectStore, Fault: PauseStore, From: at(12), To: at(15)})
 			}
 			for i := range minTakenUp {
 				path := fmt.Sprintf("/stream/%d", i)
 				first := &Attempt{Class: Stream, Path: path, Sent: at(1), Versions: engineVersions[:1]}
-				again := &Attempt{Class: Stream, Path: path, Sent: at(10 + each.sentAfter), LastEvent: 7, Status: 503}
+				again := &Attempt{Class: Stream, Path: path, Sent: at(10 + each.sentAfter), Ended: at(10 + each.sentAfter), LastEvent: 7, Status: 503}
 				fresh := &Attempt{Class: Stream, Path: path + "-new", Sent: at(10 + each.sentAfter), Status: 503}
 				if each.goOn {
 					again.Status, again.Text = 200, "events"
--- a/bench/soak/losses.go
+++ b/bench/soak/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"sync"
@@ -75,7 +76,7 @@
 			}
 		}
 	})
-	d.recordServing()
+	d.recordLoss(ctx)
 	close(back)
 	streams.Wait()
 }
@@ -93,21 +94,48 @@
 	}
 }
 
-// recordServing notes in the latest loss of all entries which versions of engines have served through it.
-func (d *deployment) recordServing() {
+// recordLoss records the latest loss of all entries as a disturbance of each of them too, and notes which versions of engines
+// serve after it.
+func (d *deployment) recordLoss(ctx context.Context) {
+	serving := d.servingVersions(ctx)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	last := &d.disturbances[len(d.disturbances)-1]
-	for _, t := range d.targets {
-		if t.service == engineService && !slices.Contains(last.Serving, t.version()) {
-			last.Serving = append(last.Serving, t.version())
+	index := slices.IndexFunc(d.disturbances, func(each Disturbance) bool { return each.Fault == LoseEntries && each.Serving == nil })
+	if index < 0 {
+		return
+	}
+	d.disturbances[index].Serving = serving
+	for _, e := range d.entries {
+		each := d.disturbances[index]
+		each.Subject, each.Fault = e.name, KillEntry
+		d.disturbances = append(d.disturbances, each)
+	}
+}
+
+// servingVersions returns the versions of the engines that the store lists as ready; none if it doesn't answer. An engine whose
+// registration expired while the store was away is back some time after its return, and no entry can know it before.
+func (d *deployment) servingVersions(ctx context.Context) []string {
+	versions := []string{}
+	objects, err := target.ListObjects(ctx, d.options.store, target.ObjectKind)
+	if err != nil {
+		d.options.Logf("serving versions: %v", err)
+		return versions
+	}
+	for _, spec := range objects {
+		var engine struct{ Service, State, Version string }
+		if json.Unmarshal(spec, &engine) != nil || engine.Service != engineService || engine.State != "ready" {
+			continue
+		}
+		if !slices.Contains(versions, engine.Version) {
+			versions = append(versions, engine.Version)
 		}
 	}
+	return versions
 }
 
 // checkTakenUp checks that streams which are taken up after the loss of all entries go on, where engines of their version serve,
 // at least half as often as new streams begin. Nothing can outlive the entries of a stream that begins while the store doesn't
-// answer; it may be refused.
+// answer, and an entry that has just started can't read it or may not know the engines; such a stream may be refused.
 func (e *Evidence) checkTakenUp(map[string][]target.Record) []Violation {
 	versions, sentAt := map[string]string{}, map[string]time.Time{}
 	for _, attempt := range e.Attempts {
@@ -129,7 +157,7 @@
 			if began {
 				begun++
 			}
-		case slices.Contains(loss.Serving, versions[attempt.Path]) && !e.storeDisturbed(sentAt[attempt.Path], loss.From):
+		case slices.Contains(loss.Serving, versions[attempt.Path]) && !e.storeDisturbed(sentAt[attempt.Path], attempt.Ended):
 			takenUp++
 			if began {
 				goOn++
--- a/standin/target/register.go
+++ b/standin/target/register.go
@@ -105,3 +105,34 @@
 	}
 	return nil
 }
+
+// ListObjects returns the specs of the objects of a kind that the store holds, as far as one page lists them.
+func ListObjects(ctx context.Context, store, kind string) ([]json.RawMessage, error) {
+	const timeout = time.Second
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	url := store + "/v1/objects/" + kind
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, &StatusError{URL: url, Status: response.StatusCode}
+	}
+	var page struct {
+		Items []struct{ Spec json.RawMessage }
+	}
+	if err := json.NewDecoder(response.Body).Decode(&page); err != nil {
+		return nil, err
+	}
+	specs := make([]json.RawMessage, len(page.Items))
+	for i, item := range page.Items {
+		specs[i] = item.Spec
+	}
+	return specs, nil
+}
