Time a test of rewritten version records so that no write is due when the store is back

Writes failed at 0, 250, ... 5000 ms; the test ended the outage at 5000 ms too and looked at 5250 ms, when the next write is due. Change: the outage ends 1 ms after a write has failed, nearly a whole pause before the next, and the test looks once that is done. The bound stays one pause, and is stricter: the former one let any pause of 1 s or 250 ms pass whose write fell on the end of the outage.

--- a/streamversion/store_test.go
+++ b/streamversion/store_test.go
@@ -350,9 +350,11 @@
 		e := startEntries(t, store, 8)
 		store.setDown(true)
 		e.managers["e00"].Share(t.Context(), Record{Stream: "s", Version: "v1"})
-		time.Sleep(5 * time.Second)
+		// The store is back just after a write has failed, so that nearly the whole pause is still to pass.
+		time.Sleep(20*rewriteInterval + time.Millisecond)
 		store.setDown(false)
 		time.Sleep(rewriteInterval)
+		synctest.Wait()
 		objects, _ := store.snapshot()
 		is.Equal(len(objects["e00"].Streams["v1"]), 1)
 		e.stop()
