Pass reports of draining targets on from entry to entry, and answer with what is lacking

Ruled out: only the periodic exchange (0.5 s, one partner) reaches all, but too late; a field for announcements without an answer needs a change of the message, which former builds don't read. Change: what is new to an entry goes to four partners at once, at most each 150 ms, and they pass it on; a partner that doesn't answer within that time is replaced by the next. An answer holds what the asker lacks. The fake of the test answers as the server does.

--- a/adapters/peertwirp/leavingpeer/leavingpeer.go
+++ b/adapters/peertwirp/leavingpeer/leavingpeer.go
@@ -51,16 +51,12 @@
 	return reportsFromWire(reply.Words, time.Now()), nil
 }
 
-// Server answers other entries with the reports of a draining.Tracker, and passes their reports to a
-// draining.Watcher. It implements Leaving.
-type Server struct {
-	tracker *draining.Tracker
-	watcher *draining.Watcher
-}
+// Server answers other entries through a draining.Watcher. It implements Leaving.
+type Server struct{ watcher *draining.Watcher }
 
 // NewHandler returns the HTTP handler of the service and the path prefix at which to mount it.
-func NewHandler(tracker *draining.Tracker, watcher *draining.Watcher) (pathPrefix string, handler http.Handler) {
-	server := NewLeavingServer(&Server{tracker: tracker, watcher: watcher})
+func NewHandler(watcher *draining.Watcher) (pathPrefix string, handler http.Handler) {
+	server := NewLeavingServer(&Server{watcher: watcher})
 	return server.PathPrefix(), server
 }
 
@@ -71,9 +67,8 @@
 		return nil, twirp.NewError(twirp.FailedPrecondition, message)
 	}
 	now := time.Now()
-	reply := &ExchangeReply{Words: reportsToWire(s.tracker.Reports(), now)}
-	s.watcher.ReceiveReports("peer", reportsFromWire(request.Words, now))
-	return reply, nil
+	answer := s.watcher.AnswerExchange("peer", reportsFromWire(request.Words, now))
+	return &ExchangeReply{Words: reportsToWire(answer, now)}, nil
 }
 
 // reportsToWire converts instants to durations from now, because the clocks of two entries differ.
--- a/adapters/peertwirp/leavingpeer/leavingpeer_test.go
+++ b/adapters/peertwirp/leavingpeer/leavingpeer_test.go
@@ -27,7 +27,7 @@
 
 	watcher := draining.NewWatcher(remote, draining.Options{View: membership.Static{}})
 	mux := http.NewServeMux()
-	mux.Handle(NewHandler(remote, watcher))
+	mux.Handle(NewHandler(watcher))
 	server := httptest.NewServer(mux)
 	defer server.Close()
 	peer := membership.Peer{Address: strings.TrimPrefix(server.URL, "http://")}
--- a/controlplane.go
+++ b/controlplane.go
@@ -90,7 +90,7 @@
 // mount registers the handlers of the control plane's peer protocols.
 func (c *controlPlane) mount(mux *http.ServeMux) {
 	mux.Handle(configpeer.NewHandler(c.configuration))
-	mux.Handle(leavingpeer.NewHandler(c.drainingTargets, c.watcher))
+	mux.Handle(leavingpeer.NewHandler(c.watcher))
 	mux.Handle(usagepeer.NewHandler(c.weights.inUse))
 }
 
--- a/draining/draining.go
+++ b/draining/draining.go
@@ -18,6 +18,9 @@
 	// about another incarnation than the known one, or one taken from a target's refusal. After a pause
 	// of this process all reports are kept at least this long.
 	unverifiedValidity = 3 * time.Second
+	// renewalTolerance is the time by which a peer's report may expire earlier without being renewed by an answer: reports are
+	// renewed with each probe, and most of what two entries hold differs by less.
+	renewalTolerance = time.Second
 	// maxFormerIncarnations limits the former incarnations that are remembered per target.
 	maxFormerIncarnations = 8
 )
--- a/draining/tracker.go
+++ b/draining/tracker.go
@@ -254,6 +254,29 @@
 	return reports
 }
 
+// missingReports returns the reports that are not among held, lack their deadline there, or are held for a shorter time by more
+// than renewalTolerance.
+func missingReports(reports, held []Report) []Report {
+	type key struct {
+		target      string
+		source      Source
+		incarnation string
+	}
+	known := map[key]Report{}
+	for _, report := range held {
+		known[key{report.Target, report.Source, report.Incarnation}] = report
+	}
+	var missing []Report
+	for _, report := range reports {
+		other, found := known[key{report.Target, report.Source, report.Incarnation}]
+		lacksDeadline := other.Deadline.IsZero() && !report.Deadline.IsZero()
+		if !found || lacksDeadline || report.ValidUntil.Sub(other.ValidUntil) > renewalTolerance {
+			missing = append(missing, report)
+		}
+	}
+	return missing
+}
+
 // Tick removes expired reports. If the time since the last tick indicates a pause of this process, it extends
 // the reports instead, since their renewals may have arrived but not been processed yet.
 func (t *Tracker) Tick(now time.Time) {
--- a/draining/watcher.go
+++ b/draining/watcher.go
@@ -26,8 +26,11 @@
 	tickInterval = 250 * time.Millisecond
 	// probersPerTarget is the number of entries that probe each target, and that read the VM list.
 	probersPerTarget = 2
-	// maxParallelCalls limits the parallel calls that announce a report to all peers.
-	maxParallelCalls = 16
+	// announceInterval is the minimum time between two announcements of new reports. Targets of one availability zone begin to
+	// drain together, and a report passes from entry to entry until all have it: about log(entries)/log(exchangePartners) times.
+	announceInterval = 150 * time.Millisecond
+	// announceTries is the number of peers of which one is to answer in the place of a partner.
+	announceTries = 3
 	// initialReportsTimeout is how long a starting entry waits for the reports of a peer.
 	initialReportsTimeout = 500 * time.Millisecond
 	// initialReportsRetryInterval is the time between two attempts to get them.
@@ -105,8 +108,8 @@
 	initialReportsDone atomic.Bool
 	// unverified holds targets for which a peer reported another incarnation; they are to be probed.
 	unverified chan string
-	// refusalPending signals that a refusal has to be announced to the peers.
-	refusalPending chan struct{}
+	// announcementPending signals that this entry has learned of a draining target that its partners may not know yet.
+	announcementPending chan struct{}
 }
 
 // NewWatcher returns a Watcher that updates tracker.
@@ -116,7 +119,7 @@
 		options:    options,
 		unverified: make(chan string, maxUnverified),
 
-		refusalPending: make(chan struct{}, 1),
+		announcementPending: make(chan struct{}, 1),
 	}
 }
 
@@ -129,7 +132,7 @@
 	loops.Go(func() { runEvery(ctx, probeInterval, w.readVMs) })
 	loops.Go(func() { runEvery(ctx, exchangeInterval, func(ctx context.Context) { w.exchange(ctx) }) })
 	loops.Go(func() { w.probeUnverified(ctx) })
-	loops.Go(func() { w.announceRefusals(ctx) })
+	loops.Go(func() { w.announce(ctx) })
 	loops.Wait()
 	w.calls.Wait()
 	return ctx.Err()
@@ -204,7 +207,7 @@
 		return
 	}
 	if w.tracker.ObserveHealth(target.Name, health, time.Now()) {
-		w.announce(ctx, string(SourceTarget))
+		w.recordFirst(string(SourceTarget))
 	}
 }
 
@@ -221,14 +224,13 @@
 	}
 	w.lastVMs = vms
 	if w.tracker.ObserveVMs(vms, time.Now()) {
-		w.announce(ctx, string(SourceVMList))
+		w.recordFirst(string(SourceVMList))
 	}
 }
 
 // exchange exchanges reports with the next partner and reports whether that succeeded.
 func (w *Watcher) exchange(ctx context.Context) bool {
-	partners := membership.Rank(w.peers(), w.options.View.Self().Name)
-	partners = partners[:min(len(partners), exchangePartners)]
+	partners := w.partners()
 	if len(partners) == 0 {
 		return false
 	}
@@ -236,6 +238,12 @@
 	return w.exchangeWith(ctx, partners[turn%len(partners)])
 }
 
+// partners returns the peers with which this entry exchanges reports.
+func (w *Watcher) partners() []membership.Peer {
+	ranked := membership.Rank(w.peers(), w.options.View.Self().Name)
+	return ranked[:min(len(ranked), exchangePartners)]
+}
+
 func (w *Watcher) peers() []membership.Peer {
 	if w.options.Peers == nil {
 		return nil
@@ -262,25 +270,72 @@
 	return true
 }
 
-// announce exchanges reports with every peer immediately, at most maxParallelCalls at a time.
-func (w *Watcher) announce(ctx context.Context, source string) {
+// recordFirst reports that the first report of a draining target came from source, and has it announced.
+func (w *Watcher) recordFirst(source string) {
 	w.observe(Event{Kind: EventDraining, Source: source})
-	slots := make(chan struct{}, maxParallelCalls)
-	for _, peer := range w.peers() {
-		slots <- struct{}{}
+	select {
+	case w.announcementPending <- struct{}{}:
+	default: // the pending announcement will include this report
+	}
+}
+
+// announce exchanges reports with all partners when this entry has learned of a draining target. They pass on what is new to
+// them, so that no entry calls the whole fleet.
+func (w *Watcher) announce(ctx context.Context) {
+	for {
+		select {
+		case <-w.announcementPending:
+		case <-ctx.Done():
+			return
+		}
+		w.announceTo(ctx, membership.Rank(w.peers(), w.options.View.Self().Name))
+		if wait.For(ctx, announceInterval) != nil {
+			return
+		}
+	}
+}
+
+// announceTo exchanges reports with exchangePartners of the ranked peers, and with another one in the place of each that doesn't
+// answer soon.
+func (w *Watcher) announceTo(ctx context.Context, ranked []membership.Peer) {
+	for first := range min(len(ranked), exchangePartners) {
 		w.calls.Go(func() {
-			defer func() { <-slots }()
-			w.exchangeWith(ctx, peer)
+			for i := first; i < min(len(ranked), announceTries*exchangePartners); i += exchangePartners {
+				if w.exchangeSoon(ctx, ranked[i]) {
+					return
+				}
+			}
 		})
 	}
 }
 
+// exchangeSoon exchanges reports with a peer and reports whether it answered within announceInterval. The call goes on otherwise.
+func (w *Watcher) exchangeSoon(ctx context.Context, peer membership.Peer) bool {
+	answered := make(chan bool, 1)
+	w.calls.Go(func() { answered <- w.exchangeWith(ctx, peer) })
+	overdue := time.NewTimer(announceInterval)
+	defer overdue.Stop()
+	select {
+	case succeeded := <-answered:
+		return succeeded
+	case <-overdue.C:
+		return false
+	}
+}
+
+// AnswerExchange records the reports of a peer and returns those that the peer lacks, or holds for a shorter time.
+func (w *Watcher) AnswerExchange(peer string, reports []Report) []Report {
+	answer := missingReports(w.tracker.Reports(), reports)
+	w.ReceiveReports(peer, reports)
+	return answer
+}
+
 // ReceiveReports records the reports of a peer, and queues a probe of each target for which the peer reports
 // another incarnation.
 func (w *Watcher) ReceiveReports(peer string, reports []Report) {
 	toProbe, first := w.tracker.ObserveReports(reports, time.Now())
 	if first {
-		w.observe(Event{Kind: EventDraining, Source: peer})
+		w.recordFirst(peer)
 	}
 	for _, name := range toProbe {
 		select {
@@ -293,23 +348,8 @@
 // ObserveRefusal records that a target refused a request because it is draining, and has this announced to the
 // peers. It does not block.
 func (w *Watcher) ObserveRefusal(name string) {
-	if !w.tracker.ObserveRefusal(name, time.Now()) {
-		return
-	}
-	select {
-	case w.refusalPending <- struct{}{}:
-	default: // an announcement is already pending and will include this report
-	}
-}
-
-func (w *Watcher) announceRefusals(ctx context.Context) {
-	for {
-		select {
-		case <-w.refusalPending:
-			w.announce(ctx, string(SourceTarget))
-		case <-ctx.Done():
-			return
-		}
+	if w.tracker.ObserveRefusal(name, time.Now()) {
+		w.recordFirst(string(SourceTarget))
 	}
 }
 
--- a/draining/watcher_test.go
+++ b/draining/watcher_test.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/matryer/is"
 )
@@ -57,9 +59,7 @@
 	p.fleet.mu.Lock()
 	watcher := p.fleet.watchers[peer.Name]
 	p.fleet.mu.Unlock()
-	answer := watcher.tracker.Reports()
-	watcher.ReceiveReports(p.name, reports)
-	return answer, nil
+	return watcher.AnswerExchange(p.name, reports), nil
 }
 
 func startFleet(ctx context.Context, entries, targets int) *fleet {
@@ -90,8 +90,12 @@
 		f.watchers[self.Name] = watcher
 		f.trackers = append(f.trackers, tracker)
 	}
-	for _, watcher := range f.watchers {
-		go watcher.Run(ctx)
+	for i, self := range all {
+		go func() {
+			// Timers of a synctest bubble that expire at one instant crash the race runtime of Go 1.26.8.
+			_ = wait.For(ctx, time.Duration(i+1)*173*time.Microsecond)
+			_ = f.watchers[self.Name].Run(ctx)
+		}()
 	}
 	return f
 }
@@ -228,6 +232,50 @@
 	is.True(probes(32, 96) <= probes(8, 24)*11/10)
 }
 
+// partlyHanging are peers of which some don't answer until the call is cut.
+type partlyHanging struct {
+	peerClient
+	hanging map[string]bool
+	calls   *atomic.Int64
+}
+
+func (p partlyHanging) Exchange(ctx context.Context, peer membership.Peer, reports []Report) ([]Report, error) {
+	if p.hanging[peer.Name] || p.hanging[p.name] {
+		_ = wait.For(ctx, probeTimeout-time.Duration(p.calls.Add(1)%1000)*time.Microsecond)
+		return nil, context.DeadlineExceeded
+	}
+	return p.peerClient.Exchange(ctx, peer, reports)
+}
+
+// Guards against reports that stop at partners which are refused, hang or are gone, and so reach no further entry in time.
+func TestDrainingReachesAllEntriesInTimeBesideHangingPeers(t *testing.T) {
+	for _, entries := range []int{8, 76, 195} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				hanging, calls := map[string]bool{}, &atomic.Int64{}
+				for i := range entries / 3 {
+					hanging[fmt.Sprintf("entry-%d", 3*i+1)] = true
+				}
+				f := startFleetWith(ctx, entries, 6, func(client peerClient) Peers { return partlyHanging{client, hanging, calls} })
+				time.Sleep(5 * time.Second)
+				f.watchers["entry-0"].ObserveRefusal("t2")
+				f.update(func() { delete(f.health, "10.0.0.2:80") })
+				time.Sleep(PropagationLimit)
+				late := 0
+				for name, watcher := range f.watchers {
+					if !hanging[name] && !watcher.tracker.Draining("t2") {
+						late++
+					}
+				}
+				is.Equal(late, 0)
+			})
+		})
+	}
+}
+
 // countingPeers counts the reports that each entry sends, as request or answer.
 type countingPeers struct {
 	peerClient
