Let an entry keep up to 1.3 times its fair share while a customer wants more than its limit

Cause: the fair shares follow the demands of the last second. Change: an entry keeps what it holds up to 1.3 times its fair share.

--- a/admission/quotalease.go
+++ b/admission/quotalease.go
@@ -186,6 +186,10 @@
 	return total
 }
 
+// maxHeldRatio is the multiple of its fair share up to which an entry keeps what it has while the entries want more than the limit: a
+// place that moves to another entry is idle until the next renewal.
+const maxHeldRatio = 1.3
+
 // concurrencyFor returns the entry's fair share of the concurrency by demand, as far as the leases of
 // the others leave it.
 func (a *quotaAccount) concurrencyFor(entry string, limits Limits, group entryGroup, now time.Time) int {
@@ -202,7 +206,11 @@
 	}
 	own := a.leases[entry]
 	fair := group.fairShare(float64(total), float64(own.wanted), float64(wanted))
-	return max(0, min(int(math.Ceil(fair)), total-others))
+	share := int(math.Ceil(fair))
+	if held := own.concurrency.granted; wanted >= total && float64(held) <= maxHeldRatio*fair {
+		share = max(share, held)
+	}
+	return max(0, min(share, total-others))
 }
 
 func (a *quotaAccount) rateFor(entry string, limits Limits, group entryGroup, now time.Time) float64 {
