Read the whole configuration from one peer at a start, and from others only what it lacks

Cause: an entry that starts during an outage asked six peers at once for the whole configuration and cut all calls after 0.5 s. The others then send what that one lacked, and all objects of kinds in which one was refused.

--- a/config/follow.go
+++ b/config/follow.go
@@ -12,8 +12,6 @@
 const (
 	// watchersPerZone is the number of entries in an availability zone that watch the platform.
 	watchersPerZone = 2
-	// maxQueriedPeers is the maximum number of peers that a starting entry queries.
-	maxQueriedPeers = 6
 	// followWait is how long one call to a peer waits for a change.
 	followWait = 10 * time.Second
 	// peerSilenceTimeout is how long after the end of followWait an entry waits for an answer of any
@@ -188,73 +186,6 @@
 	}
 }
 
-// startPeerQuery queries a few peers for their whole configuration. The channel receives one value,
-// which is true if a peer answered that has a configuration in force.
-func (m *Manager) startPeerQuery(ctx context.Context) <-chan bool {
-	peersReady := make(chan bool, 1)
-	go func() { peersReady <- m.queryPeers(ctx) }()
-	return peersReady
-}
-
-// startPeerQueryLater queries peers again after a pause: membership may not list any yet, or those queried
-// may still be starting themselves.
-func (m *Manager) startPeerQueryLater(ctx context.Context) <-chan bool {
-	peersReady := make(chan bool, 1)
-	go func() {
-		_ = wait.For(ctx, m.jitter.spread(roleInterval))
-		peersReady <- m.queryPeers(ctx)
-	}()
-	return peersReady
-}
-
-// queryPeers applies the configurations of a few peers and reports whether one of these is in force.
-func (m *Manager) queryPeers(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerQueryTimeout)
-	defer cancel()
-	answers := make(chan bool, maxQueriedPeers)
-	peers := m.peersToQuery()
-	for _, peer := range peers {
-		go func() { answers <- m.queryPeer(ctx, peer) }()
-	}
-	ready := false
-	for range peers {
-		if <-answers {
-			ready = true
-		}
-	}
-	return ready
-}
-
-// peersToQuery returns the peers to query, from all availability zones: those of its own zone first, and
-// of each group the watchers first.
-func (m *Manager) peersToQuery() []membership.Peer {
-	if m.options.Peers == nil {
-		return nil
-	}
-	self, live := m.options.View.Self(), m.options.View.Live()
-	var chosen []membership.Peer
-	seen := map[string]bool{self.Name: true}
-	for group := range sourceGroups {
-		for _, peer := range rankedSources(live, self, group) {
-			if !seen[peer.Name] && len(chosen) < maxQueriedPeers {
-				seen[peer.Name] = true
-				chosen = append(chosen, peer)
-			}
-		}
-	}
-	return chosen
-}
-
-func (m *Manager) queryPeer(ctx context.Context, peer membership.Peer) bool {
-	nothing := []Position{} // also of objects that the platform has sent: only peers know their last accepted specs
-	update, err := m.options.Peers.Follow(ctx, peer, nothing, 0)
-	if err != nil {
-		return false
-	}
-	m.apply(peer.Name, update.Deltas)
-	return update.Ready
-}
-
 // hasContent reports whether deltas contain objects, or full lists. Deltas that only advance revisions
 // are no reason to answer a waiting peer.
 func hasContent(deltas []Delta) bool {
--- a/config/store.go
+++ b/config/store.go
@@ -236,6 +236,29 @@
 	return positions
 }
 
+// acceptedPositions returns the positions of the kinds without refused objects. Of the others a peer sends all objects: it may know
+// the last accepted state of one that was refused.
+func (s *store) acceptedPositions() []Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var positions []Position
+	for _, kind := range v1.Kinds() {
+		if state := s.kinds[kind]; !state.hasRefused() {
+			positions = append(positions, Position{Kind: kind, Revision: state.revision})
+		}
+	}
+	return positions
+}
+
+func (k *kindState) hasRefused() bool {
+	for _, known := range k.records {
+		if len(known.findings) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // revision returns the revision up to which the changes of all kinds are known.
 func (s *store) revision() int64 {
 	s.mu.Lock()
