Pass changes of the configuration down a tree of entries, in parts

A change of more than 1024 objects left the log of changes, and followers got the whole kind. Ruled out: fewer sources for each entry; the second one is what a zone without watchers, or below a lost entry, lives on. Change: an entry follows its parent in the zone's tree by rank (two followers each), and the entry at its own place of the next zone; when one fails, the parents above, the watchers, then any other. Answers hold 128 KB of changes at most, by revision over all kinds, and the log 16,384 changes: followers pass on the first part while the next arrives. A plain change is in force everywhere in less than 1 s at 30, 76, 195 and 300 entries also when one entry in three doesn't answer.

--- a/config/delta.go
+++ b/config/delta.go
@@ -1,6 +1,10 @@
 package config
 
-import "github.com/azurebarrow/azurebarrow/objects"
+import (
+	"slices"
+
+	"github.com/azurebarrow/azurebarrow/objects"
+)
 
 // Position is the revision up to which an entry knows every change of one kind.
 type Position struct {
@@ -62,3 +66,48 @@
 	}
 	return deltas
 }
+
+// size returns the approximate number of bytes of the item in a message.
+func (i Item) size() int {
+	size := len(i.Object.Name) + len(i.Object.Value)
+	if i.Accepted != nil {
+		size += len(i.Accepted.Value)
+	}
+	return size
+}
+
+// limitDeltas returns the first changes, by revision over all kinds, of about maxBytes. The receiver passes them on to others while it
+// gets the rest. Full deltas stay whole: what they lack counts as deleted.
+func limitDeltas(deltas []Delta, positions []Position, maxBytes int) []Delta {
+	var items []Item
+	for _, delta := range deltas {
+		if !delta.Full {
+			items = append(items, delta.Items...)
+		}
+	}
+	slices.SortFunc(items, func(a, b Item) int { return int(a.Object.Revision - b.Object.Revision) })
+	bytes := 0
+	for i, item := range items {
+		bytes += item.size()
+		if bytes >= maxBytes && i < len(items)-1 {
+			return cutDeltas(deltas, positions, item.Object.Revision)
+		}
+	}
+	return deltas
+}
+
+// cutDeltas returns the changes up to a revision that a peer at the positions lacks.
+func cutDeltas(deltas []Delta, positions []Position, revision int64) []Delta {
+	var cut []Delta
+	for _, delta := range deltas {
+		if !delta.Full {
+			if positionOf(positions, delta.Kind) >= revision {
+				continue
+			}
+			delta.Items = slices.DeleteFunc(slices.Clone(delta.Items), func(item Item) bool { return item.Object.Revision > revision })
+			delta.Revision = min(delta.Revision, revision)
+		}
+		cut = append(cut, delta)
+	}
+	return cut
+}
--- a/config/follow.go
+++ b/config/follow.go
@@ -12,6 +12,9 @@
 const (
 	// watchersPerZone is the number of entries in an availability zone that watch the platform.
 	watchersPerZone = 2
+	// followersPerEntry is the number of entries of its availability zone that follow one entry. Each sends a change that many times,
+	// and once more to another zone.
+	followersPerEntry = 2
 	// followWait is how long one call to a peer waits for a change.
 	followWait = 10 * time.Second
 	// peerSilenceTimeout is how long after the end of followWait an entry waits for an answer of any
@@ -130,39 +133,6 @@
 	return nil
 }
 
-// chooseSource returns the first usable peer of the group, watchers before others. It returns false if
-// there is none.
-func (m *Manager) chooseSource(group sourceGroup) (membership.Peer, bool) {
-	self := m.options.View.Self()
-	now := time.Now()
-	for _, peer := range rankedSources(m.options.View.Live(), self, group) {
-		if peer.Name != self.Name && m.sources.usable(peer.Name, now) {
-			return peer, true
-		}
-	}
-	return membership.Peer{}, false
-}
-
-// rankedSources returns the peers of the group in the order of preference of this entry: the watchers of
-// their availability zones first, then all.
-func rankedSources(live []membership.Peer, self membership.Peer, group sourceGroup) []membership.Peer {
-	var watchers, others []membership.Peer
-	zones := map[string]bool{}
-	for _, peer := range live {
-		if (peer.AvailabilityZone == self.AvailabilityZone) != (group == ownZone) {
-			continue
-		}
-		others = append(others, peer)
-		if !zones[peer.AvailabilityZone] {
-			zones[peer.AvailabilityZone] = true
-			watchers = append(watchers, watchersOf(live, peer.AvailabilityZone)...)
-		}
-	}
-	// Ranking by the name of this entry spreads the followers evenly over the peers.
-	chosen := membership.Rank(watchers, self.Name)
-	return append(chosen, membership.Rank(others, self.Name)...)
-}
-
 // Follow returns the changes that a peer at the given positions lacks. It returns at once if there are
 // any, else after the next change, at the latest after wait.
 func (m *Manager) Follow(ctx context.Context, positions []Position, wait time.Duration) Update {
@@ -170,7 +140,7 @@
 	defer timeout.Stop()
 	for {
 		changed := m.store.nextChange()
-		deltas := m.store.changesSince(positions)
+		deltas := limitDeltas(m.store.changesSince(positions), positions, m.options.MaxUpdateBytes)
 		if hasContent(deltas) {
 			return Update{Ready: m.Ready(), Deltas: deltas}
 		}
--- a/config/link_test.go
+++ b/config/link_test.go
@@ -187,6 +187,8 @@
 				Peers:        peers,
 				View:         membership.Static{This: all[i], Peers: all},
 				Registration: Registration{Name: all[i].Name, AvailabilityZone: all[i].AvailabilityZone},
+				// Five objects, as DefaultMaxUpdateBytes holds of objects of 24 KB.
+				MaxUpdateBytes: 5 * len(modelJSON("m10", "v2")),
 			})
 			peers.managers[all[i].Name] = manager
 			managers = append(managers, manager)
@@ -212,3 +214,110 @@
 		is.Equal(late, 0)
 	})
 }
+
+// Guards against a change of so many objects that the log of changes lacks some, which followers get whole and pass on only then.
+func TestChangeOfAllTargetsIsPassedOnInParts(t *testing.T) {
+	is := is.New(t)
+	const targets = 3000
+	changed := func(from int64) Delta {
+		delta := Delta{Kind: v1.KindModel, Revision: from + targets}
+		for i := range int64(targets) {
+			name := fmt.Sprint("m", i)
+			object := objects.Object{Kind: v1.KindModel, Name: name, Value: []byte(modelJSON(name, "v1")), Revision: from + i + 1, UID: name}
+			delta.Items = append(delta.Items, Item{Object: object})
+		}
+		return delta
+	}
+	sender, receiver := newStore(), newStore()
+	for _, s := range []*store{sender, receiver} {
+		s.apply([]Delta{{Kind: v1.KindModel, Revision: 0, Full: true}})
+		s.apply([]Delta{changed(0)})
+	}
+	sender.apply([]Delta{changed(targets)})
+	parts := 0
+	for receiver.positions()[0] != sender.positions()[0] || receiver.positions()[1] != sender.positions()[1] {
+		positions := receiver.positions()
+		deltas := limitDeltas(sender.changesSince(positions), positions, DefaultMaxUpdateBytes)
+		bytes := 0
+		for _, delta := range deltas {
+			is.True(!delta.Full)
+			for _, item := range delta.Items {
+				bytes += item.size()
+			}
+		}
+		is.True(bytes < 2*DefaultMaxUpdateBytes)
+		is.True(receiver.apply(deltas))
+		parts++
+	}
+	is.True(parts > 1)
+	is.Equal(receiver.changesSince(nil), sender.changesSince(nil))
+}
+
+// Guards against entries that a change reaches late, or never, since those on its way to them are gone.
+func TestPlainChangeReachesAllEntriesInASecondBesideLostOnes(t *testing.T) {
+	for _, entries := range []int{30, 76, 195, 300} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				platform, peers, all := newFakePlatform(), newFakePeers(), testEntries(entries)
+				platform.write(v1.KindModel, "m", modelJSON("m", "v1"))
+				var managers []*Manager
+				for i := range all {
+					managers = append(managers, peers.start(ctx, platform, all, i))
+				}
+				time.Sleep(10 * time.Second)
+				peers.mu.Lock()
+				for i := range entries / 3 {
+					peers.unreachable[all[3*i].Name] = true // all of one zone
+				}
+				peers.mu.Unlock()
+				time.Sleep(2 * followWait)
+				platform.write(v1.KindModel, "m", modelJSON("m", "v2"))
+				time.Sleep(time.Second)
+				for i, manager := range managers {
+					if i%3 != 0 && modelVersion(manager, "m") != "v2" {
+						t.Errorf("%s has no new configuration", all[i].Name)
+					}
+				}
+				is.True(modelVersion(managers[1], "m") == "v2")
+			})
+		})
+	}
+}
+
+// Guards against an entry that sends each change to many others, and against entries that no chain of sources leads to a watcher.
+func TestEntriesFollowATreeOfFewFollowersEach(t *testing.T) {
+	for _, entries := range []int{3, 8, 30, 76, 195, 300, 600} {
+		live := testEntries(entries)
+		followers := map[sourceGroup]map[string]int{ownZone: {}, otherZones: {}}
+		for _, self := range live {
+			for group := range sourceGroups {
+				for _, source := range rankedSources(live, self, group) {
+					if source.Name != self.Name {
+						followers[group][source.Name]++
+						break
+					}
+				}
+			}
+		}
+		for group, most := range map[sourceGroup]int{ownZone: followersPerEntry + 1, otherZones: 2} {
+			for name, count := range followers[group] {
+				if count > most {
+					t.Errorf("%d entries, group %d: %s has %d followers", entries, group, name, count)
+				}
+			}
+		}
+		for _, self := range live {
+			tree := treesByZone(live)[self.AvailabilityZone]
+			place := 0
+			for tree[place].Name != self.Name {
+				place++
+			}
+			if above := ancestors(tree, place); len(above) > 12 {
+				t.Errorf("%d entries: %s is %d entries below a watcher", entries, self.Name, len(above))
+			}
+		}
+	}
+}
--- a/config/manager.go
+++ b/config/manager.go
@@ -19,10 +19,15 @@
 	View membership.View
 	// Registration is the object value that this entry registers with.
 	Registration Registration
+	// MaxUpdateBytes is the approximate size of the changes in one answer to a peer; 0 means DefaultMaxUpdateBytes.
+	MaxUpdateBytes int
 	// Observe is called for each event. It may be nil and must not block.
 	Observe func(Event)
 }
 
+// DefaultMaxUpdateBytes takes 0.1 s of a link of 10 Mbit/s.
+const DefaultMaxUpdateBytes = 128 << 10
+
 // Manager keeps the configuration of one entry current. Create it with NewManager.
 type Manager struct {
 	options Options
@@ -57,6 +62,9 @@
 		self := membership.Peer{Name: options.Registration.Name, AvailabilityZone: options.Registration.AvailabilityZone}
 		options.View = membership.Static{This: self, Peers: []membership.Peer{self}}
 	}
+	if options.MaxUpdateBytes == 0 {
+		options.MaxUpdateBytes = DefaultMaxUpdateBytes
+	}
 	m := &Manager{
 		options:     options,
 		store:       newStore(),
--- a/config/store.go
+++ b/config/store.go
@@ -12,8 +12,8 @@
 )
 
 // maxLoggedChanges limits the changes of a kind that are kept for peers that follow this entry. A
-// peer that is further behind gets a full delta.
-const maxLoggedChanges = 1024
+// peer that is further behind gets a full delta, in one piece. A change of all 10,000 targets fits.
+const maxLoggedChanges = 1 << 14
 
 // store holds the newest state of every object. The revision of a kind and that of each object never
 // decrease. The platform counts revisions over all its objects, so that an object that is deleted and
