Serve customers without leases at once where the live entries are the same, and one place of a small limit

Since entries without a lease share a tenth of the limit for the first 4 s of an account, and an account begins anew after 20 s without requests, a customer with a limit below ten was refused at its first requests after each such pause, and larger ones got a tenth of their limit for 4 s. Change: an account that begins where the live entries have been the same for 4 s knows that nobody holds a lease: it would have been its owner all along. The tenth is one place at least. Result: TestCustomersWithoutLeasesAreServedAtOnce fails without the change and passes with it at limits of 3, 5 and 40.

--- a/admission/quotalease.go
+++ b/admission/quotalease.go
@@ -157,9 +157,12 @@
 	concurrency, rate = min(held, limits.Concurrency), min(heldRate, limits.TokensPerSecond)
 	part := newEntryRatio / float64(group.known)
 	if held == 0 {
-		most := float64(limits.Concurrency) * newEntriesRatio
-		spare := limits.Concurrency + int(most) - a.totalOutstanding(now)
-		concurrency = max(0, min(int(math.Ceil(float64(limits.Concurrency)*part)), int(most)-a.newConcurrency, spare))
+		most := int(float64(limits.Concurrency) * newEntriesRatio)
+		if limits.Concurrency > 0 {
+			most = max(1, most) // else customers of small limits would get nothing
+		}
+		spare := limits.Concurrency + most - a.totalOutstanding(now)
+		concurrency = max(0, min(int(math.Ceil(float64(limits.Concurrency)*part)), most-a.newConcurrency, spare))
 		a.newConcurrency += concurrency
 	}
 	if heldRate == 0 {
--- a/admission/quotalease_test.go
+++ b/admission/quotalease_test.go
@@ -303,3 +303,24 @@
 	running = append(running, admitAll(t, c, others[1:], "c")...)
 	is.True(len(running) <= maxRunning)
 }
+
+// Guards against customers who are refused at their first requests after a pause, since their quota owner takes itself for a new one, or
+// since a tenth of a small limit is no place.
+func TestCustomersWithoutLeasesAreServedAtOnce(t *testing.T) {
+	for limit, atOnce := range map[int]int{3: 1, 5: 2, testLimit: testLimit / 4} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 8, Limits{Concurrency: limit})
+			is.True(len(admitAll(t, c, c.peers(), "first")) >= 1) // the entries have just started
+			time.Sleep(time.Minute)
+			is.True(len(admitAll(t, c, c.peers(), "new")) >= atOnce)
+			for _, ticket := range admitAll(t, c, c.peers(), "c") {
+				ticket.Done(0)
+			}
+			time.Sleep(time.Minute)
+			running := admitAll(t, c, c.peers(), "c")
+			is.True(len(running) >= atOnce)
+			is.True(len(running) <= limit)
+		})
+	}
+}
--- a/admission/renewal.go
+++ b/admission/renewal.go
@@ -6,6 +6,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/azurebarrow/azurebarrow/membership"
 )
 
@@ -83,6 +85,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.ownership.observe(incarnation, now)
+	c.ownership.observeEntries(c.options.Members.Live(), now)
 }
 
 func (c *Controller) renewBatch(ctx context.Context, batch *renewalBatch, timeout time.Duration) {
@@ -209,7 +212,8 @@
 func (c *Controller) account(customer string, now time.Time) *quotaAccount {
 	a, ok := c.quotaAccounts[customer]
 	if !ok {
-		a = &quotaAccount{leases: map[string]*quotaLease{}, ownerSince: now}
+		c.ownership.observeEntries(c.options.Members.Live(), now)
+		a = &quotaAccount{leases: map[string]*quotaLease{}, ownerSince: c.ownership.entriesSince}
 		c.quotaAccounts[customer] = a
 	}
 	a.startAgain(c.ownership.since)
@@ -219,11 +223,15 @@
 // maxOwnerPause is the pause of this process after which leases in its records may have expired that another quota owner has renewed.
 const maxOwnerPause = quotaLeaseTTL - renewInterval
 
-// ownership is the time since when no other entry can have taken the place of this one as a quota owner.
+// ownership tells since when other entries can't have taken the place of this one as a quota owner.
 type ownership struct {
+	// since is the end of the last pause of this process, or the time at which it learned that others took it for dead.
 	since       time.Time
 	observedAt  time.Time
 	incarnation uint64
+	// entriesSince is the time since which the live entries are the same, and with them each customer's owner.
+	entriesSince time.Time
+	entries      uint64
 }
 
 // observe starts anew after a pause of this process, and when its incarnation shows that others took it for dead.
@@ -235,6 +243,17 @@
 	o.observedAt, o.incarnation = now, incarnation
 }
 
+// observeEntries records the live entries.
+func (o *ownership) observeEntries(live []membership.Peer, now time.Time) {
+	var entries uint64
+	for _, peer := range live {
+		entries += xxhash.Sum64String(peer.Name) // the order is open
+	}
+	if o.entriesSince.IsZero() || entries != o.entries {
+		o.entriesSince, o.entries = now, entries
+	}
+}
+
 // removeUnusedAccounts removes the accounts of customers that have another quota owner by now, and of
 // those without leases: the next owner starts a new account, and so waits for the existing leases to
 // expire.
