Believe an answer only where it can't be an earlier refusal, sent again

Cause: answers on kept connections are told apart by the request's ID. A stream that comes to the same target again has the ID of its first attempt, so the copy of the first refusal was taken for the second answer: the entry moved the stream on, or answered 503, while the target ran it. An answer without an ID was taken for that of any request. Ruled out: plain calls, which never go to a target twice; answers that name another request, which were skipped.

Change: a connection remembers the requests that it answered without success, and carries no further attempt of these. On a connection that has carried an answer, one without an ID is skipped; a connection whose answers have none is not kept.

Measured: TestRefusalSentTwiceIsNotTakenForTheAnswerToALaterAttempt, TestAnswerWithoutAnIDIsBelievedOnlyOnANewConnection and TestConnectionOfATargetThatNamesNoRequestsIsNotKept failed before, and pass.

--- a/adapters/peerexchange/peerexchange_test.go
+++ b/adapters/peerexchange/peerexchange_test.go
@@ -219,3 +219,17 @@
 	is.True(err != nil)
 	is.True((<-stopped).Sub(left) < 500*time.Millisecond) // the stated bound
 }
+
+// Guards against a peer's own word, which names no request, being taken for one of a faulty target on a connection in use again.
+func TestOutcomesAreBelievedOnConnectionsInUseAgain(t *testing.T) {
+	is := is.New(t)
+	peer, client := newPeer(t), newClient()
+	for range 3 {
+		_, err := client.Do(t.Context(), peer, detour.Target{ID: "unserved", Address: "127.0.0.1:9"}, time.Second, request("POST"))
+		var notSent *NotSentError
+		is.True(errors.As(err, &notSent))
+		is.Equal(notSent.Result.Outcome, detour.Unserved)
+		time.Sleep(5 * time.Millisecond) // lets the connection become idle
+	}
+	is.Equal(client.pool.DialCount(), int64(1))
+}
--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -26,7 +26,8 @@
 	// HasBody reports whether the caller sent a body, which may be empty.
 	HasBody bool
 	// IDHeader is the name of the header field that holds ID in the request and its answer. ID is empty for a call whose answer
-	// can't be told from a second answer to another such call; its connection is not kept.
+	// can't be told from a second answer to another such call; its connection is not kept. Nor is that of an answer without
+	// an ID.
 	IDHeader string
 	ID       string
 }
@@ -72,7 +73,7 @@
 // *service.NotSentError proves that nothing was sent; after any other error the target may have run the
 // request. The end of ctx closes the connection, also while the body is read.
 func (p *Pool) Do(ctx context.Context, key, address string, request *Request) (*Answer, error) {
-	c, err := p.getConn(ctx, key, address)
+	c, err := p.getConn(ctx, key, address, request.ID)
 	if err != nil {
 		return nil, &service.NotSentError{Cause: err}
 	}
@@ -119,12 +120,15 @@
 	return buffer.Bytes()
 }
 
-// receive reads the head of the answer to the request. It skips informational answers, and answers to other
-// requests.
+// receive reads the head of the answer to the request. It skips informational answers, and answers that belong or may
+// belong to other requests.
 func (e *exchange) receive(request *Request) (*Answer, error) {
 	e.conn.limiter.limit(maxHeadBytes, errHeadTooLarge)
-	for foreign := 0; ; {
+	for foreign, unnamed := 0, false; ; {
 		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method})
+		if err != nil && unnamed {
+			return nil, errAnswerMismatch // a connection that ends after an answer is no sign of a crash
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -132,10 +136,11 @@
 			continue
 		}
 		id := response.Header.Get(request.IDHeader)
-		if id == "" || id == request.ID {
+		if id == request.ID || id == "" && (!e.conn.used || e.pool.options.AcceptUnnamed) {
 			e.conn.limiter.unlimit()
 			e.response = response
-			e.reusable = foreign == 0 && !response.Close && request.ID != ""
+			e.reusable = foreign == 0 && !response.Close && request.ID != "" && (id != "" || e.pool.options.AcceptUnnamed) &&
+				e.conn.recordAnswer(request.ID, response.StatusCode)
 			e.idleFor = idleTimeout(response.Header, e.idleFor)
 			return &Answer{
 				Status:   response.StatusCode,
@@ -145,6 +150,7 @@
 				exchange: e,
 			}, nil
 		}
+		unnamed = unnamed || id == ""
 		foreign++
 		if foreign > maxForeignAnswers {
 			return nil, errAnswerMismatch
--- a/adapters/targethttp/exchange_test.go
+++ b/adapters/targethttp/exchange_test.go
@@ -282,3 +282,106 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// refusalText is an answer by which a target refuses a request; an empty ID leaves the ID out.
+func refusalText(id string) string {
+	field := "X-Request-Id: " + id + "\r\n"
+	if id == "" {
+		field = ""
+	}
+	return "HTTP/1.1 503 Service Unavailable\r\n" + field + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+// Guards against callers that are told "not run" for a request that a target runs: a request comes to the same target again, which
+// first writes its earlier refusal once more.
+func TestRefusalSentTwiceIsNotTakenForTheAnswerToALaterAttempt(t *testing.T) {
+	is := is.New(t)
+	target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
+		for refused := map[string]bool{}; ; {
+			request, ok := target.read(reader)
+			if !ok {
+				return
+			}
+			id := request.Header.Get("X-Request-Id")
+			switch {
+			case id == "other":
+				_, _ = io.WriteString(conn, answerText(id, "ok"))
+			case target.requests.Load() == 1:
+				refused[id] = true
+				_, _ = io.WriteString(conn, refusalText(id))
+			case refused[id]:
+				_, _ = io.WriteString(conn, refusalText(id)+answerText(id, "ran"))
+			default:
+				_, _ = io.WriteString(conn, answerText(id, "ran"))
+			}
+		}
+	})
+	p := NewPool(Options{})
+	for _, step := range []struct{ id, body string }{{"1", ""}, {"other", "ok"}, {"1", "ran"}, {"other", "ok"}} {
+		body, err := exchangeBody(t, p, target.address(), newTestRequest(step.id))
+		is.NoErr(err)
+		is.Equal(body, step.body)
+		time.Sleep(5 * time.Millisecond) // lets the goroutine that writes the request end
+	}
+	is.Equal(target.conns.Load(), int64(2)) // the connection still serves other requests
+}
+
+// Guards against an answer that names no request, an earlier refusal say, in the place of the answer to a later one.
+func TestAnswerWithoutAnIDIsBelievedOnlyOnANewConnection(t *testing.T) {
+	for _, name := range []string{"then the own answer", "then nothing"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
+				for {
+					request, ok := target.read(reader)
+					if !ok {
+						return
+					}
+					id, own := request.Header.Get("X-Request-Id"), "n"+request.Header.Get("X-Request-Id")
+					if id == "2" {
+						_, _ = io.WriteString(conn, refusalText(""))
+						if name == "then nothing" {
+							return
+						}
+					}
+					_, _ = io.WriteString(conn, answerText(id, own))
+				}
+			})
+			p := NewPool(Options{})
+			body, err := exchangeBody(t, p, target.address(), newTestRequest("1"))
+			is.NoErr(err)
+			is.Equal(body, "n1")
+			time.Sleep(5 * time.Millisecond)
+			body, err = exchangeBody(t, p, target.address(), newTestRequest("2"))
+			if name == "then nothing" {
+				is.True(errors.Is(err, errAnswerMismatch))
+				is.True(!IsConnectionLost(err)) // the target has not crashed
+				return
+			}
+			is.NoErr(err)
+			is.Equal(body, "n2")
+		})
+	}
+}
+
+// Guards against answers of a target that never names requests being mixed up on a kept connection.
+func TestConnectionOfATargetThatNamesNoRequestsIsNotKept(t *testing.T) {
+	is := is.New(t)
+	target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
+		for {
+			if _, ok := target.read(reader); !ok {
+				return
+			}
+			_, _ = io.WriteString(conn, refusalText(""))
+		}
+	})
+	p := NewPool(Options{})
+	for _, id := range []string{"1", "2"} {
+		answer, err := p.Do(t.Context(), "key", target.address(), newTestRequest(id))
+		is.NoErr(err)
+		is.Equal(answer.Status, http.StatusServiceUnavailable)
+		answer.Close()
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(target.conns.Load(), int64(2))
+}
--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -10,6 +10,8 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -23,6 +25,9 @@
 	IdleTimeout time.Duration
 	// MaxIdleConnsPerTarget is the maximum number of idle connections per target.
 	MaxIdleConnsPerTarget int
+	// AcceptUnnamed accepts answers without an ID on kept connections too: for other entries, which write each answer once
+	// and name no request in answers of their own.
+	AcceptUnnamed bool
 	// Dial opens a TCP connection to an address; nil dials it from this host.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -79,6 +84,27 @@
 	limiter *readLimiter
 	// expires is the time after which the idle connection is not used any more.
 	expires time.Time
+	// used reports that the connection has carried an answer: a second one to the same request may follow at any time.
+	used bool
+	// failed are the IDs of requests that were answered without success here. A further attempt of such a request needs
+	// another connection, on which no second answer to the first one can arrive.
+	failed map[string]struct{}
+}
+
+// maxFailedPerConn limits the IDs that a connection keeps; it is replaced then.
+const maxFailedPerConn = 256
+
+// recordAnswer records the answer to a request. It reports whether the connection may carry further requests.
+func (c *conn) recordAnswer(id string, status int) bool {
+	c.used = true
+	if status < http.StatusMultipleChoices {
+		return true
+	}
+	if c.failed == nil {
+		c.failed = map[string]struct{}{}
+	}
+	c.failed[id] = struct{}{}
+	return len(c.failed) < maxFailedPerConn
 }
 
 // readBufferBytes is enough for a few events of a stream.
@@ -105,7 +131,7 @@
 
 // Ready has a connection to the target ready for the next request: an idle one, or else a new one.
 func (p *Pool) Ready(ctx context.Context, key, address string) error {
-	c, err := p.getConn(ctx, key, address)
+	c, err := p.getConn(ctx, key, address, "")
 	if err != nil {
 		return err
 	}
@@ -151,10 +177,11 @@
 	return nil
 }
 
-// getConn returns an idle connection or a new one. The key identifies the target's incarnation.
-func (p *Pool) getConn(ctx context.Context, key, address string) (*conn, error) {
+// getConn returns an idle connection for the request with the ID, or a new one. The key identifies the target's
+// incarnation.
+func (p *Pool) getConn(ctx context.Context, key, address, id string) (*conn, error) {
 	for {
-		c := p.takeIdle(key)
+		c := p.takeIdle(key, id)
 		if c == nil {
 			return p.dial(ctx, key, address)
 		}
@@ -165,17 +192,23 @@
 	}
 }
 
-func (p *Pool) takeIdle(key string) *conn {
+// takeIdle returns the idle connection that was used last, among those that have not failed the request with the ID; nil
+// if there is none.
+func (p *Pool) takeIdle(key, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[key]
-	if len(conns) == 0 {
-		delete(p.idle, key)
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if _, failed := c.failed[id]; failed {
+			continue
+		}
+		conns = slices.Delete(conns, i, i+1)
+		if p.idle[key] = conns; len(conns) == 0 {
+			delete(p.idle, key)
+		}
+		return c
 	}
-	last := conns[len(conns)-1]
-	p.idle[key] = conns[:len(conns)-1]
-	return last
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, key, address string) (*conn, error) {
