End a stream at text that is no event

Cause: whatever a body held up to an empty line was passed on as an event. A target that writes an error into the body of a stream that ends with its connection had that error, and a clean end, passed on. Ruled out: answers with an error status, which never reach a stream that has begun, and bytes where a chunk's length is due.

Change: an event consists of comments and of fields, whose names are in lower case; anything else ends the attempt as broken, so that the stream goes on elsewhere or is aborted. The check looks at whole lines; a line longer than the buffer was taken for several before, which cut events and could read data as an ID. Events of comments only are told apart, for what follows.

--- a/adapters/passthrough/events.go
+++ b/adapters/passthrough/events.go
@@ -15,6 +15,8 @@
 	// errTruncatedEvent: the body ended inside an event. It does not wrap io.EOF, which means a complete
 	// stream.
 	errTruncatedEvent = errors.New("the stream ended inside an event")
+	// errNoEvent: the body holds a line that no event has.
+	errNoEvent = errors.New("the body is not a stream of events")
 )
 
 // eventScanner splits the body of a stream into events, whose bytes it keeps unchanged.
@@ -26,30 +28,56 @@
 
 // next returns the next complete event; io.EOF after the last one.
 func (s *eventScanner) next() (generation.RelayEvent, error) {
-	event := generation.RelayEvent{ID: -1}
-	for {
-		line, err := s.reader.ReadSlice('\n')
-		event.Bytes = append(event.Bytes, line...)
+	event := generation.RelayEvent{ID: -1, Comment: true}
+	for lineStart := 0; ; {
+		part, err := s.reader.ReadSlice('\n')
+		event.Bytes = append(event.Bytes, part...)
 		switch {
 		case len(event.Bytes) > maxEventBytes:
 			return generation.RelayEvent{}, errEventTooLarge
 		case err == bufio.ErrBufferFull:
 			continue
+		case err == io.EOF && len(event.Bytes) > 0 && isBlank(event.Bytes):
+			return event, nil // line ends after the last event
 		case err == io.EOF && len(event.Bytes) > 0:
 			return generation.RelayEvent{}, errTruncatedEvent
 		case err != nil:
 			return generation.RelayEvent{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 && len(event.Bytes) > len(line) {
+		line := bytes.TrimRight(event.Bytes[lineStart:], "\r\n")
+		if len(line) == 0 && !isBlank(event.Bytes[:lineStart]) {
 			return event, nil
 		}
-		if id, ok := eventID(text); ok {
+		lineStart = len(event.Bytes)
+		name, isField := fieldName(line)
+		switch {
+		case len(line) == 0 || isField && name == "":
+			continue
+		case !isField:
+			return generation.RelayEvent{}, errNoEvent
+		}
+		event.Comment = false
+		if id, ok := eventID(line); ok {
 			event.ID = id
 		}
 	}
 }
 
+// isBlank reports whether the text holds line ends only.
+func isBlank(text []byte) bool { return len(bytes.TrimLeft(text, "\r\n")) == 0 }
+
+// fieldName returns the name of the field in a line of an event; empty for a comment. isField is false for a line that is
+// neither: names are in lower case, so that the head of an HTTP answer has none, nor has plain text.
+func fieldName(line []byte) (name string, isField bool) {
+	field, _, _ := bytes.Cut(line, []byte(":"))
+	for _, c := range field {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return "", false
+		}
+	}
+	return string(field), true
+}
+
 // eventID returns the ID in an "id:" line; false for other lines.
 func eventID(line []byte) (int64, bool) {
 	value, found := bytes.CutPrefix(line, []byte("id:"))
--- a/adapters/passthrough/events_test.go
+++ b/adapters/passthrough/events_test.go
@@ -46,6 +46,63 @@
 	is.Equal(string(passed), "id: 1\ndata: a\n\n")
 }
 
+// Guards against an error that a target writes into the body of a stream reaching the caller as a part of it.
+func TestTextThatIsNoEventEndsTheStream(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\n"
+	for _, text := range []string{
+		"HTTP/1.1 500 Internal Server Error\r\nX-Request-Id: r\r\nContent-Length: 4\r\n\r\noops",
+		"id: 2\ndata: haHTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n",
+		"{\"error\": \"out of memory\"}\n\n",
+		"Internal Server Error\n\n",
+		"<html><body>503</body></html>\r\n\r\n",
+		"\n\nerror\twhile generating\n\n",
+	} {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			for _, reader := range []io.Reader{strings.NewReader(whole + text), iotest.OneByteReader(strings.NewReader(whole + text))} {
+				ids, passed, err := scanAll(reader)
+				is.True(errors.Is(err, errNoEvent))
+				is.True(!errors.Is(err, io.EOF))
+				is.Equal(ids, []int64{1})
+				is.Equal(string(passed), whole)
+			}
+		})
+	}
+}
+
+// Guards against a long line being taken for several, so that an event is cut, or its data read as fields, where the buffer ends.
+func TestLongLinesAreOneLine(t *testing.T) {
+	is := is.New(t)
+	for _, length := range []int{4095, 4096, 4097, 8192, 12288} {
+		line := "data:" + strings.Repeat("z", length-len("data:"))
+		text := line + "\nid: 7\n\n" + line + "id: 3\nid: 8\n\n"
+		ids, passed, err := scanAll(strings.NewReader(text))
+		is.Equal(err, io.EOF)
+		is.Equal(ids, []int64{7, 8})
+		is.Equal(string(passed), text)
+	}
+}
+
+func TestLineEndsAfterTheLastEventArePassedOn(t *testing.T) {
+	for _, tail := range []string{"", "\n", "\n\n", "\r\n\r\n\r\n"} {
+		is := is.New(t)
+		_, passed, err := scanAll(strings.NewReader("id: 1\ndata: a\n\n" + tail))
+		is.Equal(err, io.EOF)
+		is.Equal(string(passed), "id: 1\ndata: a\n\n"+tail)
+	}
+}
+
+func TestCommentsAreToldFromEventsWithoutAnID(t *testing.T) {
+	is := is.New(t)
+	scanner := newEventScanner(strings.NewReader(": still here\n\n\n:\n\ndata: x\n\n: a comment\ndata: y\n\n"))
+	for _, comment := range []bool{true, true, false, false} {
+		event, err := scanner.next()
+		is.NoErr(err)
+		is.Equal(event.ID, int64(-1))
+		is.Equal(event.Comment, comment)
+	}
+}
+
 func TestEventSizeIsBounded(t *testing.T) {
 	is := is.New(t)
 	_, _, err := scanAll(strings.NewReader("data:" + strings.Repeat("x", maxEventBytes+1)))
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -50,6 +50,8 @@
 	// ID counts the events; -1 when the event has none.
 	ID    int64
 	Bytes []byte
+	// Comment reports that the event holds only comments, which carry nothing of the stream.
+	Comment bool
 }
 
 // RelayAttempt is one attempt of a request at a target.
