Pass no event without an ID on in place of the rest of a stream

Change: where the caller has events of an earlier attempt, one without an ID is passed on only once the next event of the stream has come; otherwise the attempt is broken. Comments are passed on as before.

Measured: TestErrorInPlaceOfTheRestOfAStreamDoesNotReachTheCaller, with error answers, events without an ID and comments: the case "an event without an ID, then nothing" ended as complete before (the text was passed on), and aborts.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -351,6 +351,8 @@
 	placed  PlacedStream
 	monitor *targetMonitor
 	gaps    health.Gaps
+	// continues reports that the caller has events of an earlier attempt; continued that this one has sent the next of them.
+	continues, continued bool
 	// eventCount counts the events received from this attempt.
 	eventCount   int
 	startedAt    time.Time
@@ -421,7 +423,7 @@
 	}
 	now := time.Now()
 	a := &activeAttempt{
-		run: run, target: attempt.Target, startedAt: now, lastProgress: now, messages: make(chan relayMessage),
+		run: run, target: attempt.Target, continues: run.headSent, startedAt: now, lastProgress: now, messages: make(chan relayMessage),
 		placed: placer.AddStream(attempt.Target, run.streamSize(), prefillTokens), monitor: run.relay.monitors.acquire(attempt.Target),
 	}
 	var backup *KVCacheCopy
@@ -694,7 +696,7 @@
 	return 0, false, nil
 }
 
-// errEventOrder: the target skipped events of the stream.
+// errEventOrder: the target skipped events of the stream, or sent others in their place.
 var errEventOrder = errors.New("generation: events of the target don't continue the stream")
 
 // errCallerWrite: a write to the caller failed.
@@ -714,6 +716,11 @@
 			return errEventOrder
 		}
 	}
+	if a.continues && !a.continued && event.ID < 0 && !event.Comment {
+		// What has no ID can't be told from the text of an error.
+		run.relay.stats.Gap.Add(1)
+		return errEventOrder
+	}
 	if !run.headSent {
 		if err := run.sink.Begin(a.stream.Head()); err != nil {
 			return errors.Join(errCallerWrite, err)
@@ -725,6 +732,7 @@
 	}
 	if event.ID >= 0 {
 		run.lastEvent = event.ID
+		a.continued = true
 	}
 	run.relay.stats.Accepted.Add(1)
 	return nil
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -27,6 +27,12 @@
 	end    error
 }
 
+// withoutID and scriptedComment are events of a script: one without an ID, and a comment.
+const (
+	withoutID       = -1
+	scriptedComment = -2
+)
+
 // scriptedEngine follows the scripts of each target, in the order of the attempts.
 type scriptedEngine struct {
 	mu          sync.Mutex
@@ -193,6 +199,9 @@
 	}
 	id := s.script.events[0]
 	s.script.events = s.script.events[1:]
+	if id == scriptedComment {
+		return RelayEvent{ID: withoutID, Bytes: []byte(":"), Comment: true}, nil
+	}
 	return RelayEvent{ID: id, Bytes: []byte{byte(id)}}, nil
 }
 
--- /dev/null
+++ b/generation/relayerror_test.go
@@ -0,0 +1,45 @@
+package generation
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+)
+
+// Guards against the text of an error, and against an end, that a target puts in the place of the rest of a stream that another
+// one began.
+func TestErrorInPlaceOfTheRestOfAStreamDoesNotReachTheCaller(t *testing.T) {
+	broke := errors.New("connection reset")
+	begun := script{events: eventsUpTo(3), end: broke}
+	rest := script{events: []int64{4, 5}, end: io.EOF}
+	for _, each := range []struct {
+		name   string
+		second script
+		third  []script
+		events []int64
+		broken bool
+	}{
+		{"an error answer, then the rest", script{refuse: &RelayTargetError{Status: 500}}, []script{rest}, eventsUpTo(5), false},
+		{"an error answer, then nothing", script{refuse: &RelayTargetError{Status: 500}}, nil, eventsUpTo(3), true},
+		{"an event without an ID, then the rest elsewhere", script{events: []int64{withoutID}, end: io.EOF}, []script{rest}, eventsUpTo(5), false},
+		{"an event without an ID, then nothing", script{events: []int64{withoutID}, end: io.EOF}, nil, eventsUpTo(3), true},
+		{"an event without an ID, then the events", script{events: []int64{withoutID, 4, 5}, end: io.EOF}, []script{rest}, eventsUpTo(5), false},
+		{"comments before the rest", script{events: []int64{scriptedComment, 4, withoutID, 5}, end: io.EOF}, nil, []int64{1, 2, 3, -1, 4, -1, 5}, false},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newRelayFixture(map[string][]script{"a": {begun}, "b": {each.second}, "c": each.third})
+				sink := &recordingSink{}
+				err := f.relay.Run(t.Context(), relayRequest(), sink)
+				is.Equal(errors.Is(err, ErrRelayBroken), each.broken) // the caller's connection is aborted
+				is.Equal(err != nil, each.broken)
+				is.Equal(sink.events, each.events)
+				is.Equal(sink.head, "a")
+			})
+		})
+	}
+}
