Resume no stream after an event without an ID

A stream broke off after an event without an ID, and the next target began after the last event that had one, or at the beginning: the caller got events twice (ORDER).

Change: such a stream counts as one that can't be resumed until an event with an ID follows.

Measured: two cases of TestStreamIsNotResumedAfterAnEventWithoutAnID failed before and pass.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -90,6 +90,8 @@
 	lastEvent int64
 	// headSent is true once the caller has the head of the answer.
 	headSent bool
+	// unnumbered is true while the last event that the caller has bears no ID: a target can't continue after it.
+	unnumbered bool
 	// attempts counts all attempts; attemptsRun those that a target may have run, except those
 	// whose target was lost.
 	attempts, attemptsRun int
@@ -173,7 +175,7 @@
 		run.moveClaimed = false
 		ending, err := run.runAttempt(ctx, target)
 		input := retryInput{
-			ending: ending, resumable: request.Resumable,
+			ending: ending, resumable: request.Resumable && !run.unnumbered,
 			attemptsRun: run.attemptsRun, maxAttempts: request.MaxAttempts, attempts: run.attempts,
 			remaining: time.Until(request.Deadline),
 		}
@@ -730,6 +732,9 @@
 	if err := run.sink.Event(event); err != nil {
 		return errors.Join(errCallerWrite, err)
 	}
+	if !event.Comment {
+		run.unnumbered = event.ID < 0
+	}
 	if event.ID >= 0 {
 		run.lastEvent = event.ID
 		a.continued = true
--- a/generation/relayerror_test.go
+++ b/generation/relayerror_test.go
@@ -43,3 +43,32 @@
 		})
 	}
 }
+
+// Guards against events that the caller gets twice: a stream that ends after an event without an ID can't be resumed.
+func TestStreamIsNotResumedAfterAnEventWithoutAnID(t *testing.T) {
+	for _, each := range []struct {
+		name   string
+		events []int64
+		whole  bool
+	}{
+		{"no event has an ID", []int64{withoutID, withoutID}, false},
+		{"the last event has none", []int64{1, withoutID}, false},
+		{"the last event has one", []int64{withoutID, 1}, true},
+		{"a comment is the last", []int64{1, scriptedComment}, true},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				rest := []script{{events: []int64{2, 3}, end: io.EOF}}
+				f := newRelayFixture(map[string][]script{
+					"a": {{events: each.events, end: errors.New("connection reset")}}, "b": rest, "c": rest,
+				})
+				sink := &recordingSink{}
+				err := f.relay.Run(t.Context(), relayRequest(), sink)
+				is.Equal(err == nil, each.whole)
+				is.Equal(len(f.engine.attempts) > 1, each.whole)
+				is.Equal(len(sink.events) == len(each.events)+2, each.whole)
+			})
+		})
+	}
+}
