Continue a stream only with an answer of its status and content type

Cause: an entry took any signed 2xx answer for the rest of a stream, so that an empty answer of another type, or 204, ended it, and text of another type that looks like an event was passed on.

Change: an attempt knows the head that the caller has; an answer with another status or content type counts as a failure of its target, so that the stream goes on elsewhere or is aborted.

--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -104,6 +105,10 @@
 	}
 	switch verdict {
 	case platform.Succeeded:
+		if begun, ok := attempt.Begun.(*answer); ok && !continues(begun, received) {
+			received.Close()
+			return nil, &generation.RelayTargetError{Status: received.Status}
+		}
 		return newStream(received), nil
 	case platform.NotRun:
 		received.Close()
@@ -124,6 +129,18 @@
 	return nil, errUnsigned
 }
 
+// continues reports whether an answer can be the rest of one that the caller has in part: it has the same status, and content of
+// the same type.
+func continues(begun *answer, received *targethttp.Answer) bool {
+	return received.Status == begun.status && mediaType(received.Header) == mediaType(begun.header)
+}
+
+// mediaType returns the type of an answer's content without its parameters.
+func mediaType(header http.Header) string {
+	name, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // CopyKVCache implements generation.RelayEngine.
 func (t *Targets) CopyKVCache(ctx context.Context, source *directory.Target, run string, to *directory.Target) (string, error) {
 	call, err := platform.NewKVCopyCall(source.ID, run, to.Address)
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -88,8 +88,9 @@
 	sink    RelaySink
 	// lastEvent is the ID of the last event that the caller has.
 	lastEvent int64
-	// headSent is true once the caller has the head of the answer.
+	// headSent is true once the caller has the head of the answer, which is head.
 	headSent bool
+	head     any
 	// unnumbered is true while the last event that the caller has bears no ID: a target can't continue after it.
 	unnumbered bool
 	// attempts counts all attempts; attemptsRun those that a target may have run, except those
@@ -405,7 +406,7 @@
 // new backup.
 func (run *relayRun) newAttempt(target *directory.Target) RelayAttempt {
 	attempt := RelayAttempt{
-		Request: run.request, Target: target, LastEvent: run.lastEvent, Copy: run.kvCopy,
+		Request: run.request, Target: target, Begun: run.head, LastEvent: run.lastEvent, Copy: run.kvCopy,
 		Timeout: time.Until(run.request.Deadline),
 	}
 	run.discardCopy()
@@ -724,7 +725,8 @@
 		return errEventOrder
 	}
 	if !run.headSent {
-		if err := run.sink.Begin(a.stream.Head()); err != nil {
+		run.head = a.stream.Head()
+		if err := run.sink.Begin(run.head); err != nil {
 			return errors.Join(errCallerWrite, err)
 		}
 		run.headSent = true
