Send a call without an ID only where no earlier answer can be taken for its own

Change: such a call takes a connection that has carried no answer, a new one if there is none.

Measured: TestCallWithoutAnIDNeedsAConnectionThatCarriedNoAnswer failed before and passes. Calls of this kind order and free copies of KV caches; each now opens a connection.

--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -73,7 +73,7 @@
 // *service.NotSentError proves that nothing was sent; after any other error the target may have run the
 // request. The end of ctx closes the connection, also while the body is read.
 func (p *Pool) Do(ctx context.Context, key, address string, request *Request) (*Answer, error) {
-	c, err := p.getConn(ctx, key, address, request.ID)
+	c, err := p.getConn(ctx, key, address, func(c *conn) bool { return p.options.AcceptUnnamed || c.mayCarry(request.ID) })
 	if err != nil {
 		return nil, &service.NotSentError{Cause: err}
 	}
--- a/adapters/targethttp/exchange_test.go
+++ b/adapters/targethttp/exchange_test.go
@@ -385,3 +385,40 @@
 	}
 	is.Equal(target.conns.Load(), int64(2))
 }
+
+// Guards against a call without an ID that takes an earlier refusal, which names no request either, for its own answer.
+func TestCallWithoutAnIDNeedsAConnectionThatCarriedNoAnswer(t *testing.T) {
+	is := is.New(t)
+	target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
+		for first := true; ; first = false {
+			request, ok := target.read(reader)
+			if !ok {
+				return
+			}
+			if !first {
+				_, _ = io.WriteString(conn, refusalText(""))
+			}
+			_, _ = io.WriteString(conn, answerText(request.Header.Get("X-Request-Id"), "own"))
+		}
+	})
+	p := NewPool(Options{})
+	for _, id := range []string{"1", "", ""} {
+		request := newTestRequest(id)
+		if id == "" {
+			request.Header.Del("X-Request-Id")
+		}
+		body, err := exchangeBody(t, p, target.address(), request)
+		is.NoErr(err)
+		is.Equal(body, "own")
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.Equal(target.conns.Load(), int64(3))
+	is.NoErr(p.Connect(t.Context(), "key", target.address()))
+	_, err := exchangeBody(t, p, target.address(), newTestRequest(""))
+	is.NoErr(err)
+	is.Equal(target.conns.Load(), int64(4)) // one that carried none yet is used
+	for range 3 {
+		is.NoErr(p.Ready(t.Context(), "key", target.address()))
+	}
+	is.Equal(target.conns.Load(), int64(4)) // for the next request with an ID, that of the first one is ready
+}
--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -107,6 +107,13 @@
 	return len(c.failed) < maxFailedPerConn
 }
 
+// mayCarry reports whether no second answer to an earlier request can be taken for that to the request with the ID; an
+// empty ID tells it from no other.
+func (c *conn) mayCarry(id string) bool {
+	_, failed := c.failed[id]
+	return !failed && (id != "" || !c.used)
+}
+
 // readBufferBytes is enough for a few events of a stream.
 const readBufferBytes = 4 << 10
 
@@ -131,7 +138,7 @@
 
 // Ready has a connection to the target ready for the next request: an idle one, or else a new one.
 func (p *Pool) Ready(ctx context.Context, key, address string) error {
-	c, err := p.getConn(ctx, key, address, "")
+	c, err := p.getConn(ctx, key, address, func(*conn) bool { return true })
 	if err != nil {
 		return err
 	}
@@ -177,11 +184,10 @@
 	return nil
 }
 
-// getConn returns an idle connection for the request with the ID, or a new one. The key identifies the target's
-// incarnation.
-func (p *Pool) getConn(ctx context.Context, key, address, id string) (*conn, error) {
+// getConn returns an idle connection that suits, or a new one. The key identifies the target's incarnation.
+func (p *Pool) getConn(ctx context.Context, key, address string, suits func(*conn) bool) (*conn, error) {
 	for {
-		c := p.takeIdle(key, id)
+		c := p.takeIdle(key, suits)
 		if c == nil {
 			return p.dial(ctx, key, address)
 		}
@@ -192,14 +198,13 @@
 	}
 }
 
-// takeIdle returns the idle connection that was used last, among those that have not failed the request with the ID; nil
-// if there is none.
-func (p *Pool) takeIdle(key, id string) *conn {
+// takeIdle returns the idle connection that was used last, among those that suit; nil if there is none.
+func (p *Pool) takeIdle(key string, suits func(*conn) bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[key]
 	for i, c := range slices.Backward(conns) {
-		if _, failed := c.failed[id]; failed {
+		if !suits(c) {
 			continue
 		}
 		conns = slices.Delete(conns, i, i+1)
