Name the objects of the store whose metadata can't be read in the log

Items without a readable name or revision were left out of lists and watches without a word. The client returns their errors, with place and name as far as readable, and the directory reports the first five of an answer as object-unusable.

Measured: each case of TestOddEntryLeavesTheOtherTargetsReadable counts two reports, one for the list and one for the watch. The objects that entries write for each other are read past an odd one too (TestOddObjectLeavesThoseOfOtherEntriesReadable).

--- a/directory/sync.go
+++ b/directory/sync.go
@@ -219,13 +219,25 @@
 		if err != nil {
 			return Part{}, err
 		}
+		s.reportUnreadable(kind, list)
 		s.relist[kind].Store(false)
 		return Part{Kind: kind, Revision: list.Revision, Full: true, Objects: list.Items, Age: time.Since(start)}, nil
 	}
 	list, err := s.store.Watch(announcing, kind, s.feed.Revision(kind), watchWait)
+	s.reportUnreadable(kind, list)
 	return Part{Kind: kind, Revision: list.Revision, Objects: list.Items}, err
 }
 
+// maxUnreadableReports limits the reports on one answer of the store.
+const maxUnreadableReports = 5
+
+// reportUnreadable reports the objects that an answer holds and that can't be read.
+func (s *syncer) reportUnreadable(kind string, list objects.List) {
+	for _, err := range list.Unreadable[:min(maxUnreadableReports, len(list.Unreadable))] {
+		s.observe(Event{Kind: EventUnusable, Subject: kind, Detail: kind, Revision: list.Revision, Err: err})
+	}
+}
+
 // list lists a kind. The first list of configurations is hedged.
 func (s *syncer) list(ctx context.Context, kind string) (objects.List, error) {
 	if kind != KindConfiguration || s.feed.Revision(kind) > 0 {
--- a/objects/objects.go
+++ b/objects/objects.go
@@ -33,6 +33,9 @@
 type List struct {
 	Revision int64    `json:"revision"`
 	Items    []Object `json:"items"`
+	// Unreadable are the errors of items that are left out, since their name or revision can't be read; each gives its
+	// place in the answer.
+	Unreadable []error `json:"-"`
 }
 
 // MustNotExist, as the expected revision of a write, requires that the object does not exist.
