Wait a second at most for an answer after one that names no request

Found by reading "Believe an answer only where…" again: a target, or a proxy in front of it, that answers once without an ID on a kept connection and says no more held the request until its deadline.

Change: the wait for the request's own answer is limited to a second; then the outcome counts as unknown. The stand-in target names the request in its 421, as the users' page says of all answers.

Measured: the case "then nothing" of TestAnswerWithoutAnIDIsBelievedOnlyOnANewConnection waited for the end of the test before.

--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -66,6 +66,10 @@
 // errAnswerMismatch: the connection carried only answers to other requests.
 var errAnswerMismatch = errors.New("the answer belongs to another request")
 
+// unnamedAnswerWait limits the wait for the answer to a request after one that names no request: the target may have meant
+// that, and send no other.
+const unnamedAnswerWait = time.Second
+
 // maxForeignAnswers is the number of answers to other requests that one exchange skips.
 const maxForeignAnswers = 2
 
@@ -138,6 +142,9 @@
 		id := response.Header.Get(request.IDHeader)
 		if id == request.ID || id == "" && (!e.conn.used || e.pool.options.AcceptUnnamed) {
 			e.conn.limiter.unlimit()
+			if unnamed {
+				_ = e.conn.SetReadDeadline(time.Time{})
+			}
 			e.response = response
 			e.reusable = foreign == 0 && !response.Close && request.ID != "" && (id != "" || e.pool.options.AcceptUnnamed) &&
 				e.conn.recordAnswer(request.ID, response.StatusCode)
@@ -150,12 +157,18 @@
 				exchange: e,
 			}, nil
 		}
-		unnamed = unnamed || id == ""
+		if id == "" && !unnamed {
+			unnamed = true
+			_ = e.conn.SetReadDeadline(time.Now().Add(unnamedAnswerWait)) // without it, the end of the context ends the wait
+		}
 		foreign++
 		if foreign > maxForeignAnswers {
 			return nil, errAnswerMismatch
 		}
-		if err := e.skipBody(response.Body); err != nil {
+		switch err := e.skipBody(response.Body); {
+		case err != nil && unnamed:
+			return nil, errAnswerMismatch
+		case err != nil:
 			return nil, err
 		}
 	}
--- a/adapters/targethttp/exchange_test.go
+++ b/adapters/targethttp/exchange_test.go
@@ -328,7 +328,7 @@
 
 // Guards against an answer that names no request, an earlier refusal say, in the place of the answer to a later one.
 func TestAnswerWithoutAnIDIsBelievedOnlyOnANewConnection(t *testing.T) {
-	for _, name := range []string{"then the own answer", "then nothing"} {
+	for _, name := range []string{"then the own answer", "then the end", "then nothing"} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
@@ -340,7 +340,11 @@
 					id, own := request.Header.Get("X-Request-Id"), "n"+request.Header.Get("X-Request-Id")
 					if id == "2" {
 						_, _ = io.WriteString(conn, refusalText(""))
+						if name == "then the end" {
+							return
+						}
 						if name == "then nothing" {
+							_, _ = io.Copy(io.Discard, reader)
 							return
 						}
 					}
@@ -353,7 +357,7 @@
 			is.Equal(body, "n1")
 			time.Sleep(5 * time.Millisecond)
 			body, err = exchangeBody(t, p, target.address(), newTestRequest("2"))
-			if name == "then nothing" {
+			if name != "then the own answer" {
 				is.True(errors.Is(err, errAnswerMismatch))
 				is.True(!IsConnectionLost(err)) // the target has not crashed
 				return
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -95,6 +95,7 @@
 	case r.URL.Path == "/faults":
 		t.faults.ServeHTTP(w, r, t.faults.Add)
 	case r.Header.Get(fieldExpectedInstance) != t.options.ID:
+		w.Header().Set(FieldRequestID, r.Header.Get(FieldRequestID))
 		w.Header().Set(fieldInstance, t.options.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	default:
