Soak: targets that repeat refusals and answer begun streams with errors, and an odd object in the store

Targets write each refusal once more before the next answer, every other time without an ID, and answer every second attempt that takes up another's stream with one of five errors; lists and watches of the store begin with an object nested 20,000 levels deep. soak-passthrough stays as it was, for fleets that are half of an earlier version.

--- a/adapters/passthrough/events.go
+++ b/adapters/passthrough/events.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/internal/defect"
 )
 
 var (
@@ -53,7 +54,7 @@
 		switch {
 		case len(line) == 0 || isField && name == "":
 			continue
-		case !isField:
+		case !isField && !defect.Enabled(defect.ErrorPassedOn):
 			return generation.RelayEvent{}, errNoEvent
 		}
 		event.Comment = false
--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -15,6 +15,7 @@
 	"github.com/azurebarrow/azurebarrow/detour"
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/internal/defect"
 	"github.com/azurebarrow/azurebarrow/platform"
 	"github.com/azurebarrow/azurebarrow/service"
 )
@@ -132,6 +133,9 @@
 // continues reports whether an answer can be the rest of one that the caller has in part: it has the same status, and content of
 // the same type.
 func continues(begun *answer, received *targethttp.Answer) bool {
+	if defect.Enabled(defect.ErrorPassedOn) {
+		return true
+	}
 	return received.Status == begun.status && mediaType(received.Header) == mediaType(begun.header)
 }
 
--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/defect"
 	"github.com/azurebarrow/azurebarrow/service"
 )
 
@@ -140,7 +141,7 @@
 			continue
 		}
 		id := response.Header.Get(request.IDHeader)
-		if id == request.ID || id == "" && (!e.conn.used || e.pool.options.AcceptUnnamed) {
+		if id == request.ID || id == "" && (!e.conn.used || e.pool.options.AcceptUnnamed || defect.Enabled(defect.SecondAnswerBelieved)) {
 			e.conn.limiter.unlimit()
 			if unnamed {
 				_ = e.conn.SetReadDeadline(time.Time{})
--- a/bench/experiments/soak_passthrough.go
+++ b/bench/experiments/soak_passthrough.go
@@ -12,7 +12,16 @@
 	experiment.Register(experiment.Experiment{
 		Name:    "soak-passthrough",
 		Summary: "the passthrough interface as processes, with faults injected from outside and promises checked",
-		Run:     runSoakPassthrough,
+		Run: func(ctx context.Context, env experiment.Environment, result *experiment.Result) error {
+			return runSoakPassthrough(ctx, env, result, false)
+		},
+	})
+	experiment.Register(experiment.Experiment{
+		Name:    "soak-faulty",
+		Summary: "soak-passthrough beside targets that repeat refusals and answer streams with errors, and an odd object in the store",
+		Run: func(ctx context.Context, env experiment.Environment, result *experiment.Result) error {
+			return runSoakPassthrough(ctx, env, result, true)
+		},
 	})
 }
 
@@ -27,7 +36,7 @@
 	passthroughRecords = 3
 )
 
-func runSoakPassthrough(ctx context.Context, env experiment.Environment, result *experiment.Result) error {
+func runSoakPassthrough(ctx context.Context, env experiment.Environment, result *experiment.Result, faulty bool) error {
 	if env.Binary == "" {
 		return cluster.ErrNoBinary
 	}
@@ -42,7 +51,7 @@
 	evidence, err := passthroughsoak.Run(ctx, passthroughsoak.Options{
 		Binary: binary, StandIn: standIn, Directory: env.Directory, Seed: env.Seed, Logf: env.Logf,
 		Steps:   passthroughsoak.Schedule(env.Seed, passthroughsoak.DrawThemes(env.Seed, passthroughPhases)),
-		Entries: passthroughEntries, Engines: passthroughEngines, Records: passthroughRecords,
+		Entries: passthroughEntries, Engines: passthroughEngines, Records: passthroughRecords, Faulty: faulty,
 	})
 	if err != nil {
 		return err
--- a/bench/soak/defect_test.go
+++ b/bench/soak/defect_test.go
@@ -23,6 +23,8 @@
 		lossPause = lossFor + takeUpTime + 2*time.Second
 		// wayLostAnswer is the variant of TargetFault that loses the responses of calls that ran.
 		wayLostAnswer = 2
+		// wayOverload has calls refused, wayResetStream streams reset after their third event.
+		wayOverload, wayResetStream = 0, 3
 	)
 	// A defect shows only if a fault happens to affect a request. With this number of steps, less than one run
 	// in a thousand misses a defect.
@@ -69,23 +71,36 @@
 		}
 		return steps
 	}
+	// Records targets refuse calls again and again, engines break streams off, and targets leave while the store holds an odd object.
+	var refusals, breaks []Step
+	for i := range 24 {
+		at := faultAt + time.Duration(i)*stopPause
+		refusals = append(refusals, Step{At: at, Kind: TargetFault, Index: options.Engines + i%options.Records, Variant: wayOverload, Duration: stopPause})
+		for half := range 2 {
+			breaks = append(breaks, Step{At: at, Kind: TargetFault, Index: (i + half*options.Engines/2) % options.Engines, Variant: wayResetStream, Duration: stopPause})
+		}
+	}
 	cases := []struct {
 		defect defect.Name
 		rule   string
 		steps  []Step
+		faulty bool
 	}{
-		{defect.AbortOnDrain, "LOST", stops},
-		{defect.DrainingIgnored, "DRAIN", drains},
-		{defect.RetryUnsafe, "TWICE", lostAnswers},
-		{defect.NotRunPerAttempt, "REFUSED", lostAnswers},
-		{defect.CrashesByRequest, "BUDGET", badRequests},
-		{defect.CallCrashesIgnored, "BUDGET", badCalls},
-		{defect.VersionIgnored, "ORDER", losses},
-		{defect.VersionsForgotten, "ORDER", entryLosses(lossOneLeaves)},
-		{defect.VersionsForgotten, "LOST", entryLosses(lossBothServe)},
-		{defect.LimitIgnored, "LIMIT", limits},
-		{defect.NoDetour, "RECOVER", cuts},
-		{defect.PauseIgnored, "BUDGET", pauses},
+		{defect.AbortOnDrain, "LOST", stops, false},
+		{defect.DrainingIgnored, "DRAIN", drains, false},
+		{defect.RetryUnsafe, "TWICE", lostAnswers, false},
+		{defect.NotRunPerAttempt, "REFUSED", lostAnswers, false},
+		{defect.CrashesByRequest, "BUDGET", badRequests, false},
+		{defect.CallCrashesIgnored, "BUDGET", badCalls, false},
+		{defect.VersionIgnored, "ORDER", losses, false},
+		{defect.VersionsForgotten, "ORDER", entryLosses(lossOneLeaves), false},
+		{defect.VersionsForgotten, "LOST", entryLosses(lossBothServe), false},
+		{defect.LimitIgnored, "LIMIT", limits, false},
+		{defect.NoDetour, "RECOVER", cuts, false},
+		{defect.PauseIgnored, "BUDGET", pauses, false},
+		{defect.SecondAnswerBelieved, "TWICE", refusals, true},
+		{defect.ErrorPassedOn, "ORDER", breaks, true},
+		{defect.OddObjectHides, "DRAIN", drains, true},
 	}
 	for _, c := range cases {
 		t.Run(string(c.defect), func(t *testing.T) {
@@ -93,6 +108,7 @@
 			options := options
 			options.Seed = 1
 			options.Steps = c.steps
+			options.Faulty = c.faulty
 			options.Environment = []string{defect.EnvironmentVariable + "=" + string(c.defect)}
 			violations, _ := runAndCheck(t, options)
 			found := 0
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -242,6 +242,9 @@
 	d.recordFiles = append(d.recordFiles, log)
 	arguments := []string{"target", "--id", id, "--listen", t.listen, "--advertise", t.link.Address(), "--service", t.service,
 		"--zone", zone, "--store", d.options.store, "--heartbeat", heartbeat.String(), "--drain-time", targetDrainTime.String(), "--log", log}
+	if d.options.Faulty {
+		arguments = append(arguments, "--faulty")
+	}
 	if t.service == engineService {
 		return append(arguments, "--slots", fmt.Sprint(engineSlots), "--events", fmt.Sprint(streamEvents), "--event-interval", eventInterval.String(), "--crash-prefix", badPartPrefix,
 			"--version", t.version())
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/azurebarrow/azurebarrow/standin/fault"
 )
 
 // Options configures a run.
@@ -17,6 +19,9 @@
 	Steps []Step
 	// Entries, Engines and Records are the numbers of entries, of engines and of targets of the records service.
 	Entries, Engines, Records int
+	// Faulty has targets repeat refusals late and answer some attempts that take streams up with errors, and the store hold an
+	// object that is nested too deeply. Entries of earlier versions break promises then.
+	Faulty bool
 	// Environment is added to the environment of the entries.
 	Environment []string
 	// Logf logs progress messages.
@@ -47,6 +52,11 @@
 		callers.run(traffic)
 	}()
 	go d.restartCrashed(traffic)
+	if options.Faulty {
+		if err := activateFault(ctx, d.options.store, fault.Fault{Kind: fault.OddObject}); err != nil {
+			return nil, err
+		}
+	}
 	d.injectFaults(ctx, callers, options.Steps)
 	quietFrom := time.Now()
 	select {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -42,6 +42,7 @@
 	is := is.New(t)
 	options := buildPrograms(t, "-race")
 	options.Seed = 1
+	options.Faulty = true
 	options.Steps = Schedule(options.Seed, []Theme{Planned, Verdicts, Partitions, Losses, Everything})
 	violations, evidence := runAndCheck(t, options)
 	for _, violation := range violations {
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/health"
+	"github.com/azurebarrow/azurebarrow/internal/defect"
 	"github.com/azurebarrow/azurebarrow/internal/wait"
 )
 
@@ -719,7 +720,7 @@
 			return errEventOrder
 		}
 	}
-	if a.continues && !a.continued && event.ID < 0 && !event.Comment {
+	if a.continues && !a.continued && event.ID < 0 && !event.Comment && !defect.Enabled(defect.ErrorPassedOn) {
 		// What has no ID can't be told from the text of an error.
 		run.relay.stats.Gap.Add(1)
 		return errEventOrder
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -53,6 +53,12 @@
 	BrittleIgnored Name = "brittle-ignored"
 	// NoDetour leaves an entry its own links as the only path to targets.
 	NoDetour Name = "no-detour"
+	// SecondAnswerBelieved takes answers that name no request, or that may be second ones, for those to the request.
+	SecondAnswerBelieved Name = "second-answer-believed"
+	// ErrorPassedOn passes anything that a target answers on in a stream that has begun.
+	ErrorPassedOn Name = "error-passed-on"
+	// OddObjectHides rejects a list or watch of the store that holds an object nested too deeply.
+	OddObjectHides Name = "odd-object-hides"
 	// CutEvidenceBelieved has entries that lost their links to targets record these as crashed.
 	CutEvidenceBelieved Name = "cut-evidence-believed"
 )
--- a/standin/command/users.go
+++ b/standin/command/users.go
@@ -52,6 +52,7 @@
 	CrashPath     string        `long:"crash-path" description:"paths with an element that begins so crash it as it begins to answer"`
 	WorkTime      time.Duration `long:"work-time" default:"15ms" description:"time of a plain call"`
 	Heartbeat     time.Duration `long:"heartbeat" default:"1200ms" description:"time between two writes to the store"`
+	Faulty        bool          `long:"faulty" description:"repeat refusals late, and answer some attempts that take a stream up with errors"`
 	DrainTime     time.Duration `long:"drain-time" default:"4s" description:"how long it serves on after it has reported that it leaves"`
 }
 
@@ -68,8 +69,12 @@
 		ID: c.ID, Service: c.Service, AvailabilityZone: c.Zone, Advertise: c.Advertise, Slots: c.Slots, Version: c.Version,
 		Events: c.Events, EventInterval: c.EventInterval, WorkTime: c.WorkTime, Log: log,
 		CrashPrefix: c.CrashPrefix, CrashPath: c.CrashPath, Exit: func() { os.Exit(crashStatus) },
+		FailTakenUp: c.Faulty,
 	})
 	main := server.New(c.Listen, standin)
+	if c.Faulty {
+		main.RepeatRefusals()
+	}
 	if err := main.Start(); err != nil {
 		return err
 	}
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -44,6 +44,7 @@
 	AskedPause        Kind = "asked-pause"
 	SaysLeaving       Kind = "says-leaving"
 	Brittle           Kind = "brittle"
+	OddObject         Kind = "odd-object"
 )
 
 // Fault is a fault to inject, the body of POST /faults.
--- a/standin/fault/http.go
+++ b/standin/fault/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -47,6 +46,7 @@
 		{HiddenAddresses, "vmlist", "leave out addresses that contain \"match\""},
 		{WronglyDraining, "vmlist", "report addresses that contain \"match\" as leaving"},
 		{NamedLimit, "target", "answers name \"factor\" requests a second as the limit for all callers together"},
+		{OddObject, "store", "lists and watches begin with an object that is nested 20,000 levels deep"},
 		{Brittle, "target", "answers say that the target fails when it must turn away more than \"factor\" requests a second"},
 		{SaysLeaving, "target", "answers say that the target leaves, which the store doesn't"},
 		{AskedPause, "target", "turns requests away and asks each sender for \"factor\" seconds without any"},
@@ -105,7 +105,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if tcp, ok := connection.(*net.TCPConn); ok {
+	if tcp, ok := connection.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = connection.Close()
--- a/standin/platform/http.go
+++ b/standin/platform/http.go
@@ -192,18 +192,18 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), min(timeout, maxWatchTimeout))
 	defer cancel()
-	p.watch(ctx, w, after, strings.Split(query.Get("kinds"), ","), func(list objects.List) any {
+	p.watch(ctx, w, after, strings.Split(query.Get("kinds"), ","), func(list objects.List) {
 		if list.Items == nil {
 			list.Items = []objects.Object{}
 		}
-		return list
+		fault.WriteJSON(w, http.StatusOK, list)
 	})
 }
 
 // watch waits until an object of the kinds has a change after the revision, or ctx ends. It answers with the
-// changes, converted by format. It answers 410 if the changes are no longer kept, or for a RevisionTooOld
+// changes, which answer writes. It answers 410 if the changes are no longer kept, or for a RevisionTooOld
 // fault.
-func (p *Platform) watch(ctx context.Context, w http.ResponseWriter, after int64, kinds []string, format func(objects.List) any) {
+func (p *Platform) watch(ctx context.Context, w http.ResponseWriter, after int64, kinds []string, answer func(objects.List)) {
 	for {
 		p.mu.Lock()
 		source := p.storeForReads()
@@ -217,7 +217,7 @@
 			return
 		}
 		if len(items) > 0 || ctx.Err() != nil {
-			p.answerWatch(w, format(objects.List{Revision: max(revision, after), Items: items}))
+			p.answerWatch(w, func() { answer(objects.List{Revision: max(revision, after), Items: items}) })
 			return
 		}
 		select {
@@ -228,10 +228,10 @@
 }
 
 // answerWatch sends the answer of a watch, or 503 if an outage began while the watch waited.
-func (p *Platform) answerWatch(w http.ResponseWriter, answer any) {
+func (p *Platform) answerWatch(w http.ResponseWriter, answer func()) {
 	if _, on := p.faults.Active(fault.Outage, "/v1/watch"); on {
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return
 	}
-	fault.WriteJSON(w, http.StatusOK, answer)
+	answer()
 }
--- a/standin/platform/wire.go
+++ b/standin/platform/wire.go
@@ -1,12 +1,14 @@
 package platform
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/internal/wait"
@@ -63,7 +65,7 @@
 	for i, item := range list.Items {
 		items[i] = toWire(item)
 	}
-	fault.WriteJSON(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "at": list.Revision})
+	p.writeWire(w, map[string]any{"items": items, "has_more": false, "at": list.Revision})
 }
 
 // serveWireWatch answers with the changes after the revision in from. If there is none yet, it waits for one
@@ -77,15 +79,36 @@
 	waitMs, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(waitMs)*time.Millisecond, defaultWatchTimeout))
 	defer cancel()
-	p.watch(ctx, w, after, []string{kind}, func(list objects.List) any {
+	p.watch(ctx, w, after, []string{kind}, func(list objects.List) {
 		events := make([]wireEvent, len(list.Items))
 		for i, item := range list.Items {
 			events[i] = wireEvent{toWire(item), item.Deleted}
 		}
-		return map[string]any{"events": events, "at": list.Revision}
+		p.writeWire(w, map[string]any{"events": events, "at": list.Revision})
 	})
 }
 
+// oddObject is an object that encoding/json rejects for its depth, oddEvent a change of it.
+var (
+	oddObject = `{"metadata":{"name":"odd","revision":1},"spec":` + strings.Repeat(`{"a":[`, 10_000) + strings.Repeat(`]}`, 10_000) + `},`
+	oddEvent  = `{"deleted":false,"object":` + strings.TrimSuffix(oddObject, ",") + `},`
+)
+
+// writeWire writes an answer in the format of the users' platform. If the OddObject fault is on, it begins with an odd object.
+func (p *Platform) writeWire(w http.ResponseWriter, answer any) {
+	text, err := json.Marshal(answer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if _, on := p.faults.Active(fault.OddObject, ""); on {
+		text = bytes.Replace(text, []byte(`"items":[{`), []byte(`"items":[`+oddObject+`{`), 1)
+		text = bytes.Replace(text, []byte(`"events":[{`), []byte(`"events":[`+oddEvent+`{`), 1)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(text)
+}
+
 func (p *Platform) serveWireGet(w http.ResponseWriter, r *http.Request) {
 	p.answerGet(w, r, func(object objects.Object) any { return toWire(object) })
 }
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -15,6 +15,8 @@
 // Server serves one handler. It can be killed and restarted on the same address.
 type Server struct {
 	handler http.Handler
+	// repeatRefusals is set by RepeatRefusals.
+	repeatRefusals bool
 
 	mu           sync.Mutex
 	address      string
@@ -74,6 +76,9 @@
 
 func (s *Server) serve(listener net.Listener) {
 	server := &http.Server{Handler: s.handler}
+	if s.repeatRefusals {
+		listener = &repeatingListener{Listener: listener}
+	}
 	done := make(chan struct{})
 	s.server = server
 	s.done = done
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -62,6 +62,8 @@
 	// that crash the target as it begins to answer. Exit is called then.
 	CrashPrefix, CrashPath string
 	Exit                   func()
+	// FailTakenUp has every failEvery-th attempt that takes up another target's stream answered with an error.
+	FailTakenUp bool
 	// Log receives a record of each step of a request.
 	Log *Log
 }
@@ -76,6 +78,8 @@
 	running int
 	// copies holds the request IDs of the runs whose KV cache copy this engine holds.
 	copies map[string]bool
+	// takenUp counts the attempts that take up another target's stream.
+	takenUp int
 }
 
 // New returns a Target.
@@ -286,6 +290,9 @@
 	}
 	last, _ := strconv.Atoi(r.Header.Get(FieldLastEvent))
 	w.Header().Set("Content-Type", "text/event-stream")
+	if t.failTakenUp(w, r, last) {
+		return errFailed
+	}
 	for id := last + 1; id <= t.options.Events; id++ {
 		if err := wait.For(r.Context(), t.options.EventInterval); err != nil {
 			return err
