Read only what a peer withholds from the store, not all kinds of objects

A peer withholds a configuration that is too large for its link, and each follower then read everything from the store: the configuration with one call, and the targets, which a release changes twice a second, with three.

Change: an entry reads from the store those kinds that no fresh peer sends, and follows peers for the others. reading-store names the kinds. What entries say to each other is unchanged.

TestFollowersReadOnlyTheConfigurationOfALargeChangeFromTheStore failed before.

--- a/directory/feed_load_test.go
+++ b/directory/feed_load_test.go
@@ -89,14 +89,17 @@
 	changeBytesPerMs int
 
 	mu            sync.Mutex
+	revision      int64
 	configuration objects.Object
 	targets       []objects.Object
 	changed       chan struct{}
 	configuredAt  time.Time
+	// calls counts the calls by kind of object.
+	calls map[string]int
 }
 
 func newModelStore() *modelStore {
-	s := &modelStore{changed: make(chan struct{})}
+	s := &modelStore{revision: 1, changed: make(chan struct{}), calls: map[string]int{}}
 	for i := range targetsInStore {
 		value, _ := json.Marshal(map[string]string{"Service": "drafts", "Address": fmt.Sprintf("10.0.0.%d:1", i), "Padding": strings.Repeat("x", targetObjectBytes)})
 		s.targets = append(s.targets, objects.Object{Kind: KindTarget, Name: fmt.Sprintf("i-%d", i), Revision: 1, Value: value})
@@ -110,16 +113,36 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	value := fmt.Sprintf(`{"Version":%d,"Padding":%q}`, version, strings.Repeat("r", bytes))
-	s.configuration = objects.Object{Kind: KindConfiguration, Name: "main", Revision: 1 + version, Value: []byte(value)}
+	s.revision++
+	s.configuration = objects.Object{Kind: KindConfiguration, Name: "main", Revision: s.revision, Value: []byte(value)}
 	s.configuredAt = time.Now()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// replaceTarget stores a change of a target.
+func (s *modelStore) replaceTarget(number int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.targets[number%len(s.targets)].Revision = s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// takeCalls returns the calls by kind since it was last called.
+func (s *modelStore) takeCalls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := s.calls
+	s.calls = map[string]int{}
+	return calls
+}
+
 func (s *modelStore) list(kind string, after int64) (objects.List, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := objects.List{Revision: s.configuration.Revision}
+	list := objects.List{Revision: s.revision}
 	all := s.targets
 	if kind == KindConfiguration {
 		all = []objects.Object{s.configuration}
@@ -147,6 +170,9 @@
 	if err := wait.For(ctx, roundTrip); err != nil {
 		return objects.List{}, err
 	}
+	c.store.mu.Lock()
+	c.store.calls[kind]++
+	c.store.mu.Unlock()
 	if c.turnedAway {
 		return objects.List{}, objects.ErrUnavailable
 	}
@@ -192,8 +218,12 @@
 
 // startFleet runs the entries; turnedAway tells which of them the store turns away. stop ends them.
 func startFleet(ctx context.Context, store *modelStore, turnedAway func(number int) bool) (fleet *modelFleet, stop func()) {
+	return startFleetOf(ctx, modelEntries, store, turnedAway)
+}
+
+func startFleetOf(ctx context.Context, entries int, store *modelStore, turnedAway func(number int) bool) (fleet *modelFleet, stop func()) {
 	fleet = &modelFleet{managers: map[string]*Manager{}, links: map[string]*modelLink{}}
-	for i := range modelEntries {
+	for i := range entries {
 		fleet.live = append(fleet.live, peer(fmt.Sprintf("e%d", i), string(rune('a'+i%3))))
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- /dev/null
+++ b/directory/storecalls_test.go
@@ -0,0 +1,56 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against calls to the store that grow with the fleet beyond one for each entry: a large configuration is read from the
+// store by all, and targets, which change meanwhile, by the watchers only.
+func TestFollowersReadOnlyTheConfigurationOfALargeChangeFromTheStore(t *testing.T) {
+	const (
+		changeBytesPerMs = linkBytesPerMs * 60 / 100 // entry.watchLinkShare
+		lasts            = 4 * time.Second
+		targetInterval   = 500 * time.Millisecond
+		// maxCallsPerFollower allows for the call that brings the change, and for one that begins as it has arrived.
+		maxCallsPerFollower = 2
+	)
+	for _, entries := range []int{30, 76, 195, 300} {
+		t.Run(fmt.Sprint(entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := newModelStore()
+				store.changeBytesPerMs = changeBytesPerMs
+				fleet, stop := startFleetOf(t.Context(), entries, store, func(int) bool { return false })
+				defer stop()
+				time.Sleep(5 * time.Second)
+				is.Equal(fleet.entriesAt(1), entries)
+				play := func() map[string]int {
+					store.takeCalls()
+					for number := range int(lasts / targetInterval) {
+						time.Sleep(targetInterval)
+						store.replaceTarget(number)
+					}
+					return store.takeCalls()
+				}
+				quiet := play()
+				store.configure(2, largeConfigBytes)
+				busy := play()
+				is.Equal(fleet.entriesAt(2), entries)
+				watchers := 0
+				for _, self := range fleet.live {
+					if _, isWatcher := watchersOf(self, fleet.live); isWatcher {
+						watchers++
+					}
+				}
+				t.Logf("%d entries, %d watchers; calls in %v: quiet %v, with a large change %v", entries, watchers, lasts, quiet, busy)
+				is.True(busy[KindTarget] <= quiet[KindTarget]+watchers)
+				is.True(busy[KindConfiguration]-quiet[KindConfiguration] <= maxCallsPerFollower*entries)
+			})
+		})
+	}
+}
--- a/directory/sync.go
+++ b/directory/sync.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -106,8 +107,8 @@
 	feed    *Feed
 	deliver func(ctx context.Context, part Part)
 	observe func(Event)
-	// readsStore is set while this entry reads the store itself.
-	readsStore atomic.Bool
+	// readsStore is set, by kind, while this entry reads objects of the kind from the store itself.
+	readsStore map[string]*atomic.Bool
 	// lastAnswer is when the store last answered, in nanoseconds since timeBase.
 	timeBase   time.Time
 	lastAnswer atomic.Int64
@@ -122,14 +123,14 @@
 func newSyncer(options Options, feed *Feed, deliver func(context.Context, Part)) *syncer {
 	s := &syncer{
 		store: options.Store, peers: options.Peers, view: options.View, feed: feed,
-		deliver: deliver, observe: options.Observe, relist: map[string]*atomic.Bool{},
+		deliver: deliver, observe: options.Observe, relist: map[string]*atomic.Bool{}, readsStore: map[string]*atomic.Bool{},
 		storeAnswered: make(chan struct{}),
 	}
 	for _, kind := range kinds {
-		s.relist[kind] = &atomic.Bool{}
+		s.relist[kind], s.readsStore[kind] = &atomic.Bool{}, &atomic.Bool{}
 		s.relist[kind].Store(true)
+		s.readsStore[kind].Store(true)
 	}
-	s.readsStore.Store(true)
 	// The first answer of the store doesn't wait for a change, so that it is expected earlier by the length
 	// of a watch.
 	s.timeBase = time.Now().Add(-watchWait)
@@ -142,7 +143,24 @@
 // storeSilent reports whether this entry reads the store and has not got an answer for storeSilenceTimeout. An
 // entry that follows a peer does not know, and asks the store first.
 func (s *syncer) storeSilent() bool {
-	return s.readsStore.Load() && time.Since(s.timeBase)-time.Duration(s.lastAnswer.Load()) > storeSilenceTimeout
+	return s.readsAnyKind() && time.Since(s.timeBase)-time.Duration(s.lastAnswer.Load()) > storeSilenceTimeout
+}
+
+// readsAnyKind reports whether this entry reads objects of any kind from the store itself.
+func (s *syncer) readsAnyKind() bool {
+	return slices.ContainsFunc(kinds, func(kind string) bool { return s.readsStore[kind].Load() })
+}
+
+// setReadsStore has this entry read the kinds in wanted from the store, and no others. It reports whether it reads a kind now that it
+// did not read before.
+func (s *syncer) setReadsStore(wanted []string) (added bool) {
+	for _, kind := range kinds {
+		wants := slices.Contains(wanted, kind)
+		if had := s.readsStore[kind].Swap(wants); wants && !had {
+			added = true
+		}
+	}
+	return added
 }
 
 // requestLists requests that this entry list all objects of the store again.
@@ -151,7 +169,7 @@
 		wanted.Store(true)
 	}
 	s.noteStoreAnswer()
-	s.readsStore.Store(true)
+	s.setReadsStore(kinds)
 }
 
 // followStore reads one kind of objects from the store whenever this entry has to read it.
@@ -165,7 +183,7 @@
 	backoff := retryBase
 	var failingSince time.Time
 	for ctx.Err() == nil {
-		if !s.readsStore.Load() {
+		if !s.readsStore[kind].Load() {
 			failingSince = time.Time{}
 			_ = wait.For(ctx, rolePollInterval)
 			continue
@@ -298,7 +316,7 @@
 			upstream = s.withOtherPeers(upstream)
 		}
 		if isWatcher || len(upstream) == 0 {
-			s.switchToStore("elected", nil)
+			s.switchToStore("elected", kinds, nil)
 			if s.storeSilent() {
 				_, _ = s.readPeers(ctx, upstream) // a watcher reads the store also if it finds a fresh feed
 			}
@@ -336,47 +354,67 @@
 func (s *syncer) followAnyPeer(ctx context.Context, peers []membership.Peer) bool {
 	fresh, err := s.readPeers(ctx, peers)
 	if err != nil {
-		s.switchToStore("no fresh peer", err)
+		unread := kinds
+		var withheld *withheldError
+		if errors.As(err, &withheld) {
+			unread = withheld.kinds
+		}
+		s.switchToStore("no fresh peer", unread, err)
 		return false
 	}
-	if s.readsStore.CompareAndSwap(true, false) {
+	if s.readsAnyKind() {
+		s.setReadsStore(nil)
 		s.observe(Event{Kind: EventFollowingPeer, Subject: fresh.Name})
 	}
 	return true
 }
 
-// readPeers queries the peers in turn and returns the first one whose feed is fresh, or else the last error.
+// readPeers queries the peers in turn and returns the first one whose feed is fresh, or else an error: that of the peer that withheld
+// the fewest kinds, or the last one.
 func (s *syncer) readPeers(ctx context.Context, peers []membership.Peer) (fresh membership.Peer, err error) {
+	var least *withheldError
 	for _, peer := range peers {
 		if err = s.readPeer(ctx, peer); err == nil {
 			return peer, nil
 		}
+		var withheld *withheldError
+		if errors.As(err, &withheld) && (least == nil || len(withheld.kinds) < len(least.kinds)) {
+			least = withheld
+		}
+	}
+	if least != nil {
+		return membership.Peer{}, least
 	}
 	return membership.Peer{}, err
 }
 
-// switchToStore lets this entry read the store itself.
-func (s *syncer) switchToStore(reason string, err error) {
-	if s.readsStore.Load() {
-		return
+// switchToStore lets this entry read objects of the kinds, and of no others, from the store itself.
+func (s *syncer) switchToStore(reason string, wanted []string, err error) {
+	if !s.readsAnyKind() {
+		s.noteStoreAnswer() // the silence of the store counts from here
 	}
-	s.noteStoreAnswer() // the silence of the store counts from here
-	if s.readsStore.CompareAndSwap(false, true) {
-		s.observe(Event{Kind: EventReadingStore, Subject: reason, Err: err})
+	if s.setReadsStore(wanted) {
+		s.observe(Event{Kind: EventReadingStore, Subject: reason, Detail: strings.Join(wanted, ","), Err: err})
 	}
 }
 
-var (
-	errStalePeer = errors.New("the peer's feed is stale")
-	// errWithheld: the peer does not send all that it has, because it is too much for its link.
-	errWithheld = errors.New("the peer has less, or withholds large objects")
-)
+var errStalePeer = errors.New("the peer's feed is stale")
+
+// withheldError: the peer does not send objects of the kinds, because it has none, or because they are too much for its link. All
+// kinds are named if what it sends is stale.
+type withheldError struct{ kinds []string }
+
+// Error implements error.
+func (e *withheldError) Error() string {
+	return "the peer has less, or withholds large objects: " + strings.Join(e.kinds, ",")
+}
 
 // readPeer reads the feed of one peer. It requests large objects, with a timeout that fits their size, only from
 // a peer that has just answered: one that is frozen would hold up the queries of the others.
 func (s *syncer) readPeer(ctx context.Context, peer membership.Peer) error {
 	err := s.queryPeer(ctx, peer, true, peerWait+peerTimeout)
-	if errors.Is(err, errWithheld) && s.storeSilent() {
+	var withheld *withheldError
+	if errors.As(err, &withheld) && s.storeSilent() {
 		err = s.queryPeer(ctx, peer, false, peerWait+peerTimeout+peerTransferTimeout)
 	}
 	return err
@@ -397,15 +435,18 @@
 		return err
 	}
 	transfer := max(0, time.Since(start)-query.Wait) // the peer took its ages at the start of the transfer
-	fresh := true
+	fresh, unread := true, slices.Clone(kinds)
 	for _, part := range parts {
 		part.Age += transfer
 		s.deliver(ctx, part)
 		fresh = fresh && part.Age < peerStaleAfter
+		unread = slices.DeleteFunc(unread, func(kind string) bool { return kind == part.Kind })
 	}
 	switch {
-	case len(parts) < len(kinds):
-		return errWithheld
+	case len(unread) > 0 && !fresh:
+		return &withheldError{kinds}
+	case len(unread) > 0:
+		return &withheldError{unread}
 	case !fresh:
 		return errStalePeer
 	}
