--- a/adapters/passthrough/events_test.go
+++ b/adapters/passthrough/events_test.go
@@ -127,3 +127,41 @@
 		}
 	})
 }
+
+// Guards against a scan whose time grows with the square of the line ends before an event: one target kept a core busy for
+// a minute with 256 KB.
+func TestLineEndsBeforeAnEventAreReadOnce(t *testing.T) {
+	is := is.New(t)
+	text := strings.Repeat("\n", maxEventBytes-20) + "id: 1\ndata: a\n\n"
+	ids, passed, err := scanAll(strings.NewReader(text))
+	is.Equal(err, io.EOF)
+	is.Equal(ids, []int64{1})
+	is.Equal(string(passed), text)
+}
+
+// Guards against a stream being refused for the byte order mark that a stream of events may begin with.
+func TestByteOrderMarkBeforeTheFirstEventIsSkipped(t *testing.T) {
+	is := is.New(t)
+	text := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for _, reader := range []io.Reader{strings.NewReader("\ufeff" + text), iotest.OneByteReader(strings.NewReader("\ufeff" + text))} {
+		ids, passed, err := scanAll(reader)
+		is.Equal(err, io.EOF)
+		is.Equal(ids, []int64{1, 2})
+		is.Equal(string(passed), text)
+	}
+}
+
+// Guards against a stream that can't go on elsewhere because each target begins with the time after which callers reconnect: such
+// a block holds nothing of the stream.
+func TestReconnectionTimeIsNoEvent(t *testing.T) {
+	for text, comment := range map[string]bool{
+		"retry: 1000\n\n": true, ": hello\nretry: 1000\n\n": true,
+		"retry: 1000\ndata: a\n\n": false, "retry\n\n": true, "retries: 1\n\n": false, "event: error\n\n": false,
+	} {
+		is := is.New(t)
+		event, err := newEventScanner(strings.NewReader(text)).next()
+		is.NoErr(err)
+		is.Equal(event.Comment, comment)
+		is.Equal(string(event.Bytes), text)
+	}
+}
--- a/generation/relayerror_test.go
+++ b/generation/relayerror_test.go
@@ -72,3 +72,30 @@
 		})
 	}
 }
+
+// Guards against the text of an error in the rest of a stream that a caller takes up with its last event: the caller has the
+// beginning from an earlier connection.
+func TestErrorInPlaceOfTheRestOfAStreamThatACallerTakesUp(t *testing.T) {
+	for _, each := range []struct {
+		name   string
+		first  script
+		events []int64
+	}{
+		{"an event without an ID", script{events: []int64{withoutID}, end: io.EOF}, []int64{4, 5}},
+		{"an event without an ID, then a break", script{events: []int64{withoutID}, end: errors.New("connection reset")}, []int64{4, 5}},
+		{"a comment", script{events: []int64{scriptedComment, 4, 5}, end: io.EOF}, []int64{-1, 4, 5}},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				rest := []script{{events: []int64{4, 5}, end: io.EOF}}
+				f := newRelayFixture(map[string][]script{"a": {each.first}, "b": rest, "c": rest})
+				sink := &recordingSink{}
+				request := relayRequest()
+				request.LastEvent = 3
+				is.NoErr(f.relay.Run(t.Context(), request, sink))
+				is.Equal(sink.events, each.events)
+			})
+		})
+	}
+}
