Read line ends before an event once

Cause: each empty line searched all of the event's text for another byte, so that the time grew with the square of the line ends before an event. One target kept a core busy for a minute with 256 KB.

Change: the scanner remembers whether it has seen line ends only.

--- a/adapters/passthrough/events.go
+++ b/adapters/passthrough/events.go
@@ -29,7 +29,7 @@
 // next returns the next complete event; io.EOF after the last one.
 func (s *eventScanner) next() (generation.RelayEvent, error) {
 	event := generation.RelayEvent{ID: -1, Comment: true}
-	for lineStart := 0; ; {
+	for lineStart, onlyLineEnds := 0, true; ; {
 		part, err := s.reader.ReadSlice('\n')
 		event.Bytes = append(event.Bytes, part...)
 		switch {
@@ -37,7 +37,7 @@
 			return generation.RelayEvent{}, errEventTooLarge
 		case err == bufio.ErrBufferFull:
 			continue
-		case err == io.EOF && len(event.Bytes) > 0 && isBlank(event.Bytes):
+		case err == io.EOF && len(event.Bytes) > 0 && onlyLineEnds && isBlank(event.Bytes[lineStart:]):
 			return event, nil // line ends after the last event
 		case err == io.EOF && len(event.Bytes) > 0:
 			return generation.RelayEvent{}, errTruncatedEvent
@@ -45,9 +45,10 @@
 			return generation.RelayEvent{}, err
 		}
 		line := bytes.TrimRight(event.Bytes[lineStart:], "\r\n")
-		if len(line) == 0 && !isBlank(event.Bytes[:lineStart]) {
+		if len(line) == 0 && !onlyLineEnds {
 			return event, nil
 		}
+		onlyLineEnds = onlyLineEnds && len(line) == 0
 		lineStart = len(event.Bytes)
 		name, isField := fieldName(line)
 		switch {
