Skip a byte order mark before the first event of a stream

Cause: the check of field names refused the mark, so that each attempt at a target that writes one ended as broken. Callers skip one at the beginning only, so it is left out: the stream of another target may have begun before.

--- a/adapters/passthrough/events.go
+++ b/adapters/passthrough/events.go
@@ -19,8 +19,15 @@
 	errNoEvent = errors.New("the body is not a stream of events")
 )
 
-// eventScanner splits the body of a stream into events, whose bytes it keeps unchanged.
-type eventScanner struct{ reader *bufio.Reader }
+// eventScanner splits the body of a stream into events, whose bytes it keeps unchanged. It leaves out a byte order mark.
+type eventScanner struct {
+	reader *bufio.Reader
+	// begun is true once a byte order mark, which may stand before the first event, has been looked for.
+	begun bool
+}
+
+// byteOrderMark is no part of the first line, and none of a stream that another target began.
+var byteOrderMark = []byte("\ufeff")
 
 func newEventScanner(body io.Reader) *eventScanner {
 	return &eventScanner{reader: bufio.NewReader(body)}
@@ -28,6 +35,10 @@
 
 // next returns the next complete event; io.EOF after the last one.
 func (s *eventScanner) next() (generation.RelayEvent, error) {
+	if !s.begun {
+		s.begun = true
+		s.skipByteOrderMark()
+	}
 	event := generation.RelayEvent{ID: -1, Comment: true}
 	for lineStart, onlyLineEnds := 0, true; ; {
 		part, err := s.reader.ReadSlice('\n')
@@ -64,6 +75,16 @@
 	}
 }
 
+// skipByteOrderMark waits for no more bytes than it needs: a stream may begin with a single line end.
+func (s *eventScanner) skipByteOrderMark() {
+	for n := range len(byteOrderMark) {
+		if start, err := s.reader.Peek(n + 1); err != nil || !bytes.HasPrefix(byteOrderMark, start) {
+			return // the next read returns the error
+		}
+	}
+	_, _ = s.reader.Discard(len(byteOrderMark))
+}
+
 // isBlank reports whether the text holds line ends only.
 func isBlank(text []byte) bool { return len(bytes.TrimLeft(text, "\r\n")) == 0 }
 
