Take a time of reconnection in a stream for no event

Cause: a block that holds a retry field only counted as an event without an ID. Where targets begin their streams with one, none could continue a stream that another had begun, and a stream that broke off after one was not resumed.

Change: such a block is passed on as comments are.

--- a/adapters/passthrough/events.go
+++ b/adapters/passthrough/events.go
@@ -19,6 +19,9 @@
 	errNoEvent = errors.New("the body is not a stream of events")
 )
 
+// retryField is the time after which a caller reconnects. It is no part of an event.
+const retryField = "retry"
+
 // eventScanner splits the body of a stream into events, whose bytes it keeps unchanged. It leaves out a byte order mark.
 type eventScanner struct {
 	reader *bufio.Reader
@@ -63,7 +66,7 @@
 		lineStart = len(event.Bytes)
 		name, isField := fieldName(line)
 		switch {
-		case len(line) == 0 || isField && name == "":
+		case len(line) == 0 || isField && (name == "" || name == retryField):
 			continue
 		case !isField:
 			return generation.RelayEvent{}, errNoEvent
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -50,7 +50,7 @@
 	// ID counts the events; -1 when the event has none.
 	ID    int64
 	Bytes []byte
-	// Comment reports that the event holds only comments, which carry nothing of the stream.
+	// Comment reports that the event holds only comments and times of reconnection, which carry nothing of the stream.
 	Comment bool
 }
 
