Pass no event without an ID on in place of the rest of a stream that a caller takes up

A caller that comes with Last-Event-Id has the beginning from an earlier one, and got the text of an error as the rest.

Change: such an attempt continues a stream too. Ruled out: Last-Event-Id 0, since IDs begin at 1 and the caller has nothing then.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -354,7 +354,7 @@
 	placed  PlacedStream
 	monitor *targetMonitor
 	gaps    health.Gaps
-	// continues reports that the caller has events of an earlier attempt; continued that this one has sent the next of them.
+	// continues reports that the caller has events of an earlier attempt or connection; continued that this one has sent the next of them.
 	continues, continued bool
 	// eventCount counts the events received from this attempt.
 	eventCount   int
@@ -426,7 +426,7 @@
 	}
 	now := time.Now()
 	a := &activeAttempt{
-		run: run, target: attempt.Target, continues: run.headSent, startedAt: now, lastProgress: now, messages: make(chan relayMessage),
+		run: run, target: attempt.Target, continues: run.headSent || run.request.LastEvent > 0, startedAt: now, lastProgress: now, messages: make(chan relayMessage),
 		placed: placer.AddStream(attempt.Target, run.streamSize(), prefillTokens), monitor: run.relay.monitors.acquire(attempt.Target),
 	}
 	var backup *KVCacheCopy
