Keep hashes of the failed requests of a connection, not their IDs

A 404 is enough to fail.

Change: a hash of 8 bytes with a seed of the process. Two IDs with the same hash cost a new connection, no more.

Measured: TestFailedRequestsWithLongIDsTakeLittleMemory (255 IDs of 32 KB, bound 1 MB) failed before and passes.

--- a/adapters/targethttp/exchange_test.go
+++ b/adapters/targethttp/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -422,3 +423,35 @@
 	}
 	is.Equal(target.conns.Load(), int64(4)) // for the next request with an ID, that of the first one is ready
 }
+
+// Guards against memory that callers fill with IDs of their choice: a connection keeps something of each request that failed.
+func TestFailedRequestsWithLongIDsTakeLittleMemory(t *testing.T) {
+	const idBytes, requests = 32 << 10, maxFailedPerConn - 1
+	is := is.New(t)
+	target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
+		for {
+			request, ok := target.read(reader)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(conn, refusalText(request.Header.Get("X-Request-Id")))
+		}
+	})
+	p := NewPool(Options{})
+	heapBytes := func() int64 {
+		var stats runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&stats)
+		return int64(stats.HeapAlloc)
+	}
+	before := heapBytes()
+	for i := range requests {
+		id := strconv.Itoa(i) + strings.Repeat("x", idBytes)
+		_, err := exchangeBody(t, p, target.address(), newTestRequest(id))
+		is.NoErr(err)
+		time.Sleep(time.Millisecond) // lets the goroutine that writes the request end
+	}
+	is.Equal(target.conns.Load(), int64(1))
+	is.True(heapBytes()-before < 1<<20) // of the 8 MB of all IDs
+	runtime.KeepAlive(p)
+}
--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
 	"net/http"
 	"slices"
@@ -86,11 +87,16 @@
 	expires time.Time
 	// used reports that the connection has carried an answer: a second one to the same request may follow at any time.
 	used bool
-	// failed are the IDs of requests that were answered without success here. A further attempt of such a request needs
-	// another connection, on which no second answer to the first one can arrive.
-	failed map[string]struct{}
+	// failed are the hashes of the IDs of requests that were answered without success here: callers choose the IDs, of up to tens
+	// of kilobytes. A further attempt of such a request needs another connection, on which no second answer to the first
+	// one can arrive.
+	failed map[uint64]struct{}
 }
 
+var idHashSeed = maphash.MakeSeed()
+
+func idHash(id string) uint64 { return maphash.String(idHashSeed, id) }
+
 // maxFailedPerConn limits the IDs that a connection keeps; it is replaced then.
 const maxFailedPerConn = 256
 
@@ -101,16 +107,16 @@
 		return true
 	}
 	if c.failed == nil {
-		c.failed = map[string]struct{}{}
+		c.failed = map[uint64]struct{}{}
 	}
-	c.failed[id] = struct{}{}
+	c.failed[idHash(id)] = struct{}{}
 	return len(c.failed) < maxFailedPerConn
 }
 
 // mayCarry reports whether no second answer to an earlier request can be taken for that to the request with the ID; an
 // empty ID tells it from no other.
 func (c *conn) mayCarry(id string) bool {
-	_, failed := c.failed[id]
+	_, failed := c.failed[idHash(id)]
 	return !failed && (id != "" || !c.used)
 }
 
