Send HEAD on new connections, and keep none of them

Cause: a second answer to an earlier request is skipped with its body, whose length depends on the method of the request it belongs to. A copy of an answer to HEAD, which names a length and has no body, swallowed the beginning of the next answer; the body of a copy was read as the head of the answer to HEAD. The call ended with an error although the target had answered it.

Change: an answer to HEAD ends its connection, and HEAD takes one that has carried no answer.

Measured: both cases of TestSecondAnswerBesideHEADDoesNotHideTheAnswer failed before ('malformed HTTP version') and pass.

--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -27,7 +27,7 @@
 	HasBody bool
 	// IDHeader is the name of the header field that holds ID in the request and its answer. ID is empty for a call whose answer
 	// can't be told from a second answer to another such call; its connection is not kept. Nor is that of an answer without
-	// an ID.
+	// an ID, or to HEAD: the body's length that it names would be skipped after a second answer.
 	IDHeader string
 	ID       string
 }
@@ -73,7 +73,7 @@
 // *service.NotSentError proves that nothing was sent; after any other error the target may have run the
 // request. The end of ctx closes the connection, also while the body is read.
 func (p *Pool) Do(ctx context.Context, key, address string, request *Request) (*Answer, error) {
-	c, err := p.getConn(ctx, key, address, func(c *conn) bool { return p.options.AcceptUnnamed || c.mayCarry(request.ID) })
+	c, err := p.getConn(ctx, key, address, func(c *conn) bool { return p.options.AcceptUnnamed || c.mayCarry(request) })
 	if err != nil {
 		return nil, &service.NotSentError{Cause: err}
 	}
@@ -139,7 +139,7 @@
 		if id == request.ID || id == "" && (!e.conn.used || e.pool.options.AcceptUnnamed) {
 			e.conn.limiter.unlimit()
 			e.response = response
-			e.reusable = foreign == 0 && !response.Close && request.ID != "" && (id != "" || e.pool.options.AcceptUnnamed) &&
+			e.reusable = foreign == 0 && !response.Close && request.ID != "" && request.Method != http.MethodHead && (id != "" || e.pool.options.AcceptUnnamed) &&
 				e.conn.recordAnswer(request.ID, response.StatusCode)
 			e.idleFor = idleTimeout(response.Header, e.idleFor)
 			return &Answer{
--- a/adapters/targethttp/exchange_test.go
+++ b/adapters/targethttp/exchange_test.go
@@ -455,3 +455,42 @@
 	is.True(heapBytes()-before < 1<<20) // of the 8 MB of all IDs
 	runtime.KeepAlive(p)
 }
+
+// Guards against the body of a second answer being read with the wrong length: the answer to HEAD has a length and no body, so that
+// a copy of it swallows the answer that follows, and the body of a copy is taken for the answer to HEAD.
+func TestSecondAnswerBesideHEADDoesNotHideTheAnswer(t *testing.T) {
+	for _, each := range []struct{ first, second string }{{"HEAD", "POST"}, {"POST", "HEAD"}} {
+		t.Run(each.first+" then "+each.second, func(t *testing.T) {
+			is := is.New(t)
+			target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
+				for earlier := ""; ; {
+					request, ok := target.read(reader)
+					if !ok {
+						return
+					}
+					id := request.Header.Get("X-Request-Id")
+					text := answerText(id, "n"+id)
+					if request.Method == http.MethodHead {
+						text = strings.TrimSuffix(text, "n"+id)
+					}
+					_, _ = io.WriteString(conn, earlier+text)
+					earlier = text
+				}
+			})
+			p := NewPool(Options{})
+			for i, method := range []string{each.first, each.second} {
+				request := newTestRequest(strconv.Itoa(i))
+				request.Method = method
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				answer, err := p.Do(ctx, "key", target.address(), request)
+				is.NoErr(err)
+				is.Equal(answer.Header.Get("X-Request-Id"), request.ID)
+				_, err = io.Copy(io.Discard, answer.Body)
+				is.NoErr(err)
+				answer.Close()
+				cancel()
+				time.Sleep(5 * time.Millisecond) // lets the goroutine that writes the request end
+			}
+		})
+	}
+}
--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -113,11 +113,11 @@
 	return len(c.failed) < maxFailedPerConn
 }
 
-// mayCarry reports whether no second answer to an earlier request can be taken for that to the request with the ID; an
-// empty ID tells it from no other.
-func (c *conn) mayCarry(id string) bool {
-	_, failed := c.failed[idHash(id)]
-	return !failed && (id != "" || !c.used)
+// mayCarry reports whether no second answer to an earlier request can be taken for that to the request; an empty ID tells it
+// from no other, and a second answer with a body can't be skipped while an answer to HEAD, without one, is expected.
+func (c *conn) mayCarry(request *Request) bool {
+	_, failed := c.failed[idHash(request.ID)]
+	return !failed && (!c.used || request.ID != "" && request.Method != http.MethodHead)
 }
 
 // readBufferBytes is enough for a few events of a stream.
