Keep no connection whose answer broke a stream

Cause: a connection remembers requests that were answered without success, but an answer of status 200 or 204 that was no stream, or not the rest of one, left it for the next attempt of the same stream. A copy of that answer was then taken for the next one.

Change: the exchange of such an answer ends with its connection. Ruled out: remembering all requests of a connection, which TestLargeHeadWithinTheBoundIsRead (one ID four times) forbids. Open: at a peer that sends for this entry the connection stays.

Measured: three cases of TestConnectionOfABrokenStreamIsNotKept failed before (one connection for both attempts) and pass. Not tested: the same for an answer of another status or type (Targets.Open).

--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -106,7 +106,7 @@
 	switch verdict {
 	case platform.Succeeded:
 		if begun, ok := attempt.Begun.(*answer); ok && !continues(begun, received) {
-			received.Close()
+			received.Abort()
 			return nil, &generation.RelayTargetError{Status: received.Status}
 		}
 		return newStream(received), nil
@@ -256,6 +256,8 @@
 	}
 	if err == io.EOF {
 		s.received.Close()
+	} else {
+		s.received.Abort()
 	}
 	return generation.RelayEvent{}, err
 }
--- a/adapters/passthrough/targets_test.go
+++ b/adapters/passthrough/targets_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -23,3 +28,30 @@
 	is.NoErr(listener.Close())
 	is.True(errors.Is(targets.Probe(t.Context(), target), generation.ErrProbeRefused))
 }
+
+// Guards against a second answer of a target being taken for that to a later attempt of a stream: the first one, of status 200, was no
+// stream of events, and its connection carried that attempt too.
+func TestConnectionOfABrokenStreamIsNotKept(t *testing.T) {
+	for _, body := range []string{"oops\n", "out of memory\n", "id: 1\ndata"} {
+		t.Run(body, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+				_, _ = io.WriteString(w, body)
+			}))
+			defer server.Close()
+			pool := targethttp.NewPool(targethttp.Options{})
+			request := &targethttp.Request{Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{"X-Request-Id": {"1"}}, IDHeader: "X-Request-Id", ID: "1"}
+			for range 2 {
+				received, err := pool.Do(t.Context(), "t", strings.TrimPrefix(server.URL, "http://"), request)
+				is.NoErr(err)
+				time.Sleep(5 * time.Millisecond) // lets the goroutine that writes the request end
+				stream := newStream(received)
+				_, err = stream.Next()
+				is.True(err != nil && err != io.EOF)
+				stream.Close()
+			}
+			is.Equal(pool.DialCount(), int64(2))
+		})
+	}
+}
--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -199,6 +199,13 @@
 	})
 }
 
+// Abort ends the exchange and closes the connection, for an answer that counts as a failure of its target whatever its status: a
+// second one could be taken for the answer to a further attempt of the request.
+func (a *Answer) Abort() {
+	a.exchange.reusable = false
+	a.Close()
+}
+
 func (e *exchange) release() {
 	if !e.reusable || !e.bodyAtEOF() || !e.requestWritten() || e.conn.reader.Buffered() > 0 || !e.stopCloseOnCancel() {
 		e.closeConn()
