Known red: a call whose answer has no ID waits until its deadline

The answer is skipped on a connection that has carried others, since it may be a second one; where the target writes nothing more and keeps the connection open, nothing ends the wait. TestCallWithAnAnswerWithoutAnIDEndsBeforeItsDeadline fails after 3 s, its deadline.

--- a/adapters/targethttp/exchange_test.go
+++ b/adapters/targethttp/exchange_test.go
@@ -494,3 +494,32 @@
 		})
 	}
 }
+
+// Guards against a call that waits until its deadline for an answer that was skipped: a target that turns a request away before it
+// has read the ID answers without one, and keeps the connection open.
+func TestCallWithAnAnswerWithoutAnIDEndsBeforeItsDeadline(t *testing.T) {
+	const deadline = 3 * time.Second
+	is := is.New(t)
+	target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
+		for {
+			request, ok := target.read(reader)
+			if !ok {
+				return
+			}
+			text := answerText(request.Header.Get("X-Request-Id"), "ok")
+			if target.requests.Load() == 2 {
+				text = refusalText("")
+			}
+			_, _ = io.WriteString(conn, text)
+		}
+	})
+	p := NewPool(Options{})
+	_, err := exchangeBody(t, p, target.address(), newTestRequest("1"))
+	is.NoErr(err)
+	time.Sleep(5 * time.Millisecond) // lets the goroutine that writes the request end
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
+	_, err = p.Do(ctx, "key", target.address(), newTestRequest("2"))
+	is.True(err != nil)
+	is.NoErr(ctx.Err())
+}
