Move no stalled stream that can't be resumed

Cause: made a stream without IDs count as one that can't be resumed when an attempt has ended, but not where a stalled one is given up: the attempt was ended in order to move the stream, which then ended instead, in the middle of the answer.

Change: both ask the same question, so that such a stream stays at its target, as one without another target does.

Measured: TestStalledStreamThatCannotBeResumedStaysAtItsTarget failed before ('stream can't be continued') and passes.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -176,7 +176,7 @@
 		run.moveClaimed = false
 		ending, err := run.runAttempt(ctx, target)
 		input := retryInput{
-			ending: ending, resumable: request.Resumable && !run.unnumbered,
+			ending: ending, resumable: run.resumable(),
 			attemptsRun: run.attemptsRun, maxAttempts: request.MaxAttempts, attempts: run.attempts,
 			remaining: time.Until(request.Deadline),
 		}
@@ -192,6 +192,9 @@
 	}
 }
 
+// resumable reports whether another target can continue the stream where it is now.
+func (run *relayRun) resumable() bool { return run.request.Resumable && !run.unnumbered }
+
 // awaitConnectivity has a stream that its caller has in part wait while the entry's own connectivity is lost:
 // an attempt would fail, and hold a part of the retry budget meanwhile.
 func (run *relayRun) awaitConnectivity(ctx context.Context) error {
--- a/generation/relaydecide.go
+++ b/generation/relaydecide.go
@@ -156,7 +156,7 @@
 // up, and the retry budget pays for it. Otherwise it stays, since an answer that goes on slowly is worth more than none.
 func (run *relayRun) claimMove(from *directory.Target) bool {
 	input := retryInput{
-		ending: endingStalled, resumable: run.request.Resumable, attemptsRun: run.attemptsRun + 1, maxAttempts: run.request.MaxAttempts,
+		ending: endingStalled, resumable: run.resumable(), attemptsRun: run.attemptsRun + 1, maxAttempts: run.request.MaxAttempts,
 		attempts: run.attempts, remaining: time.Until(run.request.Deadline),
 	}
 	if nextStep(input) != stepRetry || !run.hasOtherTarget(from) {
--- a/generation/relayerror_test.go
+++ b/generation/relayerror_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -99,3 +100,18 @@
 		})
 	}
 }
+
+// Guards against a stream without IDs that is cut off because it is slow: it can't be resumed, so that a move ends it.
+func TestStalledStreamThatCannotBeResumedStaysAtItsTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rest := []script{{events: []int64{2, 3}, end: io.EOF}}
+		f := newRelayFixture(map[string][]script{
+			"a": {{events: []int64{withoutID, withoutID, withoutID}, pause: 1500 * time.Millisecond, end: io.EOF}}, "b": rest, "c": rest,
+		})
+		sink := &recordingSink{}
+		is.NoErr(f.relay.Run(t.Context(), relayRequest(), sink))
+		is.Equal(sink.events, []int64{withoutID, withoutID, withoutID})
+		is.Equal(len(f.engine.attempts), 1)
+	})
+}
