Have a begun stream wait for a target instead of ending at once

Cause: a stream that its caller has in part was cut off as soon as no target took it, also where their limits and pauses, or a replacement, needed parts of a second.

Change: such a stream looks again every 50 ms, for 4 s at most (the bound of the users' plan for output to go on), and within its deadline. Streams of which the caller has nothing are answered at once, as before. Targets that lost the stream stay excluded meanwhile.

Measured: TestBegunStreamWaitsForATargetWithinItsLimit failed before ('stream can't be continued') and passes.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -96,6 +96,8 @@
 	// attempts counts all attempts; attemptsRun those that a target may have run, except those
 	// whose target was lost.
 	attempts, attemptsRun int
+	// noTargetSince is when a begun stream found no target; zero while it has one.
+	noTargetSince time.Time
 	// unsentAttempts counts the attempts since the last one that left this process.
 	unsentAttempts int
 	// mayHaveRun is true once a target may have run the request.
@@ -168,8 +170,15 @@
 		}
 		target := run.chooseTarget()
 		if target == nil {
+			if run.awaitTarget(ctx) {
+				continue
+			}
+			if ctx.Err() != nil {
+				return run.finalError(contextEnding(ctx), ctx.Err())
+			}
 			return run.failureError(ErrNoTarget)
 		}
+		run.noTargetSince = time.Time{}
 		if run.attempts > 0 && !run.moveClaimed && !r.options.Budget.Spend(request.Service, run.retryUrgency()) {
 			return run.failureError(errBudgetSpent)
 		}
@@ -192,6 +201,25 @@
 	}
 }
 
+const (
+	// maxTargetWait limits the wait of a begun stream for a target; output is to go on within 4 s of a loss.
+	maxTargetWait = 4 * time.Second
+	// targetPollInterval is the time after which such a stream looks for a target again.
+	targetPollInterval = 50 * time.Millisecond
+)
+
+// awaitTarget has a stream that its caller has in part wait while no target takes it, and reports whether to look again: limits
+// and pauses of targets, and their replacement, last for parts of a second.
+func (run *relayRun) awaitTarget(ctx context.Context) bool {
+	if !run.headSent {
+		return false
+	}
+	if run.noTargetSince.IsZero() {
+		run.noTargetSince = time.Now()
+	}
+	return time.Since(run.noTargetSince) < maxTargetWait && wait.For(ctx, targetPollInterval) == nil
+}
+
 // resumable reports whether another target can continue the stream where it is now.
 func (run *relayRun) resumable() bool { return run.request.Resumable && !run.unnumbered }
 
@@ -325,8 +353,11 @@
 		target = run.placeWithinLimits(run.placementQuery())
 	}
 	if target == nil && len(run.exclude) > 0 {
+		exclude, failed := run.exclude, run.failed
 		run.exclude, run.failed = nil, nil
-		target = run.placeWithinLimits(run.placementQuery())
+		if target = run.placeWithinLimits(run.placementQuery()); target == nil {
+			run.exclude, run.failed = exclude, failed // a later look prefers the others again
+		}
 	}
 	return target
 }
--- a/generation/relayerror_test.go
+++ b/generation/relayerror_test.go
@@ -115,3 +115,33 @@
 		is.Equal(len(f.engine.attempts), 1)
 	})
 }
+
+// limitedFor is TargetLimits that allow one request and then none for a while.
+type limitedFor struct {
+	unlimitedTargets
+	pause time.Duration
+	taken time.Time
+}
+
+func (l *limitedFor) Take(string) bool {
+	if !l.taken.IsZero() && time.Since(l.taken) < l.pause {
+		return false
+	}
+	l.taken = time.Now()
+	return true
+}
+
+// Guards against a begun stream that is cut off because no target takes it at once: limits and pauses of targets last for parts of a
+// second, and a caller that has its beginning would wait for longer.
+func TestBegunStreamWaitsForATargetWithinItsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRelayFixture(map[string][]script{
+			"a": {{events: eventsUpTo(3), end: errors.New("connection reset")}}, "b": {{events: []int64{4, 5}, end: io.EOF}},
+		})
+		f.relay.options.Limits = &limitedFor{pause: 500 * time.Millisecond}
+		sink := &recordingSink{}
+		is.NoErr(f.relay.Run(t.Context(), relayRequest(), sink))
+		is.Equal(sink.events, eventsUpTo(5))
+	})
+}
