--- a/adapters/passthrough/events.go
+++ b/adapters/passthrough/events.go
@@ -20,8 +20,18 @@
 	errNoEvent = errors.New("the body is not a stream of events")
 )
 
-// eventScanner splits the body of a stream into events, whose bytes it keeps unchanged.
-type eventScanner struct{ reader *bufio.Reader }
+// retryField is the time after which a caller reconnects. It is no part of an event.
+const retryField = "retry"
+
+// eventScanner splits the body of a stream into events, whose bytes it keeps unchanged. It leaves out a byte order mark.
+type eventScanner struct {
+	reader *bufio.Reader
+	// begun is true once a byte order mark, which may stand before the first event, has been looked for.
+	begun bool
+}
+
+// byteOrderMark is no part of the first line, and none of a stream that another target began.
+var byteOrderMark = []byte("\ufeff")
 
 func newEventScanner(body io.Reader) *eventScanner {
 	return &eventScanner{reader: bufio.NewReader(body)}
@@ -29,8 +39,12 @@
 
 // next returns the next complete event; io.EOF after the last one.
 func (s *eventScanner) next() (generation.RelayEvent, error) {
+	if !s.begun {
+		s.begun = true
+		s.skipByteOrderMark()
+	}
 	event := generation.RelayEvent{ID: -1, Comment: true}
-	for lineStart := 0; ; {
+	for lineStart, onlyLineEnds := 0, true; ; {
 		part, err := s.reader.ReadSlice('\n')
 		event.Bytes = append(event.Bytes, part...)
 		switch {
@@ -38,7 +52,7 @@
 			return generation.RelayEvent{}, errEventTooLarge
 		case err == bufio.ErrBufferFull:
 			continue
-		case err == io.EOF && len(event.Bytes) > 0 && isBlank(event.Bytes):
+		case err == io.EOF && len(event.Bytes) > 0 && onlyLineEnds && isBlank(event.Bytes[lineStart:]):
 			return event, nil // line ends after the last event
 		case err == io.EOF && len(event.Bytes) > 0:
 			return generation.RelayEvent{}, errTruncatedEvent
@@ -46,13 +60,14 @@
 			return generation.RelayEvent{}, err
 		}
 		line := bytes.TrimRight(event.Bytes[lineStart:], "\r\n")
-		if len(line) == 0 && !isBlank(event.Bytes[:lineStart]) {
+		if len(line) == 0 && !onlyLineEnds {
 			return event, nil
 		}
+		onlyLineEnds = onlyLineEnds && len(line) == 0
 		lineStart = len(event.Bytes)
 		name, isField := fieldName(line)
 		switch {
-		case len(line) == 0 || isField && name == "":
+		case len(line) == 0 || isField && (name == "" || name == retryField):
 			continue
 		case !isField && !defect.Enabled(defect.ErrorPassedOn):
 			return generation.RelayEvent{}, errNoEvent
@@ -64,6 +79,16 @@
 	}
 }
 
+// skipByteOrderMark waits for no more bytes than it needs: a stream may begin with a single line end.
+func (s *eventScanner) skipByteOrderMark() {
+	for n := range len(byteOrderMark) {
+		if start, err := s.reader.Peek(n + 1); err != nil || !bytes.HasPrefix(byteOrderMark, start) {
+			return // the next read returns the error
+		}
+	}
+	_, _ = s.reader.Discard(len(byteOrderMark))
+}
+
 // isBlank reports whether the text holds line ends only.
 func isBlank(text []byte) bool { return len(bytes.TrimLeft(text, "\r\n")) == 0 }
 
--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -28,7 +28,7 @@
 	HasBody bool
 	// IDHeader is the name of the header field that holds ID in the request and its answer. ID is empty for a call whose answer
 	// can't be told from a second answer to another such call; its connection is not kept. Nor is that of an answer without
-	// an ID.
+	// an ID, or to HEAD: the body's length that it names would be skipped after a second answer.
 	IDHeader string
 	ID       string
 }
@@ -78,7 +78,7 @@
 // *service.NotSentError proves that nothing was sent; after any other error the target may have run the
 // request. The end of ctx closes the connection, also while the body is read.
 func (p *Pool) Do(ctx context.Context, key, address string, request *Request) (*Answer, error) {
-	c, err := p.getConn(ctx, key, address, func(c *conn) bool { return p.options.AcceptUnnamed || c.mayCarry(request.ID) })
+	c, err := p.getConn(ctx, key, address, func(c *conn) bool { return p.options.AcceptUnnamed || c.mayCarry(request) })
 	if err != nil {
 		return nil, &service.NotSentError{Cause: err}
 	}
@@ -147,7 +147,7 @@
 				_ = e.conn.SetReadDeadline(time.Time{})
 			}
 			e.response = response
-			e.reusable = foreign == 0 && !response.Close && request.ID != "" && (id != "" || e.pool.options.AcceptUnnamed) &&
+			e.reusable = foreign == 0 && !response.Close && request.ID != "" && request.Method != http.MethodHead && (id != "" || e.pool.options.AcceptUnnamed) &&
 				e.conn.recordAnswer(request.ID, response.StatusCode)
 			e.idleFor = idleTimeout(response.Header, e.idleFor)
 			return &Answer{
@@ -213,6 +213,13 @@
 	})
 }
 
+// Abort ends the exchange and closes the connection, for an answer that counts as a failure of its target whatever its status: a
+// second one could be taken for the answer to a further attempt of the request.
+func (a *Answer) Abort() {
+	a.exchange.reusable = false
+	a.Close()
+}
+
 func (e *exchange) release() {
 	if !e.reusable || !e.bodyAtEOF() || !e.requestWritten() || e.conn.reader.Buffered() > 0 || !e.stopCloseOnCancel() {
 		e.closeConn()
--- a/adapters/targethttp/exchange_test.go
+++ b/adapters/targethttp/exchange_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -426,3 +427,103 @@
 	}
 	is.Equal(target.conns.Load(), int64(4)) // for the next request with an ID, that of the first one is ready
 }
+
+// Guards against memory that callers fill with IDs of their choice: a connection keeps something of each request that failed.
+func TestFailedRequestsWithLongIDsTakeLittleMemory(t *testing.T) {
+	const idBytes, requests = 32 << 10, maxFailedPerConn - 1
+	is := is.New(t)
+	target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
+		for {
+			request, ok := target.read(reader)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(conn, refusalText(request.Header.Get("X-Request-Id")))
+		}
+	})
+	p := NewPool(Options{})
+	heapBytes := func() int64 {
+		var stats runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&stats)
+		return int64(stats.HeapAlloc)
+	}
+	before := heapBytes()
+	for i := range requests {
+		id := strconv.Itoa(i) + strings.Repeat("x", idBytes)
+		_, err := exchangeBody(t, p, target.address(), newTestRequest(id))
+		is.NoErr(err)
+		time.Sleep(time.Millisecond) // lets the goroutine that writes the request end
+	}
+	is.Equal(target.conns.Load(), int64(1))
+	is.True(heapBytes()-before < 1<<20) // of the 8 MB of all IDs
+	runtime.KeepAlive(p)
+}
+
+// Guards against the body of a second answer being read with the wrong length: the answer to HEAD has a length and no body, so that
+// a copy of it swallows the answer that follows, and the body of a copy is taken for the answer to HEAD.
+func TestSecondAnswerBesideHEADDoesNotHideTheAnswer(t *testing.T) {
+	for _, each := range []struct{ first, second string }{{"HEAD", "POST"}, {"POST", "HEAD"}} {
+		t.Run(each.first+" then "+each.second, func(t *testing.T) {
+			is := is.New(t)
+			target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
+				for earlier := ""; ; {
+					request, ok := target.read(reader)
+					if !ok {
+						return
+					}
+					id := request.Header.Get("X-Request-Id")
+					text := answerText(id, "n"+id)
+					if request.Method == http.MethodHead {
+						text = strings.TrimSuffix(text, "n"+id)
+					}
+					_, _ = io.WriteString(conn, earlier+text)
+					earlier = text
+				}
+			})
+			p := NewPool(Options{})
+			for i, method := range []string{each.first, each.second} {
+				request := newTestRequest(strconv.Itoa(i))
+				request.Method = method
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				answer, err := p.Do(ctx, "key", target.address(), request)
+				is.NoErr(err)
+				is.Equal(answer.Header.Get("X-Request-Id"), request.ID)
+				_, err = io.Copy(io.Discard, answer.Body)
+				is.NoErr(err)
+				answer.Close()
+				cancel()
+				time.Sleep(5 * time.Millisecond) // lets the goroutine that writes the request end
+			}
+		})
+	}
+}
+
+// Guards against a call that waits until its deadline for an answer that was skipped: a target that turns a request away before it
+// has read the ID answers without one, and keeps the connection open.
+func TestCallWithAnAnswerWithoutAnIDEndsBeforeItsDeadline(t *testing.T) {
+	const deadline = 3 * time.Second
+	is := is.New(t)
+	target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
+		for {
+			request, ok := target.read(reader)
+			if !ok {
+				return
+			}
+			text := answerText(request.Header.Get("X-Request-Id"), "ok")
+			if target.requests.Load() == 2 {
+				text = refusalText("")
+			}
+			_, _ = io.WriteString(conn, text)
+		}
+	})
+	p := NewPool(Options{})
+	_, err := exchangeBody(t, p, target.address(), newTestRequest("1"))
+	is.NoErr(err)
+	time.Sleep(5 * time.Millisecond) // lets the goroutine that writes the request end
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
+	_, err = p.Do(ctx, "key", target.address(), newTestRequest("2"))
+	is.True(err != nil)
+	is.NoErr(ctx.Err())
+}
--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"net"
 	"net/http"
 	"slices"
@@ -86,11 +87,16 @@
 	expires time.Time
 	// used reports that the connection has carried an answer: a second one to the same request may follow at any time.
 	used bool
-	// failed are the IDs of requests that were answered without success here. A further attempt of such a request needs
-	// another connection, on which no second answer to the first one can arrive.
-	failed map[string]struct{}
+	// failed are the hashes of the IDs of requests that were answered without success here: callers choose the IDs, of up to tens
+	// of kilobytes. A further attempt of such a request needs another connection, on which no second answer to the first
+	// one can arrive.
+	failed map[uint64]struct{}
 }
 
+var idHashSeed = maphash.MakeSeed()
+
+func idHash(id string) uint64 { return maphash.String(idHashSeed, id) }
+
 // maxFailedPerConn limits the IDs that a connection keeps; it is replaced then.
 const maxFailedPerConn = 256
 
@@ -101,17 +107,17 @@
 		return true
 	}
 	if c.failed == nil {
-		c.failed = map[string]struct{}{}
+		c.failed = map[uint64]struct{}{}
 	}
-	c.failed[id] = struct{}{}
+	c.failed[idHash(id)] = struct{}{}
 	return len(c.failed) < maxFailedPerConn
 }
 
-// mayCarry reports whether no second answer to an earlier request can be taken for that to the request with the ID; an
-// empty ID tells it from no other.
-func (c *conn) mayCarry(id string) bool {
-	_, failed := c.failed[id]
-	return !failed && (id != "" || !c.used)
+// mayCarry reports whether no second answer to an earlier request can be taken for that to the request; an empty ID tells it
+// from no other, and a second answer with a body can't be skipped while an answer to HEAD, without one, is expected.
+func (c *conn) mayCarry(request *Request) bool {
+	_, failed := c.failed[idHash(request.ID)]
+	return !failed && (!c.used || request.ID != "" && request.Method != http.MethodHead)
 }
 
 // readBufferBytes is enough for a few events of a stream.
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -97,6 +97,8 @@
 	// attempts counts all attempts; attemptsRun those that a target may have run, except those
 	// whose target was lost.
 	attempts, attemptsRun int
+	// noTargetSince is when a begun stream found no target; zero while it has one.
+	noTargetSince time.Time
 	// unsentAttempts counts the attempts since the last one that left this process.
 	unsentAttempts int
 	// mayHaveRun is true once a target may have run the request.
@@ -169,15 +171,22 @@
 		}
 		target := run.chooseTarget()
 		if target == nil {
+			if run.awaitTarget(ctx) {
+				continue
+			}
+			if ctx.Err() != nil {
+				return run.finalError(contextEnding(ctx), ctx.Err())
+			}
 			return run.failureError(ErrNoTarget)
 		}
+		run.noTargetSince = time.Time{}
 		if run.attempts > 0 && !run.moveClaimed && !r.options.Budget.Spend(request.Service, run.retryUrgency()) {
 			return run.failureError(errBudgetSpent)
 		}
 		run.moveClaimed = false
 		ending, err := run.runAttempt(ctx, target)
 		input := retryInput{
-			ending: ending, resumable: request.Resumable && !run.unnumbered,
+			ending: ending, resumable: run.resumable(),
 			attemptsRun: run.attemptsRun, maxAttempts: request.MaxAttempts, attempts: run.attempts,
 			remaining: time.Until(request.Deadline),
 		}
@@ -193,6 +202,28 @@
 	}
 }
 
+const (
+	// maxTargetWait limits the wait of a begun stream for a target; output is to go on within 4 s of a loss.
+	maxTargetWait = 4 * time.Second
+	// targetPollInterval is the time after which such a stream looks for a target again.
+	targetPollInterval = 50 * time.Millisecond
+)
+
+// awaitTarget has a stream that its caller has in part wait while no target takes it, and reports whether to look again: limits
+// and pauses of targets, and their replacement, last for parts of a second.
+func (run *relayRun) awaitTarget(ctx context.Context) bool {
+	if !run.headSent {
+		return false
+	}
+	if run.noTargetSince.IsZero() {
+		run.noTargetSince = time.Now()
+	}
+	return time.Since(run.noTargetSince) < maxTargetWait && wait.For(ctx, targetPollInterval) == nil
+}
+
+// resumable reports whether another target can continue the stream where it is now.
+func (run *relayRun) resumable() bool { return run.request.Resumable && !run.unnumbered }
+
 // awaitConnectivity has a stream that its caller has in part wait while the entry's own connectivity is lost:
 // an attempt would fail, and hold a part of the retry budget meanwhile.
 func (run *relayRun) awaitConnectivity(ctx context.Context) error {
@@ -323,8 +354,11 @@
 		target = run.placeWithinLimits(run.placementQuery())
 	}
 	if target == nil && len(run.exclude) > 0 {
+		exclude, failed := run.exclude, run.failed
 		run.exclude, run.failed = nil, nil
-		target = run.placeWithinLimits(run.placementQuery())
+		if target = run.placeWithinLimits(run.placementQuery()); target == nil {
+			run.exclude, run.failed = exclude, failed // a later look prefers the others again
+		}
 	}
 	return target
 }
@@ -355,7 +389,7 @@
 	placed  PlacedStream
 	monitor *targetMonitor
 	gaps    health.Gaps
-	// continues reports that the caller has events of an earlier attempt; continued that this one has sent the next of them.
+	// continues reports that the caller has events of an earlier attempt or connection; continued that this one has sent the next of them.
 	continues, continued bool
 	// eventCount counts the events received from this attempt.
 	eventCount   int
@@ -427,7 +461,7 @@
 	}
 	now := time.Now()
 	a := &activeAttempt{
-		run: run, target: attempt.Target, continues: run.headSent, startedAt: now, lastProgress: now, messages: make(chan relayMessage),
+		run: run, target: attempt.Target, continues: run.headSent || run.request.LastEvent > 0, startedAt: now, lastProgress: now, messages: make(chan relayMessage),
 		placed: placer.AddStream(attempt.Target, run.streamSize(), prefillTokens), monitor: run.relay.monitors.acquire(attempt.Target),
 	}
 	var backup *KVCacheCopy
--- a/generation/relayerror_test.go
+++ b/generation/relayerror_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -72,3 +73,75 @@
 		})
 	}
 }
+
+// Guards against the text of an error in the rest of a stream that a caller takes up with its last event: the caller has the
+// beginning from an earlier connection.
+func TestErrorInPlaceOfTheRestOfAStreamThatACallerTakesUp(t *testing.T) {
+	for _, each := range []struct {
+		name   string
+		first  script
+		events []int64
+	}{
+		{"an event without an ID", script{events: []int64{withoutID}, end: io.EOF}, []int64{4, 5}},
+		{"an event without an ID, then a break", script{events: []int64{withoutID}, end: errors.New("connection reset")}, []int64{4, 5}},
+		{"a comment", script{events: []int64{scriptedComment, 4, 5}, end: io.EOF}, []int64{-1, 4, 5}},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				rest := []script{{events: []int64{4, 5}, end: io.EOF}}
+				f := newRelayFixture(map[string][]script{"a": {each.first}, "b": rest, "c": rest})
+				sink := &recordingSink{}
+				request := relayRequest()
+				request.LastEvent = 3
+				is.NoErr(f.relay.Run(t.Context(), request, sink))
+				is.Equal(sink.events, each.events)
+			})
+		})
+	}
+}
+
+// Guards against a stream without IDs that is cut off because it is slow: it can't be resumed, so that a move ends it.
+func TestStalledStreamThatCannotBeResumedStaysAtItsTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rest := []script{{events: []int64{2, 3}, end: io.EOF}}
+		f := newRelayFixture(map[string][]script{
+			"a": {{events: []int64{withoutID, withoutID, withoutID}, pause: 1500 * time.Millisecond, end: io.EOF}}, "b": rest, "c": rest,
+		})
+		sink := &recordingSink{}
+		is.NoErr(f.relay.Run(t.Context(), relayRequest(), sink))
+		is.Equal(sink.events, []int64{withoutID, withoutID, withoutID})
+		is.Equal(len(f.engine.attempts), 1)
+	})
+}
+
+// limitedFor is TargetLimits that allow one request and then none for a while.
+type limitedFor struct {
+	unlimitedTargets
+	pause time.Duration
+	taken time.Time
+}
+
+func (l *limitedFor) Take(string) bool {
+	if !l.taken.IsZero() && time.Since(l.taken) < l.pause {
+		return false
+	}
+	l.taken = time.Now()
+	return true
+}
+
+// Guards against a begun stream that is cut off because no target takes it at once: limits and pauses of targets last for parts of a
+// second, and a caller that has its beginning would wait for longer.
+func TestBegunStreamWaitsForATargetWithinItsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRelayFixture(map[string][]script{
+			"a": {{events: eventsUpTo(3), end: errors.New("connection reset")}}, "b": {{events: []int64{4, 5}, end: io.EOF}},
+		})
+		f.relay.options.Limits = &limitedFor{pause: 500 * time.Millisecond}
+		sink := &recordingSink{}
+		is.NoErr(f.relay.Run(t.Context(), relayRequest(), sink))
+		is.Equal(sink.events, eventsUpTo(5))
+	})
+}
