End a begun stream at once where no target can continue it

The merged wait of a begun stream held a caller for 4 s also where none of the targets can take the stream, since its software version has left: what can't be served is to be refused at once. The wait is for limits and pauses of targets that can.

Measured: TestBegunStreamWithoutATargetOfItsVersionEndsAtOnce failed before (4 s) and passes; TestBegunStreamWaitsForATargetWithinItsLimit passes as before.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -209,10 +209,10 @@
 	targetPollInterval = 50 * time.Millisecond
 )
 
-// awaitTarget has a stream that its caller has in part wait while no target takes it, and reports whether to look again: limits
-// and pauses of targets, and their replacement, last for parts of a second.
+// awaitTarget has a stream that its caller has in part wait while none of the targets that can continue it takes it, and reports
+// whether to look again: their limits and pauses last for parts of a second. A stream without such a target ends at once.
 func (run *relayRun) awaitTarget(ctx context.Context) bool {
-	if !run.headSent {
+	if !run.headSent || len(run.targets()) == 0 {
 		return false
 	}
 	if run.noTargetSince.IsZero() {
--- a/generation/relayerror_test.go
+++ b/generation/relayerror_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/azurebarrow/azurebarrow/directory"
 )
 
 // Guards against the text of an error, and against an end, that a target puts in the place of the rest of a stream that another
@@ -131,6 +133,24 @@
 	return true
 }
 
+// Guards against a stream that waits for what can't come.
+func TestBegunStreamWithoutATargetOfItsVersionEndsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newVersionFixture([]string{"v1", "v2", "v2"}, map[string][]script{"a": {{events: eventsUpTo(3), end: errors.New("connection reset")}}})
+		open := f.relay.options.Targets
+		f.relay.options.Targets = func(service string) []*directory.Target {
+			if len(f.engine.attempts) == 0 {
+				return open(service)[:1]
+			}
+			return open(service)[1:] // the only target of the stream's version has left
+		}
+		start := time.Now()
+		is.Equal(f.relay.Run(t.Context(), relayRequest(), &recordingSink{}), ErrRelayBroken)
+		is.True(time.Since(start) < targetPollInterval)
+	})
+}
+
 // Guards against a begun stream that is cut off because no target takes it at once: limits and pauses of targets last for parts of a
 // second, and a caller that has its beginning would wait for longer.
 func TestBegunStreamWaitsForATargetWithinItsLimit(t *testing.T) {
