Do not cut a long read of the versions that began streams

The store's client ends a silent read after 1.5 s anyway.

Measured: TestLongReadOfTheStoreIsNotCut (20 s, 15 MB at that rate) failed before and passes.

--- a/streamversion/store_test.go
+++ b/streamversion/store_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/membership"
 )
 
@@ -23,6 +24,8 @@
 	revision      int64
 	writes, reads int
 	down          bool
+	// readTime is how long a read takes.
+	readTime time.Duration
 }
 
 var errDown = errors.New("down")
@@ -41,7 +44,10 @@
 	return nil
 }
 
-func (s *memoryStore) ReadStreamVersions(context.Context, bool) ([]Object, error) {
+func (s *memoryStore) ReadStreamVersions(ctx context.Context, _ bool) ([]Object, error) {
+	if err := wait.For(ctx, s.readTime); err != nil {
+		return nil, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
@@ -130,6 +136,27 @@
 	})
 }
 
+// Guards against a read of many large objects over a slow link that is cut, and begun again, for ever.
+func TestLongReadOfTheStoreIsNotCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newMemoryStore()
+		e := startEntries(t, store, 8)
+		e.managers["e03"].Share(t.Context(), Record{Stream: "s", Customer: "ranch", Version: "v1"})
+		time.Sleep(time.Second)
+		e.stop()
+		synctest.Wait()
+		store.readTime = 20 * time.Second // 15 MB, the objects of 150 entries, at 0.75 MB/s
+		e = startEntries(t, store, 8)
+		time.Sleep(store.readTime + time.Second)
+		version, found := e.managers["e05"].Find(t.Context(), "drafts", "s", "ranch")
+		is.True(found)
+		is.Equal(version, "v1")
+		e.stop()
+		time.Sleep(time.Minute)
+	})
+}
+
 // Guards against a version that is taken for the only one by entries that saw no other, and against streams refused for ever.
 func TestOnlyVersionIsKnownForAsLongAsStreamsOfAnotherMayBeTakenUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/streamversion/sync.go
+++ b/streamversion/sync.go
@@ -19,9 +19,11 @@
 	rewriteInterval = 250 * time.Millisecond
 	// removeInterval is the time after which a write is made only to remove what is no longer needed.
 	removeInterval = 30 * time.Second
-	// writeTimeout and readTimeout limit calls to the store, which answers in milliseconds.
+	// writeTimeout limits a write to the store, which answers in milliseconds.
 	writeTimeout = time.Second
-	readTimeout  = 5 * time.Second
+	// readTimeout limits a read as a whole: the objects of hundreds of entries take tens of seconds on a slow link, and a read that
+	// is cut begins again. The store's client ends a silent one sooner.
+	readTimeout = time.Minute
 	// minReadInterval is the minimum time between two reads of the store by an entry.
 	minReadInterval = time.Second
 	// keepers is the number of entries that keep the serving versions in the store.
