Ask further ranks before a look-up's deadline, and don't count them as failed after it

TestScenarios/entry-loss (KNOWN-RED): status lost after 60 tokens, when the entry and one replica are killed.

Hypotheses: 1. the second replica was dropped at a time-out of an append, and the taker came before the copy was rebuilt; 2. a replica held less than the caller had seen (a short takeover); 3. the taker's view left out the returned entry that held the second copy; 4. the generation never had a second replica.

The entries' logs could not tell them apart. A scratch build wrote each look-up with its answers, and each choice, install and loss of a replica to them (not committed). The producer n3 had chosen n4 alone, with two other entries alive (4); so the output was never committed to two replicas, and no copy outlived n3 and n4.

Cause: n3's look-up asked its first ranks n4, n2, n1, n3. n1 was dead, and n2, just back from being frozen, took all of the 30 ms. Only then did the look-up ask n6 and n5 in their place, under the deadline that had passed: the calls failed without being sent, and both were marked as failed. With every entry but n4 in the cooldown of 2 s, there was no second replica to choose. In a larger fleet the loop went on through all entries: beside one frozen entry a look-up made 29, 75, 194 and 299 calls at 30, 76, 195 and 300 entries and marked all but three entries as failed for 2 s. It also missed records at the ranks that it asked in vain.

Change: a look-up or takeover asks the next rank as soon as an entry refuses, and in place of each slow one after a third of the time-out, once. Nothing is called after the deadline, and an entry that was asked late is not marked as failed by it. The time-outs and the messages stay as they are, so builds before this one read them and answer.

--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -21,6 +21,8 @@
 	mu   sync.Mutex
 	slow map[string]time.Duration
 	down map[string]bool
+	// reads counts the calls of Read.
+	reads int
 }
 
 func (n *network) set(change func()) {
@@ -67,6 +69,7 @@
 }
 
 func (n *network) Read(ctx context.Context, peer membership.Peer, key string) (Copy, error) {
+	n.set(func() { n.reads++ })
 	if err := n.reach(ctx, peer); err != nil {
 		return Copy{}, err
 	}
--- a/journal/locate.go
+++ b/journal/locate.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/membership"
@@ -18,8 +17,9 @@
 	// that holds it.
 	HighestTerm int
 	Holder      string
-	// Unanswered counts the entries that timed out and may hold a record. An entry that refused the
-	// connection does not count: its process has ended, and its memory is lost.
+	// Unanswered counts the entries that timed out or that there was no time left to ask, and may hold a
+	// record. An entry that refused the connection does not count: its process has ended, and its memory is
+	// lost.
 	Unanswered int
 	// ranks is the number of ranks that were asked; a takeover asks the same number.
 	ranks int
@@ -45,13 +45,12 @@
 // extendedRanks entries instead of firstRanks.
 func (j *Journal) LookUp(ctx context.Context, key string, minTimeout time.Duration) LookupResult {
 	var found LookupResult
-	ctx, cancel := context.WithTimeout(ctx, max(minTimeout, j.options.Timeouts.Read))
-	defer cancel()
 	found.ranks = firstRanks
 	if minTimeout > 0 {
 		found.ranks = extendedRanks
 	}
-	found.Unanswered = j.queryReplicas(ctx, key, found.ranks, func(ctx context.Context, peer membership.Peer) (Copy, error) {
+	timeout := max(minTimeout, j.options.Timeouts.Read)
+	found.Unanswered = j.queryReplicas(ctx, key, found.ranks, timeout, func(ctx context.Context, peer membership.Peer) (Copy, error) {
 		if peer.Name == j.options.View.Self().Name {
 			return j.options.Store.Read(key), nil
 		}
@@ -76,18 +75,15 @@
 // under the new term. The caller must pass it to StartReplication before it produces tokens.
 func (j *Journal) Takeover(ctx context.Context, key string, found LookupResult) (*Record, error) {
 	self := j.options.View.Self().Name
-	timeout := j.options.Timeouts.Read
 	for range takeoverAttempts {
 		request := TakeoverRequest{Key: key, Term: NextTerm(found.HighestTerm, self), Producer: self}
-		call, cancel := context.WithTimeout(ctx, timeout)
-		j.queryReplicas(call, key, found.ranks, func(ctx context.Context, peer membership.Peer) (Copy, error) {
+		j.queryReplicas(ctx, key, found.ranks, j.options.Timeouts.Read, func(ctx context.Context, peer membership.Peer) (Copy, error) {
 			result, err := j.takeoverAt(ctx, peer, request)
 			if err == nil && !result.Granted {
 				return result.Copy, errRefused
 			}
 			return result.Copy, err
 		}, found.add)
-		cancel()
 		record, err := found.takeoverRecord(request)
 		if !errors.Is(err, errRefused) {
 			j.stats.Takeovers.Add(1)
@@ -118,29 +114,72 @@
 	return j.options.Transport.Takeover(ctx, peer, request)
 }
 
-// queryReplicas calls the entries of the first ranks concurrently, then those that their pointers name,
-// and one of the next ranks for each entry that failed: a producer that knew of the failure chose its
-// replicas from the next ranks too. It returns the number of entries that timed out.
-func (j *Journal) queryReplicas(ctx context.Context, key string, ranks int, call func(context.Context, membership.Peer) (Copy, error), add func(Copy)) int {
-	query := &keyQuery{journal: j, ranks: ranks, call: call, add: add, asked: map[string]bool{}}
+// hedgeFraction of the timeout is how long an entry may take to answer before the next rank is asked as well.
+const hedgeFraction = 1.0 / 3
+
+// replicaCall asks one entry about a key.
+type replicaCall func(context.Context, membership.Peer) (Copy, error)
+
+// queryReplicas calls the entries of the first ranks concurrently, those that their pointers name, and one of the
+// next ranks for each entry that failed: a producer that knew of the failure chose its replicas from the next ranks
+// too. Entries that are slow get such a substitute once, after hedgeFraction of the timeout, so that it can still
+// answer. queryReplicas returns the number of entries that timed out.
+func (j *Journal) queryReplicas(ctx context.Context, key string, ranks int, timeout time.Duration, call replicaCall, add func(Copy)) int {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	ranked := j.ranked(key)
-	next := ranked[:min(ranks, len(ranked))]
-	for len(next) > 0 {
-		query.queryAll(ctx, next)
-		next = query.nextPeers(ranked)
+	query := &keyQuery{
+		journal:  j,
+		ranks:    ranks,
+		call:     call,
+		add:      add,
+		asked:    map[string]bool{},
+		expected: map[string]bool{},
+		answers:  make(chan replicaAnswer, len(ranked)),
+	}
+	hedge := time.NewTimer(time.Duration(hedgeFraction * float64(timeout)))
+	defer hedge.Stop()
+	query.askNext(ctx, ranked)
+	for query.pending > 0 {
+		select {
+		case answer := <-query.answers:
+			query.handleAnswer(ctx, answer)
+		case <-hedge.C:
+			query.hedged = true
+			clear(query.expected)
+		}
+		query.askNext(ctx, ranked)
 	}
 	return query.unanswered
 }
 
-// keyQuery is the state of the calls to entries about one key.
+// replicaAnswer is the outcome of a replicaCall.
+type replicaAnswer struct {
+	peer   membership.Peer
+	copied Copy
+	err    error
+	// hedge is set if the entry was asked late, in place of a slow one, and had less than the whole timeout.
+	hedge bool
+	// pointedTo is set if a pointer named the entry.
+	pointedTo bool
+}
+
+// keyQuery is the state of the calls to entries about one key. Only the goroutine of queryReplicas uses it.
 type keyQuery struct {
 	journal *Journal
 	ranks   int
-	call    func(context.Context, membership.Peer) (Copy, error)
+	call    replicaCall
 	add     func(Copy)
 	asked   map[string]bool
+	answers chan replicaAnswer
+	// pending counts the calls that have not ended.
+	pending int
+	// expected names the entries asked by their rank that neither answered nor are slow.
+	expected map[string]bool
+	// hedged is set once slow entries have got substitutes.
+	hedged bool
 
-	mu         sync.Mutex
+	// answered counts the entries asked by their rank that answered, unanswered all that timed out.
 	answered   int
 	unanswered int
 	// pointedTo names the entries that received pointers name.
@@ -150,12 +189,15 @@
 // nextPeers returns the entries to call next.
 func (q *keyQuery) nextPeers(ranked []membership.Peer) []membership.Peer {
 	var next []membership.Peer
-	wanted := q.ranks - q.answered
+	wanted := q.ranks - q.answered - len(q.expected)
 	for _, peer := range ranked {
 		if q.asked[peer.Name] {
 			continue
 		}
-		if slices.Contains(q.pointedTo, peer.Name) || wanted > 0 {
+		switch {
+		case slices.Contains(q.pointedTo, peer.Name):
+			next = append(next, peer)
+		case wanted > 0:
 			next = append(next, peer)
 			wanted--
 		}
@@ -163,31 +205,46 @@
 	return next
 }
 
-func (q *keyQuery) queryAll(ctx context.Context, peers []membership.Peer) {
-	var group sync.WaitGroup
+// askNext calls the entries to call next. After the deadline it only counts them: a call that has no time left says
+// nothing about the entry.
+func (q *keyQuery) askNext(ctx context.Context, ranked []membership.Peer) {
+	peers := q.nextPeers(ranked)
+	if ctx.Err() != nil {
+		q.unanswered += len(peers)
+		return
+	}
 	for _, peer := range peers {
+		answer := replicaAnswer{peer: peer, hedge: q.hedged, pointedTo: slices.Contains(q.pointedTo, peer.Name)}
 		q.asked[peer.Name] = true
-		group.Go(func() {
-			copied, err := q.call(ctx, peer)
-			q.handleAnswer(ctx, peer, copied, err)
-		})
+		if !answer.pointedTo {
+			q.expected[peer.Name] = true
+		}
+		q.pending++
+		go func() {
+			answer.copied, answer.err = q.call(ctx, peer)
+			q.answers <- answer
+		}()
 	}
-	group.Wait()
 }
 
-func (q *keyQuery) handleAnswer(ctx context.Context, peer membership.Peer, copied Copy, err error) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if err == nil || errors.Is(err, errRefused) {
-		q.answered++
-		q.add(copied)
-		q.pointedTo = append(q.pointedTo, copied.Pointers...)
+func (q *keyQuery) handleAnswer(ctx context.Context, answer replicaAnswer) {
+	q.pending--
+	delete(q.expected, answer.peer.Name)
+	if answer.err == nil || errors.Is(answer.err, errRefused) {
+		if !answer.pointedTo {
+			q.answered++
+		}
+		q.add(answer.copied)
+		q.pointedTo = append(q.pointedTo, answer.copied.Pointers...)
 		return
 	}
-	q.journal.recordFailure(ctx, peer)
-	if ctx.Err() != nil {
+	timedOut := ctx.Err() != nil
+	if timedOut {
 		q.unanswered++
 	}
+	if !timedOut || !answer.hedge {
+		q.journal.recordFailure(ctx, answer.peer)
+	}
 }
 
 // recordFailure records that a call to the peer failed, unless the call was canceled.
