Try a failed entry again after 200 ms for a record that lacks its second replica

Cause: an entry with a failed call is no replica for 2 s. A record without any replica tries it again after 200 ms, but one with a single replica waits for the 2 s, although no other entry is left to choose; found while tracing entry-loss. A death of producer and replica in that time loses the output.

Ruled out: the shorter cooldown for all, since a first token waits for its first replicas and would wait for a frozen entry again and again. It applies only once the record has a token, or has no replica (as before; then entries that have not failed come first now). TestFirstTokenDoesNotWaitForAPeerThatFailedRecently keeps that; it fails without the condition. No message is new.

TestOnlyOtherPeerIsAReplicaAgainSoonAfterAFailure failed before: {e1:2} for {e1:2 e2:2}.

--- a/journal/journal.go
+++ b/journal/journal.go
@@ -54,7 +54,7 @@
 	firstRanks = 4
 	// failureCooldown is how long a peer is not chosen as a replica after a failed call.
 	failureCooldown = 2 * time.Second
-	// degradedCooldown replaces failureCooldown for a record without any replica.
+	// degradedCooldown replaces failureCooldown for a record that lacks a replica and finds no other peer.
 	degradedCooldown = 200 * time.Millisecond
 )
 
--- a/journal/slowentry_test.go
+++ b/journal/slowentry_test.go
@@ -103,3 +103,41 @@
 		})
 	}
 }
+
+// Guards against a generation that stays at one replica for failureCooldown after a short fault of the only other peer.
+func TestOnlyOtherPeerIsAReplicaAgainSoonAfterAFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(3)
+		n.down["e2"] = true
+		w := n.journal(0).StartReplication(newRecord("k", "e0"), discard{})
+		is.NoErr(w.WaitForReplicas(t.Context()))
+		w.Append([]string{"a"}, "")
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(n.holders("k"), map[string]int{"e1": 1})
+		n.set(func() { n.down["e2"] = false })
+		time.Sleep(degradedCooldown)
+		w.Append([]string{"b"}, "")
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(n.holders("k"), map[string]int{"e1": 2, "e2": 2})
+		w.Close()
+	})
+}
+
+// Guards against a first token that waits for a peer only because it may answer again.
+func TestFirstTokenDoesNotWaitForAPeerThatFailedRecently(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork(3)
+		n.slow["e2"] = time.Hour
+		j := n.journal(0)
+		j.LookUp(t.Context(), "k", 0) // e2 doesn't answer
+		time.Sleep(degradedCooldown + time.Millisecond)
+		before := time.Now()
+		w := j.StartReplication(newRecord("k", "e0"), discard{})
+		is.NoErr(w.WaitForReplicas(t.Context()))
+		is.True(time.Since(before) < DefaultTimeouts.Append)
+		is.Equal(n.holders("k"), map[string]int{"e1": 0})
+		w.Close()
+	})
+}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -98,11 +98,10 @@
 // once the writer is closed or superseded.
 func (w *Writer) addReplicas() {
 	for len(w.handles) < replicaCount && !w.superseded && !w.closed {
-		cooldown := failureCooldown
-		if len(w.handles) == 0 {
-			cooldown = degradedCooldown
+		peer, found := w.journal.nextReplica(w.record.Key, w.peers(), failureCooldown)
+		if !found && w.needsRecentlyFailed() {
+			peer, found = w.journal.nextReplica(w.record.Key, w.peers(), degradedCooldown)
 		}
-		peer, found := w.journal.nextReplica(w.record.Key, w.peers(), cooldown)
 		if !found {
 			return
 		}
@@ -113,6 +112,12 @@
 	}
 }
 
+// needsRecentlyFailed reports whether a peer that failed within failureCooldown is better than one replica less. It
+// isn't as long as the first token waits for the replicas, unless there is none.
+func (w *Writer) needsRecentlyFailed() bool {
+	return len(w.handles) == 0 || w.record.Length() > 0
+}
+
 func (w *Writer) peers() []membership.Peer {
 	peers := make([]membership.Peer, len(w.handles))
 	for i, h := range w.handles {
