--- a/journal/locate.go
+++ b/journal/locate.go
@@ -210,6 +210,9 @@
 func (q *keyQuery) askNext(ctx context.Context, ranked []membership.Peer) {
 	peers := q.nextPeers(ranked)
 	if ctx.Err() != nil {
+		for _, peer := range peers {
+			q.asked[peer.Name] = true
+		}
 		q.unanswered += len(peers)
 		return
 	}
