Give a service call the answer that names it, and no other call's

Cause: answers of services named no call. net/http notices a second answer on an idle connection, but takes one that arrives after the next request was written for that request's answer. Its caller got another call's answer, and for calls that run at most once the ledger kept it under their key. Ruled out: that a call is recorded as not-run by an answer; whatever a service answers counts as answered.

Change: package targetcall sends a call over a connection of targethttp's pool with an ID of its own, Azurebarrow-Call-Id, which the target copies into its answer. Another call's answer is skipped; connections to targets that copy nothing carry one call each. The ID differs between attempts, so that a second attempt with the same key isn't answered by the first. The transport repeats nothing at all now; net/http repeated idempotent requests on connections that the target had closed.

A call that fails before its first byte was written, on a kept connection, counts as unknown instead of not sent: the pool doesn't count bytes.

Tests of others: TestTransportRetriesIdempotentRequests stated that net/http retries, to show that its neighbour can fail; it calls net/http itself now (TestRetryOfNetHTTPIsSeen), and TestTransportNeverRetriesIdempotentRequest states what the transport does. The server of both names its calls, since a connection isn't reused otherwise.

--- a/adapters/servicehttp/header.go
+++ b/adapters/servicehttp/header.go
@@ -5,16 +5,17 @@
 	"slices"
 	"strings"
 
+	"github.com/azurebarrow/azurebarrow/adapters/targetcall"
 	"github.com/azurebarrow/azurebarrow/idempotency"
 	"github.com/azurebarrow/azurebarrow/internal/httpheader"
 )
 
 // withheldFields lists the header fields of a caller that are not forwarded to targets: the API key
-// that identifies the customer to this system, the fields that make net/http retry a request, and
+// that identifies the customer to this system, the request's key under the callers' names for it, and
 // the fields that the transport sets itself.
 var withheldFields = []string{
 	"Authorization", "Idempotency-Key", "X-Idempotency-Key", "Host", "Content-Length", "Expect",
-	RequestKeyHeader,
+	RequestKeyHeader, targetcall.IDHeader,
 }
 
 // isWithheld reports whether a header field of a caller is not forwarded to the target.
@@ -28,7 +29,7 @@
 func endToEndFields(header http.Header) []idempotency.HeaderField {
 	var fields []idempotency.HeaderField
 	for name, values := range httpheader.EndToEnd(header) {
-		if name == "Content-Length" {
+		if name == "Content-Length" || name == targetcall.IDHeader {
 			continue
 		}
 		for _, value := range values {
--- a/adapters/servicehttp/transport_test.go
+++ b/adapters/servicehttp/transport_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -51,25 +52,26 @@
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for range s.answers {
-		if !s.readRequest(reader) {
+		callID, ok := s.readRequest(reader)
+		if !ok {
 			return
 		}
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+callIDHeader+": "+callID+"\r\nContent-Length: 2\r\n\r\nok")
 	}
-	s.readRequest(reader)
+	_, _ = s.readRequest(reader)
 }
 
-func (s *abruptServer) readRequest(reader *bufio.Reader) bool {
+func (s *abruptServer) readRequest(reader *bufio.Reader) (callID string, ok bool) {
 	request, err := http.ReadRequest(reader)
 	if err != nil {
-		return false
+		return "", false
 	}
 	_, _ = io.Copy(io.Discard, request.Body)
 	s.received.Add(1)
 	if request.Header.Get("Idempotency-Key") != "" || request.Header.Get("X-Idempotency-Key") != "" {
 		s.idempotencyHeaders.Add(1)
 	}
-	return true
+	return request.Header.Get(callIDHeader), true
 }
 
 func atMostOnceRequest(method string, body string) service.Request {
@@ -92,6 +94,7 @@
 					for range answers {
 						_, err := transport.Do(t.Context(), target, atMostOnceRequest(method, body))
 						is.NoErr(err)
+						time.Sleep(settleTime)
 					}
 					_, err := transport.Do(t.Context(), target, atMostOnceRequest(method, body))
 					var notSent *service.NotSentError
@@ -105,9 +108,26 @@
 	}
 }
 
-// Shows that the test above can fail: net/http itself retries a request that it considers
-// idempotent.
-func TestTransportRetriesIdempotentRequests(t *testing.T) {
+// Shows that the test above can fail: the transport of net/http retries a request that it considers idempotent.
+func TestRetryOfNetHTTPIsSeen(t *testing.T) {
+	is := is.New(t)
+	server := newAbruptServer(t, 1)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	for range 2 {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.listener.Addr().String()+"/", nil)
+		is.NoErr(err)
+		response, err := transport.RoundTrip(request)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, response.Body)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+	}
+	is.Equal(server.received.Load(), int64(3))
+}
+
+// Requests that may be repeated are so by the caller of the transport alone, which counts them.
+func TestTransportNeverRetriesIdempotentRequest(t *testing.T) {
 	is := is.New(t)
 	server := newAbruptServer(t, 1)
 	transport := New(Options{})
@@ -116,9 +136,10 @@
 	request := service.Request{Method: http.MethodGet, Path: "/"}
 	_, err := transport.Do(t.Context(), target, request)
 	is.NoErr(err)
+	time.Sleep(settleTime)
 	_, err = transport.Do(t.Context(), target, request)
-	is.NoErr(err)
-	is.Equal(server.received.Load(), int64(3))
+	is.True(err != nil)
+	is.Equal(server.received.Load(), int64(2))
 }
 
 func TestRefusedConnectionProvesThatNothingWasSent(t *testing.T) {
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
+	"github.com/azurebarrow/azurebarrow/standin/server"
 )
 
 // RequestKeyHeader is the HTTP header with the request key.
@@ -92,7 +93,10 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	server.NameCall(w, r)
+	s.mux.ServeHTTP(w, r)
+}
 
 // Faults returns the fault switches, for use without HTTP; see Apply.
 func (s *Service) Faults() *fault.Set { return s.faults }
