Take no earlier refusal of an engine for that of the next generation

Cause: a connection to an engine is kept after refusals, and answers named no call. A refusal that came once more after the next generation had been sent was taken for its answer; since a refusal proves that nothing ran, the generation began at a second engine while the first ran it, or its caller was told that it had not run. A late "leaving" also marked the engine as draining, a late "unknown-stream" ended the resumption of a stream, and a late 404 passed for the acknowledgement of a cancellation. Ruled out: events of another stream, which name their request and attempt and are checked.

Change: calls to engines go through package targetcall, as those to services do; a dial error proves as before that nothing was sent. The limit on the wait for an answer's head, 2 s, includes the time to connect.

--- a/adapters/enginehttp/engine.go
+++ b/adapters/enginehttp/engine.go
@@ -9,20 +9,21 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/adapters/targetcall"
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/service"
 )
 
 const (
 	dialTimeout = time.Second
-	// headerTimeout limits the wait for the header of an answer. An engine answers as soon as it
-	// has queued the request, before the first token.
+	// headerTimeout limits the time from the start of a call to the header of its answer. An engine
+	// answers as soon as it has queued the request, before the first token.
 	headerTimeout       = 2 * time.Second
 	cancelTimeout       = 2 * time.Second
 	idleConnsPerTarget  = 64
@@ -51,14 +52,12 @@
 
 // New returns an Engine with its own connection pool.
 func New(options Options) *Engine {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return &Engine{options: options, client: http.Client{Transport: &http.Transport{
-		DialContext:           dialer.DialContext,
-		ResponseHeaderTimeout: headerTimeout,
-		MaxIdleConnsPerHost:   idleConnsPerTarget,
-		IdleConnTimeout:       idleConnTimeout,
-		DisableCompression:    true,
-	}}}
+	return &Engine{options: options, client: http.Client{Transport: targetcall.New(targetcall.Options{
+		DialTimeout:           dialTimeout,
+		HeadTimeout:           headerTimeout,
+		MaxIdleConnsPerTarget: idleConnsPerTarget,
+		IdleTimeout:           idleConnTimeout,
+	})}}
 }
 
 type generateBody struct {
@@ -150,8 +149,8 @@
 // dispatchError distinguishes a request that was not sent, because no connection could be opened,
 // from one that the target may have received.
 func dispatchError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	var notSent *service.NotSentError
+	if errors.As(err, &notSent) {
 		return fmt.Errorf("%w: %w", generation.ErrUnreachable, err)
 	}
 	return fmt.Errorf("%w: %w", generation.ErrStreamBroken, err)
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -11,6 +11,7 @@
 
 	"github.com/azurebarrow/azurebarrow/standin/chain"
 	"github.com/azurebarrow/azurebarrow/standin/fault"
+	"github.com/azurebarrow/azurebarrow/standin/server"
 )
 
 // Engine simulates a model engine. It is an http.Handler; Close ends its goroutine.
@@ -62,7 +63,10 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) { e.mux.ServeHTTP(w, r) }
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	server.NameCall(w, r)
+	e.mux.ServeHTTP(w, r)
+}
 
 // Faults returns the fault switches, for use without HTTP; see Apply.
 func (e *Engine) Faults() *fault.Set { return e.faults }
