Take no earlier answer of an engine for that to the next order or poll

Cause: these calls shared kept connections, and their answers named no call. An answer that came once more after the next call had been sent was taken for its answer: an order that the engine refused as fenced counted as executed, and the reverse; the health or load of an engine, as JSON without the fields of an inventory, counted as the inventory of an engine without known models, which then got requests for any. Ruled out for orders with a body in the answer: the body isn't read, which closes the connection; an answer without a body kept it.

Change: enginecontrol and enginestatus have a client of package targetcall each, in place of one that is passed to them, so that no caller can give them another. Engines that copy no call ID get a connection for each of these calls.

Tests of others: the calls of New and NewPoller in enginecontrol_test, enginestatus_test and two experiments lose that argument.

--- a/adapters/enginecontrol/enginecontrol.go
+++ b/adapters/enginecontrol/enginecontrol.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/adapters/jsonhttp"
+	"github.com/azurebarrow/azurebarrow/adapters/targetcall"
 	"github.com/azurebarrow/azurebarrow/control"
 	"github.com/azurebarrow/azurebarrow/draining"
 )
@@ -20,8 +21,8 @@
 	http *http.Client
 }
 
-// New returns a Client that calls engines through the given HTTP client.
-func New(client *http.Client) *Client { return &Client{http: client} }
+// New returns a Client with its own connection pool.
+func New() *Client { return &Client{http: targetcall.NewClient()} }
 
 // weights identifies a model version, with or without an adapter.
 type weights struct {
@@ -105,7 +106,6 @@
 	if err != nil {
 		return err
 	}
-	request.GetBody = nil // the transport must not retry a command
 	response, err := c.http.Do(request)
 	if err != nil {
 		return err
--- a/adapters/enginecontrol/enginecontrol_test.go
+++ b/adapters/enginecontrol/enginecontrol_test.go
@@ -22,7 +22,7 @@
 	server := httptest.NewServer(standIn)
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
-	client := New(server.Client())
+	client := New()
 	ctx := t.Context()
 
 	command := control.Command{ID: "1", Kind: control.CommandUnload, Weights: control.Weights{Model: "m", Version: "v1"}, Fence: 7}
--- a/adapters/enginestatus/enginestatus.go
+++ b/adapters/enginestatus/enginestatus.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/adapters/jsonhttp"
+	"github.com/azurebarrow/azurebarrow/adapters/targetcall"
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/config"
 	"github.com/azurebarrow/azurebarrow/routing"
@@ -56,9 +57,9 @@
 	inventories   *Inventories
 }
 
-// NewPoller returns a Poller that reports to sink and records the loaded models in inventories.
-func NewPoller(client *http.Client, configuration Configuration, sink Sink, inventories *Inventories) *Poller {
-	return &Poller{client: client, configuration: configuration, sink: sink, inventories: inventories}
+// NewPoller returns a Poller with its own connection pool that reports to sink and records the loaded models in inventories.
+func NewPoller(configuration Configuration, sink Sink, inventories *Inventories) *Poller {
+	return &Poller{client: targetcall.NewClient(), configuration: configuration, sink: sink, inventories: inventories}
 }
 
 // pollLoop is the running poll loop of one target.
--- a/adapters/enginestatus/enginestatus_test.go
+++ b/adapters/enginestatus/enginestatus_test.go
@@ -64,7 +64,7 @@
 	}}
 	recorder := &fakeSink{resync: true}
 	inventories := NewInventories()
-	poller := NewPoller(server.Client(), nil, recorder, inventories)
+	poller := NewPoller(nil, recorder, inventories)
 	position := cachePosition{resync: true}
 	poller.poll(t.Context(), "t", target, &position)
 	is.Equal(recorder.load, routing.LoadReport{Running: 3, Queued: 1, Concurrency: 16, Age: 900 * time.Millisecond})
@@ -104,9 +104,9 @@
 		snapshot.Targets[name] = &v1.Target{Spec: v1.TargetSpec{Type: v1.TargetEngine}}
 	}
 	snapshot.Targets["service"].Spec.Type = v1.TargetService
-	all := NewPoller(nil, fixedTargets{snapshot}, &fakeSink{}, nil)
+	all := NewPoller(fixedTargets{snapshot}, &fakeSink{}, nil)
 	is.Equal(len(all.polledEngines()), 2) // targets of type service are not polled
-	one := NewPoller(nil, fixedTargets{snapshot}, &singleTargetSink{name: "b"}, nil)
+	one := NewPoller(fixedTargets{snapshot}, &singleTargetSink{name: "b"}, nil)
 	is.Equal(len(one.polledEngines()), 1)
 	is.True(one.polledEngines()["b"] != nil)
 }
--- a/adapters/targetcall/transport.go
+++ b/adapters/targetcall/transport.go
@@ -62,6 +62,17 @@
 	}
 }
 
+// Settings of NewClient.
+const (
+	clientDialTimeout = time.Second
+	clientIdleTimeout = 30 * time.Second
+)
+
+// NewClient returns an HTTP client with a Transport of its own, for short calls.
+func NewClient() *http.Client {
+	return &http.Client{Transport: New(Options{DialTimeout: clientDialTimeout, IdleTimeout: clientIdleTimeout})}
+}
+
 // CloseIdleConnections closes the idle connections; http.Client has a method of this name that calls it.
 func (t *Transport) CloseIdleConnections() { t.pool.CloseIdle() }
 
--- a/bench/experiments/control.go
+++ b/bench/experiments/control.go
@@ -247,7 +247,7 @@
 
 func (w *controlWorld) wrongEngines(ctx context.Context) map[string]int {
 	wrong := map[string]int{}
-	engines := enginecontrol.New(benchPeerClient())
+	engines := enginecontrol.New()
 	client := w.client()
 	for _, name := range []string{enforcingDeployment, ignoringDeployment} {
 		present, err := client.Get(ctx, v1.KindDeployment, name)
--- a/bench/experiments/control_holder.go
+++ b/bench/experiments/control_holder.go
@@ -43,7 +43,7 @@
 	h := &holder{
 		name:    holderName(number),
 		store:   w.client(),
-		engines: enginecontrol.New(benchPeerClient()),
+		engines: enginecontrol.New(),
 		caught:  make(chan struct{}, 1),
 		running: make(chan struct{}),
 	}
--- a/controlplane.go
+++ b/controlplane.go
@@ -37,7 +37,7 @@
 		drainingTargets: draining.NewTracker(),
 		weights:         newWeightUse(),
 	}
-	engines := enginecontrol.New(client)
+	engines := enginecontrol.New()
 	watcherOptions := draining.Options{
 		View:    view,
 		Health:  engines,
--- a/routing.go
+++ b/routing.go
@@ -25,7 +25,7 @@
 		EntryPosition:    e.entryPosition,
 		Seed:             rand.Uint64(),
 	})
-	e.engineStatus = enginestatus.NewPoller(peerClient, e.configuration, e.router, inventories)
+	e.engineStatus = enginestatus.NewPoller(e.configuration, e.router, inventories)
 	e.admission = admission.NewController(admission.Options{
 		Customers:   customerLimits{e.configuration},
 		Capacity:    e.router,
