Read the platform's lists item by item, so that an odd one hides no other

Cause: an answer to a list or watch was decoded as a whole, and encoding/json rejects all of it for one value nested deeper than 10,000, for a revision out of range or a name of another type. An entry that started had no configuration and never became ready; one that ran followed no change any more. Ruled out here: that a process ends.

Change: the client splits answers with package rawjson, as platform/answers.go does, and decodes kind, name, UID and revision of each item by itself; values are passed on as text and refused one by one by what decodes them. Items without a readable name or revision, and those of another kind in a list, are left out and reported as configuration-refused, five of an answer at most. Values are copied, so that an object doesn't keep the whole answer. An answer with text behind it, or null, is no list.

Measured: eight of the cases of TestOddEntryLeavesTheOtherTargetsReadable failed before (four deeply nested ones, revision, name and UID, and an item that is no object), with no target known after 5 s; and two cases of TestAnswerThatIsNoListIsAnError. All pass; each odd entry is reported twice, for the list and for the watch.

--- a/adapters/platformhttp/client.go
+++ b/adapters/platformhttp/client.go
@@ -58,15 +58,17 @@
 // Get reads one object. It returns objects.ErrNotFound if there is none.
 func (c *Client) Get(ctx context.Context, kind, name string) (objects.Object, error) {
 	var object objects.Object
-	err := c.read(ctx, objectPath(kind, name), c.timeout, &object)
+	err := c.read(ctx, objectPath(kind, name), c.timeout, func(text []byte) (err error) {
+		object, err = decodeObject(text)
+		return err
+	})
 	return object, err
 }
 
-// List reads all objects of a kind.
+// List reads all objects of a kind. Those whose name or revision can't be read are left out, and reported as Unreadable.
 func (c *Client) List(ctx context.Context, kind string) (objects.List, error) {
-	var list objects.List
-	err := c.read(ctx, "/v1/objects/"+url.PathEscape(kind), c.timeout, &list)
-	return list, err
+	list, err := c.readList(ctx, "/v1/objects/"+url.PathEscape(kind), c.timeout)
+	return keepKind(list, kind), err
 }
 
 // Watch waits, up to wait, until an object of one of the kinds has a revision later than after. An empty list
@@ -77,8 +79,14 @@
 		"after":   {strconv.FormatInt(after, 10)},
 		"timeout": {wait.String()},
 	}
-	var list objects.List
-	err := c.read(ctx, "/v1/watch?"+query.Encode(), wait+watchSlack, &list)
+	return c.readList(ctx, "/v1/watch?"+query.Encode(), wait+watchSlack)
+}
+
+func (c *Client) readList(ctx context.Context, path string, firstByteTimeout time.Duration) (list objects.List, err error) {
+	err = c.read(ctx, path, firstByteTimeout, func(text []byte) (err error) {
+		list, err = decodeList(text)
+		return err
+	})
 	return list, err
 }
 
@@ -87,7 +95,10 @@
 // objects.ErrUnavailable (no effect) or objects.ErrUnknownOutcome.
 func (c *Client) Put(ctx context.Context, kind, name string, expected int64, value []byte) (objects.Object, error) {
 	var object objects.Object
-	err := c.write(ctx, http.MethodPut, kind, name, expected, value, &object)
+	err := c.write(ctx, http.MethodPut, kind, name, expected, value, func(text []byte) (err error) {
+		object, err = decodeObject(text)
+		return err
+	})
 	return object, err
 }
 
@@ -100,10 +111,13 @@
 	return "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
 
-var errSilent = errors.New("the platform was silent")
+var (
+	errSilent         = errors.New("the platform was silent")
+	errAnswerTooLarge = errors.New("the answer is larger than the bound")
+)
 
-// read makes one call and decodes the answer into result. The answer must begin within firstByteTimeout.
-func (c *Client) read(ctx context.Context, path string, firstByteTimeout time.Duration, result any) error {
+// read makes one call and has the answer decoded. The answer must begin within firstByteTimeout.
+func (c *Client) read(ctx context.Context, path string, firstByteTimeout time.Duration, decode func([]byte) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silenceTimer := time.AfterFunc(firstByteTimeout, func() { cancel(errSilent) })
@@ -127,7 +141,7 @@
 		return fmt.Errorf("%w: status %d", objects.ErrUnavailable, response.StatusCode)
 	}
 	body := &activityReader{reader: response.Body, onData: func() { silenceTimer.Reset(c.timeout) }}
-	if err := decode(body, result); err != nil {
+	if err := decodeBody(body, decode); err != nil {
 		return fmt.Errorf("%w: %w", objects.ErrUnavailable, err)
 	}
 	return nil
@@ -148,7 +162,7 @@
 	return n, err
 }
 
-func (c *Client) write(ctx context.Context, method, kind, name string, expected int64, value []byte, result any) error {
+func (c *Client) write(ctx context.Context, method, kind, name string, expected int64, value []byte, decode func([]byte) error) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, c.baseURL+objectPath(kind, name), bytes.NewReader(value))
@@ -179,10 +193,10 @@
 	default:
 		return fmt.Errorf("platform: %s %s/%s: status %d", method, kind, name, response.StatusCode)
 	}
-	if result == nil {
+	if decode == nil {
 		return nil
 	}
-	if err := decode(response.Body, result); err != nil {
+	if err := decodeBody(response.Body, decode); err != nil {
 		return fmt.Errorf("%w: %w", objects.ErrUnknownOutcome, err)
 	}
 	return nil
@@ -200,12 +214,19 @@
 	var present struct {
 		Present int64 `json:"present"`
 	}
-	if err := decode(body, &present); err != nil {
+	if err := decodeBody(body, func(text []byte) error { return json.Unmarshal(text, &present) }); err != nil {
 		return errors.Join(&objects.ConflictError{Kind: kind, Name: name, Expected: expected}, err)
 	}
 	return &objects.ConflictError{Kind: kind, Name: name, Expected: expected, Present: present.Present}
 }
 
-func decode(body io.Reader, result any) error {
-	return json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(result)
+func decodeBody(body io.Reader, decode func([]byte) error) error {
+	text, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes+1))
+	if err != nil {
+		return err
+	}
+	if len(text) > maxAnswerBytes {
+		return errAnswerTooLarge
+	}
+	return decode(text)
 }
--- a/config/watch.go
+++ b/config/watch.go
@@ -165,6 +165,7 @@
 	if err != nil {
 		return err
 	}
+	m.reportUnreadable(list)
 	m.apply(platformSource, []Delta{deltaOf(kind, list)})
 	return nil
 }
@@ -213,6 +214,7 @@
 	if err != nil {
 		return false, err
 	}
+	m.reportUnreadable(list)
 	m.apply(platformSource, deltasOf(v1.Kinds(), list))
 	return len(list.Items) > 0, nil
 }
@@ -227,3 +229,13 @@
 	}
 	return nil
 }
+
+// maxUnreadableReports limits the reports on one answer of the platform.
+const maxUnreadableReports = 5
+
+// reportUnreadable reports the objects that an answer holds and that can't be read.
+func (m *Manager) reportUnreadable(list objects.List) {
+	for _, err := range list.Unreadable[:min(maxUnreadableReports, len(list.Unreadable))] {
+		m.observe(Event{Kind: EventRefused, Source: platformSource, Revision: list.Revision, Err: err})
+	}
+}
