Write no status into a value that is no JSON object

Cause: an object whose value is null decodes without an error into no fields at all; the writer of statuses then assigned to a nil map. The entry that held the lease ended by the panic, the next one took the lease and ended too, for as long as the object was there. Ruled out: values of other types and deep ones, which the decoder refuses.

Change: null counts as no JSON object, like other types.

Measured: TestStatusOfAnOddValueLeavesTheOthersWritten panicked before ("assignment to entry in nil map", in withStatus) and passes.

--- a/control/status.go
+++ b/control/status.go
@@ -237,24 +237,28 @@
 
 // storedStatus returns the status of a stored value. ok is false when the value is not a JSON object.
 func storedStatus(value []byte) (status v1.Status, ok bool) {
-	var envelope struct {
-		Status json.RawMessage `json:"status"`
-	}
-	if json.Unmarshal(value, &envelope) != nil {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(value, &fields) != nil || fields == nil { // nil for null
 		return v1.Status{}, false
 	}
-	if json.Unmarshal(envelope.Status, &status) != nil {
+	if json.Unmarshal(fields["status"], &status) != nil {
 		return v1.Status{}, true // absent or unreadable: it will be written
 	}
 	return status, true
 }
 
+// errNoObject: a stored value is no JSON object, so that it can have no status.
+var errNoObject = errors.New("control: the value is not a JSON object")
+
 // withStatus returns a stored value with its status replaced and every other field unchanged.
 func withStatus(value []byte, status v1.Status) ([]byte, error) {
 	var fields map[string]json.RawMessage
 	if err := json.Unmarshal(value, &fields); err != nil {
 		return nil, err
 	}
+	if fields == nil {
+		return nil, errNoObject
+	}
 	encoded, err := json.Marshal(status)
 	if err != nil {
 		return nil, err
--- a/control/status_test.go
+++ b/control/status_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,3 +137,20 @@
 		is.Equal(resources.store.puts, before) // no write during the backoff after a failed one
 	})
 }
+
+// Guards against one object without a JSON object as its value that ends each entry in turn which writes statuses.
+func TestStatusOfAnOddValueLeavesTheOthersWritten(t *testing.T) {
+	for _, value := range []string{`null`, ``, `[]`, `7`, `"text"`, `{`, strings.Repeat(`{"a":`, 20_000) + `1` + strings.Repeat(`}`, 20_000), `{"status":7}`, `{"status":1e999}`} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			resources, writer := newStatusTest(t)
+			object, err := resources.store.Put(t.Context(), v1.KindModel, "odd", 0, []byte(value))
+			is.NoErr(err)
+			resources.names, resources.specs["odd"] = append(resources.names, "odd"), object.Revision
+			resources.add("m")
+			resources.reported = resources.store.revision
+			writer.Step(t.Context())
+			is.True(resources.status("m").Conditions[1].Status)
+		})
+	}
+}
