Let a lease that can't be read expire

Cause: each reading of a lease whose value another writer had left, deep, of another type or with a number out of range, ended with an error before the lease was compared; no entry took it over, and engines got no orders any more. A duration of years did the same, and a duration out of the range of nanoseconds became an arbitrary one.

Change: such a value counts as that of an unknown holder, which expires as any that isn't renewed; at most ten minutes (leases last 15 s) are believed of another's duration.

Measured: TestOddLeaseExpiresLikeAnother failed before with the first value that is neither an object nor null (the further ones did not run), and passes.

--- a/control/lease.go
+++ b/control/lease.go
@@ -24,6 +24,8 @@
 	KindLease = "Lease"
 	// LeaseDuration is the default duration of a lease, counted from when its last renewal was sent.
 	LeaseDuration = 15 * time.Second
+	// MaxLeaseDuration limits the duration that is believed of another holder: any writer may leave a lease in the store.
+	MaxLeaseDuration = 10 * time.Minute
 	// renewalsPerLease is how many times per duration a holder renews a lease and others read it.
 	renewalsPerLease = 3
 )
@@ -45,6 +47,9 @@
 	DurationMs int64  `json:"durationMs"`
 }
 
+// unknownHolder stands for the holder of a lease that can't be read or hasn't been.
+const unknownHolder = "unknown"
+
 // Token is a fencing token: it increases with every acquisition of a lease, by any holder.
 type Token int64
 
@@ -201,10 +206,9 @@
 		return err
 	}
 	var value leaseValue
-	if err == nil {
-		if err := json.Unmarshal(object.Value, &value); err != nil {
-			return fmt.Errorf("lease %s: %w", l.name, err)
-		}
+	if err == nil && json.Unmarshal(object.Value, &value) != nil {
+		// Another writer may have left anything. It expires like a lease that isn't renewed.
+		value = leaseValue{Holder: unknownHolder}
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -245,7 +249,8 @@
 	if l.seen.value.Holder == "" {
 		return true
 	}
-	duration := max(l.duration, time.Duration(l.seen.value.DurationMs)*time.Millisecond)
+	named := min(max(0, l.seen.value.DurationMs), MaxLeaseDuration.Milliseconds())
+	duration := max(l.duration, time.Duration(named)*time.Millisecond)
 	return time.Since(l.seen.since) > duration
 }
 
@@ -285,7 +290,7 @@
 		l.lostWrite = unansweredWrite{}
 	case errors.As(err, &conflict) && conflict.Present > l.seen.revision:
 		// Another entry wrote the object; its value is unknown, so the lease is assumed to be held.
-		l.seen = observation{revision: conflict.Present, value: leaseValue{Holder: "unknown"}, since: time.Now()}
+		l.seen = observation{revision: conflict.Present, value: leaseValue{Holder: unknownHolder}, since: time.Now()}
 	case errors.Is(err, objects.ErrUnknownOutcome):
 		l.lostWrite = unansweredWrite{nonce: value.Nonce, sentAt: sentAt}
 	}
--- a/control/lease_test.go
+++ b/control/lease_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,3 +85,27 @@
 		is.True(!held)
 	})
 }
+
+// Guards against a lease of another writer that no entry ever takes over: engines would get no orders any more.
+func TestOddLeaseExpiresLikeAnother(t *testing.T) {
+	deep := strings.Repeat(`{"a":`, 20_000) + `1` + strings.Repeat(`}`, 20_000)
+	for _, value := range []string{`null`, `[]`, `7`, `"text"`, ``, `{`, deep, `{"holder":7}`, `{"holder":"x","durationMs":1e999}`,
+		`{"holder":"x","durationMs":99999999999999999999}`, `{"holder":"x","durationMs":9000000000000}`, `{"holder":"x","durationMs":9223372036854775807}`,
+		`{"holder":"x","durationMs":-5}`, `{"holder":"x","durationMs":-9223372036854775000}`} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, store := t.Context(), newFakeStore()
+			_, err := store.Put(ctx, KindLease, "l", 0, []byte(value))
+			is.NoErr(err)
+			lease := NewLease(store, "l", "e1")
+			_ = lease.Step(ctx)
+			if _, held := lease.Held(); held {
+				is.Equal(value, "null") // no holder, as after a release
+			}
+			time.Sleep(MaxLeaseDuration + time.Millisecond)
+			is.NoErr(lease.Step(ctx))
+			_, held := lease.Held()
+			is.True(held)
+		})
+	}
+}
