Refuse targets with a count or an address out of range

Ports, types, negative and overlong numbers were refused already; a concurrency of 2^62 was taken, and overflows where the targets' are added up, and so were the unspecified address, at which an entry reaches itself, and multicast addresses.

Change: a target's concurrency is at most 2^24, as that of platform/targets.go, and its address is that of one host.

--- a/api/v1/validate_resources.go
+++ b/api/v1/validate_resources.go
@@ -8,6 +8,9 @@
 
 var apiKeyHashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 
+// maxTargetConcurrency is far above what a target runs at once, and safe to add up.
+const maxTargetConcurrency = 1 << 24
+
 func (c *checker) checkModel(spec ModelSpec) {
 	c.require(len(spec.Versions) > 0, "spec.versions", "must name at least one version")
 	names := uniqueValues[string]{}
@@ -31,12 +34,16 @@
 		c.addFinding("spec.type", "must be engine or service, is %q", spec.Type)
 	}
 	address, err := netip.ParseAddrPort(spec.Address)
-	ok := err == nil && address.Port() != 0
+	ok := err == nil && address.Port() != 0 && isHost(address.Addr().Unmap())
 	c.require(ok, "spec.address", "must be host:port, the host an IP number, is %q", spec.Address)
 	c.checkName("spec.availabilityZone", spec.AvailabilityZone)
 	c.require(spec.Concurrency >= 0, "spec.concurrency", "must not be negative, is %d", spec.Concurrency)
+	c.require(spec.Concurrency <= maxTargetConcurrency, "spec.concurrency", "must not exceed %d, is %d", maxTargetConcurrency, spec.Concurrency)
 }
 
+// isHost reports whether the address is that of one host. The unspecified address reaches the entry itself.
+func isHost(address netip.Addr) bool { return !address.IsUnspecified() && !address.IsMulticast() }
+
 func (c *checker) checkCustomer(spec CustomerSpec) {
 	c.require(len(spec.APIKeyHashes) > 0, "spec.apiKeyHashes", "must hold at least one hash")
 	hashes := uniqueValues[string]{}
