--- a/adapters/jsonhttp/get.go
+++ b/adapters/jsonhttp/get.go
@@ -24,20 +24,40 @@
 // Get decodes the JSON document at url into the value that into points to. Errors are those of the
 // transport and of the decoder, or a *StatusError.
 func Get(ctx context.Context, client *http.Client, url string, into any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	body, err := open(ctx, client, url)
 	if err != nil {
 		return err
 	}
+	defer body.Close()
+	if err := json.NewDecoder(io.LimitReader(body, MaxAnswerBytes)).Decode(into); err != nil {
+		return fmt.Errorf("%s: %w", url, err)
+	}
+	return nil
+}
+
+// Read returns the text of the document at url, cut at MaxAnswerBytes. Errors are those of the transport, or a *StatusError.
+func Read(ctx context.Context, client *http.Client, url string) ([]byte, error) {
+	body, err := open(ctx, client, url)
+	if err != nil {
+		return nil, err
+	}
+	defer body.Close()
+	return io.ReadAll(io.LimitReader(body, MaxAnswerBytes))
+}
+
+// open returns the body of an answer with status 200.
+func open(ctx context.Context, client *http.Client, url string) (io.ReadCloser, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
 	response, err := client.Do(request)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return &StatusError{URL: url, Status: response.StatusCode}
-	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, MaxAnswerBytes)).Decode(into); err != nil {
-		return fmt.Errorf("%s: %w", url, err)
+		_ = response.Body.Close()
+		return nil, &StatusError{URL: url, Status: response.StatusCode}
 	}
-	return nil
+	return response.Body, nil
 }
