Take no entry object with an address out of range for a peer

Ruled out: that a deep value or a number out of range hides the others (they are decoded one by one). Left as it is: the unspecified address, which a peerAddress may be.

--- a/membership/directory.go
+++ b/membership/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 
 	"github.com/azurebarrow/azurebarrow/objects"
 )
@@ -34,6 +35,12 @@
 	Incarnation      uint64 `json:"incarnation"`
 }
 
+// isAddress reports whether the text is the address and port of a peer. The unspecified address is one on a single host.
+func isAddress(text string) bool {
+	address, err := netip.ParseAddrPort(text)
+	return err == nil && address.Port() != 0 && !address.Addr().IsMulticast()
+}
+
 // List implements Directory. It skips objects that can't be decoded or have no address.
 func (d *ObjectDirectory) List(ctx context.Context) ([]Peer, error) {
 	list, err := d.objects.List(ctx, KindEntry)
@@ -43,7 +50,7 @@
 	peers := make([]Peer, 0, len(list.Items))
 	for _, item := range list.Items {
 		var entry entryObject
-		if json.Unmarshal(item.Value, &entry) != nil || entry.Address == "" {
+		if json.Unmarshal(item.Value, &entry) != nil || !isAddress(entry.Address) {
 			continue
 		}
 		peers = append(peers, Peer{
