Take only the refusals of the protocol as proof that an engine ran nothing

Cause: any answer to a generation other than 200 and 404 counted as a refusal, which proves that nothing ran. So did 500, 502 and 504 of an engine that failed after it had begun, or of a host in front of it, and 503 without a code of the protocol.

Change: 503 with "overloaded" or "leaving", and statuses that say that the request is at fault (4xx but 408), are refusals. After any other answer the attempt may have run: it is cancelled there, its engine is suspected, and a caller who must be given up is told that the outcome is unknown.

--- a/adapters/enginehttp/engine.go
+++ b/adapters/enginehttp/engine.go
@@ -34,8 +34,11 @@
 // errDraining is returned when a target rejects a request because it is draining.
 var errDraining = fmt.Errorf("%w: leaving", generation.ErrRefused)
 
-// codeDraining is the error code of an engine that rejects a request because it is draining.
-const codeDraining = "leaving"
+// Error codes of an engine that rejects a request because it is draining or has too many.
+const (
+	codeDraining   = "leaving"
+	codeOverloaded = "overloaded"
+)
 
 // Options configures an Engine.
 type Options struct {
@@ -156,7 +159,14 @@
 	return fmt.Errorf("%w: %w", generation.ErrStreamBroken, err)
 }
 
-// refusalError returns the typed error for an answer with a status other than 200.
+// isRequestRefused reports whether the status says that the request is at fault, so that nothing ran. A time-out may come from a
+// host in front of the engine.
+func isRequestRefused(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusRequestTimeout
+}
+
+// refusalError returns the typed error for an answer with a status other than 200. Only the refusals of the protocol prove that
+// the engine ran nothing.
 func refusalError(response *http.Response) error {
 	var body struct {
 		Code string `json:"code"`
@@ -169,9 +179,11 @@
 		return generation.ErrNotLoaded
 	case response.StatusCode == http.StatusNotFound:
 		return generation.ErrNoSuchStream
-	case body.Code == codeDraining:
+	case response.StatusCode == http.StatusServiceUnavailable && body.Code == codeDraining:
 		return errDraining
-	default:
+	case response.StatusCode == http.StatusServiceUnavailable && body.Code == codeOverloaded, isRequestRefused(response.StatusCode):
 		return fmt.Errorf("%w: status %d %s", generation.ErrRefused, response.StatusCode, body.Code)
+	default:
+		return fmt.Errorf("%w: status %d %s", generation.ErrStreamBroken, response.StatusCode, body.Code)
 	}
 }
--- a/adapters/enginehttp/lateanswer_test.go
+++ b/adapters/enginehttp/lateanswer_test.go
@@ -143,3 +143,34 @@
 		})
 	}
 }
+
+// Guards against an error of an engine, or of a host in front of it, that is taken for its refusal: the caller was told that a
+// generation had not run, or it ran at a second engine, while the first ran it.
+func TestOnlyRefusalsOfTheProtocolProveThatNothingRan(t *testing.T) {
+	for answer, refused := range map[string]bool{
+		`503 {"code":"overloaded"}`: true,
+		`503 {"code":"leaving"}`:    true,
+		`400 no JSON`:               true,
+		`404 {"code":"not-loaded"}`: false, // an error of its own, which proves the same
+		`503 no JSON`:               false,
+		`503 {"code":"other"}`:      false,
+		`500 {"code":"overloaded"}`: false,
+		`500 {"code":"leaving"}`:    false,
+		`502 bad gateway`:           false,
+		`504 gateway time-out`:      false,
+		`204 `:                      false,
+		`302 `:                      false,
+		`408 {"code":"overloaded"}`: false,
+	} {
+		t.Run(answer, func(t *testing.T) {
+			is := is.New(t)
+			draining := 0
+			target := (&repeatingEngine{refusal: answer, named: true}).start(t)
+			_, err := New(Options{ObserveDraining: func(string) { draining++ }}).Generate(t.Context(), target, generation.StreamRequest{})
+			is.Equal(errors.Is(err, generation.ErrRefused), refused)
+			is.Equal(errors.Is(err, generation.ErrNotLoaded), strings.HasPrefix(answer, "404"))
+			is.True(refused || errors.Is(err, generation.ErrNotLoaded) || errors.Is(err, generation.ErrStreamBroken))
+			is.Equal(draining == 1, answer == `503 {"code":"leaving"}`)
+		})
+	}
+}
