Report no load of an engine that is out of range

Change: numbers of streams are 0 to 2^24 and ages not negative, else the report is ignored as a failed poll is.

--- a/adapters/enginestatus/enginestatus.go
+++ b/adapters/enginestatus/enginestatus.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -181,16 +183,42 @@
 	Concurrency int   `json:"concurrency"`
 }
 
+const (
+	// maxStreams is far above what an engine runs or queues at once, and safe to add up.
+	maxStreams = 1 << 24
+	// maxLoadAge stands for all greater ages, which an engine may give for a load that it never measured.
+	maxLoadAge = 24 * time.Hour
+)
+
+// errLoadOutOfRange: no engine has such a load.
+var errLoadOutOfRange = errors.New("load out of range")
+
+// check returns an error for a load that no engine has.
+func (a loadAnswer) check() error {
+	for _, streams := range []int{a.Running, a.Queued, a.Concurrency} {
+		if streams < 0 || streams > maxStreams {
+			return fmt.Errorf("%w: %d streams", errLoadOutOfRange, streams)
+		}
+	}
+	if a.AgeMs < 0 {
+		return fmt.Errorf("%w: age %d ms", errLoadOutOfRange, a.AgeMs)
+	}
+	return nil
+}
+
 func (p *Poller) pollLoad(ctx context.Context, name, address string) error {
 	var answer loadAnswer
 	if err := jsonhttp.Get(ctx, p.client, "http://"+address+"/v1/load", &answer); err != nil {
 		return err
 	}
+	if err := answer.check(); err != nil {
+		return err
+	}
 	p.sink.ReportLoad(name, routing.LoadReport{
 		Running:     answer.Running,
 		Queued:      answer.Queued,
 		Concurrency: answer.Concurrency,
-		Age:         time.Duration(answer.AgeMs) * time.Millisecond,
+		Age:         time.Duration(min(answer.AgeMs, maxLoadAge.Milliseconds())) * time.Millisecond,
 	})
 	return nil
 }
