Believe no time out of range at which an engine leaves

Change: a time below 0 or above a year counts as unknown, and the engine as leaving all the same, as in the VM list.

--- a/adapters/enginecontrol/enginecontrol.go
+++ b/adapters/enginecontrol/enginecontrol.go
@@ -86,10 +86,21 @@
 	return draining.Health{
 		Incarnation:  answer.Incarnation,
 		Draining:     answer.Leaving,
-		TerminatesIn: time.Duration(answer.LeaveAtMs) * time.Millisecond,
+		TerminatesIn: terminatesIn(answer.LeaveAtMs),
 	}, nil
 }
 
+// maxTerminatesIn limits the times that are believed; it is far above any notice of an engine.
+const maxTerminatesIn = 365 * 24 * time.Hour
+
+// terminatesIn returns the time that an engine has left; 0, which is unknown, for one out of range.
+func terminatesIn(milliseconds int64) time.Duration {
+	if milliseconds < 0 || milliseconds > maxTerminatesIn.Milliseconds() {
+		return 0
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
 // Send implements control.Engines.
 func (c *Client) Send(ctx context.Context, address string, command control.Command) error {
 	body, err := json.Marshal(commandBody{
