List the way to targets of package targetcall

With it a comment of the loads' test says only what the test shows.

Measured: TestEveryWayToATargetIsGuardedAgainstRequestsThatCrashIt failed and passes; the check itself is unchanged.

--- a/adapters/enginestatus/range_test.go
+++ b/adapters/enginestatus/range_test.go
@@ -12,8 +12,7 @@
 	"github.com/azurebarrow/azurebarrow/routing"
 )
 
-// Guards against a load out of range: a concurrency of 2^62 made an engine look free for ever, and a negative number of streams
-// hid the real ones.
+// Guards against a load out of range, which the router adds up and compares with others.
 func TestLoadOutOfRangeIsNotReported(t *testing.T) {
 	for _, load := range []string{
 		`{"ageMs":0,"running":0,"queued":0,"concurrency":4611686018427387904}`,
--- a/internal/targetcalls_test.go
+++ b/internal/targetcalls_test.go
@@ -31,6 +31,7 @@
 	{"generation/start.go openStream Engine.Generate", "TestPoisonRequestKillsAtMostThreeTargets", "", "native interface: its engines ask for no pause"},
 	{"generation/produceractions.go attach Engine.Attach", "", "reads a run that the target still has; nothing is run", "native interface: its engines ask for no pause"},
 	{"generation/relaycopy.go sendCopyCommand engine.CopyKVCache", "", "copies the cache of a run in progress; nothing is run", "behind paths.Do"},
+	{"adapters/targetcall/transport.go RoundTrip pool.Do", "", "behind Transport.Do, Engine.Generate and Engine.Attach; else a cancellation, an order or a poll, which run no request", "native interface: behind them"},
 	{"adapters/passthrough/targets.go Open paths.Do", "", "behind Engine.Open", "behind paths.Do"},
 	{"adapters/passthrough/targets.go Send paths.Do", "", "behind Sender.Send", "behind paths.Do"},
 	{"adapters/passthrough/targets.go callEngine paths.Do", "", "behind CopyKVCache and FreeCopy: the engine's management interface", "behind paths.Do"},
