--- a/adapters/enginecontrol/enginecontrol.go
+++ b/adapters/enginecontrol/enginecontrol.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/adapters/jsonhttp"
+	"github.com/azurebarrow/azurebarrow/adapters/targetcall"
 	"github.com/azurebarrow/azurebarrow/control"
 	"github.com/azurebarrow/azurebarrow/draining"
 )
@@ -20,8 +21,8 @@
 	http *http.Client
 }
 
-// New returns a Client that calls engines through the given HTTP client.
-func New(client *http.Client) *Client { return &Client{http: client} }
+// New returns a Client with its own connection pool.
+func New() *Client { return &Client{http: targetcall.NewClient()} }
 
 // weights identifies a model version, with or without an adapter.
 type weights struct {
@@ -85,10 +86,21 @@
 	return draining.Health{
 		Incarnation:  answer.Incarnation,
 		Draining:     answer.Leaving,
-		TerminatesIn: time.Duration(answer.LeaveAtMs) * time.Millisecond,
+		TerminatesIn: terminatesIn(answer.LeaveAtMs),
 	}, nil
 }
 
+// maxTerminatesIn limits the times that are believed; it is far above any notice of an engine.
+const maxTerminatesIn = 365 * 24 * time.Hour
+
+// terminatesIn returns the time that an engine has left; 0, which is unknown, for one out of range.
+func terminatesIn(milliseconds int64) time.Duration {
+	if milliseconds < 0 || milliseconds > maxTerminatesIn.Milliseconds() {
+		return 0
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
 // Send implements control.Engines.
 func (c *Client) Send(ctx context.Context, address string, command control.Command) error {
 	body, err := json.Marshal(commandBody{
@@ -105,7 +117,6 @@
 	if err != nil {
 		return err
 	}
-	request.GetBody = nil // the transport must not retry a command
 	response, err := c.http.Do(request)
 	if err != nil {
 		return err
--- a/adapters/enginehttp/engine.go
+++ b/adapters/enginehttp/engine.go
@@ -9,20 +9,21 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/adapters/targetcall"
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/service"
 )
 
 const (
 	dialTimeout = time.Second
-	// headerTimeout limits the wait for the header of an answer. An engine answers as soon as it
-	// has queued the request, before the first token.
+	// headerTimeout limits the time from the start of a call to the header of its answer. An engine
+	// answers as soon as it has queued the request, before the first token.
 	headerTimeout       = 2 * time.Second
 	cancelTimeout       = 2 * time.Second
 	idleConnsPerTarget  = 64
@@ -33,8 +34,11 @@
 // errDraining is returned when a target rejects a request because it is draining.
 var errDraining = fmt.Errorf("%w: leaving", generation.ErrRefused)
 
-// codeDraining is the error code of an engine that rejects a request because it is draining.
-const codeDraining = "leaving"
+// Error codes of an engine that rejects a request because it is draining or has too many.
+const (
+	codeDraining   = "leaving"
+	codeOverloaded = "overloaded"
+)
 
 // Options configures an Engine.
 type Options struct {
@@ -51,14 +55,12 @@
 
 // New returns an Engine with its own connection pool.
 func New(options Options) *Engine {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return &Engine{options: options, client: http.Client{Transport: &http.Transport{
-		DialContext:           dialer.DialContext,
-		ResponseHeaderTimeout: headerTimeout,
-		MaxIdleConnsPerHost:   idleConnsPerTarget,
-		IdleConnTimeout:       idleConnTimeout,
-		DisableCompression:    true,
-	}}}
+	return &Engine{options: options, client: http.Client{Transport: targetcall.New(targetcall.Options{
+		DialTimeout:           dialTimeout,
+		HeadTimeout:           headerTimeout,
+		MaxIdleConnsPerTarget: idleConnsPerTarget,
+		IdleTimeout:           idleConnTimeout,
+	})}}
 }
 
 type generateBody struct {
@@ -150,14 +152,21 @@
 // dispatchError distinguishes a request that was not sent, because no connection could be opened,
 // from one that the target may have received.
 func dispatchError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	var notSent *service.NotSentError
+	if errors.As(err, &notSent) {
 		return fmt.Errorf("%w: %w", generation.ErrUnreachable, err)
 	}
 	return fmt.Errorf("%w: %w", generation.ErrStreamBroken, err)
 }
 
-// refusalError returns the typed error for an answer with a status other than 200.
+// isRequestRefused reports whether the status says that the request is at fault, so that nothing ran. A time-out may come from a
+// host in front of the engine.
+func isRequestRefused(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusRequestTimeout
+}
+
+// refusalError returns the typed error for an answer with a status other than 200. Only the refusals of the protocol prove that
+// the engine ran nothing.
 func refusalError(response *http.Response) error {
 	var body struct {
 		Code string `json:"code"`
@@ -170,9 +179,11 @@
 		return generation.ErrNotLoaded
 	case response.StatusCode == http.StatusNotFound:
 		return generation.ErrNoSuchStream
-	case body.Code == codeDraining:
+	case response.StatusCode == http.StatusServiceUnavailable && body.Code == codeDraining:
 		return errDraining
-	default:
+	case response.StatusCode == http.StatusServiceUnavailable && body.Code == codeOverloaded, isRequestRefused(response.StatusCode):
 		return fmt.Errorf("%w: status %d %s", generation.ErrRefused, response.StatusCode, body.Code)
+	default:
+		return fmt.Errorf("%w: status %d %s", generation.ErrStreamBroken, response.StatusCode, body.Code)
 	}
 }
--- a/adapters/enginestatus/enginestatus.go
+++ b/adapters/enginestatus/enginestatus.go
@@ -4,11 +4,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/adapters/jsonhttp"
+	"github.com/azurebarrow/azurebarrow/adapters/targetcall"
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/config"
 	"github.com/azurebarrow/azurebarrow/routing"
@@ -56,9 +59,9 @@
 	inventories   *Inventories
 }
 
-// NewPoller returns a Poller that reports to sink and records the loaded models in inventories.
-func NewPoller(client *http.Client, configuration Configuration, sink Sink, inventories *Inventories) *Poller {
-	return &Poller{client: client, configuration: configuration, sink: sink, inventories: inventories}
+// NewPoller returns a Poller with its own connection pool that reports to sink and records the loaded models in inventories.
+func NewPoller(configuration Configuration, sink Sink, inventories *Inventories) *Poller {
+	return &Poller{client: targetcall.NewClient(), configuration: configuration, sink: sink, inventories: inventories}
 }
 
 // pollLoop is the running poll loop of one target.
@@ -180,16 +183,42 @@
 	Concurrency int   `json:"concurrency"`
 }
 
+const (
+	// maxStreams is far above what an engine runs or queues at once, and safe to add up.
+	maxStreams = 1 << 24
+	// maxLoadAge stands for all greater ages, which an engine may give for a load that it never measured.
+	maxLoadAge = 24 * time.Hour
+)
+
+// errLoadOutOfRange: no engine has such a load.
+var errLoadOutOfRange = errors.New("load out of range")
+
+// check returns an error for a load that no engine has.
+func (a loadAnswer) check() error {
+	for _, streams := range []int{a.Running, a.Queued, a.Concurrency} {
+		if streams < 0 || streams > maxStreams {
+			return fmt.Errorf("%w: %d streams", errLoadOutOfRange, streams)
+		}
+	}
+	if a.AgeMs < 0 {
+		return fmt.Errorf("%w: age %d ms", errLoadOutOfRange, a.AgeMs)
+	}
+	return nil
+}
+
 func (p *Poller) pollLoad(ctx context.Context, name, address string) error {
 	var answer loadAnswer
 	if err := jsonhttp.Get(ctx, p.client, "http://"+address+"/v1/load", &answer); err != nil {
 		return err
 	}
+	if err := answer.check(); err != nil {
+		return err
+	}
 	p.sink.ReportLoad(name, routing.LoadReport{
 		Running:     answer.Running,
 		Queued:      answer.Queued,
 		Concurrency: answer.Concurrency,
-		Age:         time.Duration(answer.AgeMs) * time.Millisecond,
+		Age:         time.Duration(min(answer.AgeMs, maxLoadAge.Milliseconds())) * time.Millisecond,
 	})
 	return nil
 }
