Known red: a native entry without links to targets serves nobody, and charges engines with crashes

Change: Options.DialTarget opens a native entry's connections to targets, those of its polls of engines included, as entry.Options has it for the passthrough interface; builds with the tag "linkfault" set it too. bench/cluster passes it on for entries in the test's process, and package linkfault's links can be made without a file. No behaviour changes without it.

--- a/adapters/enginehttp/engine.go
+++ b/adapters/enginehttp/engine.go
@@ -41,6 +41,8 @@
 	// ObserveDraining is called with the name of each target that rejects a request because it is
 	// draining. It may be nil.
 	ObserveDraining func(target string)
+	// Dial opens the connections to targets; nil dials them from this host.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Engine implements generation.Engine.
@@ -51,9 +53,16 @@
 
 // New returns an Engine with its own connection pool.
 func New(options Options) *Engine {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	if options.Dial == nil {
+		options.Dial = new(net.Dialer).DialContext
+	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return options.Dial(ctx, network, address)
+	}
 	return &Engine{options: options, client: http.Client{Transport: &http.Transport{
-		DialContext:           dialer.DialContext,
+		DialContext:           dial,
 		ResponseHeaderTimeout: headerTimeout,
 		MaxIdleConnsPerHost:   idleConnsPerTarget,
 		IdleConnTimeout:       idleConnTimeout,
--- a/adapters/servicehttp/transport.go
+++ b/adapters/servicehttp/transport.go
@@ -33,6 +33,8 @@
 type Options struct {
 	// DialTimeout limits the time to connect to a target.
 	DialTimeout time.Duration
+	// Dial opens the connections to targets; nil dials them from this host.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// IdleTimeout is how long an idle connection is kept; it should be shorter than the targets'
 	// own idle timeout.
 	IdleTimeout time.Duration
@@ -74,10 +76,15 @@
 }
 
 func newClient(options Options) *http.Transport {
-	dialer := &net.Dialer{Timeout: options.DialTimeout}
+	dial := options.Dial
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			ctx, cancel := context.WithTimeout(ctx, options.DialTimeout)
+			defer cancel()
+			conn, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/azurebarrow.go
+++ b/azurebarrow.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,8 @@
 	// DrainNotice is how long a draining entry reports not-ready before it stops accepting
 	// connections, so that the load balancer notices in time.
 	DrainNotice time.Duration
+	// DialTarget opens the connections to targets; nil dials them from this host.
+	DialTarget func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Entry is one entry with the native interface.
@@ -90,11 +93,11 @@
 // build creates the components in the order of their dependencies.
 func (e *Entry) build() {
 	platform := platformhttp.New(e.settings.Platform.URL, platformhttp.Options{})
-	peerClient := newPeerClient()
+	peerClient, engineClient := newClient(nil), newClient(e.options.DialTarget)
 	e.buildMembership(platform)
 	e.configuration = e.newConfiguration(platform, e.members, peerClient)
-	e.control = e.newControlPlane(platform, e.members, peerClient)
-	e.buildRouting(peerClient)
+	e.control = e.newControlPlane(platform, e.members, peerClient, engineClient)
+	e.buildRouting(peerClient, engineClient)
 	e.buildGenerations(e.members, peerClient, e.control.guardChooser(e.router))
 	e.buildObjectives(e.members, peerClient)
 	e.services = e.newServicePlane(e.members)
--- a/bench/cluster/inprocess.go
+++ b/bench/cluster/inprocess.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"os"
 
 	"github.com/azurebarrow/azurebarrow"
@@ -28,7 +29,13 @@
 	logger := logrus.New()
 	logger.SetOutput(log)
 	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true})
-	node, err := azurebarrow.New(e.settings, azurebarrow.Options{Log: logger, DrainNotice: e.cluster.options.DrainNotice})
+	options := azurebarrow.Options{Log: logger, DrainNotice: e.cluster.options.DrainNotice}
+	if dial := e.cluster.options.DialTarget; dial != nil {
+		options.DialTarget = func(ctx context.Context, network, address string) (net.Conn, error) {
+			return dial(ctx, e.Name, network, address)
+		}
+	}
+	node, err := azurebarrow.New(e.settings, options)
 	if err != nil {
 		log.Close()
 		return nil, err
--- a/bench/cluster/options.go
+++ b/bench/cluster/options.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"context"
+	"net"
 	"slices"
 	"time"
 
@@ -68,6 +70,8 @@
 	Direct bool
 	// DrainNotice is how long a draining entry reports not ready before it stops accepting connections.
 	DrainNotice time.Duration
+	// DialTarget opens the connections to targets of an entry that runs in this process; nil dials them from this host.
+	DialTarget func(ctx context.Context, entry, network, address string) (net.Conn, error)
 }
 
 // DefaultRoutes returns the routes of the default service, one of each class.
--- a/cmd/azurebarrow/commands.go
+++ b/cmd/azurebarrow/commands.go
@@ -77,7 +77,7 @@
 	invariant.SetReporter(func(v *invariant.Violation) {
 		log.WithFields(logrus.Fields{"entry": loaded.Name, "invariant": v.Invariant, "detail": v.Detail}).Error("invariant violated")
 	})
-	nativeEntry, err := azurebarrow.New(loaded, azurebarrow.Options{Log: log, DrainNotice: c.DrainNotice})
+	nativeEntry, err := azurebarrow.New(loaded, azurebarrow.Options{Log: log, DrainNotice: c.DrainNotice, DialTarget: dialTarget})
 	if err != nil {
 		return err
 	}
--- a/controlplane.go
+++ b/controlplane.go
@@ -31,13 +31,13 @@
 	weights         *weightUse
 }
 
-func (e *Entry) newControlPlane(platform *platformhttp.Client, view membership.View, client *http.Client) *controlPlane {
+func (e *Entry) newControlPlane(platform *platformhttp.Client, view membership.View, client, engineClient *http.Client) *controlPlane {
 	c := &controlPlane{
 		configuration:   e.configuration,
 		drainingTargets: draining.NewTracker(),
 		weights:         newWeightUse(),
 	}
-	engines := enginecontrol.New(client)
+	engines := enginecontrol.New(engineClient)
 	watcherOptions := draining.Options{
 		View:    view,
 		Health:  engines,
--- a/recovery.go
+++ b/recovery.go
@@ -35,7 +35,7 @@
 	}
 	e.generations = generation.NewManager(generation.Options{
 		EntryName:     e.settings.Name,
-		Engine:        enginehttp.New(enginehttp.Options{ObserveDraining: e.control.watcher.ObserveRefusal}),
+		Engine:        enginehttp.New(enginehttp.Options{ObserveDraining: e.control.watcher.ObserveRefusal, Dial: e.options.DialTarget}),
 		Chooser:       chooser,
 		Journal:       e.recovery.journal,
 		Peers:         peers,
--- a/routing.go
+++ b/routing.go
@@ -15,7 +15,7 @@
 
 // buildRouting creates the router that chooses targets, the poller of engine status that it uses, and
 // the admission controller.
-func (e *Entry) buildRouting(peerClient *http.Client) {
+func (e *Entry) buildRouting(peerClient, engineClient *http.Client) {
 	inventories := enginestatus.NewInventories()
 	e.router = routing.NewRouter(routing.Options{
 		Configuration:    e.configuration,
@@ -25,7 +25,7 @@
 		EntryPosition:    e.entryPosition,
 		Seed:             rand.Uint64(),
 	})
-	e.engineStatus = enginestatus.NewPoller(peerClient, e.configuration, e.router, inventories)
+	e.engineStatus = enginestatus.NewPoller(engineClient, e.configuration, e.router, inventories)
 	e.admission = admission.NewController(admission.Options{
 		Customers:   customerLimits{e.configuration},
 		Capacity:    e.router,
--- a/serviceplane.go
+++ b/serviceplane.go
@@ -49,7 +49,7 @@
 // newServicePlane creates the ledger, the executor of service calls and their handler.
 func (e *Entry) newServicePlane(view membership.View) *servicePlane {
 	s := &servicePlane{
-		transport: servicehttp.New(servicehttp.Options{}),
+		transport: servicehttp.New(servicehttp.Options{Dial: e.options.DialTarget}),
 		budget:    writelimit.NewLimiter(ledgerWriteRate, ledgerWriteBurst),
 		view:      view,
 	}
--- a/standin/linkfault/linkfault.go
+++ b/standin/linkfault/linkfault.go
@@ -59,12 +59,19 @@
 	if file == "" {
 		return nil
 	}
-	l := &Links{file: file, conns: map[*conn]struct{}{}, sound: make(chan struct{})}
-	close(l.sound)
+	l := New()
+	l.file = file
 	go l.poll()
 	return l
 }
 
+// New returns sound links.
+func New() *Links {
+	l := &Links{conns: map[*conn]struct{}{}, sound: make(chan struct{})}
+	close(l.sound)
+	return l
+}
+
 func (l *Links) poll() {
 	for {
 		time.Sleep(pollInterval)
@@ -72,15 +79,15 @@
 		if err != nil {
 			continue // not written yet
 		}
-		if mode := Mode(strings.TrimSpace(string(text))); l.apply(mode) {
+		if mode := Mode(strings.TrimSpace(string(text))); l.Apply(mode) {
 			const ownerOnly = 0o600
 			_ = os.WriteFile(l.file+ConfirmedSuffix, []byte(mode), ownerOnly) // without it, the cut counts as not made
 		}
 	}
 }
 
-// apply puts a mode into force and reports whether it is another one.
-func (l *Links) apply(mode Mode) bool {
+// Apply puts a mode into force and reports whether it is another one.
+func (l *Links) Apply(mode Mode) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if mode == l.mode {
