--- a/adapters/enginehttp/engine.go
+++ b/adapters/enginehttp/engine.go
@@ -15,14 +15,16 @@
 	"strconv"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/adapters/targetcall"
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/service"
 )
 
 const (
 	dialTimeout = time.Second
-	// headerTimeout limits the wait for the header of an answer. An engine answers as soon as it
-	// has queued the request, before the first token.
+	// headerTimeout limits the time from the start of a call to the header of its answer. An engine
+	// answers as soon as it has queued the request, before the first token.
 	headerTimeout       = 2 * time.Second
 	cancelTimeout       = 2 * time.Second
 	idleConnsPerTarget  = 64
@@ -53,21 +55,13 @@
 
 // New returns an Engine with its own connection pool.
 func New(options Options) *Engine {
-	if options.Dial == nil {
-		options.Dial = new(net.Dialer).DialContext
-	}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-		defer cancel()
-		return options.Dial(ctx, network, address)
-	}
-	return &Engine{options: options, client: http.Client{Transport: &http.Transport{
-		DialContext:           dial,
-		ResponseHeaderTimeout: headerTimeout,
-		MaxIdleConnsPerHost:   idleConnsPerTarget,
-		IdleConnTimeout:       idleConnTimeout,
-		DisableCompression:    true,
-	}}}
+	return &Engine{options: options, client: http.Client{Transport: targetcall.New(targetcall.Options{
+		DialTimeout:           dialTimeout,
+		HeadTimeout:           headerTimeout,
+		MaxIdleConnsPerTarget: idleConnsPerTarget,
+		IdleTimeout:           idleConnTimeout,
+		Dial:                  options.Dial,
+	})}}
 }
 
 type generateBody struct {
@@ -159,8 +153,8 @@
 // dispatchError distinguishes a request that was not sent, because no connection could be opened,
 // from one that the target may have received.
 func dispatchError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	var notSent *service.NotSentError
+	if errors.As(err, &notSent) {
 		return fmt.Errorf("%w: %w", generation.ErrUnreachable, err)
 	}
 	return fmt.Errorf("%w: %w", generation.ErrStreamBroken, err)
