Send through peers where a native entry has lost its links, and judge no crash by them

Cause: a native entry's own link was its only path to a target, for calls, generations, resumptions and cancels; and a stream or call that broke with the link was recorded as a crash of its target.

Change: targetcall.Options.Send replaces the connections of the transport; servicehttp and enginehttp pass it on. targetLinks (root) sends by detour.Router and adapters/peerexchange, as passthrough.Paths does; nothing of detour's logic is repeated. A request changes paths only while nothing of it was sent; a peer that dies with it leaves it unknown. Peers are told apart by the field of the outcome: a build that serves no exchanges answers 404 without it, which counts as refused. A draining entry takes no further requests of peers and waits for those in progress. entry/crashprobe.go becomes package crashprobe; both interfaces record a crash only if the target accepts no connection, or peers say so: generation.Options.IsDown, line death-not-charged. A target that accepts connections again when it is probed, 10 ms after the break, no longer counts as crashed in the native interface either, as in the passthrough interface. Kept connections over a link that hangs take requests and stay silent: 100 ms without the head of an answer lead to a check of the links, at most one a second.

linkfault: a read of a connection that hangs ends at its deadline or with the connection.

Tests of others: internal/targetcalls_test.go lists the three new ways, behind those that are guarded; crashprobe_test.go moved with its code; detour/fleet_test.go counts questions.

--- a/entry/crashprobe_test.go
+++ b/adapters/crashprobe/crashprobe_test.go
@@ -1,4 +1,4 @@
-package entry
+package crashprobe
 
 import (
 	"net"
@@ -40,8 +40,8 @@
 	target := health.CrashedTarget{ID: "t", Address: listener.Addr().String()}
 	is.NoErr(listener.Close())
 	pool := targethttp.NewPool(targethttp.Options{})
-	is.True((&crashProber{pool: pool, router: newLoneRouter(soundLinks{})}).isDown(target))
-	is.True(!(&crashProber{pool: pool, router: newLoneRouter(lostLinks{})}).isDown(target))
+	is.True(New(pool, newLoneRouter(soundLinks{})).IsDown(target))
+	is.True(!New(pool, newLoneRouter(lostLinks{})).IsDown(target))
 }
 
 // Guards against a crash that is excused because a host in front of the target still accepts connections.
@@ -62,11 +62,11 @@
 			}
 		}
 	}()
-	prober := &crashProber{pool: targethttp.NewPool(targethttp.Options{}), router: newLoneRouter(soundLinks{})}
+	prober := New(targethttp.NewPool(targethttp.Options{}), newLoneRouter(soundLinks{}))
 	target := health.CrashedTarget{ID: "t", Address: listener.Addr().String()}
-	is.True(prober.isDown(target))
+	is.True(prober.IsDown(target))
 	closing <- false
-	is.True(!prober.isDown(target))
+	is.True(!prober.IsDown(target))
 	is.NoErr(listener.Close())
-	is.True(prober.isDown(target))
+	is.True(prober.IsDown(target))
 }
--- a/adapters/enginehttp/engine.go
+++ b/adapters/enginehttp/engine.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -43,8 +42,8 @@
 	// ObserveDraining is called with the name of each target that rejects a request because it is
 	// draining. It may be nil.
 	ObserveDraining func(target string)
-	// Dial opens the connections to targets; nil dials them from this host.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Send sends requests to targets; nil sends them over connections of the adapter's own.
+	Send targetcall.Send
 }
 
 // Engine implements generation.Engine.
@@ -60,7 +59,7 @@
 		HeadTimeout:           headerTimeout,
 		MaxIdleConnsPerTarget: idleConnsPerTarget,
 		IdleTimeout:           idleConnTimeout,
-		Dial:                  options.Dial,
+		Send:                  options.Send,
 	})}}
 }
 
--- a/adapters/passthrough/paths.go
+++ b/adapters/passthrough/paths.go
@@ -104,7 +104,7 @@
 		answer, sendErr = p.observed(target, func() (*targethttp.Answer, error) {
 			return p.peers.Do(ctx, *peer, target, time.Until(deadline), request)
 		})
-		return peerResult(sendErr)
+		return peerexchange.ResultOf(sendErr)
 	})
 	if err != nil {
 		return nil, &service.NotSentError{Cause: err}
@@ -120,11 +120,3 @@
 	}
 	return detour.Result{Outcome: detour.Sent}
 }
-
-func peerResult(err error) detour.Result {
-	var notSent *peerexchange.NotSentError
-	if errors.As(err, &notSent) {
-		return notSent.Result
-	}
-	return detour.Result{Outcome: detour.Sent, PeerFailed: peerexchange.IsPeerFailure(err)}
-}
--- a/adapters/peerexchange/client.go
+++ b/adapters/peerexchange/client.go
@@ -68,6 +68,15 @@
 // IsPeerFailure reports whether an error of Do tells of the peer and not of the target.
 func IsPeerFailure(err error) bool { return errors.Is(err, errPeerBroke) }
 
+// ResultOf returns the result of a try that ended with an error of Do, or with none.
+func ResultOf(err error) detour.Result {
+	var notSent *NotSentError
+	if errors.As(err, &notSent) {
+		return notSent.Result
+	}
+	return detour.Result{Outcome: detour.Sent, PeerFailed: IsPeerFailure(err)}
+}
+
 // hideConnectionLoss keeps the end of a peer's connection from being taken for that of a target's.
 func hideConnectionLoss(err error) error { return errors.New(err.Error()) }
 
--- a/adapters/servicehttp/transport.go
+++ b/adapters/servicehttp/transport.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -25,8 +24,8 @@
 type Options struct {
 	// DialTimeout limits the time to connect to a target.
 	DialTimeout time.Duration
-	// Dial opens the connections to targets; nil dials them from this host.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Send sends requests to targets; nil sends them over connections of the adapter's own.
+	Send targetcall.Send
 	// IdleTimeout is how long an idle connection is kept; it should be shorter than the targets'
 	// own idle timeout.
 	IdleTimeout time.Duration
@@ -68,7 +67,7 @@
 		DialTimeout:           options.DialTimeout,
 		IdleTimeout:           options.IdleTimeout,
 		MaxIdleConnsPerTarget: options.MaxIdleConnsPerTarget,
-		Dial:                  options.Dial,
+		Send:                  options.Send,
 	})}
 }
 
--- a/adapters/targetcall/transport.go
+++ b/adapters/targetcall/transport.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -31,10 +30,14 @@
 	IdleTimeout time.Duration
 	// MaxIdleConnsPerTarget is the maximum number of idle connections kept to a target.
 	MaxIdleConnsPerTarget int
-	// Dial opens the connections to targets; nil dials them from this host.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Send sends a request to the target at an address once, as targethttp.Pool.Do does; nil sends over connections of the
+	// Transport's own, to which alone the other options but HeadTimeout apply.
+	Send Send
 }
 
+// Send sends a request to the target at an address. An error that wraps *service.NotSentError proves that nothing was sent.
+type Send func(ctx context.Context, address string, request *targethttp.Request) (*targethttp.Answer, error)
+
 // Transport implements http.RoundTripper. It sends each call once. An error that wraps *service.NotSentError proves that nothing
 // was sent; after any other error the target may have run the call.
 type Transport struct {
@@ -54,16 +57,21 @@
 	if options.IdleTimeout == 0 {
 		options.IdleTimeout = targethttp.DefaultIdleTimeout
 	}
-	return &Transport{
+	t := &Transport{
 		options: options,
 		pool: targethttp.NewPool(targethttp.Options{
 			DialTimeout:           options.DialTimeout,
 			IdleTimeout:           options.IdleTimeout,
 			MaxIdleConnsPerTarget: options.MaxIdleConnsPerTarget,
-			Dial:                  options.Dial,
 		}),
 		idPrefix: rand.Text() + "-",
 	}
+	if t.options.Send == nil {
+		t.options.Send = func(ctx context.Context, address string, request *targethttp.Request) (*targethttp.Answer, error) {
+			return t.pool.Do(ctx, address, address, request)
+		}
+	}
+	return t
 }
 
 // CloseIdleConnections closes the idle connections; http.Client has a method of this name that calls it.
@@ -85,7 +93,7 @@
 		timer := time.AfterFunc(t.options.HeadTimeout, func() { cancel(errHeadTimeout) })
 		defer timer.Stop()
 	}
-	answer, err := t.pool.Do(ctx, request.URL.Host, request.URL.Host, outgoing)
+	answer, err := t.options.Send(ctx, request.URL.Host, outgoing)
 	if err != nil {
 		if errors.Is(context.Cause(ctx), errHeadTimeout) {
 			err = fmt.Errorf("%w: %w", errHeadTimeout, err)
--- a/azurebarrow.go
+++ b/azurebarrow.go
@@ -62,6 +62,7 @@
 	recovery      recovery
 	control       *controlPlane
 	services      *servicePlane
+	links         *targetLinks
 	objectives    *slo.Recorder
 	reports       *slo.Collector
 	servers       servers
@@ -98,6 +99,7 @@
 	e.configuration = e.newConfiguration(platform, e.members, peerClient)
 	e.control = e.newControlPlane(platform, e.members, peerClient, engineClient)
 	e.buildRouting(peerClient, engineClient)
+	e.links = e.newTargetLinks()
 	e.buildGenerations(e.members, peerClient, e.control.guardChooser(e.router))
 	e.buildObjectives(e.members, peerClient)
 	e.services = e.newServicePlane(e.members)
@@ -128,6 +130,7 @@
 	e.control.mount(mux)
 	e.services.mount(mux)
 	e.recovery.mount(mux, e.generations)
+	e.links.mount(mux)
 }
 
 // Run serves until ctx ends, then shuts down gracefully: it waits without a time limit until every
@@ -142,6 +145,7 @@
 	e.addActor(&group, e.admission.Run)
 	e.control.addActors(e, &group)
 	e.services.addActors(e, &group)
+	e.links.addActors(e, &group)
 	e.addDrain(ctx, &group)
 	e.log.WithFields(logrus.Fields{"caller_address": e.settings.CallerAddress, "availability_zone": e.settings.AvailabilityZone}).Info("entry started")
 	err := group.Run()
@@ -181,7 +185,9 @@
 		return err
 	}
 	e.generations.Close()
-	return e.services.drain()
+	err := e.services.drain()
+	e.links.drain()
+	return err
 }
 
 func (e *Entry) logEvent(event string, fields ...generation.Field) {
--- a/detour/fleet_test.go
+++ b/detour/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,6 +50,8 @@
 	down   map[string]bool
 	// arrivals counts the requests that reached targets, by request.
 	arrivals map[string]int
+	// questions counts what entries asked peers.
+	questions atomic.Int64
 }
 
 type fleetEntry struct {
@@ -201,6 +204,7 @@
 
 // ask implements Options.Ask.
 func (f *fleet) ask(ctx context.Context, peer membership.Peer, target Target, _ time.Duration) Result {
+	f.questions.Add(1)
 	e, refuses := f.reach(ctx, peer)
 	if refuses {
 		return Result{Outcome: Refused}
@@ -523,3 +527,40 @@
 		is.True(all.share() >= 0.9)
 	})
 }
+
+// maxQuestionRate is the number of questions a second that an entry without links may ask its peers: some 400 bytes a
+// question and its answer, of the 5 KB/s for control.
+const maxQuestionRate = 8
+
+// Guards against questions to peers that grow with the fleet.
+func TestQuestionsOfACutEntryDoNotGrowWithTheFleet(t *testing.T) {
+	for _, size := range []int{30, 76, 195, 300} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				f := newFleet(ctx, size)
+				cut := size / 3
+				for _, e := range f.entries[:cut] {
+					e.sever(cutHangs, allTargets()...)
+				}
+				const lasts = 4 * time.Second
+				f.play("onset", cut, lasts, allTargets())
+				onset := f.questions.Swap(0)
+				atCut, _ := f.play("cut", cut, lasts, allTargets())
+				rate := func(questions int64) float64 { return float64(questions) / float64(cut) / lasts.Seconds() }
+				most := 0
+				for _, e := range f.entries {
+					most = max(most, e.most)
+				}
+				cancel()
+				time.Sleep(time.Second)
+				t.Logf("%.1f questions a second at each cut entry in the first 4 s, then %.1f; at most %d requests at a time at a helper; %+v",
+					rate(onset), rate(f.questions.Load()), most, atCut)
+				is.True(rate(f.questions.Load()) <= maxQuestionRate)
+				is.True(atCut.share() >= minShare)
+			})
+		})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/oklog/run"
 
+	"github.com/azurebarrow/azurebarrow/adapters/crashprobe"
 	"github.com/azurebarrow/azurebarrow/adapters/metrics"
 	"github.com/azurebarrow/azurebarrow/adapters/passthrough"
 	"github.com/azurebarrow/azurebarrow/adapters/peerexchange"
@@ -192,7 +193,7 @@
 // buildCallerHandler creates the components that serve callers and returns their handler.
 func (e *Entry) buildCallerHandler() http.Handler {
 	e.buildPaths()
-	e.crashRecords.isDown = (&crashProber{pool: e.pool, router: e.router}).isDown
+	e.crashRecords.isDown = crashprobe.New(e.pool, e.router).IsDown
 	targets := passthrough.NewTargets(e.pool, e.paths, e.directory, e.limits, e.log)
 	limits := e.settings.Passthrough
 	e.retries = admission.NewSharedRetryBudget(admission.SharedRetryLimits{
--- a/generation/crashrecords.go
+++ b/generation/crashrecords.go
@@ -150,11 +150,15 @@
 	reported := make(chan struct{})
 	m.background.Go(func() {
 		defer close(reported)
+		if m.options.IsDown != nil && !m.options.IsDown(target) {
+			p.log("death-not-charged", Field{"target", target}, Field{"fingerprint", p.fingerprint})
+			return
+		}
+		p.log("death-charged", Field{"target", target}, Field{"fingerprint", p.fingerprint})
 		ctx, cancel := context.WithTimeout(m.ctx, crashReportTimeout)
 		defer cancel()
 		m.options.CrashRecords.RecordCrash(ctx, p.fingerprint, target)
 	})
-	p.log("death-charged", Field{"target", target}, Field{"fingerprint", p.fingerprint})
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
--- a/generation/manager.go
+++ b/generation/manager.go
@@ -42,6 +42,9 @@
 	Peers Peers
 	// CrashRecords records the crashes of targets against fingerprints; nil records them in this entry only.
 	CrashRecords CrashRecords
+	// IsDown reports whether a target whose stream broke has crashed, which this entry's own link can't tell; nil takes it
+	// for crashed.
+	IsDown func(target string) bool
 	// Target returns a target by name, nil if there is none. It is needed to attach to a stream after a
 	// takeover.
 	Target func(name string) *v1.Target
--- a/internal/targetcalls_test.go
+++ b/internal/targetcalls_test.go
@@ -36,6 +36,9 @@
 	{"adapters/passthrough/targets.go callEngine paths.Do", "", "behind CopyKVCache and FreeCopy: the engine's management interface", "behind paths.Do"},
 	{"adapters/passthrough/paths.go SendDirectly pool.Do", "", "behind paths.Do, or a request that the peer which asks has judged behind its own", "asks TakePause"},
 	{"adapters/passthrough/paths.go Do peers.Do", "", "behind paths.Do, through a peer", "asks TakePause before it, and the peer asks its own"},
+	{"adapters/targetcall/transport.go New pool.Do", "", "behind Transport.Do, Engine.Generate and Engine.Attach", "native interface, as these"},
+	{"targetlinks.go sendDirectly pool.Do", "", "behind these three, or a request that the peer which asks has judged behind its own", "native interface, as these"},
+	{"targetlinks.go send peers.Do", "", "behind these three, through a peer", "native interface, as these"},
 	{"adapters/peerexchange/client.go Do pool.Do", "", "behind peers.Do: a connection to the peer", "behind peers.Do"},
 	{"adapters/peerexchange/client.go Probe pool.Do", "", "asks a peer to connect to a target; nothing is run", "a connection without a request"},
 }
--- a/metrics.go
+++ b/metrics.go
@@ -12,6 +12,7 @@
 	m.AddGauge("targets_leaving", func() float64 { return float64(len(e.control.drainingTargets.DrainingTargets())) })
 	e.registerGenerationMetrics()
 	e.registerJournalMetrics()
+	e.registerLinkMetrics()
 }
 
 func (e *Entry) registerGenerationMetrics() {
--- a/recovery.go
+++ b/recovery.go
@@ -35,11 +35,12 @@
 	}
 	e.generations = generation.NewManager(generation.Options{
 		EntryName:     e.settings.Name,
-		Engine:        enginehttp.New(enginehttp.Options{ObserveDraining: e.control.watcher.ObserveRefusal, Dial: e.options.DialTarget}),
+		Engine:        enginehttp.New(enginehttp.Options{ObserveDraining: e.control.watcher.ObserveRefusal, Send: e.links.send}),
 		Chooser:       chooser,
 		Journal:       e.recovery.journal,
 		Peers:         peers,
 		CrashRecords:  e.recovery.crashRecords,
+		IsDown:        e.isEngineDown,
 		Target:        e.targetByName,
 		DrainDeadline: e.control.drainingTargets.Deadline,
 		RetryWindow:   e.settings.Limits.RetryWindow,
--- a/serviceplane.go
+++ b/serviceplane.go
@@ -49,7 +49,7 @@
 // newServicePlane creates the ledger, the executor of service calls and their handler.
 func (e *Entry) newServicePlane(view membership.View) *servicePlane {
 	s := &servicePlane{
-		transport: servicehttp.New(servicehttp.Options{Dial: e.options.DialTarget}),
+		transport: servicehttp.New(servicehttp.Options{Send: e.links.send}),
 		budget:    writelimit.NewLimiter(ledgerWriteRate, ledgerWriteBurst),
 		view:      view,
 	}
@@ -68,7 +68,7 @@
 		Transport: s.transport,
 		Directory: serviceDirectory{e},
 
-		CrashRecords: journalpeer.NewCallCrashRecords(e.recovery.crashRecords),
+		CrashRecords: callCrashes{journalpeer.NewCallCrashRecords(e.recovery.crashRecords), e.links},
 
 		Entries: func() int { return len(view.Live()) },
 		Seed:    e.incarnation,
--- a/standin/linkfault/linkfault.go
+++ b/standin/linkfault/linkfault.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -124,7 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{TCPConn: opened.(*net.TCPConn), links: l}
+	c := &conn{TCPConn: opened.(*net.TCPConn), links: l, closed: make(chan struct{}), deadlineSet: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
@@ -136,8 +138,16 @@
 	*net.TCPConn
 	links *Links
 
+	closeOnce sync.Once
+	closed    chan struct{}
+	// held are bytes that arrived while the link hung. Only the goroutine that reads uses it.
+	held []byte
+
 	mu       sync.Mutex
 	wasReset bool
+	// readDeadline limits Read also while the link hangs; deadlineSet is closed when it changes.
+	readDeadline time.Time
+	deadlineSet  chan struct{}
 }
 
 func (c *conn) reset() {
@@ -148,11 +158,59 @@
 	_ = c.TCPConn.Close()
 }
 
-func (c *conn) await() {
+// sound returns the channel that is closed while the links don't hang.
+func (c *conn) sound() <-chan struct{} {
 	c.links.mu.Lock()
-	sound := c.links.sound
-	c.links.mu.Unlock()
-	<-sound
+	defer c.links.mu.Unlock()
+	return c.links.sound
+}
+
+// hangs reports whether the links hang.
+func (c *conn) hangs() bool {
+	select {
+	case <-c.sound():
+		return false
+	default:
+		return true
+	}
+}
+
+// awaitRead waits while the links hang, as a read of a silent connection does: until its deadline, or the end of the
+// connection.
+func (c *conn) awaitRead() error {
+	for {
+		c.mu.Lock()
+		deadline, changed := c.readDeadline, c.deadlineSet
+		c.mu.Unlock()
+		var expired <-chan time.Time
+		if !deadline.IsZero() {
+			expired = time.After(time.Until(deadline))
+		}
+		select {
+		case <-c.sound():
+			return nil
+		case <-c.closed:
+			return net.ErrClosed
+		case <-expired:
+			return os.ErrDeadlineExceeded
+		case <-changed:
+		}
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	c.readDeadline = deadline
+	close(c.deadlineSet)
+	c.deadlineSet = make(chan struct{})
+	c.mu.Unlock()
+	return c.TCPConn.SetReadDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(deadline time.Time) error {
+	return errors.Join(c.SetReadDeadline(deadline), c.SetWriteDeadline(deadline))
 }
 
 // resetOr returns the error of a connection that was reset, or err.
@@ -167,22 +225,40 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(buffer []byte) (int, error) {
-	n, err := c.TCPConn.Read(buffer)
-	if n > 0 {
-		c.await()
+	for {
+		if c.hangs() {
+			if err := c.awaitRead(); err != nil {
+				return 0, c.resetOr(err)
+			}
+		}
+		if len(c.held) > 0 {
+			n := copy(buffer, c.held)
+			c.held = c.held[n:]
+			return n, nil
+		}
+		n, err := c.TCPConn.Read(buffer)
+		if n > 0 && c.hangs() {
+			c.held = slices.Clone(buffer[:n])
+			continue
+		}
+		return n, c.resetOr(err)
 	}
-	return n, c.resetOr(err)
 }
 
 // Write implements net.Conn.
 func (c *conn) Write(content []byte) (int, error) {
-	c.await()
+	select {
+	case <-c.sound():
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
 	n, err := c.TCPConn.Write(content)
 	return n, c.resetOr(err)
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
 	c.links.mu.Lock()
 	delete(c.links.conns, c)
 	c.links.mu.Unlock()
