--- a/adapters/enginecontrol/enginecontrol.go
+++ b/adapters/enginecontrol/enginecontrol.go
@@ -21,8 +21,8 @@
 	http *http.Client
 }
 
-// New returns a Client with its own connection pool.
-func New() *Client { return &Client{http: targetcall.NewClient()} }
+// New returns a Client with its own connection pool, whose connections dial opens; nil dials from this host.
+func New(dial targetcall.Dial) *Client { return &Client{http: targetcall.NewClient(dial)} }
 
 // weights identifies a model version, with or without an adapter.
 type weights struct {
--- a/adapters/enginecontrol/lateanswer_test.go
+++ b/adapters/enginecontrol/lateanswer_test.go
@@ -56,7 +56,7 @@
 		t.Run(fmt.Sprintf("named=%v", named), func(t *testing.T) {
 			is := is.New(t)
 			address := startEngine(t, &server.Repeating{}, named)
-			client := New()
+			client := New(nil)
 			command := control.Command{ID: "1", Kind: control.CommandLoad, Weights: control.Weights{Model: "m", Version: "v1"}}
 			for _, step := range []struct {
 				fence  control.Token
@@ -89,7 +89,7 @@
 			is := is.New(t)
 			target := &server.Repeating{Sound: true}
 			address := startEngine(t, target, named)
-			client := New()
+			client := New(nil)
 			for range 3 {
 				_, err := client.Inventory(t.Context(), address)
 				is.NoErr(err)
--- a/adapters/enginecontrol/range_test.go
+++ b/adapters/enginecontrol/range_test.go
@@ -20,7 +20,7 @@
 				_, _ = fmt.Fprintf(w, `{"incarnation":"1","leaving":true,"leaveAtMs":%s}`, leaveAt)
 			}))
 			defer server.Close()
-			health, err := New().Health(t.Context(), server.Listener.Addr().String())
+			health, err := New(nil).Health(t.Context(), server.Listener.Addr().String())
 			is.NoErr(err)
 			is.Equal(health, draining.Health{Incarnation: "1", Draining: true})
 		})
--- a/adapters/enginehttp/engine.go
+++ b/adapters/enginehttp/engine.go
@@ -45,6 +45,8 @@
 	// ObserveDraining is called with the name of each target that rejects a request because it is
 	// draining. It may be nil.
 	ObserveDraining func(target string)
+	// Send sends requests to targets; nil sends them over connections of the adapter's own.
+	Send targetcall.Send
 }
 
 // Engine implements generation.Engine.
@@ -60,6 +62,7 @@
 		HeadTimeout:           headerTimeout,
 		MaxIdleConnsPerTarget: idleConnsPerTarget,
 		IdleTimeout:           idleConnTimeout,
+		Send:                  options.Send,
 	})}}
 }
 
--- a/adapters/enginestatus/enginestatus.go
+++ b/adapters/enginestatus/enginestatus.go
@@ -59,9 +59,10 @@
 	inventories   *Inventories
 }
 
-// NewPoller returns a Poller with its own connection pool that reports to sink and records the loaded models in inventories.
-func NewPoller(configuration Configuration, sink Sink, inventories *Inventories) *Poller {
-	return &Poller{client: targetcall.NewClient(), configuration: configuration, sink: sink, inventories: inventories}
+// NewPoller returns a Poller that reports to sink and records the loaded models in inventories. Its own connection pool opens
+// connections by dial; nil dials from this host.
+func NewPoller(dial targetcall.Dial, configuration Configuration, sink Sink, inventories *Inventories) *Poller {
+	return &Poller{client: targetcall.NewClient(dial), configuration: configuration, sink: sink, inventories: inventories}
 }
 
 // pollLoop is the running poll loop of one target.
--- a/adapters/enginestatus/lateanswer_test.go
+++ b/adapters/enginestatus/lateanswer_test.go
@@ -38,7 +38,7 @@
 			defer listener.Close()
 			go target.Serve(listener)
 			recorder, inventories := &fakeSink{}, NewInventories()
-			poller := NewPoller(nil, recorder, inventories)
+			poller := NewPoller(nil, nil, recorder, inventories)
 			engine := &v1.Target{Spec: v1.TargetSpec{Address: listener.Addr().String()}}
 			for range 3 {
 				poller.poll(t.Context(), "t", engine, &cachePosition{})
--- a/adapters/enginestatus/range_test.go
+++ b/adapters/enginestatus/range_test.go
@@ -28,7 +28,7 @@
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, load) }))
 			defer server.Close()
 			recorder := &fakeSink{}
-			poller := NewPoller(nil, recorder, NewInventories())
+			poller := NewPoller(nil, nil, recorder, NewInventories())
 			poller.poll(t.Context(), "t", &v1.Target{Spec: v1.TargetSpec{Address: server.Listener.Addr().String()}}, &cachePosition{})
 			is.Equal(recorder.load, routing.LoadReport{})
 		})
@@ -43,7 +43,7 @@
 	}))
 	defer server.Close()
 	recorder := &fakeSink{}
-	poller := NewPoller(nil, recorder, NewInventories())
+	poller := NewPoller(nil, nil, recorder, NewInventories())
 	poller.poll(t.Context(), "t", &v1.Target{Spec: v1.TargetSpec{Address: server.Listener.Addr().String()}}, &cachePosition{})
 	is.Equal(recorder.load, routing.LoadReport{Running: 3, Concurrency: 16, Age: maxLoadAge})
 }
--- a/adapters/servicehttp/transport.go
+++ b/adapters/servicehttp/transport.go
@@ -24,6 +24,8 @@
 type Options struct {
 	// DialTimeout limits the time to connect to a target.
 	DialTimeout time.Duration
+	// Send sends requests to targets; nil sends them over connections of the adapter's own.
+	Send targetcall.Send
 	// IdleTimeout is how long an idle connection is kept; it should be shorter than the targets'
 	// own idle timeout.
 	IdleTimeout time.Duration
@@ -65,6 +67,7 @@
 		DialTimeout:           options.DialTimeout,
 		IdleTimeout:           options.IdleTimeout,
 		MaxIdleConnsPerTarget: options.MaxIdleConnsPerTarget,
+		Send:                  options.Send,
 	})}
 }
 
--- a/azurebarrow.go
+++ b/azurebarrow.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,8 @@
 	// DrainNotice is how long a draining entry reports not-ready before it stops accepting
 	// connections, so that the load balancer notices in time.
 	DrainNotice time.Duration
+	// DialTarget opens the connections to targets; nil dials them from this host.
+	DialTarget func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Entry is one entry with the native interface.
@@ -59,6 +62,7 @@
 	recovery      recovery
 	control       *controlPlane
 	services      *servicePlane
+	links         *targetLinks
 	objectives    *slo.Recorder
 	reports       *slo.Collector
 	servers       servers
@@ -90,11 +94,12 @@
 // build creates the components in the order of their dependencies.
 func (e *Entry) build() {
 	platform := platformhttp.New(e.settings.Platform.URL, platformhttp.Options{})
-	peerClient := newPeerClient()
+	peerClient := newClient(nil)
 	e.buildMembership(platform)
 	e.configuration = e.newConfiguration(platform, e.members, peerClient)
 	e.control = e.newControlPlane(platform, e.members, peerClient)
 	e.buildRouting(peerClient)
+	e.links = e.newTargetLinks()
 	e.buildGenerations(e.members, peerClient, e.control.guardChooser(e.router))
 	e.buildObjectives(e.members, peerClient)
 	e.services = e.newServicePlane(e.members)
@@ -125,6 +130,7 @@
 	e.control.mount(mux)
 	e.services.mount(mux)
 	e.recovery.mount(mux, e.generations)
+	e.links.mount(mux)
 }
 
 // Run serves until ctx ends, then shuts down gracefully: it waits without a time limit until every
@@ -139,6 +145,7 @@
 	e.addActor(&group, e.admission.Run)
 	e.control.addActors(e, &group)
 	e.services.addActors(e, &group)
+	e.links.addActors(e, &group)
 	e.addDrain(ctx, &group)
 	e.log.WithFields(logrus.Fields{"caller_address": e.settings.CallerAddress, "availability_zone": e.settings.AvailabilityZone}).Info("entry started")
 	err := group.Run()
@@ -178,7 +185,9 @@
 		return err
 	}
 	e.generations.Close()
-	return e.services.drain()
+	err := e.services.drain()
+	e.links.drain()
+	return err
 }
 
 func (e *Entry) logEvent(event string, fields ...generation.Field) {
--- a/controlplane.go
+++ b/controlplane.go
@@ -37,7 +37,7 @@
 		drainingTargets: draining.NewTracker(),
 		weights:         newWeightUse(),
 	}
-	engines := enginecontrol.New()
+	engines := enginecontrol.New(e.options.DialTarget)
 	watcherOptions := draining.Options{
 		View:    view,
 		Health:  engines,
