End the dials of probes with the probe, and bound idle connections of probes

Cause: the transport of probes had no dial timeout.

Change: dials end after the timeout of a probe; at most 16 connections stay idle.

--- a/adapters/peertwirp/peermembership/client.go
+++ b/adapters/peertwirp/peermembership/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -15,11 +16,20 @@
 // the same peer follows only minutes later.
 const idleConnectionTimeout = 5 * time.Second
 
+// maxIdleConnections limits the idle connections to all peers. The two successors on the ring, which are
+// probed once a second each among two other probes, keep theirs.
+const maxIdleConnections = 16
+
 // NewTransport returns an HTTP transport for probes, which are short and sent to many peers.
 func NewTransport() *http.Transport {
+	// A dial goes on after its request has been canceled, and without a timeout for as long as the kernel sends
+	// SYNs: two minutes to a peer that drops them.
+	dialer := net.Dialer{Timeout: membership.DefaultProbeTimeout}
 	return &http.Transport{
+		DialContext:         dialer.DialContext,
 		DisableCompression:  true,
 		IdleConnTimeout:     idleConnectionTimeout,
+		MaxIdleConns:        maxIdleConnections,
 		MaxIdleConnsPerHost: 1,
 	}
 }
--- a/bench/experiments/membership.go
+++ b/bench/experiments/membership.go
@@ -157,9 +157,9 @@
 
 func (f *memberFleet) startNode(i int, listener net.Listener, seeds []membership.Peer, seed uint64) {
 	transport := peermembership.NewTransport()
-	dialer := &net.Dialer{}
+	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		connection, err := dialer.DialContext(ctx, network, address)
+		connection, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
