--- a/adapters/passthrough/events.go
+++ b/adapters/passthrough/events.go
@@ -16,8 +16,8 @@
 	// errTruncatedEvent: the body ended inside an event. It does not wrap io.EOF, which means a complete
 	// stream.
 	errTruncatedEvent = errors.New("the stream ended inside an event")
-	// errNoEvent: the body holds a line that no event has.
-	errNoEvent = errors.New("the body is not a stream of events")
+	// errNotAnEvent: the body holds a line that no event has.
+	errNotAnEvent = errors.New("a line is neither a field nor a comment of an event")
 )
 
 // retryField is the time after which a caller reconnects. It is no part of an event.
@@ -70,7 +70,7 @@
 		case len(line) == 0 || isField && (name == "" || name == retryField):
 			continue
 		case !isField && !defect.Enabled(defect.ErrorPassedOn):
-			return generation.RelayEvent{}, errNoEvent
+			return generation.RelayEvent{}, errNotAnEvent
 		}
 		event.Comment = false
 		if id, ok := eventID(line); ok {
--- a/adapters/passthrough/events_test.go
+++ b/adapters/passthrough/events_test.go
@@ -61,7 +61,7 @@
 			is := is.New(t)
 			for _, reader := range []io.Reader{strings.NewReader(whole + text), iotest.OneByteReader(strings.NewReader(whole + text))} {
 				ids, passed, err := scanAll(reader)
-				is.True(errors.Is(err, errNoEvent))
+				is.True(errors.Is(err, errNotAnEvent))
 				is.True(!errors.Is(err, io.EOF))
 				is.Equal(ids, []int64{1})
 				is.Equal(string(passed), whole)
--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -106,7 +106,7 @@
 	}
 	switch verdict {
 	case platform.Succeeded:
-		if begun, ok := attempt.Begun.(*answer); ok && !continues(begun, received) {
+		if begun, ok := attempt.BegunHead.(*answer); ok && !canContinue(begun, received) {
 			received.Abort()
 			return nil, &generation.RelayTargetError{Status: received.Status}
 		}
@@ -130,9 +130,9 @@
 	return nil, errUnsigned
 }
 
-// continues reports whether an answer can be the rest of one that the caller has in part: it has the same status, and content of
+// canContinue reports whether an answer can be the rest of one that the caller has in part: it has the same status, and content of
 // the same type.
-func continues(begun *answer, received *targethttp.Answer) bool {
+func canContinue(begun *answer, received *targethttp.Answer) bool {
 	if defect.Enabled(defect.ErrorPassedOn) {
 		return true
 	}
--- a/adapters/peerexchange/client.go
+++ b/adapters/peerexchange/client.go
@@ -25,7 +25,7 @@
 
 // NewClient returns a Client of the entry with the name self.
 func NewClient(self string, isLost func() bool) *Client {
-	return &Client{pool: targethttp.NewPool(targethttp.Options{DialTimeout: peerDialTimeout, AcceptUnnamed: true}), self: self, isLost: isLost}
+	return &Client{pool: targethttp.NewPool(targethttp.Options{DialTimeout: peerDialTimeout, AcceptAnswersWithoutID: true}), self: self, isLost: isLost}
 }
 
 // peerDialTimeout limits the connection to a peer.
--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -78,7 +78,7 @@
 // *service.NotSentError proves that nothing was sent; after any other error the target may have run the
 // request. The end of ctx closes the connection, also while the body is read.
 func (p *Pool) Do(ctx context.Context, key, address string, request *Request) (*Answer, error) {
-	c, err := p.getConn(ctx, key, address, func(c *conn) bool { return p.options.AcceptUnnamed || c.mayCarry(request) })
+	c, err := p.getConn(ctx, key, address, func(c *conn) bool { return p.options.AcceptAnswersWithoutID || c.mayCarry(request) })
 	if err != nil {
 		return nil, &service.NotSentError{Cause: err}
 	}
@@ -132,7 +132,7 @@
 	for foreign, unnamed := 0, false; ; {
 		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method})
 		if err != nil && unnamed {
-			return nil, errAnswerMismatch // a connection that ends after an answer is no sign of a crash
+			return nil, errAnswerMismatch // the target answered, if without an ID, so the end of its connection is no crash
 		}
 		if err != nil {
 			return nil, err
@@ -141,13 +141,13 @@
 			continue
 		}
 		id := response.Header.Get(request.IDHeader)
-		if id == request.ID || id == "" && (!e.conn.used || e.pool.options.AcceptUnnamed || defect.Enabled(defect.SecondAnswerBelieved)) {
+		if id == request.ID || id == "" && (!e.conn.carriedAnswer || e.pool.options.AcceptAnswersWithoutID || defect.Enabled(defect.SecondAnswerBelieved)) {
 			e.conn.limiter.unlimit()
 			if unnamed {
 				_ = e.conn.SetReadDeadline(time.Time{})
 			}
 			e.response = response
-			e.reusable = foreign == 0 && !response.Close && request.ID != "" && request.Method != http.MethodHead && (id != "" || e.pool.options.AcceptUnnamed) &&
+			e.reusable = foreign == 0 && !response.Close && request.ID != "" && request.Method != http.MethodHead && (id != "" || e.pool.options.AcceptAnswersWithoutID) &&
 				e.conn.recordAnswer(request.ID, response.StatusCode)
 			e.idleFor = idleTimeout(response.Header, e.idleFor)
 			return &Answer{
--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -26,9 +26,9 @@
 	IdleTimeout time.Duration
 	// MaxIdleConnsPerTarget is the maximum number of idle connections per target.
 	MaxIdleConnsPerTarget int
-	// AcceptUnnamed accepts answers without an ID on kept connections too: for other entries, which write each answer once
+	// AcceptAnswersWithoutID accepts answers without an ID on kept connections too: for other entries, which write each answer once
 	// and name no request in answers of their own.
-	AcceptUnnamed bool
+	AcceptAnswersWithoutID bool
 	// Dial opens a TCP connection to an address; nil dials it from this host.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -85,12 +85,12 @@
 	limiter *readLimiter
 	// expires is the time after which the idle connection is not used any more.
 	expires time.Time
-	// used reports that the connection has carried an answer: a second one to the same request may follow at any time.
-	used bool
-	// failed are the hashes of the IDs of requests that were answered without success here: callers choose the IDs, of up to tens
+	// carriedAnswer reports that the connection has carried an answer: a second one to the same request may follow at any time.
+	carriedAnswer bool
+	// failedIDs are the hashes of the IDs of requests that were answered without success here: callers choose the IDs, of up to tens
 	// of kilobytes. A further attempt of such a request needs another connection, on which no second answer to the first
 	// one can arrive.
-	failed map[uint64]struct{}
+	failedIDs map[uint64]struct{}
 }
 
 var idHashSeed = maphash.MakeSeed()
@@ -102,22 +102,22 @@
 
 // recordAnswer records the answer to a request. It reports whether the connection may carry further requests.
 func (c *conn) recordAnswer(id string, status int) bool {
-	c.used = true
+	c.carriedAnswer = true
 	if status < http.StatusMultipleChoices {
 		return true
 	}
-	if c.failed == nil {
-		c.failed = map[uint64]struct{}{}
+	if c.failedIDs == nil {
+		c.failedIDs = map[uint64]struct{}{}
 	}
-	c.failed[idHash(id)] = struct{}{}
-	return len(c.failed) < maxFailedPerConn
+	c.failedIDs[idHash(id)] = struct{}{}
+	return len(c.failedIDs) < maxFailedPerConn
 }
 
 // mayCarry reports whether no second answer to an earlier request can be taken for that to the request; an empty ID tells it
 // from no other, and a second answer with a body can't be skipped while an answer to HEAD, without one, is expected.
 func (c *conn) mayCarry(request *Request) bool {
-	_, failed := c.failed[idHash(request.ID)]
-	return !failed && (!c.used || request.ID != "" && request.Method != http.MethodHead)
+	_, failed := c.failedIDs[idHash(request.ID)]
+	return !failed && (!c.carriedAnswer || request.ID != "" && request.Method != http.MethodHead)
 }
 
 // readBufferBytes is enough for a few events of a stream.
@@ -190,10 +190,10 @@
 	return nil
 }
 
-// getConn returns an idle connection that suits, or a new one. The key identifies the target's incarnation.
-func (p *Pool) getConn(ctx context.Context, key, address string, suits func(*conn) bool) (*conn, error) {
+// getConn returns a suitable idle connection, or a new one. The key identifies the target's incarnation.
+func (p *Pool) getConn(ctx context.Context, key, address string, isSuitable func(*conn) bool) (*conn, error) {
 	for {
-		c := p.takeIdle(key, suits)
+		c := p.takeIdle(key, isSuitable)
 		if c == nil {
 			return p.dial(ctx, key, address)
 		}
@@ -204,13 +204,13 @@
 	}
 }
 
-// takeIdle returns the idle connection that was used last, among those that suit; nil if there is none.
-func (p *Pool) takeIdle(key string, suits func(*conn) bool) *conn {
+// takeIdle returns the idle connection that was used last, among those that are suitable; nil if there is none.
+func (p *Pool) takeIdle(key string, isSuitable func(*conn) bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[key]
 	for i, c := range slices.Backward(conns) {
-		if !suits(c) {
+		if !isSuitable(c) {
 			continue
 		}
 		conns = slices.Delete(conns, i, i+1)
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -92,8 +92,8 @@
 	// headSent is true once the caller has the head of the answer, which is head.
 	headSent bool
 	head     any
-	// unnumbered is true while the last event that the caller has bears no ID: a target can't continue after it.
-	unnumbered bool
+	// lastWithoutID is true while the last event that the caller has bears no ID: a target can't continue after it.
+	lastWithoutID bool
 	// attempts counts all attempts; attemptsRun those that a target may have run, except those
 	// whose target was lost.
 	attempts, attemptsRun int
@@ -222,7 +222,7 @@
 }
 
 // resumable reports whether another target can continue the stream where it is now.
-func (run *relayRun) resumable() bool { return run.request.Resumable && !run.unnumbered }
+func (run *relayRun) resumable() bool { return run.request.Resumable && !run.lastWithoutID }
 
 // awaitConnectivity has a stream that its caller has in part wait while the entry's own connectivity is lost:
 // an attempt would fail, and hold a part of the retry budget meanwhile.
@@ -389,8 +389,8 @@
 	placed  PlacedStream
 	monitor *targetMonitor
 	gaps    health.Gaps
-	// continues reports that the caller has events of an earlier attempt or connection; continued that this one has sent the next of them.
-	continues, continued bool
+	// isContinuation reports that the caller has events of an earlier attempt or connection; hasContinued that this one has sent the next of them.
+	isContinuation, hasContinued bool
 	// eventCount counts the events received from this attempt.
 	eventCount   int
 	startedAt    time.Time
@@ -441,7 +441,7 @@
 // new backup.
 func (run *relayRun) newAttempt(target *directory.Target) RelayAttempt {
 	attempt := RelayAttempt{
-		Request: run.request, Target: target, Begun: run.head, LastEvent: run.lastEvent, Copy: run.kvCopy,
+		Request: run.request, Target: target, BegunHead: run.head, LastEvent: run.lastEvent, Copy: run.kvCopy,
 		Timeout: time.Until(run.request.Deadline),
 	}
 	run.discardCopy()
@@ -461,7 +461,7 @@
 	}
 	now := time.Now()
 	a := &activeAttempt{
-		run: run, target: attempt.Target, continues: run.headSent || run.request.LastEvent > 0, startedAt: now, lastProgress: now, messages: make(chan relayMessage),
+		run: run, target: attempt.Target, isContinuation: run.headSent || run.request.LastEvent > 0, startedAt: now, lastProgress: now, messages: make(chan relayMessage),
 		placed: placer.AddStream(attempt.Target, run.streamSize(), prefillTokens), monitor: run.relay.monitors.acquire(attempt.Target),
 	}
 	var backup *KVCacheCopy
@@ -754,7 +754,7 @@
 			return errEventOrder
 		}
 	}
-	if a.continues && !a.continued && event.ID < 0 && !event.Comment && !defect.Enabled(defect.ErrorPassedOn) {
+	if a.isContinuation && !a.hasContinued && event.ID < 0 && !event.Comment && !defect.Enabled(defect.ErrorPassedOn) {
 		// What has no ID can't be told from the text of an error.
 		run.relay.stats.Gap.Add(1)
 		return errEventOrder
@@ -770,11 +770,11 @@
 		return errors.Join(errCallerWrite, err)
 	}
 	if !event.Comment {
-		run.unnumbered = event.ID < 0
+		run.lastWithoutID = event.ID < 0
 	}
 	if event.ID >= 0 {
 		run.lastEvent = event.ID
-		a.continued = true
+		a.hasContinued = true
 	}
 	run.relay.stats.Accepted.Add(1)
 	return nil
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -58,8 +58,8 @@
 type RelayAttempt struct {
 	Request *RelayRequest
 	Target  *directory.Target
-	// Begun is the head of the answer that the caller has in part, which the target continues; nil for a new answer.
-	Begun any
+	// BegunHead is the head of the answer that the caller has in part, which the target continues; nil for a new answer.
+	BegunHead any
 	// LastEvent is the event after which the target continues; -1 to start from the beginning.
 	LastEvent int64
 	// Backup is the engine to which the target copies the run's KV cache; nil for none.
--- a/internal/rawjson/rawjson.go
+++ b/internal/rawjson/rawjson.go
@@ -81,9 +81,9 @@
 }
 
 // members calls member for each member of the object or array that the text consists of.
-func (s *scanner) members(open, end byte, wrongType error, member func() error) error {
+func (s *scanner) members(open, end byte, errWrongType error, member func() error) error {
 	if s.next() != open {
-		return s.fail(wrongType)
+		return s.fail(errWrongType)
 	}
 	s.at++
 	if s.next() == end {
