--- a/azurebarrow.go
+++ b/azurebarrow.go
@@ -94,7 +94,7 @@
 // build creates the components in the order of their dependencies.
 func (e *Entry) build() {
 	platform := platformhttp.New(e.settings.Platform.URL, platformhttp.Options{})
-	peerClient := newClient(nil)
+	peerClient := newPeerClient()
 	e.buildMembership(platform)
 	e.configuration = e.newConfiguration(platform, e.members, peerClient)
 	e.control = e.newControlPlane(platform, e.members, peerClient)
--- a/servers.go
+++ b/servers.go
@@ -20,18 +20,11 @@
 	peerIdleConnections = 16
 )
 
-// newClient returns an HTTP client for calls to peers, or for polls of engines; each call sets its own timeout. A nil
-// dial opens the connections from this host.
-func newClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Client {
-	if dial == nil {
-		dial = new(net.Dialer).DialContext
-	}
+// newPeerClient returns the HTTP client for calls to peers; each call sets its own timeout.
+func newPeerClient() *http.Client {
+	dialer := net.Dialer{Timeout: peerDialTimeout}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, peerDialTimeout)
-			defer cancel()
-			return dial(ctx, network, address)
-		},
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: peerIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
