Soak: let the store hold one odd object, instead of adding it to each answer

Change: the fault adds one object of 20 KB, nested 10,001 levels deep, which lists and the watch that follows hold; the bench reads lists item by item.

--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/standin/fault"
+	"github.com/azurebarrow/azurebarrow/standin/target"
 )
 
 // Options configures a run.
@@ -53,7 +54,7 @@
 	}()
 	go d.restartCrashed(traffic)
 	if options.Faulty {
-		if err := activateFault(ctx, d.options.store, fault.Fault{Kind: fault.OddObject}); err != nil {
+		if err := activateFault(ctx, d.options.store, fault.Fault{Kind: fault.OddObject, Match: target.ObjectKind}); err != nil {
 			return nil, err
 		}
 	}
--- a/standin/fault/http.go
+++ b/standin/fault/http.go
@@ -46,7 +46,7 @@
 		{HiddenAddresses, "vmlist", "leave out addresses that contain \"match\""},
 		{WronglyDraining, "vmlist", "report addresses that contain \"match\" as leaving"},
 		{NamedLimit, "target", "answers name \"factor\" requests a second as the limit for all callers together"},
-		{OddObject, "store", "lists and watches begin with an object that is nested 20,000 levels deep"},
+		{OddObject, "store", "add an object to the kind in \"match\" whose value is nested 10,001 levels deep"},
 		{Brittle, "target", "answers say that the target fails when it must turn away more than \"factor\" requests a second"},
 		{SaysLeaving, "target", "answers say that the target leaves, which the store doesn't"},
 		{AskedPause, "target", "turns requests away and asks each sender for \"factor\" seconds without any"},
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -98,6 +98,9 @@
 		return
 	case fault.StaleReads:
 		p.saveStaleStore(false)
+	case fault.OddObject:
+		p.addOddObject(f.Match)
+		return
 	}
 	p.faults.Add(f)
 	p.mu.Lock()
--- a/standin/platform/wire.go
+++ b/standin/platform/wire.go
@@ -13,7 +13,6 @@
 
 	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/objects"
-	"github.com/azurebarrow/azurebarrow/standin/fault"
 )
 
 // UsersAPIHandler returns a handler that serves the same objects and faults in the HTTP format of the users'
@@ -88,23 +87,32 @@
 	})
 }
 
-// oddObject is an object that encoding/json rejects for its depth, oddEvent a change of it.
-var (
-	oddObject = `{"metadata":{"name":"odd","revision":1},"spec":` + strings.Repeat(`{"a":[`, 10_000) + strings.Repeat(`]}`, 10_000) + `},`
-	oddEvent  = `{"deleted":false,"object":` + strings.TrimSuffix(oddObject, ",") + `},`
+// oddName is the object that an OddObject fault adds, oddValue its value in the store: answers have oddText in its place, which
+// encoding/json rejects for its depth.
+const (
+	oddName  = "odd"
+	oddValue = `"nested too deeply"`
+	oddDepth = 10_001
 )
 
-// writeWire writes an answer in the format of the users' platform. If the OddObject fault is on, it begins with an odd object.
+var oddText = strings.Repeat("[", oddDepth) + strings.Repeat("]", oddDepth)
+
+// addOddObject adds the odd object to a kind.
+func (p *Platform) addOddObject(kind string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, _ = p.store.put(objectKey{kind, oddName}, json.RawMessage(oddValue), condition{any: true}) // without a condition it can't fail
+	p.notifyWatches()
+}
+
+// writeWire writes an answer in the format of the users' platform.
 func (p *Platform) writeWire(w http.ResponseWriter, answer any) {
 	text, err := json.Marshal(answer)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	if _, on := p.faults.Active(fault.OddObject, ""); on {
-		text = bytes.Replace(text, []byte(`"items":[{`), []byte(`"items":[`+oddObject+`{`), 1)
-		text = bytes.Replace(text, []byte(`"events":[{`), []byte(`"events":[`+oddEvent+`{`), 1)
-	}
+	text = bytes.Replace(text, []byte(`"spec":`+oddValue), []byte(`"spec":`+oddText), 1)
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(text)
 }
--- a/standin/target/register.go
+++ b/standin/target/register.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/internal/rawjson"
 	"github.com/azurebarrow/azurebarrow/internal/wait"
 )
 
@@ -124,15 +126,25 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, &StatusError{URL: url, Status: response.StatusCode}
 	}
-	var page struct {
-		Items []struct{ Spec json.RawMessage }
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, err
 	}
-	if err := json.NewDecoder(response.Body).Decode(&page); err != nil {
+	page, err := rawjson.Fields(text)
+	if err != nil {
 		return nil, err
 	}
-	specs := make([]json.RawMessage, len(page.Items))
-	for i, item := range page.Items {
-		specs[i] = item.Spec
+	items, err := rawjson.Elements(page["items"])
+	if err != nil {
+		return nil, err
+	}
+	specs := make([]json.RawMessage, len(items))
+	for i, item := range items {
+		object, err := rawjson.Fields(item)
+		if err != nil {
+			return nil, err
+		}
+		specs[i] = object["spec"]
 	}
 	return specs, nil
 }
