Start the stores of modelled entries at different instants, which else crash the race runtime

Cause, as in: goroutines of a synctest bubble that receive from timers which expire at one instant (Go 1.26.8).

Change, in the fleet of the tests only: each entry's store starts 173 us after that of the one before. No check or bound is changed.

--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/health"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/service"
 	"github.com/azurebarrow/azurebarrow/streamversion"
@@ -184,6 +185,9 @@
 	return f
 }
 
+// startSpacing is the time between the starts of what two entries store, so that their timers differ.
+const startSpacing = 173 * time.Microsecond
+
 // startEntry starts the entry of an index, with a new incarnation if it ran before.
 func (f *crashFleet) startEntry(i int) {
 	address := fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)
@@ -215,7 +219,12 @@
 	e.ctx, e.stop = ctx, cancel
 	go func() { _ = e.members.Run(ctx) }()
 	if f.store != nil {
-		go func() { _ = e.versions.Run(ctx) }()
+		go func() {
+			// Goroutines of a synctest bubble that receive from timers which expire at one instant crash the race runtime (Go 1.26.8).
+			if wait.For(ctx, time.Duration(i+1)*startSpacing) == nil {
+				_ = e.versions.Run(ctx)
+			}
+		}()
 		go f.observeServing(e)
 	}
 	f.mu.Lock()
