--- a/adapters/passthrough/events_test.go
+++ b/adapters/passthrough/events_test.go
@@ -151,7 +151,7 @@
 	}
 }
 
-// Guards against a stream that can't go on elsewhere because each target begins with the time after which callers reconnect: such
+// Guards against a stream that can't continue elsewhere because each target begins with the time after which callers reconnect: such
 // a block holds nothing of the stream.
 func TestReconnectionTimeIsNoEvent(t *testing.T) {
 	for text, comment := range map[string]bool{
--- a/adapters/peertwirp/peermembership/client.go
+++ b/adapters/peertwirp/peermembership/client.go
@@ -22,7 +22,7 @@
 
 // NewTransport returns an HTTP transport for probes, which are short and sent to many peers.
 func NewTransport() *http.Transport {
-	// A dial goes on after its request has been canceled, and without a timeout for as long as the kernel sends
+	// A dial continues after its request has been canceled, and without a timeout for as long as the kernel sends
 	// SYNs: two minutes to a peer that drops them.
 	dialer := net.Dialer{Timeout: membership.DefaultProbeTimeout}
 	return &http.Transport{
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -92,7 +92,7 @@
 	// headSent is true once the caller has the head of the answer, which is head.
 	headSent bool
 	head     any
-	// lastWithoutID is true while the last event that the caller has bears no ID: a target can't continue after it.
+	// lastWithoutID is true while the caller's last event has no ID: a target can't continue after it.
 	lastWithoutID bool
 	// attempts counts all attempts; attemptsRun those that a target may have run, except those
 	// whose target was lost.
@@ -203,7 +203,7 @@
 }
 
 const (
-	// maxTargetWait limits the wait of a begun stream for a target; output is to go on within 4 s of a loss.
+	// maxTargetWait limits the wait of a begun stream for a target; output continues within 4 s of a loss.
 	maxTargetWait = 4 * time.Second
 	// targetPollInterval is the time after which such a stream looks for a target again.
 	targetPollInterval = 50 * time.Millisecond
--- a/streamversion/store_test.go
+++ b/streamversion/store_test.go
@@ -208,7 +208,7 @@
 		alone := NewManager(Options{View: membership.Static{This: e.live[0]}, Transport: e.memoryPeers, Store: store})
 		go func() { _ = alone.Run(ctx) }()
 		time.Sleep(time.Second)
-		is.True(!alone.IsOnlyVersion("drafts", "v1")) // nobody could tell it
+		is.True(!alone.IsOnlyVersion("drafts", "v1")) // neither this entry nor a peer knows it
 		cancel()
 		e.stop()
 		time.Sleep(time.Minute)
--- a/targetlinks_test.go
+++ b/targetlinks_test.go
@@ -91,7 +91,7 @@
 	all := newCutLinks(t, []string{target, "127.0.0.1:1"}, former(), former())
 	var notSent *service.NotSentError
 	is.True(errors.As(call(all), &notSent))
-	is.True(!all.isDown(target)) // nobody could tell
+	is.True(!all.isDown(target)) // neither this entry nor a peer knows
 	is.Equal(runs.Load(), int64(10))
 }
 
