Read the next change of the configuration at once when the last one took long to read

Cause: after each answer with changes an entry pauses for 250 ms, so that the next watch returns several at once. A large answer is read at 60% of the link, and takes 0.3 to 1.4 s; changes collected meanwhile, and the pause after it leaves the link unused. Of two large changes the second is late by it. Ruled out: the rate itself (60% of the link is what callers' answers leave) and reading both at once (they would share the rate).

Change: the pause begins with the first part of the answer, so that answers which take longer have none.

--- a/directory/sync.go
+++ b/directory/sync.go
@@ -36,7 +36,8 @@
 	// the open watches. A change is then delayed by up to this time; deployments limit the delay of a change
 	// to 2 s or more.
 	watchWait = 700 * time.Millisecond
-	// batchPause is the pause after changes, so that the next watch returns several of them at once.
+	// batchPause is the pause after the first part of an answer with changes, so that the next watch returns several of
+	// them at once. Others collect while an answer is read that takes longer.
 	batchPause = 250 * time.Millisecond
 	// retryBase and retryLimit are the limits of the backoff after a failed call to the store; jitter shortens
 	// a pause by up to a half.
@@ -188,7 +189,7 @@
 			_ = wait.For(ctx, rolePollInterval)
 			continue
 		}
-		part, err := s.readStore(ctx, kind)
+		part, firstRead, err := s.readStore(ctx, kind)
 		if err != nil {
 			s.feed.setArriving(kind, false)
 		}
@@ -220,16 +221,27 @@
 		s.deliver(ctx, part)
 		s.feed.setArriving(kind, false)
 		if len(part.Objects) > 0 {
-			_ = wait.For(ctx, batchPause)
+			_ = wait.For(ctx, batchPause-time.Since(firstRead))
 		}
 	}
 	return nil
 }
 
-// readStore makes one call to the store. While it reads a large answer, the feed lets other entries read the
-// store too; the caller ends that when it has applied the part.
-func (s *syncer) readStore(ctx context.Context, kind string) (Part, error) {
-	ctx = objects.WithReadProgress(ctx, s.noteStoreAnswer) // an answer that arrives slowly is no silence
+// readStore makes one call to the store. firstRead is when a part of its answer was first read. While it reads a large answer,
+// the feed lets other entries read the store too; the caller ends that when it has applied the part.
+func (s *syncer) readStore(ctx context.Context, kind string) (part Part, firstRead time.Time, err error) {
+	var progressAt sync.Once
+	ctx = objects.WithReadProgress(ctx, func() {
+		s.noteStoreAnswer() // an answer that arrives slowly is no silence
+		progressAt.Do(func() { firstRead = time.Now() })
+	})
+	part, err = s.callStore(ctx, kind)
+	progressAt.Do(func() { firstRead = time.Now() })
+	return part, firstRead, err
+}
+
+// callStore lists the objects of a kind, or watches for their changes.
+func (s *syncer) callStore(ctx context.Context, kind string) (Part, error) {
 	announcing := objects.WithLargeAnswer(ctx, func() { s.feed.setArriving(kind, true) })
 	start := time.Now()
 	if s.relist[kind].Load() {
