Tell entries that join by when this entry saw them, not by their clocks

Cause: messages to an entry that started less than 10 s ago begin with the retained notices (verdicts on parts of prompts, limits). Its start was taken from its incarnation, the time of its own clock: an entry whose clock is off by more than 10 s learned verdicts only between other notices, 4 to 7 s late beside many crashes, and one whose clock is ahead got them for longer. An entry that was cut off and is reachable again didn't get them first at all. Ruled out: more retained notices than fit (the newest are first, 64 at most).

Change: an entry is joining if the table doesn't know it or if its state or incarnation changed less than 10 s ago by this entry's clock. No further message or byte: the share of retained notices stays half of a message's limit.

--- a/membership/manager.go
+++ b/membership/manager.go
@@ -325,8 +325,8 @@
 	}
 	allowed := l.gossipBudget.limit(now, l.options.MaxDeltaBytes)
 	used := 0
-	if isJoining(peer, now) {
-		// It was not there when they were sent, and others of its requests are decided by them.
+	if l.table.isJoining(peer, now) {
+		// It did not get them when they were sent, and its requests are decided by them.
 		used = l.retained.fillMessageForJoiner(&message, allowed/2)
 	}
 	used += l.updates.fillMessage(&message, allowed-used, len(l.table.members)+1)
@@ -337,13 +337,6 @@
 	return message
 }
 
-// isJoining reports whether a peer has started less than joiningPeriod ago, by its incarnation, which begins with the time
-// of its start in nanoseconds.
-func isJoining(peer Peer, now time.Time) bool {
-	age := now.Sub(time.Unix(0, int64(peer.Incarnation)))
-	return age >= -joiningPeriod && age < joiningPeriod
-}
-
 // answerProbe merges the updates of a probe and returns the answer.
 func (l *eventLoop) answerProbe(message Message, now time.Time) Message {
 	l.mergeMessage(message, now)
--- a/membership/options.go
+++ b/membership/options.go
@@ -39,7 +39,7 @@
 	directoryRetryInterval  = 2 * time.Second
 	removalTimeout          = 2 * time.Second
 	inboxLength             = 64
-	// joiningPeriod is the time after its start in which an entry collects the membership faster.
+	// joiningPeriod is the time after its start in which an entry collects the membership faster, and gets retained notices first.
 	joiningPeriod = 10 * time.Second
 	// joinProbes and joinProbesPerTick limit the probes to listed peers in StateUnknown: after the start
 	// and each reading of the directory, and at each tick of the joining period.
--- a/membership/table.go
+++ b/membership/table.go
@@ -121,6 +121,13 @@
 	return mergeResult{refuted: true, liveChanged: true}
 }
 
+// isJoining reports whether a peer is not known, or has started or become reachable again less than joiningPeriod ago. The clocks of
+// entries may differ, so that its incarnation doesn't tell.
+func (t *table) isJoining(peer Peer, now time.Time) bool {
+	m, known := t.members[peer.Name]
+	return !known || now.Sub(m.changedAt) < joiningPeriod
+}
+
 // probeFailed records a failed probe of the given incarnation of a peer. It returns a suspect delta if
 // the peer was alive and not suspected by this entry.
 func (t *table) probeFailed(name string, incarnation uint64, now time.Time) (Delta, bool) {
