Probe a target once more before it is taken for crashed, as links may have returned

Cause: a target whose connection ended counts as crashed when a probe of it fails and a check afterwards finds that the prober reaches other targets. If the prober's links were lost at the probe and are back at the check, a sound target is accused: by the entry itself if no peer can tell in time, and by a peer that is asked. Ruled out: the check itself, which asks other targets only.

Change: the evidence is taken again after the check, by one more probe. A peer that couldn't connect probes again before it answers, also if only its 60 ms for a connection were too short. A target that restarts within these milliseconds under its address isn't recorded as crashed; restarts take longer.

Tests: TestTargetIsNotDownForAnEntryWhoseLinksReturn and TestPeerWhoseLinksReturnDoesNotFindTheTargetDown failed before, pass now. TestTargetBehindAHostThatClosesConnectionsIsDown's host closed exactly one connection and held the next; it closes all until told otherwise, which is the same claim for any number of probes.

--- a/adapters/crashprobe/crashprobe.go
+++ b/adapters/crashprobe/crashprobe.go
@@ -38,11 +38,14 @@
 func (p *Prober) IsDown(target health.CrashedTarget) bool {
 	key := (&directory.Target{ID: target.ID, Address: target.Address}).Key()
 	down, _, _ := p.probes.Do(key, func() (any, error) {
+		accepts := func() bool {
+			return p.pool.Probe(context.Background(), key, target.Address, probeOpen) == nil // the pool limits the time
+		}
 		time.Sleep(probeDelay)
-		if p.pool.Probe(context.Background(), key, target.Address, probeOpen) == nil { // the pool limits the time
+		if accepts() {
 			return false, nil
 		}
-		return p.router.IsDown(context.Background(), detour.Target{ID: target.ID, Address: target.Address}, probeOpen), nil
+		return p.router.IsDown(context.Background(), detour.Target{ID: target.ID, Address: target.Address}, probeOpen, accepts), nil
 	})
 	return down.(bool)
 }
--- a/adapters/crashprobe/crashprobe_test.go
+++ b/adapters/crashprobe/crashprobe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,12 +14,22 @@
 	"github.com/azurebarrow/azurebarrow/membership"
 )
 
-// soundLinks is the connectivity of an entry that reaches targets, lostLinks that of one that reaches none.
+// soundLinks is the connectivity of an entry that reaches targets, lostLinks that of one that reaches none, returningLinks that of
+// one whose links are back when they are checked.
 type (
-	soundLinks struct{}
-	lostLinks  struct{}
+	soundLinks     struct{}
+	lostLinks      struct{}
+	returningLinks struct {
+		soundLinks
+		restore func()
+	}
 )
 
+func (l returningLinks) CheckLost(detour.Target) bool {
+	l.restore()
+	return false
+}
+
 func (soundLinks) IsLost() bool                    { return false }
 func (soundLinks) CheckLost(detour.Target) bool    { return false }
 func (soundLinks) ClaimRegainCheck(time.Time) bool { return false }
@@ -44,20 +55,35 @@
 	is.True(!New(pool, newLoneRouter(lostLinks{})).IsDown(target))
 }
 
+// Guards against a crash recorded by an entry whose links return between its probe of the target and the check of its links.
+func TestTargetIsNotDownForAnEntryWhoseLinksReturn(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	target := health.CrashedTarget{ID: "t", Address: listener.Addr().String()}
+	is.NoErr(listener.Close())
+	links := returningLinks{restore: func() {
+		listener, err = net.Listen("tcp", target.Address)
+		is.NoErr(err)
+	}}
+	defer func() { _ = listener.Close() }()
+	is.True(!New(targethttp.NewPool(targethttp.Options{}), newLoneRouter(links)).IsDown(target))
+}
+
 // Guards against a crash that is excused because a host in front of the target still accepts connections.
 func TestTargetBehindAHostThatClosesConnectionsIsDown(t *testing.T) {
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	closing := make(chan bool, 1)
-	closing <- true
+	var closes atomic.Bool
+	closes.Store(true)
 	go func() {
 		for {
 			accepted, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			if <-closing {
+			if closes.Load() {
 				_ = accepted.Close()
 			}
 		}
@@ -65,7 +91,7 @@
 	prober := New(targethttp.NewPool(targethttp.Options{}), newLoneRouter(soundLinks{}))
 	target := health.CrashedTarget{ID: "t", Address: listener.Addr().String()}
 	is.True(prober.IsDown(target))
-	closing <- false
+	closes.Store(false)
 	is.True(!prober.IsDown(target))
 	is.NoErr(listener.Close())
 	is.True(prober.IsDown(target))
--- a/adapters/peerexchange/handler.go
+++ b/adapters/peerexchange/handler.go
@@ -69,12 +69,21 @@
 	if outcome == detour.Sent {
 		result = h.options.Router.HelpConnect(r.Context(), asked.target)
 	}
-	if result.Outcome == detour.Sent && asked.timeout > 0 && h.options.ProbeOpen(r.Context(), asked.target, asked.timeout) != nil {
-		result.Outcome = detour.Unreachable
+	if asked.timeout > 0 && (result.Outcome == detour.Sent || result.Outcome == detour.Unreachable) {
+		// Without a connection just now, too: this entry's links may have returned before they were checked.
+		result.Outcome = h.probeOpen(r.Context(), asked)
 	}
 	writeResult(w, result)
 }
 
+// probeOpen returns detour.Sent if a connection to the target stays open for the time asked for, else detour.Unreachable.
+func (h *Handler) probeOpen(ctx context.Context, asked question) detour.Outcome {
+	if h.options.ProbeOpen(ctx, asked.target, asked.timeout) != nil {
+		return detour.Unreachable
+	}
+	return detour.Sent
+}
+
 func writeResult(w http.ResponseWriter, result detour.Result) {
 	if result.Helper != "" {
 		w.Header().Set(fieldHelper, result.Helper)
--- a/adapters/peerexchange/peerexchange_test.go
+++ b/adapters/peerexchange/peerexchange_test.go
@@ -27,14 +27,27 @@
 func (soundLinks) CheckLost(detour.Target) bool    { return false }
 func (soundLinks) ClaimRegainCheck(time.Time) bool { return false }
 
+// returningLinks is the connectivity of an entry whose links are back when they are checked.
+type returningLinks struct {
+	soundLinks
+	restore func()
+}
+
+func (l returningLinks) CheckLost(detour.Target) bool {
+	l.restore()
+	return false
+}
+
 // newPeer starts a peer that sends to targets whose IDs begin with "t".
-func newPeer(t *testing.T) membership.Peer {
+func newPeer(t *testing.T) membership.Peer { return newPeerWith(t, soundLinks{}) }
+
+func newPeerWith(t *testing.T, connectivity detour.Connectivity) membership.Peer {
 	t.Helper()
 	self := membership.Peer{Name: "peer"}
 	pool := targethttp.NewPool(targethttp.Options{})
 	handler := NewHandler(HandlerOptions{
 		Router: detour.NewRouter(detour.Options{
-			View: membership.Static{This: self, Peers: []membership.Peer{self}}, Connectivity: soundLinks{},
+			View: membership.Static{This: self, Peers: []membership.Peer{self}}, Connectivity: connectivity,
 			Connect: func(ctx context.Context, target detour.Target) error {
 				return pool.Ready(ctx, target.Key(), target.Address)
 			},
@@ -196,6 +209,22 @@
 	is.True(!targethttp.IsConnectionLost(err)) // no evidence against the target
 }
 
+// Guards against a sound target that is taken for crashed: a peer can't connect to it over its lost links, which are back when it
+// checks them.
+func TestPeerWhoseLinksReturnDoesNotFindTheTargetDown(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	target := detour.Target{ID: "t1", Address: listener.Addr().String()}
+	is.NoErr(listener.Close())
+	peer := newPeerWith(t, returningLinks{restore: func() {
+		listener, err = net.Listen("tcp", target.Address)
+		is.NoErr(err)
+	}})
+	t.Cleanup(func() { _ = listener.Close() })
+	is.Equal(newClient().Probe(t.Context(), peer, target, 20*time.Millisecond).Outcome, detour.Sent)
+}
+
 // Guards against targets that work on for callers that have left.
 func TestTargetStopsWhenTheCallerLeaves(t *testing.T) {
 	is := is.New(t)
--- a/detour/detour.go
+++ b/detour/detour.go
@@ -439,8 +439,9 @@
 }
 
 // IsDown judges a target whose connection ended and that then accepted none from this entry which stayed open for a
-// while. It is down if peers find the same, or if there is nobody to ask and this entry reaches other targets.
-func (r *Router) IsDown(ctx context.Context, target Target, open time.Duration) bool {
+// while. It is down if peers find the same, or if no peer can tell, this entry reaches other targets and accepts reports once more that
+// it doesn't reach this one: its links may have returned since the first probe.
+func (r *Router) IsDown(ctx context.Context, target Target, open time.Duration, accepts func() bool) bool {
 	if defect.Enabled(defect.CutEvidenceBelieved) {
 		return true
 	}
@@ -450,7 +451,7 @@
 	case Unreachable:
 		return true
 	}
-	return !r.options.Connectivity.IsLost() && !r.options.Connectivity.CheckLost(target)
+	return !r.options.Connectivity.IsLost() && !r.options.Connectivity.CheckLost(target) && !accepts()
 }
 
 // Run checks whether lost links are back, until ctx ends.
