Handle events that wait before a stream counts as silent

TestScenarios/entry-death (KNOWN-RED) repeated engine work beside load.

Ruled out: pauses of the process (the ticks that detect them ran in time: only one thread of the process didn't run) and the takeover itself (the look-up, the record and the attach were right in all of them).

A producer handles a message that waits before it acts on a silence. The relay has the same fault: with a probe's end and an event at hand it moved a stream as stalled, or as behind a lost link, or didn't, by the select's choice. It handles the event first, too. A probe that finds the target unreachable still ends the attempt at once: that loss is real.

The tests model a goroutine that runs late in virtual time.

--- a/generation/manager_test.go
+++ b/generation/manager_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
+	"github.com/azurebarrow/azurebarrow/journal"
 	"github.com/matryer/is"
 )
 
@@ -137,6 +138,51 @@
 	})
 }
 
+// lateJournal makes the goroutine of one producer late: it doesn't run for a time after it has appended a token.
+type lateJournal struct {
+	Journal
+	at   int
+	late time.Duration
+}
+
+type lateAppender struct {
+	journal.Appender
+	journal  *lateJournal
+	appended int
+}
+
+func (j *lateJournal) StartReplication(record *journal.Record, observer journal.Observer) journal.Appender {
+	return &lateAppender{Appender: j.Journal.StartReplication(record, observer), journal: j}
+}
+
+func (a *lateAppender) Append(tokens []string, finish string) {
+	a.Appender.Append(tokens, finish)
+	if a.appended++; a.appended == a.journal.at {
+		time.Sleep(a.journal.late)
+	}
+}
+
+// Guards against an entry that takes its own delay for its engine's silence: on a busy machine a producer's goroutine runs
+// late while the stream's next events wait for it, and a second engine got the work.
+func TestOwnDelayIsNotTakenForTheEnginesSilence(t *testing.T) {
+	for _, prefer := range []v1.RecoveryPreference{v1.PreferLatency, v1.PreferCost} {
+		for _, at := range []int{20, 60} { // in mid-answer; before the end
+			scenario(t, 2, func(t *testing.T, is *is.I, c *fakeCluster) {
+				m := c.entries["e0"].manager
+				m.options.Journal = &lateJournal{Journal: m.options.Journal, at: at, late: time.Second}
+				reader, err := m.Open(t.Context(), testRequest("k", prefer), nil)
+				is.NoErr(err)
+				defer reader.Close()
+				var got answer
+				is.NoErr(got.read(t.Context(), reader, -1))
+				got.check(is, 60)
+				is.Equal(c.engine.generatedCount(), 1)
+				is.Equal(m.Stats().Suspicions.Load(), int64(0))
+			})
+		}
+	}
+}
+
 func TestFaultyStreamsGiveCompleteAnswers(t *testing.T) {
 	faults := map[string]func(StreamEvent) []StreamEvent{
 		"duplicated": func(e StreamEvent) []StreamEvent { return []StreamEvent{e, e} },
--- a/generation/produceractions.go
+++ b/generation/produceractions.go
@@ -69,6 +69,9 @@
 	}
 	s := p.currentSituation(now)
 	action := nextAction(s)
+	if s.isSilent() && action != ActionWait && p.handleWaiting() {
+		return minTimerDelay
+	}
 	if s.HasAttempt && !s.Broken && action != ActionWait {
 		p.markSilent(p.newestAttempt(), now)
 	}
@@ -88,6 +91,18 @@
 	return checkInterval / 10
 }
 
+// handleWaiting handles one message that waits, and reports whether there was one. On a busy machine this goroutine
+// may run late: a stream whose next event waits for it is not silent.
+func (p *producer) handleWaiting() bool {
+	select {
+	case m := <-p.messages:
+		m.apply(p, time.Now())
+		return true
+	default:
+		return false
+	}
+}
+
 // prefillCostRatio is the work of prefilling one token relative to that of generating one.
 const prefillCostRatio = 1.0 / 50
 
--- a/generation/recovery.go
+++ b/generation/recovery.go
@@ -42,6 +42,11 @@
 	BudgetLeft, Parallel bool
 }
 
+// isSilent reports whether the newest attempt has a stream that has been silent for too long.
+func (s situation) isSilent() bool {
+	return s.HasAttempt && !s.Broken && s.Silence >= s.Bound
+}
+
 // unconfirmedLossMultiple is the multiple of the bound after which a silent target counts as lost if it
 // can't resume streams, so that attaching can't confirm the loss.
 const unconfirmedLossMultiple = 2
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -605,6 +605,7 @@
 	var probeAnswered bool
 	changed := a.run.relay.options.CrashRecords.Changed()
 	for {
+		linkLost := false
 		select {
 		case <-changed:
 			changed = a.run.relay.options.CrashRecords.Changed()
@@ -621,9 +622,7 @@
 		case <-probeDone:
 			probeDone = nil
 			lastProbe, probeAnswered = time.Now(), a.run.relay.monitors.lastProbeAnswered(a.monitor)
-			if a.run.relay.monitors.isLinkLost(a.monitor) && a.isSilent(lastProbe) {
-				return endingLinkLost, errLinkLost
-			}
+			linkLost = a.run.relay.monitors.isLinkLost(a.monitor) && a.isSilent(lastProbe)
 		case result := <-a.copier.results:
 			a.copier.handleResult(result, time.Now())
 		case <-timer.C:
@@ -641,6 +640,21 @@
 			silence: a.silence(now), sinceProbe: now.Sub(lastProbe), hasProbe: lastProbe.After(a.lastProgress),
 			probeAnswered: probeAnswered,
 		})
+		if step.stalled || linkLost {
+			// This goroutine may run late: a target whose next event waits for it is not silent.
+			select {
+			case message := <-a.messages:
+				if ending, ended, err := a.handleMessage(ctx, message); ended {
+					return ending, err
+				}
+				timer.Reset(minTimerDelay)
+				continue
+			default:
+			}
+		}
+		if linkLost {
+			return endingLinkLost, errLinkLost
+		}
 		if step.stalled {
 			if a.run.claimMove(a.target) {
 				return endingStalled, errStalled
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -730,15 +730,40 @@
 	})
 }
 
+// Guards against a stream that is moved since its own goroutine ran late, while its next event waited. The goroutine sees the event
+// and the end of a probe at once, in any order.
+func TestOwnDelayIsNotTakenForTheTargetsSilence(t *testing.T) {
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := newRelayFixture(map[string][]script{
+				"a": {{events: eventsUpTo(4), pause: 300 * time.Millisecond, end: io.EOF}},
+				"b": {{events: []int64{2, 3, 4}, end: io.EOF}},
+			})
+			f.engine.probeDelay = map[string]time.Duration{"a": 100 * time.Millisecond}
+			records := &changingRecords{relayLocalRecords{health.NewCrashes()}, make(chan struct{}), 5 * time.Second}
+			f.relay.options.CrashRecords = records
+			time.AfterFunc(560*time.Millisecond, func() { close(records.changed) }) // during a probe, before the second event
+			sink := &recordingSink{}
+			is.NoErr(f.relay.Run(t.Context(), relayRequest(), sink))
+			is.Equal(sink.events, eventsUpTo(4))
+			is.Equal(len(f.engine.attempts), 1)
+		})
+	}
+}
+
 // changingRecords are RelayCrashRecords that change once.
 type changingRecords struct {
 	relayLocalRecords
 	changed chan struct{}
+	// late is how long the goroutine that hears of the change doesn't run.
+	late time.Duration
 }
 
 func (r *changingRecords) Changed() <-chan struct{} {
 	select {
 	case <-r.changed:
+		time.Sleep(r.late)
 		return nil
 	default:
 		return r.changed
