Give up a second attempt when the silent stream resumes

Under "latency" a second attempt starts beside a silent one. Traced in TestScenarios/entry-death beside load: the silent stream resumed after 100 to 400 ms, but the start went on: engines that did not accept within 250 ms were followed by the next one, in one run by three of them, the last the very engine of the resumed stream.

The producer tells the start that it is no longer wanted when the silent stream sends an event; the start then asks no further target. A target that is being asked may still accept, and that attempt is judged by the silence then, as before. The log says speculation-given-up.

Test, failing first: "12 != 2" targets asked while the stream resumes after 300 ms. TestStaleAttemptIsNotAttachedBeyondWhatItShares got its stale attempt from such a start, which no longer comes about; a slow choice of the target now delays the start instead.

Open: an attempt that was started beside another when its entry dies is known to no replica, so nothing cancels it; it runs until the engine drops unread streams.

--- a/generation/commit_test.go
+++ b/generation/commit_test.go
@@ -85,10 +85,10 @@
 		var got answer
 		is.NoErr(got.read(t.Context(), reader, 20))
 		c.engine.mu.Lock()
+		c.engine.chooseDelay = 400 * time.Millisecond // prolongs the start
 		c.engine.acceptDelay = 240 * time.Millisecond
-		c.engine.targets["t2"].gap = 2200 * time.Millisecond
+		c.engine.targets["t1"].gap = 2200 * time.Millisecond
 		c.engine.mu.Unlock()
-		c.engine.pause("t1", true) // does not accept, which prolongs the start
 		c.engine.pause("t0", true)
 		time.Sleep(160 * time.Millisecond) // the speculative attempt starts
 		c.engine.pause("t0", false)
@@ -96,7 +96,7 @@
 		c.engine.pause("t0", true)
 		time.Sleep(time.Second)
 		c.engine.mu.Lock()
-		c.engine.targets["t2"].gap = tokenGap // after the first token
+		c.engine.targets["t1"].gap = tokenGap // after the first token
 		c.engine.mu.Unlock()
 		is.NoErr(got.read(t.Context(), reader, 24))
 		c.engine.pause("t0", false)
--- a/generation/fakes_test.go
+++ b/generation/fakes_test.go
@@ -52,6 +52,8 @@
 	canceled  map[StreamID]int
 	// acceptDelay is the time until a target accepts an attempt.
 	acceptDelay time.Duration
+	// chooseDelay is how long the choice of a target takes.
+	chooseDelay time.Duration
 	// mangle changes the events of a stream as they are read; nil leaves them.
 	mangle func(StreamEvent) []StreamEvent
 }
@@ -458,7 +460,13 @@
 	queries []TargetQuery
 }
 
-func (c *fakeChooser) Choose(_ context.Context, query TargetQuery) (*Lease, error) {
+func (c *fakeChooser) Choose(ctx context.Context, query TargetQuery) (*Lease, error) {
+	c.engine.mu.Lock()
+	delay := c.engine.chooseDelay
+	c.engine.mu.Unlock()
+	if wait.For(ctx, delay) != nil {
+		return nil, ctx.Err()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.queries = append(c.queries, query)
@@ -473,3 +481,11 @@
 	}
 	return nil, ErrNoTarget
 }
+
+// queries returns how often an entry has asked for a target.
+func (c *fakeCluster) queries(entry string) int {
+	chooser := c.entries[entry].manager.options.Chooser.(*fakeChooser)
+	chooser.mu.Lock()
+	defer chooser.mu.Unlock()
+	return len(chooser.queries)
+}
--- a/generation/manager_test.go
+++ b/generation/manager_test.go
@@ -183,6 +183,30 @@
 	}
 }
 
+// Guards against a second attempt that goes from engine to engine after the silent stream has resumed: each of them runs what
+// it accepts too late.
+func TestSecondAttemptIsGivenUpWhenTheSilentStreamResumes(t *testing.T) {
+	scenario(t, 5, func(t *testing.T, is *is.I, c *fakeCluster) {
+		m := c.entries["e0"].manager
+		reader, err := m.Open(t.Context(), testRequest("k", v1.PreferLatency), nil)
+		is.NoErr(err)
+		defer reader.Close()
+		var got answer
+		is.NoErr(got.read(t.Context(), reader, 20))
+		c.engine.mu.Lock()
+		c.engine.acceptDelay = time.Second // longer than acceptTimeout
+		c.engine.mu.Unlock()
+		c.engine.pause("t0", true)
+		time.Sleep(300 * time.Millisecond)
+		asked := c.queries("e0")
+		c.engine.pause("t0", false)
+		is.NoErr(got.read(t.Context(), reader, -1))
+		got.check(is, 60)
+		is.Equal(asked, 2) // the first attempt, and one beside the silent stream
+		is.Equal(c.queries("e0"), asked)
+	})
+}
+
 func TestFaultyStreamsGiveCompleteAnswers(t *testing.T) {
 	faults := map[string]func(StreamEvent) []StreamEvent{
 		"duplicated": func(e StreamEvent) []StreamEvent { return []StreamEvent{e, e} },
--- a/generation/producer.go
+++ b/generation/producer.go
@@ -33,6 +33,8 @@
 	arbiter  AttemptArbiter
 	attempts []*attempt
 	starting bool
+	// speculation starts an attempt beside a silent one; nil while none starts.
+	speculation *starter
 	// attemptAccepted is set once a target has accepted an attempt, in this term or an earlier one.
 	attemptAccepted bool
 	failure         error
@@ -257,6 +259,7 @@
 	p.run.manager.targets.Alive(a.target.Metadata.Name, now)
 	if a.suspected {
 		p.run.manager.stats.FalseSuspicions.Add(1)
+		p.giveUpSpeculation(a)
 	}
 	a.recordEvent(now, p.run.manager.pauses.Lost(now))
 	p.handleEvent(a, m.event)
@@ -365,7 +368,7 @@
 
 // apply handles the outcome of starting an attempt.
 func (m startMessage) apply(p *producer, now time.Time) {
-	p.starting = false
+	p.starting, p.speculation = false, nil
 	if m.err != nil {
 		p.startFailed(m.err)
 		return
--- a/generation/produceractions.go
+++ b/generation/produceractions.go
@@ -83,7 +83,7 @@
 	case ActionSpeculate:
 		p.run.manager.stats.Speculative.Add(1)
 		p.countSpeculation()
-		p.startAttempt(false, p.attemptTargets(), nil)
+		p.speculation = p.startAttempt(false, p.attemptTargets(), nil)
 	}
 	if s.HasAttempt && s.Silence < s.Bound {
 		return max(minTimerDelay, min(checkInterval, s.Bound-s.Silence))
@@ -237,7 +237,7 @@
 
 // startAttempt starts an attempt at a target that is not excluded, after it has recorded the
 // crashes that led to it.
-func (p *producer) startAttempt(records bool, exclude, crashed []string) {
+func (p *producer) startAttempt(records bool, exclude, crashed []string) *starter {
 	p.starting = true
 	s := &starter{
 		producer:      p,
@@ -253,6 +253,16 @@
 		}
 		s.run()
 	})
+	return s
+}
+
+// giveUpSpeculation stops the start of an attempt beside a, which has resumed. A target that is being asked may still
+// accept; whether that attempt is used depends on the silence then.
+func (p *producer) giveUpSpeculation(a *attempt) {
+	if p.speculation == nil || p.speculation.unwanted.Swap(true) {
+		return
+	}
+	p.log("speculation-given-up", Field{"target", a.target.Metadata.Name})
 }
 
 // attachFormerAttempt takes over the attempt that the former producer recorded: its stream is read
--- a/generation/start.go
+++ b/generation/start.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/internal/wait"
@@ -35,8 +36,13 @@
 	// mayHaveRun is set once a target may have run the attempt.
 	mayHaveRun bool
 	exclude    []string
+	// unwanted is set once the silent stream that the attempt was to replace has resumed: no further target is tried.
+	unwanted atomic.Bool
 }
 
+// errUnwanted: the silent stream that the attempt was to replace has resumed.
+var errUnwanted = errors.New("generation: attempt no longer wanted")
+
 // run starts the attempt and reports it, or the error, to the producer.
 func (s *starter) run() {
 	a, err := s.start()
@@ -71,7 +77,7 @@
 		if err == nil {
 			return a, nil
 		}
-		if p.ctx.Err() != nil || !s.resuming || time.Now().After(deadline) {
+		if p.ctx.Err() != nil || errors.Is(err, errUnwanted) || !s.resuming || time.Now().After(deadline) {
 			return nil, s.givenUp(err)
 		}
 		s.exclude = nil
@@ -100,7 +106,7 @@
 			a.onFirstToken = sync.OnceFunc(releaseSlot)
 			return a, nil
 		}
-		if errors.Is(err, ErrNoTarget) || p.ctx.Err() != nil {
+		if errors.Is(err, ErrNoTarget) || errors.Is(err, errUnwanted) || p.ctx.Err() != nil {
 			releaseSlot()
 			return nil, err
 		}
@@ -113,6 +119,9 @@
 
 // tryTarget tries one target. If it fails, the target is excluded from further tries.
 func (s *starter) tryTarget(isolated bool) (*attempt, error) {
+	if s.unwanted.Load() {
+		return nil, errUnwanted
+	}
 	p := s.producer
 	suspected := p.run.manager.targets.Suspected(time.Now())
 	request := p.run.request
