Ask the engine of a stream that was taken over again under "cost"

When an entry dies, the one that takes over reads the engine's running stream again. The engine got 300 ms for that, once; then its stream was cancelled and the prompt and all tokens went to another engine, though nothing else said that the engine was lost. A stream that an entry reads itself has 400 ms of silence and then 300 ms for the same question.

Ruled out: a wrong record or attempt (both were right).

Under "cost" an attach that times out is repeated until the stream has been silent for the limit of a stream without an estimate of its gaps (2 s; no new bound). An answer, as "no such stream", and a refused connection count at once as before, and so does a time-out of a stream that broke or fell silent here. "latency" keeps its 300 ms: it buys time with a prefill.

Test, failing first: "2 != 1" streams with an engine that answers after 900 ms; with one that stays frozen the answer goes on elsewhere within 4 s.

--- a/generation/attempt.go
+++ b/generation/attempt.go
@@ -121,6 +121,8 @@
 	stream  Stream
 	cancel  context.CancelFunc
 	err     error
+	// timedOut is set if the target did not answer in time.
+	timedOut bool
 }
 
 // readStream passes the events of a stream to the producer's goroutine until the stream ends.
--- a/generation/manager_test.go
+++ b/generation/manager_test.go
@@ -278,6 +278,36 @@
 	})
 }
 
+// Guards against a stream that is thrown away when its entry dies, only because its engine was slow to answer the entry
+// that took over.
+func TestStreamOfADeadEntryIsReadAgainFromASlowEngine(t *testing.T) {
+	for _, each := range []struct {
+		slow     time.Duration // how long the engine answers nothing
+		attempts int
+	}{
+		{900 * time.Millisecond, 1},
+		{time.Minute, 2}, // an engine that is frozen must not hold the answer
+	} {
+		scenario(t, 2, func(t *testing.T, is *is.I, c *fakeCluster) {
+			request := testRequest("k", v1.PreferCost)
+			reader, err := c.entries["e0"].manager.Open(t.Context(), request, nil)
+			is.NoErr(err)
+			var got answer
+			is.NoErr(got.read(t.Context(), reader, 20))
+			c.engine.pause("t0", true)
+			time.AfterFunc(each.slow, func() { c.engine.pause("t0", false) })
+			c.kill("e0")
+			reader, err = c.entries["e3"].manager.Open(t.Context(), request, got.last)
+			is.NoErr(err)
+			defer reader.Close()
+			is.NoErr(got.read(t.Context(), reader, -1))
+			got.check(is, 60)
+			is.Equal(c.engine.generatedCount(), each.attempts)
+			is.True(got.slowest <= 4*time.Second) // the users' bound after a loss
+		})
+	}
+}
+
 func TestRetryWhileTheProducerRunsFollowsIt(t *testing.T) {
 	scenario(t, 2, func(t *testing.T, is *is.I, c *fakeCluster) {
 		request := testRequest("k", v1.PreferLatency)
--- a/generation/produceractions.go
+++ b/generation/produceractions.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/journal"
 )
 
@@ -158,15 +159,15 @@
 		ctx, cancel := context.WithCancel(p.ctx)
 		timer := time.AfterFunc(timeout, cancel)
 		stream, err := m.options.Engine.Attach(ctx, a.target, a.id, from)
-		if err == nil && !timer.Stop() {
+		timedOut := !timer.Stop()
+		if err == nil && timedOut {
 			stream.Close()
 			err = context.DeadlineExceeded
 		}
-		timer.Stop()
 		if err != nil {
 			cancel()
 		}
-		if !p.post(attachMessage{attempt: a, stream: stream, cancel: cancel, err: err}) {
+		if !p.post(attachMessage{attempt: a, stream: stream, cancel: cancel, err: err, timedOut: timedOut}) {
 			cancel()
 		}
 	})
@@ -182,6 +183,14 @@
 	return costPolicy.attachTimeout
 }
 
+// isAskedAgain reports whether a target that didn't answer an attach in time is asked again. The target of a stream that
+// was taken over has given no other sign of a loss: under PreferCost it has as long as any stream without an estimate of
+// its gaps.
+func (p *producer) isAskedAgain(a *attempt, now time.Time) bool {
+	return p.run.request.Recovery.Prefer != v1.PreferLatency && a.stream == nil && !a.broken && !a.suspected &&
+		p.silence(a, now) < p.policy.tokenSensitivity.InitialLimit
+}
+
 // apply handles the outcome of an attach. After a successful one, attachFailed stays set until a
 // token arrives, so that a target which resumes the stream but sends nothing is replaced.
 func (m attachMessage) apply(p *producer, now time.Time) {
@@ -189,7 +198,7 @@
 	a.attaching = false
 	obsolete := !slices.Contains(p.attempts, a) || (a.stream != nil && !a.suspected)
 	if m.err != nil {
-		a.attachFailed = !obsolete
+		a.attachFailed = !obsolete && !(m.timedOut && p.isAskedAgain(a, now))
 		return
 	}
 	if obsolete {
