Don't continue an older copy while entries that may hold the rest don't answer

Found by reading, while "the answer ended as lost" of TestScenarios/entry-death was traced: a look-up that finds a record shorter than what the caller has received asks more entries, longer, and then went on with the short record even if some still didn't answer. The takeover raised the term, the caller was told earlier-output-lost for good, and the copy of the frozen entry was worthless when it came back. Without any record the caller was told to try again already.

Now it is told so in both cases: given up, may have run, retry after 1 s. A producer that is reachable is still followed first. Entries that are dead, by a refused connection or by membership, don't count, so a loss that is certain is told as before.

Test, failing first: "not true: errors.As(err, &givenUp)": two holders frozen, one older copy answers.

--- a/generation/fakes_test.go
+++ b/generation/fakes_test.go
@@ -489,3 +489,14 @@
 	defer chooser.mu.Unlock()
 	return len(chooser.queries)
 }
+
+// holders returns the names of the entries that hold a record of the key, without some of them.
+func (c *fakeCluster) holders(key Key, without ...string) []string {
+	var names []string
+	for _, peer := range c.peers {
+		if !slices.Contains(without, peer.Name) && c.entries[peer.Name].store.Read(key.String()).Record != nil {
+			names = append(names, peer.Name)
+		}
+	}
+	return names
+}
--- a/generation/manager_test.go
+++ b/generation/manager_test.go
@@ -308,6 +308,42 @@
 	}
 }
 
+// Guards against output that is lost since the entries that hold it were frozen while an older copy was found: the answer was
+// continued from there, and its caller told that what it had received is lost.
+func TestOlderCopyIsNotContinuedWhileEntriesDontAnswer(t *testing.T) {
+	scenario(t, 2, func(t *testing.T, is *is.I, c *fakeCluster) {
+		request := testRequest("k", v1.PreferLatency)
+		reader, err := c.entries["e0"].manager.Open(t.Context(), request, nil)
+		is.NoErr(err)
+		var got answer
+		is.NoErr(got.read(t.Context(), reader, 10))
+		older := c.holders(request.Key, "e0")
+		c.mu.Lock()
+		c.disconnected[[2]string{"e0", older[0]}] = true // it keeps what it has
+		c.mu.Unlock()
+		is.NoErr(got.read(t.Context(), reader, 30))
+		holders := c.holders(request.Key, "e0", older[0])
+		is.Equal(len(holders), 2)
+		for _, name := range holders {
+			c.setPaused(name, true)
+		}
+		c.kill("e0")
+		_, err = c.entries[older[0]].manager.Open(t.Context(), request, got.last)
+		var givenUp *GivenUpError
+		is.True(errors.As(err, &givenUp)) // it may be tried again
+		for _, name := range holders {
+			c.setPaused(name, false)
+		}
+		time.Sleep(givenUp.RetryAfter)
+		reader, err = c.entries[older[0]].manager.Open(t.Context(), request, got.last)
+		is.NoErr(err)
+		defer reader.Close()
+		is.NoErr(got.read(t.Context(), reader, -1))
+		got.check(is, 60)
+		is.Equal(c.engine.generatedCount(), 1)
+	})
+}
+
 func TestRetryWhileTheProducerRunsFollowsIt(t *testing.T) {
 	scenario(t, 2, func(t *testing.T, is *is.I, c *fakeCluster) {
 		request := testRequest("k", v1.PreferLatency)
--- a/generation/run.go
+++ b/generation/run.go
@@ -242,6 +242,11 @@
 			return result
 		}
 	}
+	if !r.coversSeen(found.Record) && found.Unanswered > 0 {
+		// An entry that doesn't answer now may hold what the caller has received. Under a new term it would be lost.
+		r.fail(&GivenUpError{MayHaveRun: true, RetryAfter: retryAfter, Cause: errReplicasUnavailable})
+		return outcomeFailed
+	}
 	return r.takeOver(found)
 }
 
