--- a/generation/manager_test.go
+++ b/generation/manager_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
+	"github.com/azurebarrow/azurebarrow/journal"
 	"github.com/matryer/is"
 )
 
@@ -137,6 +138,75 @@
 	})
 }
 
+// lateJournal makes the goroutine of one producer late: it doesn't run for a time after it has appended a token.
+type lateJournal struct {
+	Journal
+	at   int
+	late time.Duration
+}
+
+type lateAppender struct {
+	journal.Appender
+	journal  *lateJournal
+	appended int
+}
+
+func (j *lateJournal) StartReplication(record *journal.Record, observer journal.Observer) journal.Appender {
+	return &lateAppender{Appender: j.Journal.StartReplication(record, observer), journal: j}
+}
+
+func (a *lateAppender) Append(tokens []string, finish string) {
+	a.Appender.Append(tokens, finish)
+	if a.appended++; a.appended == a.journal.at {
+		time.Sleep(a.journal.late)
+	}
+}
+
+// Guards against an entry that takes its own delay for its engine's silence: on a busy machine a producer's goroutine runs
+// late while the stream's next events wait for it, and a second engine got the work.
+func TestOwnDelayIsNotTakenForTheEnginesSilence(t *testing.T) {
+	for _, prefer := range []v1.RecoveryPreference{v1.PreferLatency, v1.PreferCost} {
+		for _, at := range []int{20, 60} { // in mid-answer; before the end
+			scenario(t, 2, func(t *testing.T, is *is.I, c *fakeCluster) {
+				m := c.entries["e0"].manager
+				m.options.Journal = &lateJournal{Journal: m.options.Journal, at: at, late: time.Second}
+				reader, err := m.Open(t.Context(), testRequest("k", prefer), nil)
+				is.NoErr(err)
+				defer reader.Close()
+				var got answer
+				is.NoErr(got.read(t.Context(), reader, -1))
+				got.check(is, 60)
+				is.Equal(c.engine.generatedCount(), 1)
+				is.Equal(m.Stats().Suspicions.Load(), int64(0))
+			})
+		}
+	}
+}
+
+// Guards against a second attempt that goes from engine to engine after the silent stream has resumed: each of them runs what
+// it accepts too late.
+func TestSecondAttemptIsGivenUpWhenTheSilentStreamResumes(t *testing.T) {
+	scenario(t, 5, func(t *testing.T, is *is.I, c *fakeCluster) {
+		m := c.entries["e0"].manager
+		reader, err := m.Open(t.Context(), testRequest("k", v1.PreferLatency), nil)
+		is.NoErr(err)
+		defer reader.Close()
+		var got answer
+		is.NoErr(got.read(t.Context(), reader, 20))
+		c.engine.mu.Lock()
+		c.engine.acceptDelay = time.Second // longer than acceptTimeout
+		c.engine.mu.Unlock()
+		c.engine.pause("t0", true)
+		time.Sleep(300 * time.Millisecond)
+		asked := c.queries("e0")
+		c.engine.pause("t0", false)
+		is.NoErr(got.read(t.Context(), reader, -1))
+		got.check(is, 60)
+		is.Equal(asked, 2) // the first attempt, and one beside the silent stream
+		is.Equal(c.queries("e0"), asked)
+	})
+}
+
 func TestFaultyStreamsGiveCompleteAnswers(t *testing.T) {
 	faults := map[string]func(StreamEvent) []StreamEvent{
 		"duplicated": func(e StreamEvent) []StreamEvent { return []StreamEvent{e, e} },
@@ -208,6 +278,72 @@
 	})
 }
 
+// Guards against a stream that is thrown away when its entry dies, only because its engine was slow to answer the entry
+// that took over.
+func TestStreamOfADeadEntryIsReadAgainFromASlowEngine(t *testing.T) {
+	for _, each := range []struct {
+		slow     time.Duration // how long the engine answers nothing
+		attempts int
+	}{
+		{900 * time.Millisecond, 1},
+		{time.Minute, 2}, // an engine that is frozen must not hold the answer
+	} {
+		scenario(t, 2, func(t *testing.T, is *is.I, c *fakeCluster) {
+			request := testRequest("k", v1.PreferCost)
+			reader, err := c.entries["e0"].manager.Open(t.Context(), request, nil)
+			is.NoErr(err)
+			var got answer
+			is.NoErr(got.read(t.Context(), reader, 20))
+			c.engine.pause("t0", true)
+			time.AfterFunc(each.slow, func() { c.engine.pause("t0", false) })
+			c.kill("e0")
+			reader, err = c.entries["e3"].manager.Open(t.Context(), request, got.last)
+			is.NoErr(err)
+			defer reader.Close()
+			is.NoErr(got.read(t.Context(), reader, -1))
+			got.check(is, 60)
+			is.Equal(c.engine.generatedCount(), each.attempts)
+			is.True(got.slowest <= 4*time.Second) // the users' bound after a loss
+		})
+	}
+}
+
+// Guards against output that is lost since the entries that hold it were frozen while an older copy was found: the answer was
+// continued from there, and its caller told that what it had received is lost.
+func TestOlderCopyIsNotContinuedWhileEntriesDontAnswer(t *testing.T) {
+	scenario(t, 2, func(t *testing.T, is *is.I, c *fakeCluster) {
+		request := testRequest("k", v1.PreferLatency)
+		reader, err := c.entries["e0"].manager.Open(t.Context(), request, nil)
+		is.NoErr(err)
+		var got answer
+		is.NoErr(got.read(t.Context(), reader, 10))
+		older := c.holders(request.Key, "e0")
+		c.mu.Lock()
+		c.disconnected[[2]string{"e0", older[0]}] = true // it keeps what it has
+		c.mu.Unlock()
+		is.NoErr(got.read(t.Context(), reader, 30))
+		holders := c.holders(request.Key, "e0", older[0])
+		is.Equal(len(holders), 2)
+		for _, name := range holders {
+			c.setPaused(name, true)
+		}
+		c.kill("e0")
+		_, err = c.entries[older[0]].manager.Open(t.Context(), request, got.last)
+		var givenUp *GivenUpError
+		is.True(errors.As(err, &givenUp)) // it may be tried again
+		for _, name := range holders {
+			c.setPaused(name, false)
+		}
+		time.Sleep(givenUp.RetryAfter)
+		reader, err = c.entries[older[0]].manager.Open(t.Context(), request, got.last)
+		is.NoErr(err)
+		defer reader.Close()
+		is.NoErr(got.read(t.Context(), reader, -1))
+		got.check(is, 60)
+		is.Equal(c.engine.generatedCount(), 1)
+	})
+}
+
 func TestRetryWhileTheProducerRunsFollowsIt(t *testing.T) {
 	scenario(t, 2, func(t *testing.T, is *is.I, c *fakeCluster) {
 		request := testRequest("k", v1.PreferLatency)
--- a/generation/produceractions.go
+++ b/generation/produceractions.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/journal"
 )
 
@@ -69,6 +70,9 @@
 	}
 	s := p.currentSituation(now)
 	action := nextAction(s)
+	if s.isSilent() && action != ActionWait && p.handleWaiting() {
+		return minTimerDelay
+	}
 	if s.HasAttempt && !s.Broken && action != ActionWait {
 		p.markSilent(p.newestAttempt(), now)
 	}
@@ -80,7 +84,7 @@
 	case ActionSpeculate:
 		p.run.manager.stats.Speculative.Add(1)
 		p.countSpeculation()
-		p.startAttempt(false, p.attemptTargets(), nil)
+		p.speculation = p.startAttempt(false, p.attemptTargets(), nil)
 	}
 	if s.HasAttempt && s.Silence < s.Bound {
 		return max(minTimerDelay, min(checkInterval, s.Bound-s.Silence))
@@ -88,6 +92,18 @@
 	return checkInterval / 10
 }
 
+// handleWaiting handles one message that waits, and reports whether there was one. On a busy machine this goroutine
+// may run late: a stream whose next event waits for it is not silent.
+func (p *producer) handleWaiting() bool {
+	select {
+	case m := <-p.messages:
+		m.apply(p, time.Now())
+		return true
+	default:
+		return false
+	}
+}
+
 // prefillCostRatio is the work of prefilling one token relative to that of generating one.
 const prefillCostRatio = 1.0 / 50
 
@@ -143,15 +159,15 @@
 		ctx, cancel := context.WithCancel(p.ctx)
 		timer := time.AfterFunc(timeout, cancel)
 		stream, err := m.options.Engine.Attach(ctx, a.target, a.id, from)
-		if err == nil && !timer.Stop() {
+		timedOut := !timer.Stop()
+		if err == nil && timedOut {
 			stream.Close()
 			err = context.DeadlineExceeded
 		}
-		timer.Stop()
 		if err != nil {
 			cancel()
 		}
-		if !p.post(attachMessage{attempt: a, stream: stream, cancel: cancel, err: err}) {
+		if !p.post(attachMessage{attempt: a, stream: stream, cancel: cancel, err: err, timedOut: timedOut}) {
 			cancel()
 		}
 	})
@@ -167,6 +183,14 @@
 	return costPolicy.attachTimeout
 }
 
+// isAskedAgain reports whether a target that didn't answer an attach in time is asked again. The target of a stream that
+// was taken over has given no other sign of a loss: under PreferCost it has as long as any stream without an estimate of
+// its gaps.
+func (p *producer) isAskedAgain(a *attempt, now time.Time) bool {
+	return p.run.request.Recovery.Prefer != v1.PreferLatency && a.stream == nil && !a.broken && !a.suspected &&
+		p.silence(a, now) < p.policy.tokenSensitivity.InitialLimit
+}
+
 // apply handles the outcome of an attach. After a successful one, attachFailed stays set until a
 // token arrives, so that a target which resumes the stream but sends nothing is replaced.
 func (m attachMessage) apply(p *producer, now time.Time) {
@@ -174,7 +198,7 @@
 	a.attaching = false
 	obsolete := !slices.Contains(p.attempts, a) || (a.stream != nil && !a.suspected)
 	if m.err != nil {
-		a.attachFailed = !obsolete
+		a.attachFailed = !obsolete && !(m.timedOut && p.isAskedAgain(a, now))
 		return
 	}
 	if obsolete {
@@ -222,7 +246,7 @@
 
 // startAttempt starts an attempt at a target that is not excluded, after it has recorded the
 // crashes that led to it.
-func (p *producer) startAttempt(records bool, exclude, crashed []string) {
+func (p *producer) startAttempt(records bool, exclude, crashed []string) *starter {
 	p.starting = true
 	s := &starter{
 		producer:      p,
@@ -238,6 +262,16 @@
 		}
 		s.run()
 	})
+	return s
+}
+
+// giveUpSpeculation stops the start of an attempt beside a, which has resumed. A target that is being asked may still
+// accept; whether that attempt is used depends on the silence then.
+func (p *producer) giveUpSpeculation(a *attempt) {
+	if p.speculation == nil || p.speculation.unwanted.Swap(true) {
+		return
+	}
+	p.log("speculation-given-up", Field{"target", a.target.Metadata.Name})
 }
 
 // attachFormerAttempt takes over the attempt that the former producer recorded: its stream is read
