--- a/membership/manager.go
+++ b/membership/manager.go
@@ -173,6 +173,11 @@
 	pushBudget    tokenBucket
 	// pageAfter is the name after which the next requested page of a peer's table starts.
 	pageAfter string
+	// joinProbes is the number of unanswered probes of peers in StateUnknown.
+	joinProbes int
+	// indirectProbes is the number of running probes that may go through helpers.
+	indirectProbes int
+	roundTrips     roundTrips
 	// dirty is set when the published view may be outdated.
 	dirty bool
 }
@@ -217,7 +222,7 @@
 	l.removeGonePeers(ctx, now)
 	l.confirmSuspects(ctx, now)
 	if now.Sub(l.started) < joiningPeriod {
-		l.probeUnknownPeers(ctx, now, joinProbesPerTick)
+		l.probeUnknownPeers(ctx, now, joinProbesPerTick-l.joinProbes)
 	}
 	l.probeCount++
 	peer, ok := l.choosePeer()
@@ -239,13 +244,14 @@
 	return l.table.nextToProbe(l.probeCount%unreachableProbeEvery == 1, l.random)
 }
 
-// probeUnknownPeers probes up to count random peers in StateUnknown. Without it a starting entry would learn
+// probeUnknownPeers probes up to count random peers in StateUnknown, at most joinProbes at a time. Without it a starting entry would learn
 // of one entry per interval, and rank keys by a view that differs from that of the other entries.
 func (l *eventLoop) probeUnknownPeers(ctx context.Context, now time.Time, count int) {
 	unknown := l.table.unknownPeers()
 	l.random.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
-	for _, peer := range unknown[:min(count, len(unknown))] {
-		l.startProbe(ctx, now, probe{peer: peer})
+	for _, peer := range unknown[:max(0, min(count, len(unknown), joinProbes-l.joinProbes))] {
+		l.joinProbes++
+		l.startProbe(ctx, now, probe{peer: peer, join: true})
 	}
 }
 
@@ -287,19 +293,34 @@
 // confirmSuspects probes the longest suspected peers again, through helpers at the same time.
 func (l *eventLoop) confirmSuspects(ctx context.Context, now time.Time) {
 	suspects := l.table.suspects()
+	if limit := l.roundTrips.patience(l.options).maxIndirect; limit > 0 {
+		suspects = suspects[:min(len(suspects), max(0, limit-l.indirectProbes))]
+	}
 	for _, m := range suspects[:min(len(suspects), maxConfirmationsPerTick)] {
 		l.startProbe(ctx, now, probe{peer: m.delta.Peer, helpersAtOnce: true})
 	}
 }
 
 func (l *eventLoop) startProbe(ctx context.Context, now time.Time, p probe) {
-	p.helpers = l.table.helpers(p.peer, l.options.IndirectProbes, l.random)
+	p.patience = l.roundTrips.patience(l.options)
+	switch {
+	case p.join, !l.roundTrips.known && now.Sub(l.started) < joiningPeriod:
+		p.patience = joinPatience(l.options)
+		p.inconclusive = true
+	case !l.table.canBeSuspected(p.peer):
+	case p.patience.maxIndirect > 0 && l.indirectProbes >= p.patience.maxIndirect:
+		p.inconclusive = true
+	default:
+		p.indirect = true
+		l.indirectProbes++
+		p.helpers = l.table.helpers(p.peer, l.options.IndirectProbes, l.random)
+	}
 	p.message = l.composeMessage(p.peer, now)
 	p.message.PageRequest = l.pageRequest(now)
 	p.epoch = l.epoch
 	manager := l.manager
 	go func() {
-		result := runProbe(ctx, l.options.Prober, p, l.options.IndirectAfter, l.options.ProbeTimeout)
+		result := runProbe(ctx, l.options.Prober, p)
 		manager.post(func(l *eventLoop) { l.handleProbeResult(result, time.Now()) })
 	}()
 }
@@ -435,13 +456,22 @@
 
 // handleProbeResult processes the result of one of this entry's own probes.
 func (l *eventLoop) handleProbeResult(result probeResult, now time.Time) {
+	if result.probe.join {
+		l.joinProbes--
+	}
+	if result.probe.indirect {
+		l.indirectProbes--
+	}
 	if result.err == nil {
+		if result.direct {
+			l.roundTrips.add(result.roundTrip)
+		}
 		l.dropPlaceholder(result)
 		l.mergeMessage(result.answer, now)
 		l.clearSuspicion(result.answer.From)
 		return
 	}
-	if result.probe.epoch != l.epoch || now.Sub(l.lastTick) >= pauseFactor*l.options.ProbeInterval {
+	if result.probe.inconclusive || result.probe.epoch != l.epoch || now.Sub(l.lastTick) >= pauseFactor*l.options.ProbeInterval {
 		return
 	}
 	peer := result.probe.peer
--- a/membership/manager_test.go
+++ b/membership/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -20,15 +21,21 @@
 	partitionTime = 30 * time.Second
 )
 
-func TestJoinAndDetectDeathsAt128Members(t *testing.T) {
+func TestJoinAndDetectDeaths(t *testing.T) {
+	for size, victims := range map[int]int{8: 3, 76: 8, fleetSize: 15, 195: 3, 300: 2} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) { testJoinAndDetectDeaths(t, size, victims) })
+	}
+}
+
+func testJoinAndDetectDeaths(t *testing.T, size, victims int) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := newNetwork(1)
 		defer n.stop()
-		n.start(t, fleetSize)
-		is.True(waitFor(joinBound, func() bool { return n.everyoneSees(fleetSize) }) < joinBound)
+		n.start(t, size)
+		is.True(waitFor(joinBound, func() bool { return n.everyoneSees(size) }) < joinBound)
 		var detections []time.Duration
-		for victim := 10; victim < 25; victim++ {
+		for victim := size/10 + 1; victim <= size/10+victims; victim++ {
 			n.kill(victim)
 			detections = append(detections, n.detectionTimes(victim)...)
 		}
@@ -99,6 +106,7 @@
 			}
 		}
 		is.Equal(falseDeaths, 0)
+		t.Logf("%d refuted suspicions", n.refutedSuspicions())
 	})
 }
 
--- a/membership/network_test.go
+++ b/membership/network_test.go
@@ -12,7 +12,10 @@
 
 const networkLatency = 2 * time.Millisecond
 
-var errUnreachable = errors.New("network: message lost")
+var (
+	errUnreachable  = errors.New("network: message lost")
+	errNotListening = errors.New("network: connection refused")
+)
 
 // network delivers probes between managers in memory, and can lose, delay or partition them.
 type network struct {
@@ -25,6 +28,10 @@
 	pausedUntil map[string]time.Time
 	// partition maps the address of a member to its part of the partitioned network.
 	partition map[string]int
+	// messages counts the messages. All members share one processor, which takes messageCost for each, until processorFree.
+	messages      int
+	messageCost   time.Duration
+	processorFree time.Time
 }
 
 func newNetwork(seed uint64) *network {
@@ -55,12 +62,16 @@
 }
 
 func (n *network) startEntry(t *testing.T, i int, incarnation uint64) {
+	n.startSeeded(t, i, incarnation, []Peer{{Address: testPeer(0).Address}, {Address: testPeer(1).Address}})
+}
+
+func (n *network) startSeeded(t *testing.T, i int, incarnation uint64, seeds []Peer) {
 	self := testPeer(i)
 	self.Incarnation = incarnation
 	manager := NewManager(Options{
 		Self:   self,
 		Prober: prober{n, self.Address},
-		Seeds:  []Peer{{Address: testPeer(0).Address}, {Address: testPeer(1).Address}},
+		Seeds:  seeds,
 		Seed:   uint64(i),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -104,6 +115,14 @@
 	if later := n.pausedUntil[to]; later.After(wake) {
 		wake = later
 	}
+	n.messages++
+	if n.processorFree.Before(time.Now()) {
+		n.processorFree = time.Now()
+	}
+	n.processorFree = n.processorFree.Add(n.messageCost)
+	if n.processorFree.After(wake) {
+		wake = n.processorFree
+	}
 	n.mutex.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -134,7 +153,11 @@
 	if err := p.network.deliver(ctx, from, peer.Address); err != nil {
 		return Message{}, err
 	}
-	answer, err := p.network.manager(peer.Address).HandleProbe(ctx, message)
+	manager := p.network.manager(peer.Address)
+	if manager == nil {
+		return Message{}, errNotListening
+	}
+	answer, err := manager.HandleProbe(ctx, message)
 	if err != nil {
 		return Message{}, err
 	}
@@ -186,3 +209,14 @@
 	}
 	return true
 }
+
+// refutedSuspicions returns how often running members, which all began with incarnation 1, refuted that they are suspect.
+func (n *network) refutedSuspicions() int {
+	count := 0
+	for address, manager := range n.managers {
+		if !n.killed[address] {
+			count += int(manager.Self().Incarnation - 1)
+		}
+	}
+	return count
+}
--- a/membership/options.go
+++ b/membership/options.go
@@ -41,8 +41,8 @@
 	inboxLength             = 64
 	// joiningPeriod is the time after its start in which an entry collects the membership faster.
 	joiningPeriod = 10 * time.Second
-	// joinProbes and joinProbesPerTick limit the probes to listed peers in StateUnknown: after the start
-	// and each reading of the directory, and at each tick of the joining period.
+	// joinProbes and joinProbesPerTick limit the probes to listed peers in StateUnknown that run at a time: after the
+	// start and each reading of the directory, and at each tick of the joining period.
 	joinProbes = 16
 	// listIntervalPerPeer times the number of live entries is the minimum time between two readings of the
 	// directory by one entry. All entries together read it at most once in this interval.
@@ -81,7 +81,8 @@
 
 	// ProbeInterval is the time between two probes that this entry sends, at any size of the fleet.
 	ProbeInterval time.Duration
-	// IndirectAfter is how long a direct probe may stay unanswered before other peers probe as well.
+	// IndirectAfter is how long a direct probe may stay unanswered before other peers probe as well. It and ProbeTimeout
+	// are the least times: an entry waits longer while peers answer late.
 	IndirectAfter time.Duration
 	// ProbeTimeout is the timeout of a probe, including its indirect probes.
 	ProbeTimeout time.Duration
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -11,8 +11,16 @@
 	helpers []Peer
 	// helpersAtOnce starts the indirect probes together with the direct one, not only when that is late.
 	helpersAtOnce bool
-	message       Message
-	epoch         int
+	// join is set for a probe of a peer in StateUnknown while this entry joins.
+	join bool
+	// indirect is set if the probe may go through helpers; inconclusive, if it may not because answers are late or none came
+	// yet, so that its failure says nothing of the peer.
+	indirect     bool
+	inconclusive bool
+
+	message  Message
+	epoch    int
+	patience patience
 }
 
 // probeResult is the outcome of a probe; err is set when neither this entry nor a helper reached the peer.
@@ -20,22 +28,28 @@
 	probe  probe
 	answer Message
 	err    error
+	// direct is set if the peer answered without a helper, after roundTrip.
+	direct    bool
+	roundTrip time.Duration
 }
 
 // runProbe sends p. It returns the first valid answer, or the last error if there was none.
-func runProbe(ctx context.Context, prober Prober, p probe, indirectAfter, timeout time.Duration) probeResult {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func runProbe(ctx context.Context, prober Prober, p probe) probeResult {
+	ctx, cancel := context.WithTimeout(ctx, p.patience.timeout)
 	defer cancel()
 	answers := make(chan probeResult, 1+len(p.helpers))
 	go func() {
+		began := time.Now()
 		answer, err := prober.Probe(ctx, p.peer, p.message)
-		answers <- checkedResult(p, answer, err)
+		result := checkedResult(p, answer, err)
+		result.direct, result.roundTrip = true, time.Since(began)
+		answers <- result
 	}()
 	pending := 1
 	if p.helpersAtOnce {
 		pending += startIndirect(ctx, prober, p, answers)
 	}
-	helperTimer := time.NewTimer(indirectAfter)
+	helperTimer := time.NewTimer(p.patience.indirectAfter)
 	defer helperTimer.Stop()
 	helpersAsked := p.helpersAtOnce
 	result := probeResult{probe: p, err: context.DeadlineExceeded}
--- a/membership/table.go
+++ b/membership/table.go
@@ -276,6 +276,13 @@
 	return list
 }
 
+// canBeSuspected reports whether a failed probe says anything about the peer. A peer in StateUnknown may not have started
+// yet; if others reach it, their gossip says so, and helpers are not needed.
+func (t *table) canBeSuspected(peer Peer) bool {
+	m, ok := t.members[peer.Name]
+	return ok && m.delta.State != StateUnknown
+}
+
 // helpers chooses the peers through which target is probed: the first from target's availability zone and
 // the second from this entry's own, to detect a partition between zones; the rest at random.
 func (t *table) helpers(target Peer, count int, random *rand.Rand) []Peer {
