Measure a start of all entries with their membership, store and links in the model

The modelled fleet of package directory starts at once with real membership managers that know three seeds, a store with pages of 50 objects, 4 ms an answer and one link of 1,000 Mbit/s, and entries with links of 10 Mbit/s (the smallest VMs of the large deployment have 20).

Not mended: entries that pass the lists on need 0.5 s a level over links of 10 Mbit/s, eight levels at 300 (computed), which is slower than the store up to there. At 1,800 and 570 KB the store's link alone takes 9.6 s (computed).

--- a/directory/feed_load_test.go
+++ b/directory/feed_load_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -36,6 +37,7 @@
 
 // modelLink is the link of a VM. Its bytes leave one after the other, whichever connection they belong to.
 type modelLink struct {
+	bytesPerMs int // 0 means linkBytesPerMs
 	mu         sync.Mutex
 	freeAt     time.Time
 	maxBacklog time.Duration
@@ -49,7 +51,7 @@
 	if l.freeAt.Before(now) {
 		l.freeAt = now
 	}
-	l.freeAt = l.freeAt.Add(time.Duration(bytes) * time.Millisecond / linkBytesPerMs)
+	l.freeAt = l.freeAt.Add(time.Duration(bytes) * time.Millisecond / time.Duration(cmp.Or(l.bytesPerMs, linkBytesPerMs)))
 	l.maxBacklog = max(l.maxBacklog, l.freeAt.Sub(now))
 	return l.freeAt
 }
@@ -87,6 +89,10 @@
 type modelStore struct {
 	// changeBytesPerMs is the rate at which readers take changes; 0 means that of their links.
 	changeBytesPerMs int
+	// pageObjects is the number of objects in a page of a list, which takes a round trip; link carries all answers. Zero values
+	// mean one page and a link that is never full.
+	pageObjects int
+	link        *modelLink
 
 	mu            sync.Mutex
 	revision      int64
@@ -96,10 +102,11 @@
 	configuredAt  time.Time
 	// calls counts the calls by kind of object.
 	calls map[string]int
+	bytes map[string]int
 }
 
 func newModelStore() *modelStore {
-	s := &modelStore{revision: 1, changed: make(chan struct{}), calls: map[string]int{}}
+	s := &modelStore{revision: 1, changed: make(chan struct{}), calls: map[string]int{}, bytes: map[string]int{}}
 	for i := range targetsInStore {
 		value, _ := json.Marshal(map[string]string{"Service": "drafts", "Address": fmt.Sprintf("10.0.0.%d:1", i), "Padding": strings.Repeat("x", targetObjectBytes)})
 		s.targets = append(s.targets, objects.Object{Kind: KindTarget, Name: fmt.Sprintf("i-%d", i), Revision: 1, Value: value})
@@ -193,7 +200,25 @@
 			objects.NotifyLargeAnswer(ctx)
 		}
 	}
-	return list, wait.For(ctx, time.Duration(sizeOf(list.Items))*time.Millisecond/time.Duration(bytesPerMs))
+	size := sizeOf(list.Items)
+	c.store.mu.Lock()
+	c.store.bytes[kind] += size
+	c.store.mu.Unlock()
+	if c.store.link == nil {
+		return list, wait.For(ctx, time.Duration(size)*time.Millisecond/time.Duration(bytesPerMs))
+	}
+	for range (len(list.Items) - 1) / c.store.pageObjects {
+		c.store.mu.Lock()
+		c.store.calls[kind]++
+		c.store.mu.Unlock()
+		_ = wait.For(ctx, roundTrip)
+	}
+	for ; size > 0 && ctx.Err() == nil; size -= connWindowBytes {
+		segment := min(size, connWindowBytes)
+		_ = wait.For(ctx, time.Until(c.store.link.send(segment))+time.Duration(segment)*time.Millisecond/time.Duration(bytesPerMs))
+		objects.NotifyReadProgress(ctx)
+	}
+	return list, ctx.Err()
 }
 
 // modelFleet is the view of one entry and its access to the feeds of the others.
@@ -222,6 +247,11 @@
 }
 
 func startFleetOf(ctx context.Context, entries int, store *modelStore, turnedAway func(number int) bool) (fleet *modelFleet, stop func()) {
+	return startFleetWith(ctx, entries, store, turnedAway, nil)
+}
+
+// startFleetWith is startFleetOf with the views that viewOf returns, if it is not nil.
+func startFleetWith(ctx context.Context, entries int, store *modelStore, turnedAway func(int) bool, viewOf func(int) membership.View) (fleet *modelFleet, stop func()) {
 	fleet = &modelFleet{managers: map[string]*Manager{}, links: map[string]*modelLink{}}
 	for i := range entries {
 		fleet.live = append(fleet.live, peer(fmt.Sprintf("e%d", i), string(rune('a'+i%3))))
@@ -231,9 +261,11 @@
 	for i, self := range fleet.live {
 		view := &modelFleet{self: self, live: fleet.live, managers: fleet.managers, links: fleet.links}
 		fleet.links[self.Name] = &modelLink{}
-		fleet.managers[self.Name] = NewManager(Options{
-			Store: storeClient{store: store, turnedAway: turnedAway(i)}, Decoder: jsonDecoder{}, Peers: view, View: view,
-		})
+		options := Options{Store: storeClient{store: store, turnedAway: turnedAway(i)}, Decoder: jsonDecoder{}, Peers: view, View: view}
+		if viewOf != nil {
+			options.View = viewOf(i)
+		}
+		fleet.managers[self.Name] = NewManager(options)
 	}
 	for _, manager := range fleet.managers {
 		ended.Go(func() { _ = manager.Run(ctx) })
--- a/directory/start_load_test.go
+++ b/directory/start_load_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/azurebarrow/azurebarrow/internal/wait"
+	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/objects"
 )
 
@@ -68,3 +71,87 @@
 		})
 	}
 }
+
+// startingMembers are the membership managers of a fleet that starts at once, which know three seeds. They are also the network
+// between these.
+type startingMembers struct {
+	managers []*membership.Manager
+	byName   map[string]*membership.Manager
+}
+
+var errNoMember = errors.New("no such member")
+
+func (m *startingMembers) Probe(ctx context.Context, peer membership.Peer, message membership.Message) (membership.Message, error) {
+	const oneWay = 1400 * time.Microsecond
+	_ = wait.For(ctx, oneWay)
+	name, _, _ := strings.Cut(peer.Address, ":")
+	if m.byName[name] == nil {
+		return membership.Message{}, errNoMember
+	}
+	answer, err := m.byName[name].HandleProbe(ctx, message)
+	return answer, errors.Join(err, wait.For(ctx, oneWay))
+}
+
+func (m *startingMembers) ProbeVia(ctx context.Context, _, peer membership.Peer, message membership.Message) (membership.Message, error) {
+	return m.Probe(ctx, peer, message)
+}
+
+func newStartingMembers(size int) *startingMembers {
+	m := &startingMembers{byName: map[string]*membership.Manager{}}
+	seeds := []membership.Peer{{Address: "e0:1"}, {Address: "e1:1"}, {Address: "e2:1"}}
+	for i := range size {
+		self := peer(fmt.Sprintf("e%d", i), string(rune('a'+i%3)))
+		self.Incarnation = 1
+		m.managers = append(m.managers, membership.NewManager(membership.Options{Self: self, Prober: m, Seeds: seeds, Seed: uint64(i)}))
+		m.byName[self.Name] = m.managers[i]
+	}
+	return m
+}
+
+// Guards against a start of all entries at once that takes longer the more there are: within three seconds all know the
+// configuration and the targets, with the store's pages, round trip and link of the users' large deployment and links of 10 Mbit/s.
+func TestStartOfAllTakesNoLongerInALargeFleet(t *testing.T) {
+	const (
+		maxStartTime    = 3 * time.Second
+		storeBytesPerMs = 125_000 // 1,000 Mbit/s
+	)
+	for _, test := range []struct{ size, bytes int }{{30, 20 << 10}, {76, 20 << 10}, {195, 20 << 10}, {300, 20 << 10}, {300, largeConfigBytes}} {
+		size, bytes := test.size, test.bytes
+		t.Run(fmt.Sprintf("%d KB, %d entries", bytes>>10, size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				store := newModelStore()
+				store.configure(1, bytes)
+				store.pageObjects, store.link = 50, &modelLink{bytesPerMs: storeBytesPerMs}
+				members := newStartingMembers(size)
+				var running sync.WaitGroup
+				defer func() { cancel(); running.Wait() }()
+				for _, member := range members.managers {
+					running.Go(func() { _ = member.Run(ctx) })
+				}
+				began := time.Now()
+				fleet, stop := startFleetWith(ctx, size, store, func(int) bool { return false }, func(i int) membership.View { return members.managers[i] })
+				defer stop()
+				times := make(chan time.Duration, size)
+				for _, manager := range fleet.managers {
+					running.Go(func() {
+						manager.WaitReady(ctx, 2*maxStartTime)
+						times <- time.Since(began)
+					})
+				}
+				var ready []time.Duration // in ascending order
+				for _, manager := range fleet.managers {
+					ready = append(ready, <-times)
+					is.True(ready[len(ready)-1] <= maxStartTime)
+					if len(ready) == size {
+						is.Equal(len(manager.Snapshot().AvailableTargets("drafts")), targetsInStore)
+					}
+				}
+				store.mu.Lock()
+				defer store.mu.Unlock()
+				t.Logf("ready: half after %v, 95%% %v, all %v; calls %v, bytes %v", ready[size/2], ready[size*95/100], ready[size-1], store.calls, store.bytes)
+			})
+		})
+	}
+}
