Count what a prompt costs the streams beside it

Cause: the cost of an engine counted 60 ms for each stream that runs there (longer steps). But an engine prefills a prompt in chunks between the steps of its batch, and such a step takes 25 ms and more instead of 3 to 6: a prompt of 5,000 tokens takes each stream beside it some 0.9 s. An entry therefore put six prompts on an engine of its own before it chose one of another entry's (350 ms).

Change: PrefillDelay, the share of the prompt's prefill time that each of the entry's streams at an engine loses, in the cost of a placement. Not for engines that have the prompt, and not for copies.

--- a/routing/placement.go
+++ b/routing/placement.go
@@ -53,6 +53,9 @@
 	// Neighbour is the delay that one running stream causes the next one by lengthening the steps of
 	// their batch.
 	Neighbour time.Duration
+	// PrefillDelay is the share of a prompt's prefill time by which each stream that runs beside it is delayed:
+	// an engine prefills a chunk of the prompt in each step of its batch, which takes several times as long then.
+	PrefillDelay float64
 	// CrossZone is the cost of an engine in another availability zone.
 	CrossZone time.Duration
 	// Unassigned is the cost of an engine that is assigned to another entry, for streams that the other entry
@@ -75,6 +78,7 @@
 var DefaultPlacementModel = PlacementModel{
 	PrefillTokensPerSecond: 5000,
 	Neighbour:              60 * time.Millisecond,
+	PrefillDelay:           0.85,
 	CrossZone:              150 * time.Millisecond,
 	Unassigned:             350 * time.Millisecond,
 	FullKVCache:            4 * time.Second,
@@ -152,13 +156,13 @@
 		if engine.AvailabilityZone != p.options.AvailabilityZone {
 			cost += p.options.Model.CrossZone
 		}
-		switch engine.ID {
-		case query.CachedAt:
-			cost -= p.prefillTime(float64(query.Size.Prompt))
-		case affinity:
+		if engine.ID == query.CachedAt {
+			return cost - p.prefillTime(float64(query.Size.Prompt))
+		}
+		if engine.ID == affinity {
 			cost -= p.options.Model.Affinity
 		}
-		return cost
+		return cost + p.neighbourDelay(engine, query)
 	})
 }
 
@@ -237,6 +241,17 @@
 	return cost
 }
 
+// neighbourDelay returns the time that this entry's streams at the engine lose together while it prefills the
+// prompt.
+func (p *Placement) neighbourDelay(engine *directory.Target, query generation.RelayQuery) time.Duration {
+	state := p.engines[keyOf(engine)]
+	if state == nil {
+		return 0
+	}
+	prefill := p.prefillTime(float64(query.Size.Prompt))
+	return time.Duration(float64(state.streams) * p.options.Model.PrefillDelay * float64(prefill))
+}
+
 // prefillTime returns how long an engine takes to prefill that many tokens.
 func (p *Placement) prefillTime(tokens float64) time.Duration {
 	return time.Duration(tokens / p.options.Model.PrefillTokensPerSecond * float64(time.Second))
--- a/routing/placement_test.go
+++ b/routing/placement_test.go
@@ -35,6 +35,11 @@
 	return entries
 }
 
+// inZone reports whether an engine is in the zone.
+func inZone(zone string) func(*directory.Target) bool {
+	return func(engine *directory.Target) bool { return engine.AvailabilityZone == zone }
+}
+
 var (
 	draftSpec = &directory.EngineSpec{MemoryTokens: 55_000, ContinuousKVCopy: true}
 	draftSize = generation.StreamSize{Prompt: 5200, Output: 700}
