Tell two peers where a stream's prompt is as it begins

What callers saw: after the loss of an entry, streams that had begun within the 2 s before it paused for over a second, since their prompts were read again.

Cause: an entry told others of its prompts by the store only, each 2 s (4.6 s at 91 entries, never beyond 100). The reason given, such a prompt has hardly been read, holds for engines that are slower: here a prompt is read in a second and 24 to 30 events are out within two.

Change: RecordPlacement tells the two first of the other live entries by rendezvous hashing of the prompt; FindShared asks the three first (one of them may be the lost entry) and reads the store after 30 ms, or once they don't know. New streams don't use what was told. Wire: /prompt-locations beside the others; a former build answers 404, and the store serves as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/directorypeer"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/peermembership"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/retrypeer"
+	"github.com/azurebarrow/azurebarrow/adapters/promptpeer"
 	"github.com/azurebarrow/azurebarrow/adapters/streamversionpeer"
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
 	"github.com/azurebarrow/azurebarrow/admission"
@@ -147,18 +148,24 @@
 		WatchBytesPerSecond: watchLinkShare * e.settings.Passthrough.LinkBytesPerSecond(),
 		Serving:             func() bool { return e.directory.Snapshot().Ready() },
 	})
+	dialer := net.Dialer{Timeout: peerDialTimeout}
+	e.peerClient = &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout,
+	}}
 	e.prompts = promptindex.NewManager(promptindex.Options{
 		Entry: e.settings.Name,
 		Store: store,
 		Live:  func() int { return len(e.members.Live()) },
+		Peers: promptpeer.NewClient(e.peerClient),
+		View:  e.members,
+		Found: func(prompt, peer, engine string) {
+			e.log("prompt-found-at-peer", generation.Field{Key: "prompt", Value: prompt}, generation.Field{Key: "peer", Value: peer},
+				generation.Field{Key: "target", Value: engine})
+		},
 		Log: func(event string, err error) {
 			e.log(event, generation.Field{Key: "error", Value: err})
 		},
 	})
-	dialer := net.Dialer{Timeout: peerDialTimeout}
-	e.peerClient = &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout,
-	}}
 	e.versions = streamversion.NewManager(streamversion.Options{
 		View: e.members, Transport: streamversionpeer.NewClient(e.peerClient), Store: store, Observe: e.logStreamVersions,
 	})
@@ -186,6 +193,7 @@
 	mux.Handle(directorypeer.NewHandler(e.directory.Feed(), e.transfers))
 	mux.Handle(retrypeer.NewHandler(e.retryTotals))
 	mux.Handle(streamversionpeer.NewHandler(e.versions))
+	mux.Handle(promptpeer.NewHandler(e.prompts))
 	e.exchangeHandler().Register(mux, e.countRunning)
 	return mux
 }
--- a/promptindex/index.go
+++ b/promptindex/index.go
@@ -14,6 +14,10 @@
 	brokenStreamTTL = 30 * time.Second
 	// maxPrompts is the maximum number of prompts of one entry. Further ones are not recorded.
 	maxPrompts = 4096
+	// maxTold is the maximum number of prompts that peers may tell of. Further ones are not recorded.
+	maxTold = 4 * maxPrompts
+	// toldTTL is how long a prompt that a peer told of is kept: a stream may last, and its caller stay silent, as long.
+	toldTTL = 2 * time.Minute
 )
 
 // promptLocation is the engine that has prefilled a prompt.
@@ -28,19 +32,20 @@
 type index struct {
 	mu  sync.Mutex
 	own map[string]*promptLocation
-	// shared holds the locations that were read from the store.
-	shared map[string]sharedLocation
+	// shared holds the locations that were read from the store, told those that peers told.
+	shared, told map[string]sharedLocation
 	// changed is set when own differs from what export returned last.
 	changed bool
 }
 
 type sharedLocation struct {
 	engine string
+	// readAt is when it was read from the store, or told.
 	readAt time.Time
 }
 
 func newIndex() *index {
-	return &index{own: map[string]*promptLocation{}, shared: map[string]sharedLocation{}}
+	return &index{own: map[string]*promptLocation{}, shared: map[string]sharedLocation{}, told: map[string]sharedLocation{}}
 }
 
 // recordLocation records that a stream with the prompt begins, or resumes, at the engine.
@@ -84,6 +89,29 @@
 	}
 }
 
+// recordTold records what a peer tells.
+func (x *index) recordTold(prompt, engine string, now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if _, known := x.told[prompt]; known || len(x.told) < maxTold {
+		x.told[prompt] = sharedLocation{engine, now}
+	}
+}
+
+// findKnown is find for a stream that its caller resumes. What peers tell is newer than what the store holds; it
+// doesn't serve new streams, since nobody tells that a stream has ended.
+func (x *index) findKnown(prompt string) string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if known := x.own[prompt]; known != nil {
+		return known.engine
+	}
+	if told, known := x.told[prompt]; known {
+		return told.engine
+	}
+	return x.shared[prompt].engine
+}
+
 // find returns the engine that has prefilled the prompt; empty if it is not known.
 func (x *index) find(prompt string) string {
 	x.mu.Lock()
@@ -119,6 +147,11 @@
 			delete(x.shared, prompt)
 		}
 	}
+	for prompt, told := range x.told {
+		if now.Sub(told.readAt) > toldTTL {
+			delete(x.told, prompt)
+		}
+	}
 }
 
 // markChanged makes the next export report a change: what the last one returned was not stored.
--- a/promptindex/manager.go
+++ b/promptindex/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/internal/wait"
@@ -25,13 +26,18 @@
 	Store Store
 	// Live returns the number of live entries, by which calls to the store are spread out.
 	Live func() int
+	// Peers and View share prompt locations with a few other entries as streams begin; nil shares them by the store only.
+	Peers Peers
+	View  View
+	// Found is called when a peer knows the engine of a prompt; nil discards it.
+	Found func(prompt, peer, engine string)
 	// Log is called when the store becomes unavailable and when it is available again; nil discards this.
 	Log func(event string, err error)
 }
 
 const (
-	// writeInterval is the minimum interval between two writes of an entry. The prompt of a stream that
-	// began after the last write has hardly been prefilled when its entry is lost.
+	// writeInterval is the minimum interval between two writes of an entry. Until then only the peers that were told know
+	// the engine of a stream that has begun; a prompt is prefilled in less.
 	writeInterval = 2 * time.Second
 	// fleetWriteSpacing times the number of entries is the interval between two writes of one entry: all
 	// entries together make 20 writes a second, a twentieth of what the smallest store handles.
@@ -58,6 +64,8 @@
 type Manager struct {
 	options Options
 	index   *index
+	// tells counts the messages to peers that are under way.
+	tells atomic.Int32
 
 	mu sync.Mutex
 	// readDone is closed when the read in progress ends; nil when there is none.
@@ -74,6 +82,9 @@
 	if options.Log == nil {
 		options.Log = func(string, error) {}
 	}
+	if options.Found == nil {
+		options.Found = func(string, string, string) {}
+	}
 	return &Manager{options: options, index: newIndex()}
 }
 
@@ -81,6 +92,7 @@
 func (m *Manager) RecordPlacement(prompt, engine string) {
 	if prompt != "" {
 		m.index.recordLocation(prompt, engine)
+		m.tellPeers(prompt, engine)
 	}
 }
 
@@ -93,19 +105,45 @@
 func (m *Manager) FindLocal(prompt string) string { return m.index.find(prompt) }
 
 // FindShared returns the engine that has prefilled the prompt of a stream that its caller resumes. If this
-// entry does not know it, FindShared reads the store. It returns an empty string if the engine is still unknown
-// after a short time.
+// entry does not know it, FindShared asks the peers that were told of it, and reads the store if they don't know it or
+// are silent. It returns an empty string if the engine is still unknown after a short time.
 func (m *Manager) FindShared(ctx context.Context, prompt string) string {
-	if engine := m.index.find(prompt); engine != "" || prompt == "" {
+	if engine := m.index.findKnown(prompt); engine != "" || prompt == "" {
 		return engine
 	}
 	ctx, cancel := context.WithTimeout(ctx, readWaitTimeout)
 	defer cancel()
-	select {
-	case <-m.startRead():
-	case <-ctx.Done():
+	peers := m.askPeers(ctx, prompt)
+	headStart := time.NewTimer(peersHeadStart)
+	defer headStart.Stop()
+	var read <-chan struct{}
+	if peers == nil {
+		read = m.startRead()
+	}
+	for {
+		select {
+		case engine := <-peers:
+			if engine != "" {
+				m.index.recordTold(prompt, engine, time.Now())
+				return engine
+			}
+			peers = nil
+			if read == nil {
+				read = m.startRead()
+			}
+		case <-headStart.C:
+			if read == nil {
+				read = m.startRead()
+			}
+		case <-read:
+			if engine := m.index.findKnown(prompt); engine != "" || peers == nil {
+				return engine
+			}
+			read = make(chan struct{}) // the store doesn't know it; a peer may
+		case <-ctx.Done():
+			return m.index.findKnown(prompt)
+		}
 	}
-	return m.index.find(prompt)
 }
 
 // startRead starts a read of the store, or joins the one in progress. The channel is closed when the read
