Keep to a cached prompt while one other prompt is read there

Cause: a stream that its caller took up again went to another engine than the one with its prompt when the entry had placed a prompt there within the last second: the gain of the cache was one time of reading (1.04 s), the wait counted the whole prompt that was being read (1.04 s) and 0.5 s for another entry's engine.

Change: the gain counts the prompt's delay of one stream beside it as well.

Test: TestCachedPromptOutweighsOtherCosts places the stream at the engine also while a prompt is read there; failed before.

--- a/routing/placement.go
+++ b/routing/placement.go
@@ -157,7 +157,7 @@
 			cost += p.options.Model.CrossZone
 		}
 		if engine.ID == query.CachedAt {
-			return cost - p.prefillTime(float64(query.Size.Prompt))
+			return cost - p.cachedPromptGain(query)
 		}
 		if engine.ID == affinity {
 			cost -= p.options.Model.Affinity
@@ -252,6 +252,13 @@
 	return time.Duration(float64(state.streams) * p.options.Model.PrefillDelay * float64(prefill))
 }
 
+// cachedPromptGain returns the time that is lost where a cached prompt is prefilled again: by the stream, and by one other
+// beside it, of which this entry doesn't know. It outweighs the wait for one prompt at the engine that has it cached.
+func (p *Placement) cachedPromptGain(query generation.RelayQuery) time.Duration {
+	prefill := p.prefillTime(float64(query.Size.Prompt))
+	return time.Duration((1 + p.options.Model.PrefillDelay) * float64(prefill))
+}
+
 // prefillTime returns how long an engine takes to prefill that many tokens.
 func (p *Placement) prefillTime(tokens float64) time.Duration {
 	return time.Duration(tokens / p.options.Model.PrefillTokensPerSecond * float64(time.Second))
--- a/routing/placement_test.go
+++ b/routing/placement_test.go
@@ -239,7 +239,8 @@
 }
 
 // TestCachedPromptOutweighsOtherCosts: an entry that sees a prompt for the first time places the stream at
-// the engine that has the prompt cached, in any availability zone, unless that engine is lost or full.
+// the engine that has the prompt cached, in any availability zone, unless that engine is lost or full; also while a prompt is
+// prefilled there, which it would else be for a second time elsewhere.
 func TestCachedPromptOutweighsOtherCosts(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
@@ -249,6 +250,8 @@
 		query := draftQuery(engines)
 		query.CachedAt = cached.ID
 		is.Equal(p.Place(query).ID, cached.ID)
+		p.AddStream(cached, draftSize, draftSize.Prompt)
+		is.Equal(p.Place(query).ID, cached.ID)
 		p.ReportLost(cached)
 		is.True(p.Place(query).ID != cached.ID)
 	}
