--- a/membership/manager_test.go
+++ b/membership/manager_test.go
@@ -23,7 +23,10 @@
 
 func TestJoinAndDetectDeaths(t *testing.T) {
 	for size, victims := range map[int]int{8: 3, 76: 8, fleetSize: 15, 195: 3, 300: 2} {
-		t.Run(fmt.Sprint(size), func(t *testing.T) { testJoinAndDetectDeaths(t, size, victims) })
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			testJoinAndDetectDeaths(t, size, victims)
+		})
 	}
 }
 
--- a/membership/start_test.go
+++ b/membership/start_test.go
@@ -21,6 +21,7 @@
 	)
 	for _, size := range []int{8, 76, 195, 300} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				n := newNetwork(8)
