--- /dev/null
+++ b/directory/peerreader.go
@@ -0,0 +1,184 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/azurebarrow/azurebarrow/internal/wait"
+	"github.com/azurebarrow/azurebarrow/membership"
+)
+
+const (
+	// peerWait is how long a peer's feed waits for a change. peerTimeout is how much longer a call may take.
+	peerWait    = 400 * time.Millisecond
+	peerTimeout = 250 * time.Millisecond
+	// peerTransferTimeout is how much longer a call may take that asks for full lists: objects of a megabyte
+	// take seconds on the slowest links, and a transfer that is cut starts again from the beginning.
+	peerTransferTimeout = 5 * time.Second
+	// otherPeers is the number of entries besides the watchers that an entry asks which the store does not
+	// answer: the watchers may be cut off from the store too, or busy with other readers.
+	otherPeers = 2
+	// peerStaleAfter is the age from which the feed of a peer counts as stale. It allows the peer two watches
+	// of the store.
+	peerStaleAfter = 1300 * time.Millisecond
+	// storeSilenceTimeout is the time without an answer of the store after which full lists are requested from
+	// peers: a watch and a margin. Until then, peers are asked for changes only. A full list grows with the
+	// number of targets, and hundreds of entries that start together would wait for the network links of
+	// the few that read the store.
+	storeSilenceTimeout = watchWait + 250*time.Millisecond
+	// peerPollInterval is the interval at which an entry that reads the store itself checks its role and its
+	// peers.
+	peerPollInterval = 200 * time.Millisecond
+)
+
+// followPeers reads the feed of a peer while other entries read the store for this one.
+func (s *syncer) followPeers(ctx context.Context) error {
+	if s.peers == nil || s.view == nil {
+		return nil
+	}
+	for ctx.Err() == nil {
+		upstream, isWatcher := watchersOf(s.view.Self(), s.view.Live())
+		if s.storeSilent() {
+			upstream = s.withOtherPeers(upstream)
+		}
+		if isWatcher || len(upstream) == 0 {
+			s.switchToStore("elected", kinds, nil)
+			if s.storeSilent() {
+				_, _ = s.readPeers(ctx, upstream) // a watcher reads the store also if it finds a fresh feed
+			}
+			_ = wait.For(ctx, peerPollInterval)
+			continue
+		}
+		if !s.followAnyPeer(ctx, upstream) && ctx.Err() == nil {
+			_ = wait.For(ctx, peerPollInterval)
+		}
+	}
+	return nil
+}
+
+// withOtherPeers returns the peers followed by otherPeers further live entries, drawn at random.
+func (s *syncer) withOtherPeers(peers []membership.Peer) []membership.Peer {
+	asked := map[string]bool{s.view.Self().Name: true}
+	for _, peer := range peers {
+		asked[peer.Name] = true
+	}
+	live := s.view.Live()
+	extended := slices.Clone(peers)
+	for _, i := range rand.Perm(len(live)) {
+		if len(extended) == len(peers)+otherPeers {
+			break
+		}
+		if !asked[live[i].Name] {
+			extended = append(extended, live[i])
+		}
+	}
+	return extended
+}
+
+// followAnyPeer queries the peers in turn until the feed of one is fresh. If there is none, this entry reads
+// the store itself and continues to query the peers, since the store may be unavailable.
+func (s *syncer) followAnyPeer(ctx context.Context, peers []membership.Peer) bool {
+	fresh, err := s.readPeers(ctx, peers)
+	if err != nil {
+		unread := kinds
+		var withheld *withheldError
+		if errors.As(err, &withheld) {
+			unread = withheld.kinds
+		}
+		s.switchToStore("no fresh peer", unread, err)
+		return false
+	}
+	if s.readsAnyKind() {
+		s.setReadsStore(nil)
+		s.observe(Event{Kind: EventFollowingPeer, Subject: fresh.Name})
+	}
+	return true
+}
+
+// readPeers queries the peers in turn and returns the first one whose feed is fresh, or else an error: that of the peer that withheld
+// the fewest kinds, or the last one.
+func (s *syncer) readPeers(ctx context.Context, peers []membership.Peer) (fresh membership.Peer, err error) {
+	var least *withheldError
+	for _, peer := range peers {
+		if err = s.readPeer(ctx, peer); err == nil {
+			return peer, nil
+		}
+		var withheld *withheldError
+		if errors.As(err, &withheld) && (least == nil || len(withheld.kinds) < len(least.kinds)) {
+			least = withheld
+		}
+	}
+	if least != nil {
+		return membership.Peer{}, least
+	}
+	return membership.Peer{}, err
+}
+
+// switchToStore lets this entry read objects of the kinds, and of no others, from the store itself.
+func (s *syncer) switchToStore(reason string, wanted []string, err error) {
+	if !s.readsAnyKind() {
+		s.noteStoreAnswer() // the silence of the store counts from here
+	}
+	if s.setReadsStore(wanted) {
+		s.observe(Event{Kind: EventReadingStore, Subject: reason, Detail: strings.Join(wanted, ","), Err: err})
+	}
+}
+
+var errStalePeer = errors.New("the peer's feed is stale")
+
+// withheldError: the peer does not send objects of the kinds, because it has none, or because they are too much for its link. All
+// kinds are named if what it sends is stale.
+type withheldError struct{ kinds []string }
+
+// Error implements error.
+func (e *withheldError) Error() string {
+	return "the peer has less, or withholds large objects: " + strings.Join(e.kinds, ",")
+}
+
+// readPeer reads the feed of one peer. It requests large objects, with a timeout that fits their size, only from
+// a peer that has just answered: one that is frozen would hold up the queries of the others.
+func (s *syncer) readPeer(ctx context.Context, peer membership.Peer) error {
+	err := s.queryPeer(ctx, peer, true, peerWait+peerTimeout)
+	var withheld *withheldError
+	if errors.As(err, &withheld) && s.storeSilent() {
+		err = s.queryPeer(ctx, peer, false, peerWait+peerTimeout+peerTransferTimeout)
+	}
+	return err
+}
+
+// queryPeer queries the feed of one peer and applies its parts; these are correct even if they are old. It
+// returns an error if the feed is not fresh.
+func (s *syncer) queryPeer(ctx context.Context, peer membership.Peer, onlyChanges bool, timeout time.Duration) error {
+	query := FeedQuery{Revisions: make(map[string]int64, len(kinds)), Wait: peerWait, OnlyChanges: onlyChanges}
+	for _, kind := range kinds {
+		query.Revisions[kind] = s.feed.Revision(kind)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	start := time.Now()
+	parts, err := s.peers.Since(ctx, peer, query)
+	if err != nil {
+		return err
+	}
+	transfer := max(0, time.Since(start)-query.Wait) // the peer took its ages at the start of the transfer
+	fresh, unread := true, slices.Clone(kinds)
+	for _, part := range parts {
+		part.Age += transfer
+		s.deliver(ctx, part)
+		fresh = fresh && part.Age < peerStaleAfter
+		unread = slices.DeleteFunc(unread, func(kind string) bool { return kind == part.Kind })
+	}
+	switch {
+	case len(unread) > 0 && !fresh:
+		return &withheldError{kinds}
+	case len(unread) > 0:
+		return &withheldError{unread}
+	case !fresh:
+		return errStalePeer
+	}
+	return nil
+}
