Count the calls to the store by kind of objects, call and occasion

The directory counts its lists and watches by why they are made, the prompt index its writes and reads; both are metrics. The tests compare the counts with the calls that the modelled store got.

--- a/directory/feed_load_test.go
+++ b/directory/feed_load_test.go
@@ -94,12 +94,12 @@
 	targets       []objects.Object
 	changed       chan struct{}
 	configuredAt  time.Time
-	// calls counts the calls by kind of object.
-	calls map[string]int
+	// calls counts the calls by kind of object, and taken those of them that takeCalls has returned.
+	calls, taken map[string]int
 }
 
 func newModelStore() *modelStore {
-	s := &modelStore{revision: 1, changed: make(chan struct{}), calls: map[string]int{}}
+	s := &modelStore{revision: 1, changed: make(chan struct{}), calls: map[string]int{}, taken: map[string]int{}}
 	for i := range targetsInStore {
 		value, _ := json.Marshal(map[string]string{"Service": "drafts", "Address": fmt.Sprintf("10.0.0.%d:1", i), "Padding": strings.Repeat("x", targetObjectBytes)})
 		s.targets = append(s.targets, objects.Object{Kind: KindTarget, Name: fmt.Sprintf("i-%d", i), Revision: 1, Value: value})
@@ -136,6 +136,9 @@
 	defer s.mu.Unlock()
 	calls := s.calls
 	s.calls = map[string]int{}
+	for kind, count := range calls {
+		s.taken[kind] += count
+	}
 	return calls
 }
 
@@ -167,12 +170,12 @@
 
 func (c storeClient) Watch(ctx context.Context, kind string, after int64, limit time.Duration) (objects.List, error) {
 	const roundTrip = 4 * time.Millisecond
-	if err := wait.For(ctx, roundTrip); err != nil {
-		return objects.List{}, err
-	}
 	c.store.mu.Lock()
 	c.store.calls[kind]++
 	c.store.mu.Unlock()
+	if err := wait.For(ctx, roundTrip); err != nil {
+		return objects.List{}, err
+	}
 	if c.turnedAway {
 		return objects.List{}, objects.ErrUnavailable
 	}
--- a/directory/peerreader.go
+++ b/directory/peerreader.go
@@ -46,6 +46,9 @@
 			upstream = s.withOtherPeers(upstream)
 		}
 		if isWatcher || len(upstream) == 0 {
+			if len(upstream) > 0 {
+				s.occasion.Store(occasionElected)
+			}
 			s.switchToStore("elected", kinds, nil)
 			if s.storeSilent() {
 				_, _ = s.readPeers(ctx, upstream) // a watcher reads the store also if it finds a fresh feed
@@ -89,9 +92,13 @@
 		if errors.As(err, &withheld) {
 			unread = withheld.kinds
 		}
+		if !s.occasion.CompareAndSwap(occasionElected, occasionUnserved) && s.hasFollowed {
+			s.occasion.Store(occasionUnserved)
+		}
 		s.switchToStore("no fresh peer", unread, err)
 		return false
 	}
+	s.hasFollowed = true
 	if s.readsAnyKind() {
 		s.setReadsStore(nil)
 		s.observe(Event{Kind: EventFollowingPeer, Subject: fresh.Name})
--- a/directory/storecalls_test.go
+++ b/directory/storecalls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,11 +36,13 @@
 						time.Sleep(targetInterval)
 						store.replaceTarget(number)
 					}
+					synctest.Wait()
 					return store.takeCalls()
 				}
 				quiet := play()
 				store.configure(2, largeConfigBytes)
 				busy := play()
+				is.Equal(fleet.countedCalls(), store.taken)
 				is.Equal(fleet.entriesAt(2), entries)
 				watchers := 0
 				for _, self := range fleet.live {
@@ -54,3 +57,15 @@
 		})
 	}
 }
+
+// countedCalls returns the calls that the entries counted, by kind of objects.
+func (f *modelFleet) countedCalls() map[string]int {
+	counted := map[string]int{}
+	for _, manager := range f.managers {
+		for class, count := range manager.StoreCalls() {
+			kind, _, _ := strings.Cut(class, "_")
+			counted[kind] += int(count())
+		}
+	}
+	return counted
+}
--- a/directory/storereader.go
+++ b/directory/storereader.go
@@ -113,6 +113,7 @@
 		s.relist[kind].Store(false)
 		return Part{Kind: kind, Revision: list.Revision, Full: true, Objects: list.Items, Age: time.Since(start)}, nil
 	}
+	s.calls[storeCall{kind, callWatch, s.occasion.Load().(occasion)}].Add(1)
 	list, err := s.store.Watch(announcing, kind, s.feed.Revision(kind), watchWait)
 	s.reportUnreadable(kind, list)
 	return Part{Kind: kind, Revision: list.Revision, Objects: list.Items}, err
@@ -130,7 +131,12 @@
 
 // list lists a kind. The first list of configurations is hedged.
 func (s *syncer) list(ctx context.Context, kind string) (objects.List, error) {
-	if kind != KindConfiguration || s.feed.Revision(kind) > 0 {
+	if s.feed.Revision(kind) > 0 {
+		s.calls[storeCall{kind, callList, occasionAgain}].Add(1)
+		return s.store.List(ctx, kind)
+	}
+	if kind != KindConfiguration {
+		s.calls[storeCall{kind, callList, occasionStart}].Add(1)
 		return s.store.List(ctx, kind)
 	}
 	return s.hedgedList(ctx, kind)
@@ -154,6 +160,7 @@
 		s.noteStoreAnswer()
 	})
 	call := func() {
+		s.calls[storeCall{kind, callList, occasionStart}].Add(1)
 		list, err := s.store.List(ctx, kind)
 		select {
 		case results <- result{list, err}:
--- a/directory/sync.go
+++ b/directory/sync.go
@@ -46,14 +46,20 @@
 	storeAnsweredOnce sync.Once
 	// relist is set, by kind, when the objects must be listed again.
 	relist map[string]*atomic.Bool
+	calls  callCounts
+	// occasion is why this entry watches the store.
+	occasion atomic.Value
+	// hasFollowed is set once a peer was followed. Only followPeers uses it.
+	hasFollowed bool
 }
 
 func newSyncer(options Options, feed *Feed, deliver func(context.Context, Part)) *syncer {
 	s := &syncer{
 		store: options.Store, peers: options.Peers, view: options.View, feed: feed,
 		deliver: deliver, observe: options.Observe, relist: map[string]*atomic.Bool{}, readsStore: map[string]*atomic.Bool{},
-		storeAnswered: make(chan struct{}),
+		storeAnswered: make(chan struct{}), calls: newCallCounts(),
 	}
+	s.occasion.Store(occasionStart)
 	for _, kind := range kinds {
 		s.relist[kind], s.readsStore[kind] = &atomic.Bool{}, &atomic.Bool{}
 		s.relist[kind].Store(true)
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -99,6 +99,12 @@
 	m.AddCounter("poison_refused", func() int64 { return stats.PoisonRefused.Load() + e.forwarder.PoisonRefused() })
 	m.AddCounter("stream_versions_unknown", stats.VersionsUnknown.Load)
 	versions := e.versions.Stats()
+	prompts := e.prompts.Stats()
+	m.AddCounter("prompt_writes", prompts.Writes.Load)
+	m.AddCounter("prompt_reads", prompts.Reads.Load)
+	for class, count := range e.directory.StoreCalls() {
+		m.AddCounter("store_calls_"+class, count)
+	}
 	m.AddCounter("stream_version_writes", versions.Writes.Load)
 	m.AddCounter("stream_version_reads", versions.Reads.Load)
 	m.AddGauge("stream_versions_stored", func() float64 { return float64(e.versions.StoredCount()) })
--- a/promptindex/manager.go
+++ b/promptindex/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/internal/wait"
@@ -54,10 +55,14 @@
 	writeTimeout = time.Second
 )
 
+// Stats counts calls to the store.
+type Stats struct{ Writes, Reads atomic.Int64 }
+
 // Manager keeps prompt locations across the loss of entries. It is safe for concurrent use.
 type Manager struct {
 	options Options
 	index   *index
+	stats   Stats
 
 	mu sync.Mutex
 	// readDone is closed when the read in progress ends; nil when there is none.
@@ -77,6 +82,9 @@
 	return &Manager{options: options, index: newIndex()}
 }
 
+// Stats returns the counters.
+func (m *Manager) Stats() *Stats { return &m.stats }
+
 // RecordPlacement records that an engine prefills the prompt of a stream, or has it cached.
 func (m *Manager) RecordPlacement(prompt, engine string) {
 	if prompt != "" {
@@ -152,6 +160,7 @@
 	ctx, cancel := context.WithTimeout(ctx, maxReadTime)
 	defer cancel()
 	start := time.Now()
+	m.stats.Reads.Add(1)
 	found, err := m.options.Store.ReadPrompts(ctx)
 	end := time.Now()
 	m.logStoreState(err)
@@ -200,6 +209,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	m.stats.Writes.Add(1)
 	err := m.options.Store.WritePrompts(ctx, m.options.Entry, prompts)
 	if err != nil {
 		m.index.markChanged()
