Serve followers across a history that the store lost

The readers of the store list the objects again when it has lost its history, and their feeds then sent only full parts to whoever knew an earlier revision: withheld from readers that have the store, so that each entry made a watch (410), a list and more watches for each kind.

A feed that lists again had the state up to its revision, so it knows what changed since, and tombstones what is gone. Only readers whose revision lies inside the gap may know objects that came and went there; they get a full part. One gap is remembered. A list of several pages may bring objects that are newer than its revision; the reader asks peers for changes only once its revision has passed these.

--- a/directory/feed.go
+++ b/directory/feed.go
@@ -65,6 +65,12 @@
 	// compactedRevision is the revision up to which tombstones may have been dropped. A reader that knows
 	// only an earlier revision gets a full part.
 	compactedRevision int64
+	// lostAfter and lostBefore are the revisions between which the last list of all objects left a gap. A reader that knows
+	// a revision in between may know objects that were created and removed there, and gets a full part.
+	lostAfter, lostBefore int64
+	// newestRevision is the latest revision of an object. A list of several pages may hold objects that are newer than the
+	// revision of the list.
+	newestRevision int64
 	// arriving is set while this entry reads a large change of the kind from the store, which takes seconds.
 	arriving bool
 }
@@ -104,7 +110,7 @@
 	}
 	if part.Full {
 		changes = append(changes, k.removeUnlisted(listed, part.Revision, now)...)
-		k.compactedRevision = max(k.compactedRevision, part.Revision)
+		k.recordGap(part.Revision)
 	}
 	k.revision = max(k.revision, part.Revision)
 	if confirmed := now.Add(-part.Age); confirmed.After(k.confirmedAt) {
@@ -129,6 +135,7 @@
 		return false
 	}
 	item := feedItem{object: object, sourceRevision: sourceRevision}
+	k.newestRevision = max(k.newestRevision, object.Revision)
 	if object.Deleted {
 		item.removedAt = now
 	}
@@ -152,6 +159,23 @@
 	return removed
 }
 
+// recordGap records that all objects were listed at the revision, so that what happened since the known one is not known.
+func (k *feedKind) recordGap(listed int64) {
+	if k.revision == 0 {
+		k.compactedRevision = max(k.compactedRevision, listed)
+	}
+	if k.revision == 0 || listed <= k.revision {
+		return
+	}
+	k.compactedRevision = max(k.compactedRevision, k.lostBefore)
+	k.lostAfter, k.lostBefore = k.revision, listed
+}
+
+// needsFull reports whether a reader that knows the revision needs all objects.
+func (k *feedKind) needsFull(since int64) bool {
+	return since < k.compactedRevision || k.lostAfter < since && since < k.lostBefore
+}
+
 func (k *feedKind) dropTombstones(now time.Time) {
 	for name, item := range k.items {
 		if item.object.Deleted && now.Sub(item.removedAt) > tombstoneTTL {
@@ -168,6 +192,17 @@
 	return f.kinds[kind].revision
 }
 
+// settledRevision returns the revision from which changes of a kind complete what the feed knows; 0 if a list brought objects that
+// are newer than its revision and the changes since have not arrived yet.
+func (f *Feed) settledRevision(kind string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := f.kinds[kind]; k.newestRevision <= k.revision {
+		return k.revision
+	}
+	return 0
+}
+
 // ageOf returns the time since a kind was known to be up to date with the store.
 func (f *Feed) ageOf(kind string, now time.Time) time.Duration {
 	f.mu.Lock()
@@ -261,11 +296,12 @@
 			continue
 		}
 		since := query.Revisions[kind]
-		if query.OnlyChanges && (since < k.compactedRevision || k.arriving) {
+		full := k.needsFull(since)
+		if query.OnlyChanges && (full || k.arriving) {
 			immediate = true // the reader must know without delay that it has to read the store
 			continue
 		}
-		part := Part{Kind: kind, Revision: k.revision, Full: since < k.compactedRevision, Age: now.Sub(k.confirmedAt)}
+		part := Part{Kind: kind, Revision: k.revision, Full: full, Age: now.Sub(k.confirmedAt)}
 		for _, item := range k.items {
 			if part.Full && !item.object.Deleted || !part.Full && item.sourceRevision > since {
 				part.Objects = append(part.Objects, item.object)
--- a/directory/feed_load_test.go
+++ b/directory/feed_load_test.go
@@ -96,6 +96,8 @@
 	configuredAt  time.Time
 	// calls counts the calls by kind of object, and taken those of them that takeCalls has returned.
 	calls, taken map[string]int
+	// lostBefore is the revision from which the store has its history.
+	lostBefore int64
 }
 
 func newModelStore() *modelStore {
@@ -130,6 +132,14 @@
 	s.changed = make(chan struct{})
 }
 
+// loseHistory makes the store forget its changes so far.
+func (s *modelStore) loseHistory() {
+	s.replaceTarget(0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostBefore = s.revision
+}
+
 // takeCalls returns the calls by kind since it was last called.
 func (s *modelStore) takeCalls() map[string]int {
 	s.mu.Lock()
@@ -142,20 +152,24 @@
 	return calls
 }
 
-func (s *modelStore) list(kind string, after int64) (objects.List, <-chan struct{}) {
+// list returns the objects that changed after a revision; those that exist if it is 0.
+func (s *modelStore) list(kind string, after int64) (objects.List, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if after > 0 && after < s.lostBefore {
+		return objects.List{}, nil, objects.ErrTooOld
+	}
 	list := objects.List{Revision: s.revision}
 	all := s.targets
 	if kind == KindConfiguration {
 		all = []objects.Object{s.configuration}
 	}
 	for _, object := range all {
-		if object.Revision > after {
+		if object.Revision > after && !(object.Deleted && after == 0) {
 			list.Items = append(list.Items, object)
 		}
 	}
-	return list, s.changed
+	return list, s.changed, nil
 }
 
 // storeClient is one entry's access to the store. An entry that is turned away gets errors only.
@@ -179,7 +193,10 @@
 	if c.turnedAway {
 		return objects.List{}, objects.ErrUnavailable
 	}
-	list, changed := c.store.list(kind, after)
+	list, changed, err := c.store.list(kind, after)
+	if err != nil {
+		return list, err
+	}
 	if len(list.Items) == 0 && limit > 0 {
 		select {
 		case <-changed:
@@ -187,7 +204,9 @@
 		case <-ctx.Done():
 			return objects.List{}, ctx.Err()
 		}
-		list, _ = c.store.list(kind, after)
+		if list, _, err = c.store.list(kind, after); err != nil {
+			return list, err
+		}
 	}
 	bytesPerMs := linkBytesPerMs
 	if limit > 0 && c.store.changeBytesPerMs > 0 {
--- a/directory/feed_test.go
+++ b/directory/feed_test.go
@@ -181,3 +181,90 @@
 	_, isWatcher := watchersOf(live[0], live[:1])
 	is.True(isWatcher)
 }
+
+// Guards against a list after the store lost its history that makes each follower read the store too, although the feed knows
+// what changed: it had the state before.
+func TestFeedServesItsReadersAcrossALostHistory(t *testing.T) {
+	is := is.New(t)
+	f := newFeed()
+	f.apply(Part{Kind: KindTarget, Revision: 5, Full: true, Objects: []objects.Object{storedTarget("a", 2), storedTarget("b", 3)}}, testStart)
+	f.apply(Part{Kind: KindTarget, Revision: 7}, testStart)
+	f.apply(Part{Kind: KindTarget, Revision: 20, Full: true, Objects: []objects.Object{storedTarget("b", 3), storedTarget("c", 15)}}, testStart)
+	for since, full := range map[int64]bool{4: true, 5: false, 7: false, 8: true, 19: true, 20: false} {
+		parts, _, _ := f.partsSince(targetsSince(since), testStart)
+		is.Equal(parts[0].Full, full) // between 7 and 20, the reader may know an object that was created and removed meanwhile
+	}
+	parts, _, _ := f.partsSince(targetsSince(7), testStart)
+	is.Equal(objectNames(parts, KindTarget), map[string]bool{"a": false, "c": true})
+	f.apply(Part{Kind: KindTarget, Revision: 40, Full: true, Objects: []objects.Object{storedTarget("c", 15)}}, testStart)
+	for since, full := range map[int64]bool{7: true, 19: true, 20: false, 30: true, 40: false} {
+		parts, _, _ := f.partsSince(targetsSince(since), testStart)
+		is.Equal(parts[0].Full, full) // one lost history is remembered
+	}
+}
+
+// Guards against a target that stays known for ever: a list of several pages held it although it was created after the list's
+// revision, and the peer that is followed then never knew it, since it was removed in the gap of a lost history.
+func TestRevisionOfAListWithNewerObjectsIsNotSettled(t *testing.T) {
+	is := is.New(t)
+	f := newFeed()
+	f.apply(Part{Kind: KindTarget, Revision: 5, Full: true, Objects: []objects.Object{storedTarget("a", 2), storedTarget("b", 8)}}, testStart)
+	is.Equal(f.settledRevision(KindTarget), int64(0))
+	f.apply(Part{Kind: KindTarget, Revision: 8}, testStart)
+	is.Equal(f.settledRevision(KindTarget), int64(8))
+}
+
+// Two feeds read the store, each with histories that it loses, and a follower reads changes from either, or lists the store.
+func TestFollowerConvergesAcrossLostHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		leaders := []*Feed{newFeed(), newFeed()}
+		follower := newFeed()
+		stored := map[string]objects.Object{}
+		revision := int64(1)
+		list := func() Part {
+			part := Part{Kind: KindTarget, Revision: revision, Full: true}
+			for _, object := range stored {
+				part.Objects = append(part.Objects, object)
+			}
+			return part
+		}
+		lost := []bool{true, true}
+		follow := func(leader *Feed) {
+			query := FeedQuery{Revisions: map[string]int64{KindTarget: follower.settledRevision(KindTarget)}, OnlyChanges: true}
+			parts, _, _ := leader.partsSince(query, testStart)
+			if len(parts) == 0 {
+				parts = []Part{list()}
+			}
+			follower.apply(parts[0], testStart)
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			revision++
+			object := storedTarget(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name"), revision)
+			_, exists := stored[object.Name]
+			object.Deleted = exists && rapid.Bool().Draw(t, "deleted")
+			if stored[object.Name] = object; object.Deleted {
+				delete(stored, object.Name)
+			}
+			for i, leader := range leaders {
+				lost[i] = lost[i] || rapid.IntRange(0, 4).Draw(t, "lost") == 0
+				switch {
+				case !lost[i]:
+					leader.apply(Part{Kind: KindTarget, Revision: revision, Objects: []objects.Object{object}}, testStart)
+				case rapid.Bool().Draw(t, "listed"):
+					leader.apply(list(), testStart)
+					lost[i] = false
+				}
+			}
+			if rapid.Bool().Draw(t, "followed") {
+				follow(leaders[rapid.IntRange(0, 1).Draw(t, "leader")])
+			}
+		}
+		leaders[0].apply(list(), testStart)
+		follow(leaders[0])
+		for name, item := range follower.kinds[KindTarget].items {
+			if _, exists := stored[name]; exists == item.object.Deleted {
+				t.Fatalf("%s: deleted %v, want %v", name, item.object.Deleted, !exists)
+			}
+		}
+	})
+}
--- a/directory/peerreader.go
+++ b/directory/peerreader.go
@@ -162,7 +162,7 @@
 func (s *syncer) queryPeer(ctx context.Context, peer membership.Peer, onlyChanges bool, timeout time.Duration) error {
 	query := FeedQuery{Revisions: make(map[string]int64, len(kinds)), Wait: peerWait, OnlyChanges: onlyChanges}
 	for _, kind := range kinds {
-		query.Revisions[kind] = s.feed.Revision(kind)
+		query.Revisions[kind] = s.feed.settledRevision(kind)
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
