Don't send the values of removed targets

Nobody reads the value of an object that is removed, but the feed kept it and sent it to all followers, so that a zone whose engines crash took some 13 KB a follower from the feed's budget; most of them then read the targets from the store.

--- a/directory/feed.go
+++ b/directory/feed.go
@@ -138,6 +138,7 @@
 	k.newestRevision = max(k.newestRevision, object.Revision)
 	if object.Deleted {
 		item.removedAt = now
+		item.object.Value = nil // nobody reads it, and all followers would be sent it
 	}
 	k.items[object.Name] = item
 	return true
@@ -152,7 +153,7 @@
 			continue
 		}
 		tombstone := item.object
-		tombstone.Deleted = true
+		tombstone.Deleted, tombstone.Value = true, nil
 		k.items[name] = feedItem{object: tombstone, sourceRevision: revision, removedAt: now}
 		removed = append(removed, tombstone)
 	}
