--- a/directory/feed_load_test.go
+++ b/directory/feed_load_test.go
@@ -100,13 +100,15 @@
 	targets       []objects.Object
 	changed       chan struct{}
 	configuredAt  time.Time
-	// calls counts the calls by kind of object.
-	calls map[string]int
-	bytes map[string]int
+	// calls counts the calls by kind of object, and taken those of them that takeCalls has returned.
+	calls, taken map[string]int
+	bytes        map[string]int
+	// lostBefore is the revision from which the store has its history.
+	lostBefore int64
 }
 
 func newModelStore() *modelStore {
-	s := &modelStore{revision: 1, changed: make(chan struct{}), calls: map[string]int{}, bytes: map[string]int{}}
+	s := &modelStore{revision: 1, changed: make(chan struct{}), calls: map[string]int{}, taken: map[string]int{}, bytes: map[string]int{}}
 	for i := range targetsInStore {
 		value, _ := json.Marshal(map[string]string{"Service": "drafts", "Address": fmt.Sprintf("10.0.0.%d:1", i), "Padding": strings.Repeat("x", targetObjectBytes)})
 		s.targets = append(s.targets, objects.Object{Kind: KindTarget, Name: fmt.Sprintf("i-%d", i), Revision: 1, Value: value})
@@ -137,29 +139,44 @@
 	s.changed = make(chan struct{})
 }
 
+// loseHistory makes the store forget its changes so far.
+func (s *modelStore) loseHistory() {
+	s.replaceTarget(0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostBefore = s.revision
+}
+
 // takeCalls returns the calls by kind since it was last called.
 func (s *modelStore) takeCalls() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	calls := s.calls
 	s.calls = map[string]int{}
+	for kind, count := range calls {
+		s.taken[kind] += count
+	}
 	return calls
 }
 
-func (s *modelStore) list(kind string, after int64) (objects.List, <-chan struct{}) {
+// list returns the objects that changed after a revision; those that exist if it is 0.
+func (s *modelStore) list(kind string, after int64) (objects.List, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if after > 0 && after < s.lostBefore {
+		return objects.List{}, nil, objects.ErrTooOld
+	}
 	list := objects.List{Revision: s.revision}
 	all := s.targets
 	if kind == KindConfiguration {
 		all = []objects.Object{s.configuration}
 	}
 	for _, object := range all {
-		if object.Revision > after {
+		if object.Revision > after && !(object.Deleted && after == 0) {
 			list.Items = append(list.Items, object)
 		}
 	}
-	return list, s.changed
+	return list, s.changed, nil
 }
 
 // storeClient is one entry's access to the store. An entry that is turned away gets errors only.
@@ -174,16 +191,19 @@
 
 func (c storeClient) Watch(ctx context.Context, kind string, after int64, limit time.Duration) (objects.List, error) {
 	const roundTrip = 4 * time.Millisecond
-	if err := wait.For(ctx, roundTrip); err != nil {
-		return objects.List{}, err
-	}
 	c.store.mu.Lock()
 	c.store.calls[kind]++
 	c.store.mu.Unlock()
+	if err := wait.For(ctx, roundTrip); err != nil {
+		return objects.List{}, err
+	}
 	if c.turnedAway {
 		return objects.List{}, objects.ErrUnavailable
 	}
-	list, changed := c.store.list(kind, after)
+	list, changed, err := c.store.list(kind, after)
+	if err != nil {
+		return list, err
+	}
 	if len(list.Items) == 0 && limit > 0 {
 		select {
 		case <-changed:
@@ -191,7 +211,9 @@
 		case <-ctx.Done():
 			return objects.List{}, ctx.Err()
 		}
-		list, _ = c.store.list(kind, after)
+		if list, _, err = c.store.list(kind, after); err != nil {
+			return list, err
+		}
 	}
 	bytesPerMs := linkBytesPerMs
 	if limit > 0 && c.store.changeBytesPerMs > 0 {
--- a/promptindex/manager.go
+++ b/promptindex/manager.go
@@ -60,10 +60,14 @@
 	writeTimeout = time.Second
 )
 
+// Stats counts calls to the store.
+type Stats struct{ Writes, Reads atomic.Int64 }
+
 // Manager keeps prompt locations across the loss of entries. It is safe for concurrent use.
 type Manager struct {
 	options Options
 	index   *index
+	stats   Stats
 	// tells counts the messages to peers that are under way.
 	tells atomic.Int32
 
@@ -88,6 +92,9 @@
 	return &Manager{options: options, index: newIndex()}
 }
 
+// Stats returns the counters.
+func (m *Manager) Stats() *Stats { return &m.stats }
+
 // RecordPlacement records that an engine prefills the prompt of a stream, or has it cached.
 func (m *Manager) RecordPlacement(prompt, engine string) {
 	if prompt != "" {
@@ -190,6 +197,7 @@
 	ctx, cancel := context.WithTimeout(ctx, maxReadTime)
 	defer cancel()
 	start := time.Now()
+	m.stats.Reads.Add(1)
 	found, err := m.options.Store.ReadPrompts(ctx)
 	end := time.Now()
 	m.logStoreState(err)
@@ -238,6 +246,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	m.stats.Writes.Add(1)
 	err := m.options.Store.WritePrompts(ctx, m.options.Entry, prompts)
 	if err != nil {
 		m.index.markChanged()
