Promise nothing by the failure of a target that may have run the call

Cause: a target's own failure was passed on with its status. 408, 421, 429 and 503 promise a caller that the request has not run and never will, and the caller repeats it; a target says so only with the field for it (ClassifyAnswer: NotRun), which this answer lacked. A call that may not be repeated could so run twice: once at the target that answered 503, once in the caller's next attempt.

Found by reading every place that says 'not run'. Ruled out: answers with the field (never passed on), 421 (always taken as not run), streams that may be resumed and idempotent calls (may run again; their answers stay as they are).

Change: such an answer to a request that may not be repeated becomes 502 without signature and body; the reason names the status.

Measured: TestFailureOfATargetPromisesNothing failed before ('503 != 502', call and stream), passes now.

--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -278,8 +278,13 @@
 	body   []byte
 }
 
-// write sends a target's answer to the caller.
+// write sends a target's answer to the caller. A failure whose status promises that nothing ran is replaced where the request may not
+// be repeated: the target has not said so in the way in which targets do, and the caller would send the request again.
 func (c *request) write(a *answer) {
+	if !c.route.Repeatable() && platform.PromisesNotRun(a.status) {
+		c.writeError(&errorAnswer{status: http.StatusBadGateway, reason: "outcome unknown: the target answered " + strconv.Itoa(a.status)})
+		return
+	}
 	c.copyHeader(a.header)
 	c.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	if length := a.header.Get("Content-Length"); c.http.Method == http.MethodHead && length != "" {
