Write the ledger's head again when the platform comes back from an older copy

Cause: an owner whose conditional write met a lower revision than its last one took the platform's older head for the newer state, dropped its own and decided the waiting claims on it. Claims and outcomes that it had acknowledged since the copy were forgotten: a call that had run was granted again, and one told as answered ran a second time. The same happened when the owner stopped just after (its release met the conflict and was given up), and with a head that was gone: the write was refused once, the next claim created an empty shard.

Ruled out: a lost reply (the head then has the write's own nonce, and a higher revision), a takeover (higher revision).

Change: the owner keeps the nonces of the head that it loaded and of its last 4,096 writes. A head with one of these, or none, holds nothing that the owner doesn't know: it writes its own over it (event 'restored'). Any other head below its revision belongs to another line: the shard is refused for as long as the process runs, as damaged content is. No message or call is added but one read at the return of a store.

Not covered: the owner is lost too, so that nobody knows more than the store; archives written since the copy are gone, and the next owner refuses the shard (missing archive).

--- a/idempotency/commit.go
+++ b/idempotency/commit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/internal/wait"
@@ -105,6 +106,9 @@
 	defer cancel()
 	start := time.Now()
 	object, err := o.options.Store.Put(ctx, KindHead, HeadName(o.shardNumber), expected, value)
+	if objects.IsConflict(err) {
+		object, err = o.putHeadAgain(ctx, expected, value, err)
+	}
 	if err == nil || objects.IsConflict(err) {
 		o.health.Succeeded(time.Since(start))
 	} else {
@@ -131,6 +135,7 @@
 	o.mu.Lock()
 	takeover := o.shard.Head.Owner != o.self
 	o.shard.Commit(batch, revision)
+	o.lineage.add(batch.Head.Nonce)
 	o.mu.Unlock()
 	o.maintenance.headWritten()
 	if takeover {
@@ -159,9 +164,10 @@
 
 // readCurrentHead reads the head at the revision that a conflict reported, or at a later one.
 func (o *shardOwner) readCurrentHead(ctx context.Context, expected, current int64) (Head, int64, error) {
-	if current == 0 && expected != objects.MustNotExist {
-		cause := errors.New("the head was deleted while it was in use")
-		return Head{}, 0, &ContentError{Kind: KindHead, Name: HeadName(o.shardNumber), Cause: cause}
+	if current < expected {
+		cause := fmt.Errorf("the head went back from revision %d to %d while it was in use", expected, current)
+		o.wentBack = &ContentError{Kind: KindHead, Name: HeadName(o.shardNumber), Cause: cause}
+		return Head{}, 0, o.wentBack
 	}
 	o.minRevision = current
 	return o.readHead(ctx, current)
@@ -171,5 +177,6 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.shard = nil
+	o.lineage = lineage{}
 	o.maintenance.reset()
 }
--- a/idempotency/load.go
+++ b/idempotency/load.go
@@ -40,11 +40,15 @@
 	if o.Owns() {
 		return nil
 	}
+	if o.wentBack != nil {
+		return o.wentBack
+	}
 	for attempt := range loadAttempts {
 		shard, err := o.loadShard(ctx)
 		if err == nil {
 			o.mu.Lock()
 			o.shard = shard
+			o.lineage.add(shard.Head.Nonce)
 			o.mu.Unlock()
 			return nil
 		}
--- /dev/null
+++ b/idempotency/olderstore_test.go
@@ -0,0 +1,102 @@
+package idempotency
+
+import (
+	"context"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurebarrow/azurebarrow/objects"
+)
+
+// copyNow returns a function that brings the store back to its present content. Revisions are given out again.
+func (s *fakeStore) copyNow() (restore func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept, revision := maps.Clone(s.objects), s.revision
+	return func() {
+		s.update(func(s *fakeStore) { s.objects, s.revision = maps.Clone(kept), revision })
+	}
+}
+
+// Guards against a call that runs again after its claim was acknowledged: the platform comes back from a copy that lacks the claim or
+// its outcome, while an entry still knows of it.
+func TestAcknowledgedClaimOutlivesAStoreFromAnOlderCopy(t *testing.T) {
+	const written = time.Second // until outcomes are in the ledger
+	for _, each := range []struct {
+		name string
+		// unused: the copy is older than the first write. finished: the outcome was recorded before the store came back.
+		unused, finished bool
+		// after happens once the store is back.
+		after func(c *cluster, owner string)
+		want  Verdict
+	}{
+		{name: "claimed", want: VerdictHeld},
+		{name: "first claim of all", unused: true, want: VerdictHeld},
+		{name: "answered", finished: true, want: VerdictFinished},
+		{name: "answered, and the owner stops", finished: true, want: VerdictFinished, after: func(c *cluster, owner string) {
+			_ = c.ledgers[owner].Drain(context.Background())
+			c.kill(owner)
+		}},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			inCluster(t, 3, func(o *Options) { o.Shards = 1 }, func(is *is.I, c *cluster) {
+				defer c.stop()
+				owner := c.ledgers["e0"].preferredOwner(0, "")
+				holder, other := "e0", "e1"
+				if owner == holder {
+					holder, other = "e1", "e2"
+				} else if owner == other {
+					other = "e2"
+				}
+				if !each.unused {
+					claimAt(c, holder, "earlier")
+				}
+				restore := c.store.copyNow()
+				attempt, reply := claimAt(c, holder, "k")
+				is.Equal(reply.Verdict, VerdictGranted)
+				if each.finished {
+					c.ledgers[holder].Finish(attempt, StateAnswered, answer("weighed"))
+					time.Sleep(written)
+				}
+				restore()
+				if each.after != nil {
+					each.after(c, owner)
+				}
+				claimAt(c, other, "later") // has the owner write the head
+				_, again := claimAt(c, other, "k")
+				is.Equal(again.Verdict, each.want)
+				c.kill(owner) // what is written again is in the store
+				_, again = claimAt(c, other, "k")
+				is.Equal(again.Verdict, each.want)
+			})
+		})
+	}
+}
+
+// Guards against a head that another entry wrote to a store that came back being taken for a former one of the owner's own.
+func TestHeadOfAnotherLineIsNotOverwritten(t *testing.T) {
+	inCluster(t, 2, func(o *Options) { o.Shards = 1 }, func(is *is.I, c *cluster) {
+		defer c.stop()
+		for _, key := range []string{"a", "b", "c", "d"} {
+			claimAt(c, "e0", key)
+		}
+		head := EmptyHead(0, 1)
+		head.Owner, head.Nonce = Holder{Entry: "x", Incarnation: 1}, "of another line"
+		value, err := head.Encode()
+		is.NoErr(err)
+		c.store.update(func(s *fakeStore) {
+			s.revision = 2
+			s.objects[KindHead+"/"+HeadName(0)] = objects.Object{Kind: KindHead, Name: HeadName(0), Revision: 2, Value: value}
+		})
+		_, reply := claimAt(c, "e1", "e")
+		is.True(reply.Verdict != VerdictGranted)
+		_, reply = claimAt(c, "e1", "a") // nor is what is gone from it granted again
+		is.True(reply.Verdict != VerdictGranted)
+		object, err := c.store.Get(context.Background(), KindHead, HeadName(0))
+		is.NoErr(err)
+		is.Equal(object.Revision, int64(2))
+	})
+}
--- a/idempotency/options.go
+++ b/idempotency/options.go
@@ -92,6 +92,8 @@
 	EventHandover EventKind = "handover"
 	// EventConflict: another entry wrote the head first.
 	EventConflict EventKind = "conflict"
+	// EventRestored: the platform came back from an older copy, and the head was written again from memory.
+	EventRestored EventKind = "restored"
 	// EventContentRefused: the shard's content is invalid and was rejected.
 	EventContentRefused EventKind = "content-refused"
 	// EventPlatformUnavailable: the platform was found to be down.
--- a/idempotency/owner.go
+++ b/idempotency/owner.go
@@ -39,8 +39,12 @@
 	unreachableEntry string // an entry that a sender of operations could not reach
 	released         chan struct{}
 
-	// minRevision is a revision that the head is known to have reached; only Run's goroutine uses it.
+	// minRevision is a revision that the head is known to have reached. Only Run's goroutine uses it, lineage and
+	// wentBack.
 	minRevision int64
+	lineage     lineage
+	// wentBack is set once the head was found to lack what this entry told others. The shard isn't loaded any more.
+	wentBack    *ContentError
 	maintenance maintenance
 }
 
