Say of a claim that it was never sent only if it was abandoned

Cause: the holder of a claim answered 'absent' for every attempt that it no longer kept: one that it had abandoned, or one whose outcome it had recorded. The retry then took the claim over, which is right for the second kind only as long as the ledger has the outcome. A ledger that came back from an older copy with its owner lost has the claim without it: the call ran a second time, at the word of the very entry that had run it.

Ruled out: another order of steps without such a return (the exhaustive test never found one: the claim is decided again on the current head).

Change: a process remembers the attempts that it abandoned and whose claims the ledger may hold, 32,768 at most (about 3 MB; older ones count as calls that may have run), and says 'absent' of these alone. Of others it says 'recorded': the retry asks the ledger again, without taking the claim over, and ends as unknown if that has no outcome. An older entry takes the new word for an unknown outcome; an older holder's word is believed as before. No message is added, a claim that loses this race is sent once more as before.

Measured: TestHolderDisownsOnlyWhatItAbandoned failed ('absent != recorded') and passes.

--- a/idempotency/attempts.go
+++ b/idempotency/attempts.go
@@ -14,8 +14,10 @@
 	finished chan struct{} // closed once the outcome is known to this process
 	decided  chan struct{} // closed once the ledger has decided on the outcome
 	recorded bool          // the ledger has the outcome; valid after decided is closed
-	verdict  AwaitVerdict
-	record   Record
+	// unclaimed: the ledger has replied that it records no claim of the attempt. Claim sets it, and Abandon reads it.
+	unclaimed bool
+	verdict   AwaitVerdict
+	record    Record
 }
 
 // Finished returns a channel that is closed when the attempt ends.
@@ -24,17 +26,24 @@
 // Outcome returns how the attempt ended; it is valid after Finished is closed.
 func (a *Attempt) Outcome() AwaitReply { return AwaitReply{Verdict: a.verdict, Record: a.record} }
 
+// maxAbandoned limits the abandoned attempts that are remembered, in about 3 MB. The calls of older ones count as ones that may have
+// run.
+const maxAbandoned = 1 << 15
+
 // attempts holds the attempts of this process, from before their claim until their outcome is in
-// the ledger. An attempt that it doesn't hold was never dispatched and never will be, or its
-// outcome is in the ledger.
+// the ledger, and the IDs of those that it abandoned. The outcome of any other attempt was in the
+// ledger; that the ledger has it no more doesn't prove that the call was never dispatched.
 type attempts struct {
 	mu    sync.Mutex
 	byID  map[AttemptID]*Attempt
 	byKey map[Key]*Attempt
+	// abandoned are the IDs of abandoned attempts whose claims the ledger may hold, abandonedOrder these IDs from the oldest on.
+	abandoned      map[AttemptID]bool
+	abandonedOrder []AttemptID
 }
 
 func newAttempts() *attempts {
-	return &attempts{byID: map[AttemptID]*Attempt{}, byKey: map[Key]*Attempt{}}
+	return &attempts{byID: map[AttemptID]*Attempt{}, byKey: map[Key]*Attempt{}, abandoned: map[AttemptID]bool{}}
 }
 
 // begin returns a new attempt and true, or the attempt that this process already has for the key
@@ -80,10 +89,23 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.remove(attempt)
+	if !attempt.unclaimed {
+		a.rememberAbandoned(attempt.ID)
+	}
 	attempt.verdict = AwaitAbsent
 	close(attempt.finished)
 }
 
+// rememberAbandoned remembers an abandoned attempt, and forgets the oldest one beyond maxAbandoned.
+func (a *attempts) rememberAbandoned(id AttemptID) {
+	a.abandoned[id] = true
+	a.abandonedOrder = append(a.abandonedOrder, id)
+	if len(a.abandonedOrder) > maxAbandoned {
+		delete(a.abandoned, a.abandonedOrder[0])
+		a.abandonedOrder = a.abandonedOrder[1:]
+	}
+}
+
 func (a *attempts) remove(attempt *Attempt) {
 	delete(a.byID, attempt.ID)
 	if a.byKey[attempt.Key] == attempt {
@@ -101,9 +123,13 @@
 func (a *attempts) await(ctx context.Context, id AttemptID) (AwaitReply, error) {
 	a.mu.Lock()
 	attempt, ok := a.byID[id]
+	abandoned := a.abandoned[id]
 	a.mu.Unlock()
-	if !ok {
+	switch {
+	case abandoned:
 		return AwaitReply{Verdict: AwaitAbsent}, nil
+	case !ok:
+		return AwaitReply{Verdict: AwaitRecorded}, nil
 	}
 	select {
 	case <-attempt.finished:
--- a/idempotency/exhaustive_test.go
+++ b/idempotency/exhaustive_test.go
@@ -327,7 +327,7 @@
 			continue
 		}
 		switch s.requests[i].phase {
-		case phaseAbandoned, phaseClosed:
+		case phaseAbandoned:
 			s.requests[r].supersedes = held
 		case phaseCrashed:
 			s.requests[r].phase = phaseClosed // its caller is told that the outcome is unknown
--- a/idempotency/ledger.go
+++ b/idempotency/ledger.go
@@ -121,7 +121,12 @@
 	if defect.Enabled(defect.DeduplicatePerEntry) {
 		return Reply{Verdict: VerdictGranted, Record: newClaimRecord(request, time.Now())}
 	}
-	return l.routeClaim(ctx, request, true)
+	reply := l.routeClaim(ctx, request, true)
+	switch reply.Verdict {
+	case VerdictHeld, VerdictFinished, VerdictMismatch, VerdictCorrupt:
+		attempt.unclaimed = true
+	}
+	return reply
 }
 
 // Finish records the outcome of a claimed call. Callers that wait for it, here or at other entries,
--- a/idempotency/olderstore_test.go
+++ b/idempotency/olderstore_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/objects"
 )
 
@@ -21,6 +22,12 @@
 	}
 }
 
+// ownerAndOthers returns the owner of the only shard of three entries, and the other two.
+func (c *cluster) ownerAndOthers() (owner, holder, other string) {
+	ranked := membership.Rank(c.Live(), HeadName(0))
+	return ranked[0].Name, ranked[1].Name, ranked[2].Name
+}
+
 // Guards against a call that runs again after its claim was acknowledged: the platform comes back from a copy that lacks the claim or
 // its outcome, while an entry still knows of it.
 func TestAcknowledgedClaimOutlivesAStoreFromAnOlderCopy(t *testing.T) {
@@ -44,13 +51,7 @@
 		t.Run(each.name, func(t *testing.T) {
 			inCluster(t, 3, func(o *Options) { o.Shards = 1 }, func(is *is.I, c *cluster) {
 				defer c.stop()
-				owner := c.ledgers["e0"].preferredOwner(0, "")
-				holder, other := "e0", "e1"
-				if owner == holder {
-					holder, other = "e1", "e2"
-				} else if owner == other {
-					other = "e2"
-				}
+				owner, holder, other := c.ownerAndOthers()
 				if !each.unused {
 					claimAt(c, holder, "earlier")
 				}
@@ -100,3 +101,24 @@
 		is.Equal(object.Revision, int64(2))
 	})
 }
+
+// Guards against a second run of a call whose outcome the ledger has lost with its owner: the holder took every call that it no longer
+// kept for one that it never sent.
+func TestHolderDisownsOnlyWhatItAbandoned(t *testing.T) {
+	inCluster(t, 3, func(o *Options) { o.Shards = 1 }, func(is *is.I, c *cluster) {
+		defer c.stop()
+		owner, holder, other := c.ownerAndOthers()
+		attempt, reply := claimAt(c, holder, "k")
+		is.Equal(reply.Verdict, VerdictGranted)
+		restore := c.store.copyNow()
+		c.ledgers[holder].Finish(attempt, StateAnswered, answer("weighed"))
+		time.Sleep(time.Second) // until it is recorded, and the holder no longer keeps it
+		restore()
+		c.kill(owner)
+		_, held := claimAt(c, other, "k")
+		is.Equal(held.Verdict, VerdictHeld)
+		outcome, err := c.ledgers[other].Await(context.Background(), held.Record)
+		is.NoErr(err)
+		is.Equal(outcome.Verdict, AwaitRecorded)
+	})
+}
--- a/idempotency/options.go
+++ b/idempotency/options.go
@@ -67,9 +67,11 @@
 const (
 	// AwaitFinished: the attempt has ended; the record holds the outcome.
 	AwaitFinished AwaitVerdict = "finished"
-	// AwaitAbsent: this process never dispatched the call of this attempt and never will, or the
-	// outcome is in the ledger.
+	// AwaitAbsent: this process never dispatched the call of this attempt and never will.
 	AwaitAbsent AwaitVerdict = "absent"
+	// AwaitRecorded: this process no longer keeps the attempt, whose outcome it had recorded in the
+	// ledger. Ask the ledger again. If it has no outcome, the call may have run.
+	AwaitRecorded AwaitVerdict = "recorded"
 	// AwaitLost: the process that made the claim no longer runs, or membership no longer reports its
 	// entry as alive.
 	AwaitLost AwaitVerdict = "lost"
--- a/idempotency/random_test.go
+++ b/idempotency/random_test.go
@@ -137,7 +137,10 @@
 			h.recordReply(key, outcome.Record)
 			return
 		}
-		supersedes = reply.Record.Attempt
+		supersedes = ""
+		if outcome.Verdict == AwaitAbsent {
+			supersedes = reply.Record.Attempt
+		}
 	}
 }
 
--- a/service/atmostonce.go
+++ b/service/atmostonce.go
@@ -39,11 +39,11 @@
 			}
 			continue
 		}
-		result, neverSent := e.claimAndRun(ctx, call, attempt, supersedes)
-		if neverSent == "" {
+		result, again := e.claimAndRun(ctx, call, attempt, supersedes)
+		if again == nil {
 			return result
 		}
-		supersedes = neverSent
+		supersedes = again.supersedes
 	}
 	return e.notSentResult(call, CodeRecordUnavailable)
 }
@@ -67,30 +67,35 @@
 	return resultFromRecord(outcome.Record), true
 }
 
+// nextClaim is a claim that is to be made after one that another attempt holds.
+type nextClaim struct {
+	// supersedes is the other attempt if its holder never sent the call; empty if the ledger has its outcome by now.
+	supersedes idempotency.AttemptID
+}
+
 // claimAndRun claims the key and runs the call, or returns the outcome of the attempt that holds the
-// claim. If the holder reports that it never sent the call, claimAndRun returns the ID of that
-// attempt, which the next claim supersedes.
-func (e *Executor) claimAndRun(ctx context.Context, call Call, attempt *idempotency.Attempt, supersedes idempotency.AttemptID) (Result, idempotency.AttemptID) {
+// claim. If the holder has none, claimAndRun returns how the key is claimed again.
+func (e *Executor) claimAndRun(ctx context.Context, call Call, attempt *idempotency.Attempt, supersedes idempotency.AttemptID) (Result, *nextClaim) {
 	if defect.Enabled(defect.ClaimAfterDispatch) {
-		return e.runUnclaimed(ctx, call, attempt), ""
+		return e.runUnclaimed(ctx, call, attempt), nil
 	}
 	reply, expired := e.claim(ctx, attempt, supersedes)
 	if reply.Verdict == idempotency.VerdictGranted && !expired {
 		go e.dispatch(call, attempt, true)
-		return waitForOutcome(ctx, attempt), ""
+		return waitForOutcome(ctx, attempt), nil
 	}
 	e.options.Ledger.Abandon(attempt)
 	switch reply.Verdict {
 	case idempotency.VerdictFinished:
-		return resultFromRecord(reply.Record), ""
+		return resultFromRecord(reply.Record), nil
 	case idempotency.VerdictMismatch:
-		return keyReusedResult(), ""
+		return keyReusedResult(), nil
 	case idempotency.VerdictHeld:
 		return e.awaitClaimHolder(ctx, reply.Record)
 	case idempotency.VerdictCorrupt:
-		return e.notSentResult(call, CodeRecordCorrupt), ""
+		return e.notSentResult(call, CodeRecordCorrupt), nil
 	default:
-		return e.notSentResult(call, CodeRecordUnavailable), ""
+		return e.notSentResult(call, CodeRecordUnavailable), nil
 	}
 }
 
@@ -107,20 +112,22 @@
 }
 
 // awaitClaimHolder asks the entry that holds the claim for the outcome. If that entry is unavailable,
-// it may have sent the call. If it never sent the call, awaitClaimHolder returns the ID of its
-// attempt.
-func (e *Executor) awaitClaimHolder(ctx context.Context, claim idempotency.Record) (Result, idempotency.AttemptID) {
+// it may have sent the call. If it never sent the call, or has recorded its outcome meanwhile,
+// awaitClaimHolder returns how the key is claimed again.
+func (e *Executor) awaitClaimHolder(ctx context.Context, claim idempotency.Record) (Result, *nextClaim) {
 	outcome, err := e.options.Ledger.Await(ctx, claim)
 	if err != nil && ctx.Err() != nil {
-		return stillRunningResult(), ""
+		return stillRunningResult(), nil
 	}
 	switch {
 	case err == nil && outcome.Verdict == idempotency.AwaitFinished:
-		return resultFromRecord(outcome.Record), ""
+		return resultFromRecord(outcome.Record), nil
 	case err == nil && outcome.Verdict == idempotency.AwaitAbsent:
-		return Result{}, claim.Attempt
+		return Result{}, &nextClaim{supersedes: claim.Attempt}
+	case err == nil && outcome.Verdict == idempotency.AwaitRecorded:
+		return Result{}, &nextClaim{}
 	default:
-		return Result{Outcome: OutcomeUnknown, Code: CodeOutcomeUnknown, RetryAfter: defaultRetryAfter}, ""
+		return Result{Outcome: OutcomeUnknown, Code: CodeOutcomeUnknown, RetryAfter: defaultRetryAfter}, nil
 	}
 }
 
