Report a change as in force only by processes that still run

Cause: the status writer kept the revision that an entry once reported under the entry's name, and asked it no more. An entry that was lost right after its report and came back with an older configuration (the platform away, its peers behind) still counted: the operator's status said InForceEverywhere for what was not in force there.

Ruled out: entries that are not live (not counted, named as such nowhere: see the table in docs/design), an answer of the new process under the former incarnation (asked again).

Change: a report counts only for the incarnation that gave it. Each restarted entry is asked once more.

--- a/control/status.go
+++ b/control/status.go
@@ -77,12 +77,18 @@
 	budget  *rate.Limiter
 	// backoffUntil is when writes may resume after a failed one.
 	backoffUntil time.Time
-	// reportedRevisions holds the revisions that entries reported to have in force.
-	reportedRevisions map[string]int64
+	// reported holds the last report of each entry, by name.
+	reported map[string]revisionReport
 	// waiting holds, for each resource, since when its status has waited for lagging entries.
 	waiting map[v1.ResourceKey]waitingSince
 }
 
+// revisionReport is the revision that a process of an entry reported to have in force. It tells nothing of a later process.
+type revisionReport struct {
+	incarnation uint64
+	revision    int64
+}
+
 // waitingSince is the start of a wait for entries that lag behind a spec revision.
 type waitingSince struct {
 	specRevision int64
@@ -92,10 +98,10 @@
 // NewStatusWriter returns a StatusWriter; Run starts it.
 func NewStatusWriter(options StatusOptions) *StatusWriter {
 	return &StatusWriter{
-		options:           options,
-		budget:            rate.NewLimiter(statusWritesPerSecond, statusBurst),
-		reportedRevisions: map[string]int64{},
-		waiting:           map[v1.ResourceKey]waitingSince{},
+		options:  options,
+		budget:   rate.NewLimiter(statusWritesPerSecond, statusBurst),
+		reported: map[string]revisionReport{},
+		waiting:  map[v1.ResourceKey]waitingSince{},
 	}
 }
 
@@ -131,13 +137,13 @@
 	var mu sync.Mutex
 	var calls sync.WaitGroup
 	slots := make(chan struct{}, maxParallelTargets)
-	self := w.options.View.Self().Name
-	w.reportedRevisions[self] = w.options.Resources.KnownRevision()
+	self := w.options.View.Self()
+	w.reported[self.Name] = revisionReport{self.Incarnation, w.options.Resources.KnownRevision()}
 	for _, peer := range w.options.View.Live() {
 		mu.Lock()
-		lags := w.reportedRevisions[peer.Name] < newest
+		lags := w.lags(peer, newest)
 		mu.Unlock()
-		if peer.Name == self || !lags {
+		if peer.Name == self.Name || !lags {
 			continue
 		}
 		slots <- struct{}{}
@@ -149,17 +155,24 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			w.reportedRevisions[peer.Name] = revision
+			w.reported[peer.Name] = revisionReport{peer.Incarnation, revision}
 		})
 	}
 	calls.Wait()
 }
 
+// lags reports whether an entry is not known to have the revision in force.
+func (w *StatusWriter) lags(peer membership.Peer, revision int64) bool {
+	report, ok := w.reported[peer.Name]
+	isFormer := report.incarnation != peer.Incarnation && peer.Name != w.options.View.Self().Name
+	return !ok || isFormer || report.revision < revision
+}
+
 // lagging returns the names of the live entries that don't have the revision in force.
 func (w *StatusWriter) lagging(revision int64) []string {
 	var names []string
 	for _, peer := range w.options.View.Live() {
-		if w.reportedRevisions[peer.Name] < revision {
+		if w.lags(peer, revision) {
 			names = append(names, peer.Name)
 		}
 	}
--- a/control/status_test.go
+++ b/control/status_test.go
@@ -102,6 +102,26 @@
 	})
 }
 
+// Guards against an operator who is told that a change is in force everywhere by what a former process of an entry reported: the entry
+// was lost right after, and its new process has an older configuration.
+func TestStatusTakesNoReportOfAFormerProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		resources, writer := newStatusTest(t)
+		resources.add("m")
+		resources.reported = resources.specs["m"]
+		writer.Step(t.Context())
+		is.True(resources.status("m").Conditions[1].Status) // in force everywhere
+		writer.options.View.(membership.Static).Peers[1].Incarnation++
+		resources.reported = 0
+		for range 2 {
+			writer.Step(t.Context())
+			time.Sleep(laggingTimeout)
+		}
+		is.True(!resources.status("m").Conditions[1].Status)
+	})
+}
+
 func TestStatusNeverOverwritesANewerSpec(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
