Claim a call again whose claim the ledger has lost

Cause: a holder that sent a call's outcome to the ledger and was told 'absent' forgot the call. The ledger had granted that claim, so that it had come back from an older copy, and the owner that knew was lost. The caller had been told the answer; its retry was granted and ran the call a second time.

Ruled out: a claim that was taken over (only an abandoned attempt's is, and no outcome is sent for it).

Change: the holder claims the key again for the same attempt, 64 at once at most, and sends the outcome again. If another attempt holds the key by then, it ends as before. No message is added but in that case: one claim for each call in progress at the return.

Not covered: a retry that arrives before the outcome is sent (it is granted), or after the holder is lost too.

Measured: TestOutcomeIsRecordedAlthoughTheClaimIsLost failed ('granted != finished'; answered, not run, unknown) and passes, 3 of 3 with the race detector.

--- a/idempotency/completer.go
+++ b/idempotency/completer.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/azurebarrow/azurebarrow/internal/wait"
 )
 
@@ -107,9 +109,33 @@
 	ctx, cancel := context.WithTimeout(ctx, completeTimeout)
 	defer cancel()
 	replies := c.ledger.routeComplete(ctx, call)
+	c.claimAgain(ctx, taken, replies)
 	return c.handleReplies(shard, taken, replies)
 }
 
+// maxClaimsAtOnce limits the claims that are made again at the same time.
+const maxClaimsAtOnce = 64
+
+// claimAgain claims the calls of which the ledger has no claim: it had when they were dispatched, so that the platform has come back
+// from an older copy. It replaces the replies by VerdictUnavailable where the outcome is to be sent again.
+func (c *completer) claimAgain(ctx context.Context, taken []completion, replies []Reply) {
+	var group errgroup.Group
+	group.SetLimit(maxClaimsAtOnce)
+	for i, item := range taken {
+		if replies[i].Verdict != VerdictAbsent {
+			continue
+		}
+		group.Go(func() error {
+			reply := c.ledger.Claim(ctx, item.attempt, "")
+			if reply.Verdict == VerdictGranted || reply.Verdict == VerdictUnavailable {
+				replies[i].Verdict = VerdictUnavailable
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // the functions return no error
+}
+
 // handleReplies removes the attempts on whose outcome the ledger has decided, and queues the other
 // outcomes again. It reports whether there are no others.
 func (c *completer) handleReplies(shard int, taken []completion, replies []Reply) bool {
--- a/idempotency/olderstore_test.go
+++ b/idempotency/olderstore_test.go
@@ -122,3 +122,35 @@
 		is.Equal(outcome.Verdict, AwaitRecorded)
 	})
 }
+
+// Guards against a second run of a call that its holder still runs, or has just answered, while the ledger has lost its claim with the
+// owner.
+func TestOutcomeIsRecordedAlthoughTheClaimIsLost(t *testing.T) {
+	for _, state := range []State{StateAnswered, StateNotRun, StateUnknown} {
+		inCluster(t, 3, func(o *Options) { o.Shards = 1 }, func(is *is.I, c *cluster) {
+			defer c.stop()
+			owner, holder, other := c.ownerAndOthers()
+			claimAt(c, holder, "earlier")
+			restore := c.store.copyNow()
+			attempt, reply := claimAt(c, holder, "k")
+			is.Equal(reply.Verdict, VerdictGranted)
+			restore()
+			c.kill(owner)
+			switch state {
+			case StateAnswered:
+				c.ledgers[holder].Finish(attempt, state, answer("weighed"))
+			case StateNotRun:
+				ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+				is.True(c.ledgers[holder].FinishNotRun(ctx, attempt))
+				cancel()
+			default:
+				c.ledgers[holder].Finish(attempt, state, nil)
+			}
+			time.Sleep(2 * time.Second) // until it is recorded
+			c.kill(holder)
+			_, again := claimAt(c, other, "k")
+			is.Equal(again.Verdict, VerdictFinished)
+			is.Equal(again.Record.State, state)
+		})
+	}
+}
