Soak: lose all entries right after an acknowledgement, alone and with the store away

A key is revoked and every fourth target drains; as soon as the store has acknowledged both, all entries are killed, and in one variant the store falls silent until a second after they are back. The check excuses nothing: a process that started after the loss can know nothing else than the store, so that a key revoked before is served never again (CONFIG), and a target that drained before gets nothing (DRAIN). The existing checks left this out, since the loss of an entry excuses it. Two cases in the table of checks, and the deliberate defect draining-forgotten: an entry that starts takes what drains already for other targets.

--- a/bench/soak/checks.go
+++ b/bench/soak/checks.go
@@ -43,7 +43,7 @@
 		found = append(found, e.checkAttempt(attempt, runs[attempt.ID])...)
 	}
 	for _, check := range []func(map[string][]target.Record) []Violation{
-		e.checkOrigin, e.checkDeadlines, e.checkBudget, e.checkDraining, e.checkAbandoned, e.checkRecovery, e.checkBadParts, e.checkLimits, e.checkVersions, e.checkTakenUp, e.checkPartitions, e.checkPauses,
+		e.checkOrigin, e.checkDeadlines, e.checkBudget, e.checkDraining, e.checkAbandoned, e.checkRecovery, e.checkBadParts, e.checkLimits, e.checkVersions, e.checkTakenUp, e.checkAcknowledged, e.checkPartitions, e.checkPauses,
 	} {
 		found = append(found, check(runs)...)
 	}
--- a/bench/soak/checks_test.go
+++ b/bench/soak/checks_test.go
@@ -104,6 +104,14 @@
 			e.Records = append(e.Records, target.Record{At: at(7.5), What: target.Draining, Target: "records-0.1"})
 			e.Disturbances = []Disturbance{{Subject: "records-0", Fault: DrainTarget, Planned: true, From: at(7.4), To: at(12)}}
 		}},
+		{"CONFIG", "a key is revoked, and served after all entries were lost", func(e *Evidence) {
+			e.Keys["k"] = KeyLifetime{Accepted: at(0), RevokeSent: at(9.3), Revoked: at(9.4)}
+			e.Disturbances = []Disturbance{{Subject: "all entries", Fault: LoseEntries, From: at(9.5), To: at(9.9)}}
+		}},
+		{"DRAIN", "a target drains, and gets work after all entries were lost", func(e *Evidence) {
+			e.Records = append(e.Records, target.Record{At: at(9.4), What: target.Draining, Target: "records-0.1"})
+			e.Disturbances = []Disturbance{{Subject: "all entries", Fault: LoseEntries, From: at(9.5), To: at(9.9)}}
+		}},
 		{"GONE", "work continues after its caller disconnected", func(e *Evidence) {
 			e.Attempts[1].DisconnectedAt = at(10.2)
 			ended := beganRecord("s1", "drafts-0.2", at(11))
--- a/bench/soak/defect_test.go
+++ b/bench/soak/defect_test.go
@@ -100,6 +100,7 @@
 		{defect.VersionIgnored, "ORDER", losses, false},
 		{defect.VersionsForgotten, "ORDER", entryLosses(lossOneLeaves), false},
 		{defect.VersionsForgotten, "LOST", entryLosses(lossBothServe), false},
+		{defect.DrainingForgotten, "DRAIN", entryLosses(lossAcknowledged), false},
 		{defect.LimitIgnored, "LIMIT", limits, false},
 		{defect.NoDetour, "RECOVER", cuts, false},
 		{defect.PauseIgnored, "BUDGET", pauses, false},
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -228,16 +228,20 @@
 	case StoreFault:
 		d.disturbStore(ctx, step, waitForEnd)
 	case PauseStore:
-		d.disturb(subjectStore, step.Kind, false, func() {
-			_ = d.store.signal(syscall.SIGSTOP)
-			waitForEnd()
-			_ = d.store.signal(syscall.SIGCONT)
-		})
+		d.pauseStore(waitForEnd)
 	default:
 		d.disturbLink(step, e, t, waitForEnd)
 	}
 }
 
+func (d *deployment) pauseStore(waitForEnd func()) {
+	d.disturb(subjectStore, PauseStore, false, func() {
+		_ = d.store.signal(syscall.SIGSTOP)
+		waitForEnd()
+		_ = d.store.signal(syscall.SIGCONT)
+	})
+}
+
 // stopEntry stops an entry as the platform does, with SIGTERM and after stopGrace SIGKILL, and starts it again.
 func (d *deployment) stopEntry(ctx context.Context, e *entry) {
 	if !e.busy.TryLock() {
--- a/bench/soak/losses.go
+++ b/bench/soak/losses.go
@@ -28,13 +28,19 @@
 	takeUpTime = 3 * time.Second
 )
 
-// Variants of LoseEntries: engines of both versions serve all the while, or those of one are replaced while no entry runs.
+// Variants of LoseEntries: engines of both versions serve all the while; those of one are replaced while no entry runs; a key is revoked
+// and targets drain right before; the store is away besides, from the loss until after the entries' return.
 const (
 	lossBothServe = iota
 	lossOneLeaves
+	lossAcknowledged
+	lossStoreAway
 	lossVariants
 )
 
+// drainNotice is the time from when targets are told to drain until the store has acknowledged it.
+const drainNotice = heartbeat / 2
+
 // loseEntries kills all entries at once while streams are in progress. Their callers take them up once the entries are back.
 func (d *deployment) loseEntries(ctx context.Context, c *callers, step Step) {
 	locked := 0
@@ -58,12 +64,20 @@
 		streams.Go(func() { c.sendRequest(Stream, back) })
 	}
 	time.Sleep(lossDelay)
+	var beside sync.WaitGroup
+	defer beside.Wait()
+	if variant := step.Variant % lossVariants; variant == lossAcknowledged || variant == lossStoreAway {
+		d.acknowledgeChanges(ctx, step, &beside)
+	}
 	d.disturb("all entries", LoseEntries, false, func() {
 		for _, e := range d.entries {
 			_ = e.signal(syscall.SIGKILL)
 		}
-		if step.Variant%lossVariants == lossOneLeaves {
+		switch step.Variant % lossVariants {
+		case lossOneLeaves:
 			d.replaceVersion(engineVersions[step.Index%len(engineVersions)])
+		case lossStoreAway:
+			beside.Go(func() { d.pauseStore(func() { time.Sleep(lossFor + time.Second) }) })
 		}
 		time.Sleep(lossFor)
 		for _, e := range d.entries {
@@ -81,6 +95,46 @@
 	streams.Wait()
 }
 
+// acknowledgeChanges has every fourth target drain, and then revokes a key. It returns when the store has acknowledged both.
+func (d *deployment) acknowledgeChanges(ctx context.Context, step Step, beside *sync.WaitGroup) {
+	for i := step.Index % 4; i < len(d.targets); i += 4 {
+		beside.Go(func() { d.drainTarget(ctx, d.targets[i]) })
+	}
+	time.Sleep(drainNotice)
+	if err := d.configure(ctx, fmt.Sprintf("key-lost-%d-%d", step.At.Milliseconds(), step.Variant), 0); err != nil {
+		d.options.Logf("configure: %v", err)
+	}
+}
+
+// checkAcknowledged checks that no process goes back behind what the store had acknowledged before all entries were lost: a process that
+// started afterwards can know nothing else, whatever faults follow.
+func (e *Evidence) checkAcknowledged(runs map[string][]target.Record) []Violation {
+	draining := map[string]time.Time{}
+	for _, record := range e.Records {
+		if record.What == target.Draining {
+			draining[record.Target] = record.At
+		}
+	}
+	var found []Violation
+	for _, attempt := range e.Attempts {
+		for _, loss := range e.Disturbances {
+			if loss.Fault != LoseEntries || attempt.Sent.Before(loss.To) {
+				continue
+			}
+			life := e.Keys[attempt.Key]
+			if !life.Revoked.IsZero() && life.Revoked.Before(loss.From) && (len(runs[attempt.ID]) > 0 || attempt.Status == 200) {
+				found = append(found, Violation{"CONFIG", attempt.ID, "served with a key that was revoked before all entries were lost"})
+			}
+			for _, run := range runs[attempt.ID] {
+				if at, ok := draining[run.Target]; ok && at.Before(loss.From) {
+					found = append(found, Violation{"DRAIN", attempt.ID, fmt.Sprintf("%s left before all entries were lost", run.Target)})
+				}
+			}
+		}
+	}
+	return found
+}
+
 // replaceVersion kills the engines of a version and starts engines of the other one in their place.
 func (d *deployment) replaceVersion(version string) {
 	for _, t := range d.targets {
--- a/directory/manager.go
+++ b/directory/manager.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/azurebarrow/azurebarrow/internal/defect"
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/objects"
 )
@@ -247,6 +248,11 @@
 	for _, object := range changes {
 		m.applyTarget(object, now)
 	}
+	if !listedBefore && defect.Enabled(defect.DrainingForgotten) {
+		for _, target := range m.known {
+			target.Draining = false
+		}
+	}
 	if wasUnavailable {
 		m.restartGrace(now)
 	}
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -37,6 +37,8 @@
 	RetryUnsafe Name = "repeat-unsafe"
 	// DrainingIgnored routes new work to draining targets.
 	DrainingIgnored Name = "leaving-ignored"
+	// DrainingForgotten has an entry that starts take the targets that drain already for others.
+	DrainingForgotten Name = "draining-forgotten"
 	// CrashesByRequest records crashes of targets against whole requests only, not against parts of their prompts.
 	CrashesByRequest Name = "crashes-by-request"
 	// CallCrashesIgnored records no crashes of targets under plain calls.
