Withhold a generated key from a caller that is told not-run

Cause: a generation that was refused, or given up before anything ran, is answered 'not-run' where the entry generated the request's key: the word is about the key, and holds for ever only if nobody can send the key. The error named it, in its body and in Idempotency-Key (also set before the generation failed), so that the caller could send it again and it would run. Service calls withheld it already.

Ruled out: keys of callers (their outcome is 'unknown'), generations that may have run ('unknown', the key is named for the retry).

Change: an error with the outcome 'not-run' names no key.

--- a/adapters/callerhttp/admission.go
+++ b/adapters/callerhttp/admission.go
@@ -43,15 +43,15 @@
 // key was generated for this request: a key sent by the caller may have run through another entry.
 func admissionError(err error, request *acceptedRequest) *Error {
 	failure := &Error{
-		Status:     http.StatusServiceUnavailable,
-		Code:       CodeOverloaded,
-		Message:    err.Error(),
-		Outcome:    OutcomeUnknown,
-		RequestKey: request.request.Key.ID,
+		Status:  http.StatusServiceUnavailable,
+		Code:    CodeOverloaded,
+		Message: err.Error(),
+		Outcome: OutcomeUnknown,
 	}
 	if request.keyMinted {
 		failure.Outcome = OutcomeNotRun
 	}
+	failure.nameKey(request)
 	var refused *admission.RejectedError
 	if !errors.As(err, &refused) {
 		return failure
--- a/adapters/callerhttp/completions.go
+++ b/adapters/callerhttp/completions.go
@@ -55,7 +55,7 @@
 func (s *Server) writeFailure(w http.ResponseWriter, request *acceptedRequest, err error) {
 	failure := generationError(err, request.keyMinted)
 	s.countFailure(request, failure)
-	failure.RequestKey = request.request.Key.ID
+	failure.nameKey(request)
 	s.options.Log("request given up", generation.Field{Key: "request", Value: request.request.Key},
 		generation.Field{Key: "code", Value: failure.Code}, generation.Field{Key: "outcome", Value: failure.Outcome},
 		generation.Field{Key: "error", Value: err})
@@ -106,7 +106,7 @@
 		}
 		if err != nil {
 			failure := generationError(err, request.keyMinted)
-			failure.RequestKey = request.request.Key.ID
+			failure.nameKey(request)
 			s.countFailure(request, failure)
 			out.writeFailure(failure)
 			return
--- a/adapters/callerhttp/errors.go
+++ b/adapters/callerhttp/errors.go
@@ -69,6 +69,7 @@
 	if e.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
+	header.Del(headerIdempotencyKey)
 	if e.RequestKey != "" {
 		header.Set(headerIdempotencyKey, e.RequestKey)
 	}
@@ -101,6 +102,14 @@
 	return e
 }
 
+// nameKey has the error name the request's key, unless the request was not run: its key was generated, and stays dead only if nobody
+// can send it again.
+func (e *Error) nameKey(request *acceptedRequest) {
+	if e.Outcome != OutcomeNotRun {
+		e.RequestKey = request.request.Key.ID
+	}
+}
+
 // generationError converts an error of the generation manager for the caller. The outcome is
 // "not-run" only if the key was generated for this request: a key sent by the caller may have run
 // through another entry.
--- a/adapters/callerhttp/server_test.go
+++ b/adapters/callerhttp/server_test.go
@@ -175,6 +175,9 @@
 			is.NoErr(json.Unmarshal(answer.Body.Bytes(), &body))
 			is.Equal(body.Error.Code, test.code)
 			is.Equal(body.Error.Outcome, test.outcome)
+			if test.outcome == OutcomeNotRun { // a key that the caller knows could run later
+				is.Equal(body.Error.RequestKey+answer.Header().Get(headerIdempotencyKey), "")
+			}
 			is.Equal(test.status == http.StatusServiceUnavailable, answer.Header().Get("Retry-After") != "")
 		})
 	}
