Take an unknown outcome of a peer for a request that may have run

Cause: any outcome of an exchange through a peer that this build doesn't know counted as 'refused', after which nothing was sent. Beside a later build that reports another way in which a request ended that it had sent, the call would be sent again.

Ruled out: answers without an outcome (a former build's 404): they stay refusals, as the handler names one once it has read the request.

Change: an outcome that is named and not known ends the send as unknown.

Measured: TestPeerTellsWhatWasNotSent, extended, failed and passes with the race detector.

--- a/adapters/peerexchange/client.go
+++ b/adapters/peerexchange/client.go
@@ -61,6 +61,9 @@
 		return nil, errors.New("at the peer: no answer of the target")
 	default:
 		answer.Close()
+		if _, known := detour.ParseOutcome(outcome); !known && outcome != "" {
+			return nil, fmt.Errorf("at the peer: outcome %q", outcome) // a later build may say so of what it has sent
+		}
 		return nil, &NotSentError{resultOf(answer.Header)}
 	}
 }
--- a/adapters/peerexchange/peerexchange_test.go
+++ b/adapters/peerexchange/peerexchange_test.go
@@ -189,6 +189,12 @@
 	is.Equal(notSent.Result.Outcome, detour.Refused)
 	is.Equal(client.Probe(t.Context(), formerPeer, silent, 0).Outcome, detour.Refused)
 
+	later := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(fieldOutcome, "of a later build") }))
+	t.Cleanup(later.Close)
+	laterPeer := membership.Peer{Name: "later", Address: later.Listener.Addr().String()}
+	_, err = client.Do(t.Context(), laterPeer, silent, time.Second, request("POST"))
+	is.True(err != nil && !errors.As(err, &notSent))
+
 	dead, _ := newRawTarget(t, "", false) // a peer that dies when it has read the request
 	_, err = client.Do(t.Context(), membership.Peer{Name: "dead", Address: dead.Address}, silent, time.Second, request("POST"))
 	is.True(!errors.As(err, &notSent))
