Let targets that name no start come back after they drained

Some objects name no start, so that two of them count as the same incarnation: a target that started again under its ID would have got no work for good, or for a minute.

Measured: TestDrainingIsFinalWithinAnIncarnation, a table of the same, the next and an unknown incarnation, failed at the unknown one; the package passes (28.9 s).

--- a/directory/feed_load_test.go
+++ b/directory/feed_load_test.go
@@ -103,7 +103,7 @@
 func newModelStore() *modelStore {
 	s := &modelStore{revision: 1, changed: make(chan struct{}), calls: map[string]int{}}
 	for i := range targetsInStore {
-		value, _ := json.Marshal(map[string]string{"Service": "drafts", "Address": fmt.Sprintf("10.0.0.%d:1", i), "Padding": strings.Repeat("x", targetObjectBytes)})
+		value, _ := json.Marshal(map[string]any{"Service": "drafts", "Address": fmt.Sprintf("10.0.0.%d:1", i), "StartedMs": 1, "Padding": strings.Repeat("x", targetObjectBytes)})
 		s.targets = append(s.targets, objects.Object{Kind: KindTarget, Name: fmt.Sprintf("i-%d", i), Revision: 1, Value: value})
 	}
 	s.configure(1, 0)
--- a/directory/manager_test.go
+++ b/directory/manager_test.go
@@ -110,6 +110,31 @@
 	is.Equal(len(f.availableIDs()), 0)
 }
 
+// Guards against new work for a target that an older copy of the store shows as it was before it drained, and against one that
+// starts again under its ID and gets none.
+func TestDrainingIsFinalWithinAnIncarnation(t *testing.T) {
+	for _, each := range []struct {
+		name           string
+		before, after  int64 // the starts of the incarnations, 0 if they name none
+		removed, final bool
+	}{
+		{"same", 5, 5, false, true}, {"same, removed", 5, 5, true, true}, {"next", 5, 6, false, false}, {"next, removed", 5, 6, true, false},
+		{"unknown", 0, 0, false, false}, {"unknown, removed", 0, 0, true, false},
+	} {
+		is := is.New(t)
+		f := newFixture()
+		drained := engine("a", "x:1", each.before)
+		drained.Draining = true
+		f.applyChanges(testStart, f.targetObject(drained))
+		if each.removed {
+			f.applyChanges(testStart, f.deletedObject("a"))
+		}
+		f.applyChanges(testStart, f.targetObject(engine("a", "x:1", each.after)))
+		t.Log(each.name)
+		is.Equal(len(f.availableIDs()) == 0, each.final)
+	}
+}
+
 func TestDrainedTargetIsNotAddedAsProvisional(t *testing.T) {
 	is := is.New(t)
 	f := newFixture()
--- a/directory/olderstore_test.go
+++ b/directory/olderstore_test.go
@@ -31,7 +31,7 @@
 
 // drainTarget has a target say that it drains.
 func (s *modelStore) drainTarget(number int) {
-	value, _ := json.Marshal(map[string]any{"Service": "drafts", "Address": fmt.Sprintf("10.0.0.%d:1", number), "Draining": true})
+	value, _ := json.Marshal(map[string]any{"Service": "drafts", "Address": fmt.Sprintf("10.0.0.%d:1", number), "StartedMs": 1, "Draining": true})
 	s.mu.Lock()
 	s.targets[number].Value = value
 	s.mu.Unlock()
--- a/directory/restored.go
+++ b/directory/restored.go
@@ -67,8 +67,11 @@
 }
 
 // keepDraining has a target drain that this entry knows as draining: within one incarnation, draining is final, whatever an older copy
-// of the store says.
+// of the store says. Of an object that names no start it isn't known whether it is of the same one.
 func (m *Manager) keepDraining(target, before *Target) {
+	if target.StartedMs == 0 {
+		return
+	}
 	drained, known := m.drained[target.ID]
 	if before != nil && before.Draining && before.SameIncarnation(target) || known && drained.target.SameIncarnation(target) {
 		target.Draining = true
