Write the ledger's head again also when a read fails or a reply is lost

Cause: an owner whose write met a head of a lower revision took a failed read of it for a head of another line, and its own head, written again with the reply lost, too. The shard was then refused for as long as the process ran, and once the owner was gone a call that had been answered was granted again.

Ruled out: heads of another line, which are still refused (TestHeadOfAnotherLineIsNotOverwritten).

Change: a read that fails, or shows another revision than the conflict, and a head that changes while it is written again leave the write open: it is tried again, as any write without a known outcome. The owner's own new head is a success.

Measured: two further cases of TestAcknowledgedClaimOutlivesAStoreFromAnOlderCopy failed ('corrupt != finished'), pass; package idempotency with the race detector and with the defects.

--- a/idempotency/lineage.go
+++ b/idempotency/lineage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/azurebarrow/azurebarrow/objects"
 )
@@ -30,30 +31,53 @@
 	}
 }
 
-// isFormer reports whether the head that the platform has now, at a revision below that of the owner's last write, is one that this
-// owner loaded or wrote earlier, or precedes the first one. The platform has then come back from an older copy, and what this entry
-// told others since exists only here.
-func (o *shardOwner) isFormer(ctx context.Context, revision int64) bool {
-	if revision == objects.MustNotExist {
-		return true
-	}
-	object, err := o.getObject(ctx, KindHead, HeadName(o.shardNumber))
-	if err != nil || object.Revision != revision {
-		return false
-	}
-	head, err := DecodeHead(object.Value, o.shardNumber, o.options.Shards)
-	return err == nil && o.lineage.nonces[head.Nonce]
-}
-
-// putHeadAgain writes a head over a former one if the platform has come back from an older copy, and otherwise returns the conflict.
+// putHeadAgain handles the conflict of a write with a head below the revision of the owner's last write. If the platform has come back
+// from an older copy, that head is one that this owner loaded or wrote earlier, or there is none: what this entry told others since exists
+// only here, and the value is written over it. If it is the value itself, an earlier write succeeded and its reply was lost. Any other
+// head is of another line, and the conflict is returned. An error that wraps objects.ErrUnavailable leaves open which it is.
 func (o *shardOwner) putHeadAgain(ctx context.Context, expected int64, value []byte, conflict error) (objects.Object, error) {
 	var present *objects.ConflictError
-	if !errors.As(conflict, &present) || present.Present >= expected || !o.isFormer(ctx, present.Present) {
+	if !errors.As(conflict, &present) || present.Present >= expected {
 		return objects.Object{}, conflict
 	}
+	if present.Present != objects.MustNotExist {
+		object, nonce, err := o.readNonce(ctx, present.Present)
+		switch {
+		case err != nil:
+			return objects.Object{}, err
+		case nonce == o.nonceOf(value):
+			return object, nil
+		case !o.lineage.nonces[nonce]:
+			return objects.Object{}, conflict
+		}
+	}
 	object, err := o.options.Store.Put(ctx, KindHead, HeadName(o.shardNumber), present.Present, value)
+	if objects.IsConflict(err) {
+		return objects.Object{}, fmt.Errorf("%w: the head changed while it was written again", objects.ErrUnavailable)
+	}
 	if err == nil {
 		o.options.Observe(Event{Kind: EventRestored, Shard: o.shardNumber})
 	}
 	return object, err
 }
+
+// readNonce reads the head at a revision and returns its nonce; empty if its content is damaged.
+func (o *shardOwner) readNonce(ctx context.Context, revision int64) (objects.Object, string, error) {
+	object, err := o.getObject(ctx, KindHead, HeadName(o.shardNumber))
+	if err == nil && object.Revision != revision {
+		err = fmt.Errorf("the head is at revision %d, want %d", object.Revision, revision)
+	}
+	if err != nil {
+		return objects.Object{}, "", fmt.Errorf("%w: %w", objects.ErrUnavailable, err)
+	}
+	return object, o.nonceOf(object.Value), nil
+}
+
+// nonceOf returns the nonce of an encoded head; empty if it can't be decoded.
+func (o *shardOwner) nonceOf(value []byte) string {
+	head, err := DecodeHead(value, o.shardNumber, o.options.Shards)
+	if err != nil {
+		return ""
+	}
+	return head.Nonce
+}
--- a/idempotency/olderstore_test.go
+++ b/idempotency/olderstore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,27 @@
 	return ranked[0].Name, ranked[1].Name, ranked[2].Name
 }
 
+// faultyStore fails the next reads of heads, and loses the replies to the next writes of heads.
+type faultyStore struct {
+	*fakeStore
+	failedReads, lostReplies atomic.Int32
+}
+
+func (s *faultyStore) Get(ctx context.Context, kind, name string) (objects.Object, error) {
+	if kind == KindHead && s.failedReads.Add(-1) >= 0 {
+		return objects.Object{}, objects.ErrUnavailable
+	}
+	return s.fakeStore.Get(ctx, kind, name)
+}
+
+func (s *faultyStore) Put(ctx context.Context, kind, name string, expected int64, value []byte) (objects.Object, error) {
+	object, err := s.fakeStore.Put(ctx, kind, name, expected, value)
+	if err == nil && kind == KindHead && s.lostReplies.Add(-1) >= 0 {
+		return objects.Object{}, objects.ErrUnknownOutcome
+	}
+	return object, err
+}
+
 // Guards against a call that runs again after its claim was acknowledged: the platform comes back from a copy that lacks the claim or
 // its outcome, while an entry still knows of it.
 func TestAcknowledgedClaimOutlivesAStoreFromAnOlderCopy(t *testing.T) {
@@ -36,6 +58,8 @@
 		name string
 		// unused: the copy is older than the first write. finished: the outcome was recorded before the store came back.
 		unused, finished bool
+		// failedReads and lostReplies are the faults of the store as the owner finds out.
+		failedReads, lostReplies int32
 		// after happens once the store is back.
 		after func(c *cluster, owner string)
 		want  Verdict
@@ -43,13 +67,22 @@
 		{name: "claimed", want: VerdictHeld},
 		{name: "first claim of all", unused: true, want: VerdictHeld},
 		{name: "answered", finished: true, want: VerdictFinished},
+		{name: "answered, and a read fails", finished: true, failedReads: 1, want: VerdictFinished},
+		{name: "answered, and the reply of the write is lost", finished: true, lostReplies: 1, want: VerdictFinished},
 		{name: "answered, and the owner stops", finished: true, want: VerdictFinished, after: func(c *cluster, owner string) {
 			_ = c.ledgers[owner].Drain(context.Background())
 			c.kill(owner)
 		}},
 	} {
 		t.Run(each.name, func(t *testing.T) {
-			inCluster(t, 3, func(o *Options) { o.Shards = 1 }, func(is *is.I, c *cluster) {
+			var store *faultyStore
+			inCluster(t, 3, func(o *Options) {
+				o.Shards = 1
+				if store == nil {
+					store = &faultyStore{fakeStore: o.Store.(*fakeStore)}
+				}
+				o.Store = store
+			}, func(is *is.I, c *cluster) {
 				defer c.stop()
 				owner, holder, other := c.ownerAndOthers()
 				if !each.unused {
@@ -63,6 +96,8 @@
 					time.Sleep(written)
 				}
 				restore()
+				store.failedReads.Store(each.failedReads)
+				store.lostReplies.Store(each.lostReplies)
 				if each.after != nil {
 					each.after(c, owner)
 				}
