Find no prompt at once when the store and all peers don't know it

Cause: if the store was read before all peers had answered, a stream that its caller takes up waited for the look-up's whole limit although nobody was left to answer.

Change: the look-up ends with the last of the two.

--- a/promptindex/manager.go
+++ b/promptindex/manager.go
@@ -124,6 +124,7 @@
 	headStart := time.NewTimer(peersHeadStart)
 	defer headStart.Stop()
 	var read <-chan struct{}
+	wasRead := false
 	if peers == nil {
 		read = m.startRead()
 	}
@@ -134,7 +135,9 @@
 				m.index.recordTold(prompt, engine, time.Now())
 				return engine
 			}
-			peers = nil
+			if peers = nil; wasRead {
+				return ""
+			}
 			if read == nil {
 				read = m.startRead()
 			}
@@ -146,7 +149,7 @@
 			if engine := m.index.findKnown(prompt); engine != "" || peers == nil {
 				return engine
 			}
-			read = make(chan struct{}) // the store doesn't know it; a peer may
+			read, wasRead = nil, true // the store doesn't know it; a peer may
 		case <-ctx.Done():
 			return m.index.findKnown(prompt)
 		}
--- a/promptindex/peers_test.go
+++ b/promptindex/peers_test.go
@@ -22,10 +22,10 @@
 	live     []membership.Peer
 	managers map[string]*Manager
 
-	// silent is set if peers don't answer.
-	silent bool
-
 	mu sync.Mutex
+	// silent is set if peers don't answer, answerTime is how long they take otherwise.
+	silent     bool
+	answerTime time.Duration
 	// lost entries refuse connections.
 	lost map[string]bool
 
@@ -46,16 +46,16 @@
 // reach waits for a peer's answer.
 func (f *peerFleet) reach(ctx context.Context, peer membership.Peer) error {
 	f.mu.Lock()
-	lost := f.lost[peer.Name]
+	lost, silent, answerTime := f.lost[peer.Name], f.silent, f.answerTime
 	f.mu.Unlock()
 	switch {
-	case f.silent:
+	case silent:
 		<-ctx.Done()
 		return ctx.Err()
 	case lost:
 		return errRefused
 	}
-	time.Sleep(3 * time.Millisecond)
+	time.Sleep(answerTime)
 	return nil
 }
 
@@ -79,7 +79,7 @@
 }
 
 func newPeerFleet(t *testing.T, size int) *peerFleet {
-	f := &peerFleet{cluster: newCluster(), managers: map[string]*Manager{}, lost: map[string]bool{}}
+	f := &peerFleet{cluster: newCluster(), managers: map[string]*Manager{}, lost: map[string]bool{}, answerTime: 3 * time.Millisecond}
 	for i := range size {
 		f.live = append(f.live, membership.Peer{Name: fmt.Sprintf("entry%03d", i)})
 	}
@@ -149,6 +149,14 @@
 		start = time.Now()
 		is.Equal(f.managers["entry001"].FindShared(t.Context(), "unknown"), "")
 		is.True(time.Since(start) <= readWaitTimeout)
+		// Once the store and all peers have said that they don't know the prompt, there is nothing to wait for.
+		const slowAnswer = 2 * peersHeadStart
+		f.mu.Lock()
+		f.silent, f.answerTime = false, slowAnswer
+		f.mu.Unlock()
+		start = time.Now()
+		is.Equal(f.managers["entry001"].FindShared(t.Context(), "unknown"), "")
+		is.Equal(time.Since(start), slowAnswer)
 	})
 }
 
