Let a start that is no longer wanted end no generation

Cause: a second attempt is given up when the silent stream resumes. If that stream then fails, as by an event that doesn't continue it, no attempt is left when the start reports that it was given up, and the generation failed with it.

--- a/generation/manager_test.go
+++ b/generation/manager_test.go
@@ -207,6 +207,16 @@
 	})
 }
 
+// Guards against a generation that fails because the stream for which a second attempt was given up fails as well.
+func TestStartThatIsNoLongerWantedEndsNoGeneration(t *testing.T) {
+	is := is.New(t)
+	s := &starter{producer: &producer{}}
+	s.producer.startFailed(s.givenUp(errUnwanted))
+	is.NoErr(s.producer.failure)
+	s.producer.startFailed(s.givenUp(ErrNoTarget))
+	is.True(errors.Is(s.producer.failure, ErrNoTarget))
+}
+
 func TestFaultyStreamsGiveCompleteAnswers(t *testing.T) {
 	faults := map[string]func(StreamEvent) []StreamEvent{
 		"duplicated": func(e StreamEvent) []StreamEvent { return []StreamEvent{e, e} },
--- a/generation/producer.go
+++ b/generation/producer.go
@@ -400,9 +400,12 @@
 	p.writer.SetAttempt(journal.Attempt{Number: number, Target: target.Metadata.Name})
 }
 
-// startFailed ends the generation, unless another attempt is still running. A poison request ends it in
-// any case.
+// startFailed ends the generation, unless another attempt is still running or the start was given up as no longer wanted: the stream
+// that had resumed may have failed since, and an attempt is then started anew. A poison request ends it in any case.
 func (p *producer) startFailed(err error) {
+	if errors.Is(err, errUnwanted) {
+		return
+	}
 	var poison *PoisonError
 	if len(p.attempts) > 0 && !errors.As(err, &poison) {
 		return
