--- a/adapters/peerexchange/peerexchange_test.go
+++ b/adapters/peerexchange/peerexchange_test.go
@@ -255,7 +255,7 @@
 	is.True((<-stopped).Sub(left) < 500*time.Millisecond) // the stated bound
 }
 
-// Guards against a peer's own word, which names no request, being taken for one of a faulty target on a connection in use again.
+// Guards against a peer's own outcome, which names no request, being taken for one of a faulty target on a connection in use again.
 func TestOutcomesAreBelievedOnConnectionsInUseAgain(t *testing.T) {
 	is := is.New(t)
 	peer, client := newPeer(t), newClient()
--- a/directory/olderstore_test.go
+++ b/directory/olderstore_test.go
@@ -86,7 +86,7 @@
 	return count
 }
 
-// Guards against what a store that is restored from an older copy does to entries that know better: they took nothing more from it
+// Guards against what a store that is restored from an older copy does to entries with newer objects: they took nothing more from it
 // until its revisions had passed the one that they knew, and the watchers listed it without a pause meanwhile.
 func TestKnowledgeOutlivesAStoreFromAnOlderCopy(t *testing.T) {
 	const (
--- a/idempotency/olderstore_test.go
+++ b/idempotency/olderstore_test.go
@@ -50,13 +50,13 @@
 	return object, err
 }
 
-// Guards against a call that runs again after its claim was acknowledged: the platform comes back from a copy that lacks the claim or
+// Guards against a call that runs again after its claim was acknowledged: the platform is restored from a copy that lacks the claim or
 // its outcome, while an entry still knows of it.
 func TestAcknowledgedClaimOutlivesAStoreFromAnOlderCopy(t *testing.T) {
 	const written = time.Second // until outcomes are in the ledger
 	for _, each := range []struct {
 		name string
-		// unused: the copy is older than the first write. finished: the outcome was recorded before the store came back.
+		// unused: the copy is older than the first write. finished: the outcome was recorded before the store was restored.
 		unused, finished bool
 		// failedReads and lostReplies are the faults of the store as the owner finds out.
 		failedReads, lostReplies int32
@@ -112,7 +112,7 @@
 	}
 }
 
-// Guards against a head that another entry wrote to a store that came back being taken for a former one of the owner's own.
+// Guards against a head that another entry wrote to a restored store being taken for a former one of the owner's own.
 func TestHeadOfAnotherLineIsNotOverwritten(t *testing.T) {
 	inCluster(t, 2, func(o *Options) { o.Shards = 1 }, func(is *is.I, c *cluster) {
 		defer c.stop()
