Log requests that an entry sends for peers, and those given up unacknowledged

Two events, request-helped and request-unacknowledged, and the metric requests_unacknowledged. No decision changes. Tests of targethttp, peerexchange, detour and the root package pass.

--- a/adapters/peerexchange/client.go
+++ b/adapters/peerexchange/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
 	"github.com/azurebarrow/azurebarrow/detour"
+	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/service"
 )
@@ -23,9 +24,12 @@
 	isLost func() bool
 }
 
-// NewClient returns a Client of the entry with the name self.
-func NewClient(self string, isLost func() bool) *Client {
-	return &Client{pool: targethttp.NewPool(targethttp.Options{DialTimeout: peerDialTimeout, AcceptAnswersWithoutID: true}), self: self, isLost: isLost}
+// NewClient returns a Client of the entry with the name self. log receives events; nil discards them.
+func NewClient(self string, isLost func() bool, log func(event string, fields ...generation.Field)) *Client {
+	return &Client{
+		pool: targethttp.NewPool(targethttp.Options{DialTimeout: peerDialTimeout, AcceptAnswersWithoutID: true, Log: log}),
+		self: self, isLost: isLost,
+	}
 }
 
 // peerDialTimeout limits the connection to a peer.
--- a/adapters/peerexchange/handler.go
+++ b/adapters/peerexchange/handler.go
@@ -111,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), asked.timeout)
 	defer cancel()
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(asked.timeout)) // if unsupported, the peer's close ends the exchange
-	result := h.options.Router.Help(ctx, asked.target, func(ctx context.Context, _ *membership.Peer) detour.Result {
+	result := h.options.Router.Help(ctx, request.ID, asked.target, func(ctx context.Context, _ *membership.Peer) detour.Result {
 		return h.exchange(ctx, w, asked.target, request)
 	})
 	if result.Outcome != detour.Sent {
--- a/adapters/peerexchange/peerexchange_test.go
+++ b/adapters/peerexchange/peerexchange_test.go
@@ -111,7 +111,7 @@
 	}
 }
 
-func newClient() *Client { return NewClient("self", func() bool { return false }) }
+func newClient() *Client { return NewClient("self", func() bool { return false }, nil) }
 
 func TestRequestAndAnswerArriveUnchangedThroughAPeer(t *testing.T) {
 	const signed = "X-Request-Id: r1\r\nX-Response-Signature: s\r\nX-Twice: a\r\nX-Twice: b\r\nConnection: x-hop\r\nX-Hop: 1\r\n"
--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/internal/defect"
 	"github.com/azurebarrow/azurebarrow/service"
 )
@@ -59,9 +60,12 @@
 	// false if that function has already started.
 	stopCloseOnCancel func() bool
 	writeResult       chan error
+	requestID         string
 	closeOnce         sync.Once
-	reusable          bool
-	idleFor           time.Duration
+	// abandonOnce guards the close of a connection whose exchange did not end in order.
+	abandonOnce sync.Once
+	reusable    bool
+	idleFor     time.Duration
 }
 
 // errAnswerMismatch: the connection carried only answers to other requests.
@@ -86,8 +90,8 @@
 		_ = c.Close()
 		return nil, &service.NotSentError{Cause: ctx.Err()}
 	}
-	e := &exchange{pool: p, conn: c, writeResult: make(chan error, 1), idleFor: p.options.IdleTimeout}
-	e.stopCloseOnCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
+	e := &exchange{pool: p, conn: c, requestID: request.ID, writeResult: make(chan error, 1), idleFor: p.options.IdleTimeout}
+	e.stopCloseOnCancel = context.AfterFunc(ctx, e.abandon)
 	go e.write(request)
 	answer, err := e.receive(request)
 	if err != nil {
@@ -268,5 +272,17 @@
 
 func (e *exchange) closeConn() {
 	e.stopCloseOnCancel()
-	_ = e.conn.Close()
+	e.abandon()
+}
+
+// abandon closes the connection of an exchange that did not end in order.
+func (e *exchange) abandon() {
+	e.abandonOnce.Do(func() {
+		if bytes, err := unacknowledgedBytes(e.conn.Conn); err == nil && bytes > 0 {
+			e.pool.unacknowledged.Add(1)
+			e.pool.options.Log("request-unacknowledged", generation.Field{Key: "request", Value: e.requestID},
+				generation.Field{Key: "target", Value: e.conn.key}, generation.Field{Key: "bytes", Value: bytes})
+		}
+		_ = e.conn.Close()
+	})
 }
--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -14,8 +14,11 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/azurebarrow/azurebarrow/generation"
 )
 
 // Options are the settings of a Pool. Zero values take the defaults.
@@ -31,6 +34,8 @@
 	AcceptAnswersWithoutID bool
 	// Dial opens a TCP connection to an address; nil dials it from this host.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Log receives events; nil discards them.
+	Log func(event string, fields ...generation.Field)
 }
 
 // Defaults of Options.
@@ -55,6 +60,8 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	dialed int64
+
+	unacknowledged atomic.Int64
 }
 
 // NewPool returns a pool without connections.
@@ -73,6 +80,9 @@
 			Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveProbes,
 		}}).DialContext
 	}
+	if options.Log == nil {
+		options.Log = func(string, ...generation.Field) {}
+	}
 	return &Pool{options: options, idle: map[string][]*conn{}}
 }
 
@@ -123,6 +133,9 @@
 // readBufferBytes is enough for a few events of a stream.
 const readBufferBytes = 4 << 10
 
+// UnacknowledgedCount returns the number of requests that were given up before their targets' hosts had acknowledged all bytes.
+func (p *Pool) UnacknowledgedCount() int64 { return p.unacknowledged.Load() }
+
 // DialCount returns the number of connections that the pool has opened.
 func (p *Pool) DialCount() int64 {
 	p.mu.Lock()
--- a/detour/detour.go
+++ b/detour/detour.go
@@ -384,7 +384,16 @@
 func (r *Router) RecordLost(peer string) { r.helpers.record(peer, LinksLost, time.Now()) }
 
 // Help sends a request of a peer over this entry's own links.
-func (r *Router) Help(ctx context.Context, target Target, try Try) Result {
+func (r *Router) Help(ctx context.Context, request string, target Target, try Try) Result {
+	began := time.Now()
+	result := r.help(ctx, target, try)
+	r.options.Log("request-helped", generation.Field{Key: "request", Value: request}, generation.Field{Key: "target", Value: target.ID},
+		generation.Field{Key: "outcome", Value: result.Outcome}, generation.Field{Key: "took", Value: time.Since(began)},
+		generation.Field{Key: "given_up", Value: ctx.Err() != nil})
+	return result
+}
+
+func (r *Router) help(ctx context.Context, target Target, try Try) Result {
 	if r.helping.Add(1) > maxHelped {
 		r.helping.Add(-1)
 		return Result{Outcome: Refused}
--- a/detour/fleet_test.go
+++ b/detour/fleet_test.go
@@ -233,7 +233,7 @@
 		if refuses {
 			return Result{Outcome: Refused}
 		}
-		return helper.router.Help(ctx, target, func(ctx context.Context, _ *membership.Peer) Result {
+		return helper.router.Help(ctx, "", target, func(ctx context.Context, _ *membership.Peer) Result {
 			helper.countHelping(1)
 			defer helper.countHelping(-1)
 			var result Result
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -86,6 +86,7 @@
 	m.AddCounter("requests_detoured", e.router.DetouredCount)
 	m.AddCounter("requests_helped", e.router.HelpedCount)
 	m.AddCounter("requests_without_path", e.router.PathlessCount)
+	m.AddCounter("requests_unacknowledged", e.pool.UnacknowledgedCount)
 	m.AddGauge("target_links_lost", func() float64 { return float64(e.router.LostLinkCount()) })
 	m.AddGauge("connectivity_lost", func() float64 {
 		if e.connectivity.IsLost() {
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -18,7 +18,7 @@
 
 // buildPaths creates the entry's links to targets and the way through peers.
 func (e *Entry) buildPaths() {
-	e.pool = targethttp.NewPool(targethttp.Options{Dial: e.options.DialTarget})
+	e.pool = targethttp.NewPool(targethttp.Options{Dial: e.options.DialTarget, Log: e.log})
 	e.connectivity = generation.NewConnectivity(generation.ConnectivityOptions{
 		Connect: func(ctx context.Context, target *directory.Target) error {
 			return passthrough.ProbeDirectly(ctx, e.pool, target)
@@ -27,7 +27,7 @@
 		OnLost: e.pool.CloseIdle,
 		Log:    e.log,
 	})
-	e.exchanges = peerexchange.NewClient(e.settings.Name, e.connectivity.IsLost)
+	e.exchanges = peerexchange.NewClient(e.settings.Name, e.connectivity.IsLost, e.log)
 	e.router = detour.NewRouter(detour.Options{
 		View: e.members,
 		Connect: func(ctx context.Context, target detour.Target) error {
--- a/targetlinks.go
+++ b/targetlinks.go
@@ -71,7 +71,7 @@
 	l := &targetLinks{options: options}
 	l.pool = targethttp.NewPool(targethttp.Options{
 		DialTimeout: servicehttp.DefaultDialTimeout, IdleTimeout: servicehttp.DefaultIdleTimeout,
-		MaxIdleConnsPerTarget: servicehttp.DefaultMaxIdleConnsPerTarget, Dial: options.dial,
+		MaxIdleConnsPerTarget: servicehttp.DefaultMaxIdleConnsPerTarget, Dial: options.dial, Log: options.log,
 	})
 	l.connectivity = generation.NewConnectivity(generation.ConnectivityOptions{
 		Connect: func(ctx context.Context, target *directory.Target) error {
@@ -81,7 +81,7 @@
 		OnLost: l.pool.CloseIdle,
 		Log:    options.log,
 	})
-	l.peers = peerexchange.NewClient(options.name, l.connectivity.IsLost)
+	l.peers = peerexchange.NewClient(options.name, l.connectivity.IsLost, options.log)
 	l.router = detour.NewRouter(detour.Options{
 		View: options.view,
 		Connect: func(ctx context.Context, target detour.Target) error {
@@ -264,6 +264,7 @@
 	m.AddCounter("requests_detoured", l.router.DetouredCount)
 	m.AddCounter("requests_helped", l.router.HelpedCount)
 	m.AddCounter("requests_without_path", l.router.PathlessCount)
+	m.AddCounter("requests_unacknowledged", l.pool.UnacknowledgedCount)
 	m.AddGauge("target_links_lost", func() float64 { return float64(l.router.LostLinkCount()) })
 }
 
