Failing tests: requests that reach a target after they were given up, or after it left

What callers saw: nothing; targets get requests that nobody waits for, seconds after they said that they leave, and read their prompts for nothing. The tests drop the arriving segments of a connection at the target's host (linkfault.Drop, a socket filter), so that the kernel of the sender holds the bytes up as over a cut link. The link cut by cluster.Forwarder does the same now: it acknowledged what it held back, which is why no test saw this.

--- a/adapters/peerexchange/peerexchange_test.go
+++ b/adapters/peerexchange/peerexchange_test.go
@@ -43,6 +43,12 @@
 
 func newPeerWith(t *testing.T, connectivity detour.Connectivity) membership.Peer {
 	t.Helper()
+	server := httptest.NewServer(newPeerHandler(connectivity))
+	t.Cleanup(server.Close)
+	return membership.Peer{Name: "peer", Address: server.Listener.Addr().String()}
+}
+
+func newPeerHandler(connectivity detour.Connectivity) http.Handler {
 	self := membership.Peer{Name: "peer"}
 	pool := targethttp.NewPool(targethttp.Options{})
 	handler := NewHandler(HandlerOptions{
@@ -63,9 +69,7 @@
 	})
 	mux := http.NewServeMux()
 	handler.Register(mux, func(h http.Handler) http.Handler { return h })
-	server := httptest.NewServer(mux)
-	t.Cleanup(server.Close)
-	return membership.Peer{Name: "peer", Address: server.Listener.Addr().String()}
+	return mux
 }
 
 // newRawTarget starts a target that answers each connection's first request with an answer as it is, and then closes or
--- a/bench/cluster/forwarder.go
+++ b/bench/cluster/forwarder.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/azurebarrow/azurebarrow/standin/linkfault"
 )
 
 // Forwarder forwards TCP connections to one address. It can simulate a network partition, a delay
@@ -15,7 +17,9 @@
 
 	mu          sync.Mutex
 	connections map[net.Conn]struct{}
-	delay       time.Duration
+	// inbound are the open connections of the connecting side.
+	inbound map[net.Conn]struct{}
+	delay   time.Duration
 	// connected holds a channel for each direction. The channel is closed while the direction works; a cut
 	// replaces it by an open one, on which the copying goroutines block.
 	connected [2]chan struct{}
@@ -34,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Forwarder{target: target, listener: listener, connections: map[net.Conn]struct{}{}}
+	f := &Forwarder{target: target, listener: listener, connections: map[net.Conn]struct{}{}, inbound: map[net.Conn]struct{}{}}
 	for direction := range f.connected {
 		f.connected[direction] = make(chan struct{})
 		close(f.connected[direction])
@@ -59,7 +63,8 @@
 // silent.
 func (f *Forwarder) Cut() { f.CutOneWay(ToTarget); f.CutOneWay(FromTarget) }
 
-// CutOneWay stops forwarding in one direction. New connections to the target need both directions.
+// CutOneWay stops forwarding in one direction. New connections to the target need both directions. The connecting side's
+// host gets no acknowledgement of what it sends over a link that is cut to the target, and sends it again.
 func (f *Forwarder) CutOneWay(direction Direction) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -67,6 +72,11 @@
 		f.cut[direction] = true
 		f.connected[direction] = make(chan struct{})
 	}
+	if direction == ToTarget {
+		for connection := range f.inbound {
+			_ = linkfault.Drop(connection) // fails only if the connection has ended
+		}
+	}
 }
 
 // Heal ends every cut. Bytes held back by the cut are forwarded first.
@@ -79,6 +89,9 @@
 			close(f.connected[direction])
 		}
 	}
+	for connection := range f.inbound {
+		_ = linkfault.Restore(connection) // fails for connections that were not cut
+	}
 }
 
 // Reset closes every open connection with a TCP reset.
@@ -120,6 +133,7 @@
 		if !f.track(connection) {
 			return
 		}
+		f.trackInbound(connection)
 		f.wait.Go(func() { f.forward(connection) })
 	}
 }
@@ -136,10 +150,21 @@
 	return true
 }
 
+// trackInbound records a connection of the connecting side.
+func (f *Forwarder) trackInbound(connection net.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inbound[connection] = struct{}{}
+	if f.cut[ToTarget] {
+		_ = linkfault.Drop(connection) // fails only if the connection has ended
+	}
+}
+
 func (f *Forwarder) untrack(connection net.Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.connections, connection)
+	delete(f.inbound, connection)
 	_ = connection.Close()
 }
 
--- a/entry/loopback_test.go
+++ b/entry/loopback_test.go
@@ -168,6 +168,8 @@
 	 {"name":"long","hostname":"h.example","path_prefix":"/long/","kind":"streaming","timeout_ms":10000,"target_latency_ms":1500,"service":"long","max_attempts":5,"stream_resume":true,"target_gap_ms":700},
 	 {"name":"book","hostname":"h.example","path_prefix":"/book/","kind":"non_idempotent","timeout_ms":800,"target_latency_ms":100,"service":"records","max_attempts":1},
 	 {"name":"hold","hostname":"h.example","path_prefix":"/hold/","kind":"non_idempotent","timeout_ms":800,"target_latency_ms":100,"service":"desk","max_attempts":1},
+	 {"name":"ledger","hostname":"h.example","path_prefix":"/ledger/","kind":"non_idempotent","timeout_ms":9000,"target_latency_ms":100,"service":"desk","max_attempts":1},
+	 {"name":"search","hostname":"h.example","path_prefix":"/search/","kind":"idempotent","timeout_ms":9000,"target_latency_ms":100,"service":"desk","max_attempts":2},
 	 {"name":"find","hostname":"h.example","path_prefix":"/find/","kind":"idempotent","timeout_ms":800,"target_latency_ms":100,"service":"desk","max_attempts":2}],
 	 "services":[{"name":"drafts","engine":{"slots":64,"kv_capacity":55000,"backups":true,"models":[{"name":"m"}]}},{"name":"long","engine":{"slots":64,"kv_capacity":55000,"backups":true,"models":[{"name":"m"}]}},{"name":"records"},{"name":"desk"}],
 	 "limits":{"idle_timeout_ms":15000},"tenants":[{"name":"ranch","api_keys":[%q]}]}`, version, key)))
