Discard what a cut link holds up when a request is given up

What callers saw: slow generations; targets read prompts for nothing and got requests 2.0 to 3.0 s after they said that they leave. Cause: a close leaves what the target's host has not acknowledged to the kernel, which sends it again for many seconds, with pauses that double. The request reaches its target when the link works again, although it was given up and is served elsewhere. Class: a decision to give something up that does not reach what was already passed on. Change: an exchange that doesn't end in order resets its connection if bytes are unacknowledged, or not all written; the kernel then discards them. Otherwise it closes as before: a FIN is sent again until it arrives, a reset is not (TestTargetLearnsOfTheEnd..., green before and now). This covers requests to targets and to peers, orders of copies, and calls of the native interface, which share targethttp.Pool.

--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -60,8 +61,10 @@
 	// false if that function has already started.
 	stopCloseOnCancel func() bool
 	writeResult       chan error
-	requestID         string
-	closeOnce         sync.Once
+	// written is set once the whole request was passed to the kernel.
+	written   atomic.Bool
+	requestID string
+	closeOnce sync.Once
 	// abandonOnce guards the close of a connection whose exchange did not end in order.
 	abandonOnce sync.Once
 	reusable    bool
@@ -112,6 +115,7 @@
 
 func (e *exchange) write(request *Request) {
 	_, err := e.conn.Write(request.Encode())
+	e.written.Store(true)
 	e.writeResult <- err
 }
 
@@ -253,7 +257,7 @@
 // keepConn keeps the connection for a later request unless the request of this one could not be sent.
 func (e *exchange) keepConn(writeErr error) {
 	if writeErr != nil || e.conn.SetWriteDeadline(time.Time{}) != nil {
-		_ = e.conn.Close()
+		e.abandon()
 		return
 	}
 	e.conn.expires = time.Now().Add(e.idleFor)
@@ -275,10 +279,16 @@
 	e.abandon()
 }
 
-// abandon closes the connection of an exchange that did not end in order.
+// abandon closes the connection of an exchange that did not end in order, and has the kernel discard what the target's host
+// has not acknowledged: it would be sent for many seconds after the close, and run for nobody once the link works again. A
+// connection of which everything is acknowledged ends in order instead, since a reset is sent once only and may be lost.
 func (e *exchange) abandon() {
 	e.abandonOnce.Do(func() {
-		if bytes, err := unacknowledgedBytes(e.conn.Conn); err == nil && bytes > 0 {
+		bytes, err := unacknowledgedBytes(e.conn.Conn)
+		if bytes > 0 || err != nil || !e.written.Load() {
+			discardOnClose(e.conn.Conn)
+		}
+		if bytes > 0 {
 			e.pool.unacknowledged.Add(1)
 			e.pool.options.Log("request-unacknowledged", generation.Field{Key: "request", Value: e.requestID},
 				generation.Field{Key: "target", Value: e.conn.key}, generation.Field{Key: "bytes", Value: bytes})
--- a/adapters/targethttp/sendqueue.go
+++ b/adapters/targethttp/sendqueue.go
@@ -9,7 +9,7 @@
 )
 
 // unacknowledgedBytes returns the number of bytes written to the connection that the peer's host has not acknowledged.
-// The kernel keeps sending them, also after the connection was closed.
+// The kernel keeps sending them, also after the connection was closed; see discardOnClose.
 func unacknowledgedBytes(c net.Conn) (int, error) {
 	system, ok := c.(syscall.Conn)
 	if !ok {
@@ -26,3 +26,10 @@
 	}
 	return count, queueErr
 }
+
+// discardOnClose has the next Close reset the connection: bytes that the peer's host has not acknowledged are discarded.
+func discardOnClose(c net.Conn) {
+	if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed already
+	}
+}
