Give up requests that a cut link holds up when their target leaves

What callers saw: a call with much time left waits on a cut link; its target says that it leaves, the link returns, and the target gets the call 3.2 s later (bound 2 s). Cause: the decision that a target gets no new work reaches the choice of targets, not what was already passed to the kernel. Change: the pool gives up an exchange without an answer whose send queue has not moved for a second while its target gets no new work. What reached the target stays (TestRequestsThatReachALeavingTarget...). It is no crash of the target. The native interface does the same for draining and removed targets.

--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -98,6 +98,9 @@
 		if errors.As(err, &notSent) {
 			return nil, &generation.RelayRefusedError{Unreachable: ctx.Err() == nil, Cause: err}
 		}
+		if errors.Is(err, targethttp.ErrHeldUp) {
+			return nil, fmt.Errorf("%w: %w", generation.ErrRelayHeldUp, err)
+		}
 		return nil, err
 	}
 	verdict := platform.ClassifyAnswer(received.Status, received.Header)
--- a/adapters/peerexchange/client.go
+++ b/adapters/peerexchange/client.go
@@ -60,6 +60,9 @@
 	case outcomeBroken:
 		answer.Close()
 		return nil, fmt.Errorf("at the peer: %w", io.ErrUnexpectedEOF)
+	case outcomeHeldUp:
+		answer.Close()
+		return nil, fmt.Errorf("at the peer: %w", targethttp.ErrHeldUp)
 	case outcomeUnknown:
 		answer.Close()
 		return nil, errors.New("at the peer: no answer of the target")
--- a/adapters/peerexchange/givenup_test.go
+++ b/adapters/peerexchange/givenup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
 	"github.com/azurebarrow/azurebarrow/detour"
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/standin/linkfault"
@@ -76,3 +78,33 @@
 		})
 	}
 }
+
+// Guards against a request held up on a peer's link that counts as evidence against its target, or as not run.
+func TestPeerTellsThatARequestWasHeldUp(t *testing.T) {
+	is := is.New(t)
+	pool := targethttp.NewPool(targethttp.Options{})
+	target, conns := newLinkedServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(idHeader, r.Header.Get(idHeader))
+	}))
+	peer, _ := newLinkedServer(t, newPeerHandlerWith(soundLinks{}, pool))
+	client, destination := newClient(), detour.Target{ID: "t1", Address: target}
+	answer, err := client.Do(t.Context(), membership.Peer{Name: "peer", Address: peer}, destination, time.Second, request("POST"))
+	is.NoErr(err)
+	answer.Close()
+	is.NoErr(linkfault.Drop(<-conns))
+	time.Sleep(20 * time.Millisecond) // the connections are idle at their other ends
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() {
+		const interval = 50 * time.Millisecond
+		for ctx.Err() == nil {
+			pool.GiveUpHeldUp(func(string) bool { return false }, time.Now())
+			time.Sleep(interval)
+		}
+	}()
+	_, err = client.Do(t.Context(), membership.Peer{Name: "peer", Address: peer}, destination, 5*time.Second, request("POST"))
+	var notSent *NotSentError
+	is.True(errors.Is(err, targethttp.ErrHeldUp))
+	is.True(!errors.As(err, &notSent))
+	is.True(!targethttp.IsConnectionLost(err))
+}
--- a/adapters/peerexchange/handler.go
+++ b/adapters/peerexchange/handler.go
@@ -128,6 +128,8 @@
 		return detour.Result{Outcome: detour.Unreachable}
 	case targethttp.IsConnectionLost(err):
 		writeOutcome(w, outcomeBroken)
+	case errors.Is(err, targethttp.ErrHeldUp):
+		writeOutcome(w, outcomeHeldUp)
 	case err != nil:
 		writeOutcome(w, outcomeUnknown)
 	default:
--- a/adapters/peerexchange/peerexchange_test.go
+++ b/adapters/peerexchange/peerexchange_test.go
@@ -49,8 +49,12 @@
 }
 
 func newPeerHandler(connectivity detour.Connectivity) http.Handler {
+	return newPeerHandlerWith(connectivity, targethttp.NewPool(targethttp.Options{}))
+}
+
+// newPeerHandlerWith is newPeerHandler with the pool of connections to targets.
+func newPeerHandlerWith(connectivity detour.Connectivity, pool *targethttp.Pool) http.Handler {
 	self := membership.Peer{Name: "peer"}
-	pool := targethttp.NewPool(targethttp.Options{})
 	handler := NewHandler(HandlerOptions{
 		Router: detour.NewRouter(detour.Options{
 			View: membership.Static{This: self, Peers: []membership.Peer{self}}, Connectivity: connectivity,
--- a/adapters/peerexchange/protocol.go
+++ b/adapters/peerexchange/protocol.go
@@ -38,6 +38,8 @@
 	outcomeAnswered = "answered"
 	outcomeBroken   = "broken"
 	outcomeUnknown  = "unknown"
+	// outcomeHeldUp: the request was held up on the peer's own link to the target.
+	outcomeHeldUp = "held-up"
 )
 
 // maxRequestBytes limits a request that a peer sends for another entry.
--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -62,7 +62,9 @@
 	stopCloseOnCancel func() bool
 	writeResult       chan error
 	// written is set once the whole request was passed to the kernel.
-	written   atomic.Bool
+	written atomic.Bool
+	// heldUp is set if GiveUpHeldUp ended the exchange.
+	heldUp    atomic.Bool
 	requestID string
 	closeOnce sync.Once
 	// abandonOnce guards the close of a connection whose exchange did not end in order.
@@ -95,10 +97,15 @@
 	}
 	e := &exchange{pool: p, conn: c, requestID: request.ID, writeResult: make(chan error, 1), idleFor: p.options.IdleTimeout}
 	e.stopCloseOnCancel = context.AfterFunc(ctx, e.abandon)
+	untrack := p.track(e)
+	defer untrack()
 	go e.write(request)
 	answer, err := e.receive(request)
 	if err != nil {
 		e.closeConn()
+		if e.heldUp.Load() {
+			return nil, ErrHeldUp
+		}
 		if ctx.Err() != nil {
 			err = errors.Join(ctx.Err(), err)
 		}
--- a/adapters/targethttp/givenup_test.go
+++ b/adapters/targethttp/givenup_test.go
@@ -118,3 +118,48 @@
 		t.Fatal("the target works on for nobody")
 	}
 }
+
+// checkHeldUp calls GiveUpHeldUp, for targets that all leave, as an entry does, for a while.
+func checkHeldUp(p *Pool, lasts time.Duration) {
+	const interval = 50 * time.Millisecond
+	for began := time.Now(); time.Since(began) < lasts; time.Sleep(interval) {
+		p.GiveUpHeldUp(func(string) bool { return false }, time.Now())
+	}
+}
+
+// Guards against requests that are cut off at a target that leaves, while it works on them or its link is slow.
+func TestRequestsThatReachALeavingTargetAreNotGivenUp(t *testing.T) {
+	const works, bodyBytes = 2 * heldUpLimit, 8 << 20
+	for _, slowLink := range []bool{true, false} {
+		t.Run(map[bool]string{true: "the link is slow", false: "the target works long"}[slowLink], func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
+				request, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				if slowLink {
+					for range bodyBytes >> 18 {
+						_, _ = io.CopyN(io.Discard, request.Body, 1<<18)
+						time.Sleep(works * (1 << 18) / bodyBytes)
+					}
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				if !slowLink {
+					time.Sleep(works)
+				}
+				_, _ = io.WriteString(conn, answerText("1", "ok"))
+			})
+			p := NewPool(Options{})
+			go checkHeldUp(p, 2*works)
+			request := newTestRequest("1")
+			if slowLink {
+				request.Body = make([]byte, bodyBytes)
+			}
+			body, err := exchangeBody(t, p, target.address(), request)
+			is.NoErr(err)
+			is.Equal(body, "ok")
+		})
+	}
+}
--- a/adapters/targethttp/pool.go
+++ b/adapters/targethttp/pool.go
@@ -60,6 +60,8 @@
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	dialed int64
+	// unanswered are the exchanges whose answer has not begun.
+	unanswered map[*exchange]sendProgress
 
 	unacknowledged atomic.Int64
 }
@@ -83,7 +85,7 @@
 	if options.Log == nil {
 		options.Log = func(string, ...generation.Field) {}
 	}
-	return &Pool{options: options, idle: map[string][]*conn{}}
+	return &Pool{options: options, idle: map[string][]*conn{}, unanswered: map[*exchange]sendProgress{}}
 }
 
 // conn is a connection that carries one request at a time.
--- a/entry/maintain.go
+++ b/entry/maintain.go
@@ -20,13 +20,14 @@
 	pauseThreshold = 500 * time.Millisecond
 )
 
-// maintain detects pauses of the process, closes idle connections to targets and applies the limits of
-// new configurations.
+// maintain detects pauses of the process, closes idle connections to targets, gives up requests that are held up on the link to a
+// target that leaves, and applies the limits of new configurations.
 func (e *Entry) maintain(ctx context.Context) error {
 	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
 	last := bootTime()
 	var observed *directory.Snapshot
+	var available map[string]bool
 	for count := 1; ; count++ {
 		select {
 		case <-ctx.Done():
@@ -45,13 +46,24 @@
 		if snapshot := e.directory.Snapshot(); snapshot != observed || count%sweepEvery == 0 {
 			observed = snapshot
 			e.observeServing(snapshot)
+			available = e.availableKeys()
 		}
+		e.pool.GiveUpHeldUp(func(key string) bool { return available[key] }, time.Now())
 		if count%sweepEvery == 0 {
 			e.sweep()
 		}
 	}
 }
 
+// availableKeys returns the keys of the targets that may get new work.
+func (e *Entry) availableKeys() map[string]bool {
+	keys := map[string]bool{}
+	for _, target := range e.allTargets() {
+		keys[target.Key()] = true
+	}
+	return keys
+}
+
 // sweep removes state of targets that are no longer registered, drops expired crash records and closes
 // idle connections.
 func (e *Entry) sweep() {
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -807,6 +807,8 @@
 	case errors.As(err, &answered):
 		run.lastAnswer = answered
 		return endingAnswered, err
+	case errors.Is(err, ErrRelayHeldUp):
+		return endingSilent, err
 	}
 	return endingBroken, err
 }
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -83,7 +83,7 @@
 type RelayEngine interface {
 	// Open sends an attempt and returns once the target has started to answer. Its error is a
 	// *RelayRefusedError, a *RelayTargetError, or any other one, after which the target may have
-	// run the attempt.
+	// run the attempt. It wraps ErrRelayHeldUp if the link to the target failed, and not the target.
 	Open(ctx context.Context, attempt RelayAttempt) (RelayStream, error)
 	// CopyKVCache has source copy the KV cache of a run to another engine, and returns the copy's name at
 	// source.
@@ -95,6 +95,9 @@
 	Probe(ctx context.Context, target *directory.Target) error
 }
 
+// ErrRelayHeldUp reports that an attempt was given up since it was held up on the link to its target.
+var ErrRelayHeldUp = errors.New("generation: attempt held up on the link to its target")
+
 // RelayRefusedError reports that a target did not run an attempt.
 type RelayRefusedError struct {
 	// AddressMismatch reports an address mismatch: another target has the address. FoundID is its ID,
--- a/targetlinks.go
+++ b/targetlinks.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,8 @@
 	silentCheckInterval = time.Second
 	// linkSweepInterval is the time between removals of idle connections that have expired.
 	linkSweepInterval = time.Second
+	// heldUpCheckInterval is the time between checks for requests that are held up on the link to a target that leaves.
+	heldUpCheckInterval = 200 * time.Millisecond
 	// helpedPollInterval is the time between checks whether a draining entry still sends requests for peers.
 	helpedPollInterval = 10 * time.Millisecond
 )
@@ -45,6 +48,8 @@
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// targets returns the targets of the configuration; each is identified by its address.
 	targets func() []*directory.Target
+	// workAddresses returns the addresses of targets that may get new work.
+	workAddresses func() map[string]bool
 	// draining reports that this entry takes no more requests of peers.
 	draining func() bool
 	log      func(event string, fields ...generation.Field)
@@ -99,7 +104,7 @@
 // newTargetLinks returns the links of the entry.
 func (e *Entry) newTargetLinks() *targetLinks {
 	return newTargetLinks(linkOptions{
-		name: e.settings.Name, view: e.members, dial: e.options.DialTarget, targets: e.linkTargets, draining: e.draining.Load, log: e.logEvent,
+		name: e.settings.Name, view: e.members, dial: e.options.DialTarget, targets: e.linkTargets, workAddresses: e.workAddresses, draining: e.draining.Load, log: e.logEvent,
 	})
 }
 
@@ -115,6 +120,21 @@
 	return targets
 }
 
+// workAddresses returns the addresses of configured targets that are not draining.
+func (e *Entry) workAddresses() map[string]bool {
+	addresses := map[string]bool{}
+	known := e.configuration.Snapshot().Targets
+	for _, target := range known {
+		addresses[target.Spec.Address] = true
+	}
+	for _, name := range e.control.drainingTargets.DrainingTargets() {
+		if target := known[name]; target != nil {
+			delete(addresses, target.Spec.Address)
+		}
+	}
+	return addresses
+}
+
 // linkConnectivity implements detour.Connectivity.
 type linkConnectivity struct{ links *targetLinks }
 
@@ -234,6 +254,22 @@
 func (l *targetLinks) addActors(e *Entry, group *run.Group) {
 	e.addActor(group, l.router.Run)
 	e.addActor(group, l.sweep)
+	e.addActor(group, l.giveUpHeldUp)
+}
+
+// giveUpHeldUp gives up requests that are held up on the link to a target that gets no new work, until ctx ends.
+func (l *targetLinks) giveUpHeldUp(ctx context.Context) error {
+	ticker := time.NewTicker(heldUpCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			working := l.options.workAddresses()
+			l.pool.GiveUpHeldUp(func(key string) bool { _, address, _ := strings.Cut(key, "@"); return working[address] }, time.Now())
+		}
+	}
 }
 
 // sweep closes idle connections that have expired, until ctx ends.
--- a/targetlinks_test.go
+++ b/targetlinks_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/azurebarrow/azurebarrow/adapters/enginehttp"
 	"github.com/azurebarrow/azurebarrow/adapters/servicehttp"
+	"github.com/azurebarrow/azurebarrow/adapters/targetcall"
+	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
 	v1 "github.com/azurebarrow/azurebarrow/api/v1"
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
@@ -215,3 +217,35 @@
 	is.NoErr(<-answered)
 	<-drained
 }
+
+// Guards against calls that a cut link holds up until after their target has left: the link returns, and the kernel sends them.
+func TestNativeCallHeldUpOnACutLinkIsGivenUpWhenItsTargetLeaves(t *testing.T) {
+	is := is.New(t)
+	const bound = 2 * time.Second // in which all entries stop sending to a target that leaves
+	conns := make(chan net.Conn, 1)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(targetcall.IDHeader, r.Header.Get(targetcall.IDHeader))
+	}))
+	server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			conns <- conn
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	target := server.Listener.Addr().String()
+	links := newModelLinks(nil, []string{target})
+	links.options.workAddresses = func() map[string]bool { return nil }
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() { _ = links.giveUpHeldUp(ctx) }()
+	transport := servicehttp.New(servicehttp.Options{Send: links.send})
+	_, err := transport.Do(ctx, service.Target{Address: target}, onceRequest())
+	is.NoErr(err)
+	is.NoErr(linkfault.Drop(<-conns))
+	time.Sleep(20 * time.Millisecond) // the connection is idle at its other end
+	began := time.Now()
+	_, err = transport.Do(ctx, service.Target{Address: target}, onceRequest())
+	is.True(errors.Is(err, targethttp.ErrHeldUp))
+	is.True(time.Since(began) < bound)
+}
