Take no call late in the grace that would be cut off, and answer all as it ends

What callers saw: beside a planned stop with a grace of 2 s, calls of 0.5 s sent 1.25 to 1.7 s after SIGTERM ran and ended with EOF at 2.0 s, among them calls that may run once; a call whose body ended late, and each call in progress at the end, was closed without an answer. Cause: calls were accepted for a fixed share of the grace, whatever they take, judged as their head came; at the end of the grace the process exited under the requests in progress. Change: a call is accepted if the longest recent call of its route (or its own deadline) ends before the end of the grace, judged again when its body is read; else it is refused at once, 503 with Retry-After, not run. As the grace ends, what is in progress is answered: 502, or 503 if its body was not read; streams that have begun are cut, as before, since only their connection's end tells so. Answers in the grace ask for the connection's close also when the request began before.

--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -30,8 +30,11 @@
 	Forwarder *service.Forwarder
 	// Draining reports whether the entry is about to stop: callers are asked to close their connections.
 	Draining func() bool
-	// AcceptsClass reports whether a request of the class may start; it may not if the shutdown would abort it.
-	AcceptsClass func(class directory.Class) bool
+	// Accepts reports whether a request of the route, whose caller waits until the deadline, may start; it may not if the
+	// shutdown would cut it off.
+	Accepts func(route *directory.Route, deadline time.Time) bool
+	// Stopped ends when the requests in progress must be answered, since the process is about to exit.
+	Stopped context.Context
 	// WaitReady waits until a snapshot is ready, up to limit.
 	WaitReady func(ctx context.Context, limit time.Duration)
 	// Log receives one event for each decision about a request.
@@ -42,9 +45,13 @@
 
 // Observation is the outcome of one request. Status is 0 if the caller's connection was aborted.
 type Observation struct {
-	Class  directory.Class
+	Class directory.Class
+	// Route is the name of the route; empty if there is none.
+	Route  string
 	Status int
 	Took   time.Duration
+	// Dispatched reports that the request was admitted, so that targets may have got it.
+	Dispatched bool
 }
 
 // Handler serves callers. It implements http.Handler.
@@ -85,17 +92,19 @@
 	priority *int
 	snapshot *directory.Snapshot
 	body     []byte
+	// dispatched is set once the request is admitted.
+	dispatched bool
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(h.options.Stopped, func() { cancel(errEntryStops) })()
 	call := &request{
-		handler: h, http: r, writer: w, arrived: time.Now(),
+		handler: h, http: r.WithContext(ctx), writer: w, arrived: time.Now(),
 		header: platform.DecodeCallerHeader(r.Header), snapshot: h.options.Snapshot(),
 	}
-	if h.options.Draining() {
-		w.Header().Set("Connection", "close")
-	}
 	// Prevents net/http from adding fields that the target did not send.
 	w.Header()["Date"] = nil
 	w.Header()["Content-Type"] = nil
@@ -103,6 +112,7 @@
 		call.writeError(rejected)
 		return
 	}
+	call.dispatched = true
 	if call.route.Class == directory.Stream {
 		call.relay()
 		return
@@ -142,9 +152,6 @@
 		c.customer = customer.Name
 		c.priority = customer.Priority
 	}
-	if !c.handler.options.AcceptsClass(c.route.Class) {
-		return &errorAnswer{status: http.StatusServiceUnavailable, reason: "entry is stopping", retryAfter: stopRetryAfter}
-	}
 	wait := c.header.Timeout
 	if wait == 0 {
 		wait = defaultWait
@@ -154,7 +161,32 @@
 	}
 	c.deadline = c.arrived.Add(wait)
 	c.service = c.route.PickService(rand.Float64())
-	return c.readBody(configuration.Limits.BodyBytes)
+	if !c.handler.options.Accepts(c.route, c.deadline) {
+		return stoppingAnswer
+	}
+	if rejected := c.readBody(configuration.Limits.BodyBytes); rejected != nil {
+		return rejected
+	}
+	if !c.handler.options.Accepts(c.route, c.deadline) {
+		return stoppingAnswer // reading the body took until now
+	}
+	return nil
+}
+
+// errEntryStops is the cause of the end of requests that are in progress when the process is about to exit.
+var errEntryStops = errors.New("the entry stops")
+
+// stoppingAnswer is the answer to a request that has not run, since the shutdown would cut it off.
+var stoppingAnswer = &errorAnswer{status: http.StatusServiceUnavailable, reason: "entry is stopping", retryAfter: stopRetryAfter}
+
+// isCutOff reports whether the request ends because the process is about to exit.
+func (c *request) isCutOff() bool { return errors.Is(context.Cause(c.http.Context()), errEntryStops) }
+
+// askToClose asks the caller to close its connection if the entry is about to stop.
+func (c *request) askToClose() {
+	if c.handler.options.Draining() {
+		c.writer.Header().Set("Connection", "close")
+	}
 }
 
 func hostOf(host string) string {
@@ -191,12 +223,17 @@
 	}
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // if unsupported, the server's own timeouts apply
+	stopReading := context.AfterFunc(c.http.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.http.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
+	if stopReading() {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return &errorAnswer{status: http.StatusRequestEntityTooLarge, reason: "body larger than " + strconv.FormatInt(limit, 10)}
+	case err != nil && c.isCutOff():
+		return stoppingAnswer
 	case err != nil:
 		return &errorAnswer{status: http.StatusBadRequest, reason: "body: " + err.Error()}
 	}
@@ -210,6 +247,7 @@
 		seconds := strconv.FormatFloat(r.retryAfter.Seconds(), 'f', -1, 64)
 		c.writer.Header().Set("Retry-After", seconds)
 	}
+	c.askToClose()
 	c.writer.Header().Set("Content-Length", strconv.Itoa(len(r.text)))
 	c.writer.WriteHeader(r.status)
 	_, _ = io.WriteString(c.writer, r.text) // the caller may have left
@@ -227,13 +265,13 @@
 		fields = append(fields, generation.Field{Key: "configuration", Value: c.snapshot.Configuration.Version},
 			generation.Field{Key: "targets_revision", Value: c.snapshot.TargetsRevision})
 	}
-	class := directory.AtMostOnce
+	class, route := directory.AtMostOnce, ""
 	if c.route != nil {
-		class = c.route.Class
+		class, route = c.route.Class, c.route.Name
 		fields = append(fields, generation.Field{Key: "route", Value: c.route.Name}, generation.Field{Key: "service", Value: c.service})
 	}
 	c.handler.options.Log("request-ended", fields...)
-	c.handler.options.Observe(Observation{Class: class, Status: status, Took: took})
+	c.handler.options.Observe(Observation{Class: class, Route: route, Status: status, Took: took, Dispatched: c.dispatched})
 }
 
 // abort closes the caller's connection, so that the caller does not take a partial answer for a complete one.
@@ -302,6 +340,7 @@
 	for name, values := range platform.CallerAnswerHeader(header) {
 		into[name] = values
 	}
+	c.askToClose()
 }
 
 // forward serves a plain call.
@@ -325,6 +364,8 @@
 		c.writePoison(poison)
 	case errors.As(err, &notRun):
 		c.writeError(&errorAnswer{status: http.StatusServiceUnavailable, reason: notRun.Error(), retryAfter: notRun.RetryAfter})
+	case c.isCutOff():
+		c.writeError(&errorAnswer{status: http.StatusBadGateway, reason: "outcome unknown: " + errEntryStops.Error()})
 	case errors.Is(err, context.Canceled):
 		c.abort("caller gone")
 	case errors.Is(err, context.DeadlineExceeded):
@@ -368,6 +409,10 @@
 		c.recordEnd(sink.status, "stream complete")
 		return
 	}
+	if sink.status == 0 && c.isCutOff() {
+		c.writeError(&errorAnswer{status: http.StatusBadGateway, reason: "outcome unknown: " + errEntryStops.Error()})
+		return
+	}
 	if sink.status != 0 || errors.Is(err, generation.ErrCallerDisconnected) {
 		c.abort(err.Error())
 	}
--- a/adapters/passthrough/promise_test.go
+++ b/adapters/passthrough/promise_test.go
@@ -30,7 +30,7 @@
 		} {
 			is := is.New(t)
 			recorder := httptest.NewRecorder()
-			handler := NewHandler(Options{Log: func(string, ...generation.Field) {}, Observe: func(Observation) {}})
+			handler := NewHandler(Options{Draining: func() bool { return false }, Log: func(string, ...generation.Field) {}, Observe: func(Observation) {}})
 			call := &request{handler: handler, writer: recorder, http: httptest.NewRequest("POST", "/", http.NoBody),
 				snapshot: &directory.Snapshot{}, route: &directory.Route{Class: each.class, Resumable: each.resumable}}
 			write(call, &answer{status: each.status, header: http.Header{"X-Response-Signature": {"s"}, "Retry-After": {"1"}}, body: []byte("x")})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,6 +79,9 @@
 	counters     counters
 
 	shutdown *shutdown
+	// stopped ends when the requests in progress must be answered, since the process is about to exit; stop ends it.
+	stopped context.Context
+	stop    context.CancelFunc
 	// running is the number of callers' requests in progress.
 	running atomic.Int64
 }
@@ -101,6 +104,7 @@
 	}
 	e := &Entry{settings: s.WithDefaults(), options: options, log: options.Log, metrics: metrics.New(), retryTotals: admission.NewRetryTotals(), crashRecords: newSharedCrashRecords(options.Log)}
 	e.shutdown = newShutdown(e.settings.Passthrough.StopGrace)
+	e.stopped, e.stop = context.WithCancel(context.Background())
 	e.buildMembership()
 	e.buildLimits()
 	e.buildDirectory()
@@ -239,14 +243,17 @@
 		CrashRecords: e.crashRecords,
 	})
 	handler := passthrough.NewHandler(passthrough.Options{
-		Snapshot:     e.directory.Snapshot,
-		Relay:        e.relay,
-		Forwarder:    e.forwarder,
-		WaitReady:    e.directory.WaitReady,
-		Draining:     e.shutdown.stopping,
-		AcceptsClass: func(class directory.Class) bool { return e.shutdown.accepts(class, time.Now()) },
-		Log:          e.log,
-		Observe:      e.observeRequest,
+		Snapshot:  e.directory.Snapshot,
+		Relay:     e.relay,
+		Forwarder: e.forwarder,
+		WaitReady: e.directory.WaitReady,
+		Draining:  e.shutdown.stopping,
+		Accepts: func(route *directory.Route, deadline time.Time) bool {
+			return e.shutdown.accepts(route, deadline, time.Now())
+		},
+		Stopped: e.stopped,
+		Log:     e.log,
+		Observe: e.observeRequest,
 	})
 	return e.countRunning(handler)
 }
@@ -326,6 +333,7 @@
 	for !e.shutdown.shouldExit(time.Now(), e.running.Load()) {
 		time.Sleep(drainPollInterval)
 	}
+	e.stop()
 	return nil
 }
 
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -50,8 +50,11 @@
 
 func (e *Entry) observeRequest(o passthrough.Observation) {
 	e.counters.observe(o)
-	if o.Class == directory.Stream && o.Status == http.StatusOK {
+	switch {
+	case o.Class == directory.Stream && o.Status == http.StatusOK:
 		e.shutdown.streamEnded(o.Took)
+	case o.Class != directory.Stream && o.Dispatched && o.Status != 0:
+		e.shutdown.callEnded(o.Route, o.Took)
 	}
 }
 
