--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -9,8 +9,6 @@
 	"encoding/hex"
 	"errors"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -129,83 +127,6 @@
 	text string
 }
 
-// admit checks the request and reads its body. It returns nil if the request may be dispatched, otherwise the
-// answer to the caller.
-func (c *request) admit() *errorAnswer {
-	if !c.snapshot.Ready() {
-		c.handler.options.WaitReady(c.http.Context(), maxReadyWait)
-		c.snapshot = c.handler.options.Snapshot()
-	}
-	if !c.snapshot.Ready() {
-		return &errorAnswer{status: http.StatusServiceUnavailable, reason: "no configuration or targets known yet", retryAfter: startRetryAfter}
-	}
-	configuration := c.snapshot.Configuration
-	c.route = configuration.Match(hostOf(c.http.Host), pathOf(c.http))
-	if c.route == nil {
-		return &errorAnswer{status: http.StatusNotFound, reason: "no route"}
-	}
-	if configuration.KeysRequired && !c.route.Public {
-		customer, known := configuration.Customers[c.header.APIKey]
-		if !known {
-			return &errorAnswer{status: http.StatusUnauthorized, reason: "unknown key"}
-		}
-		c.customer = customer.Name
-		c.priority = customer.Priority
-	}
-	wait := c.header.Timeout
-	if wait == 0 {
-		wait = defaultWait
-	}
-	if c.route.Timeout > 0 {
-		wait = min(wait, c.route.Timeout)
-	}
-	c.deadline = c.arrived.Add(wait)
-	c.service = c.route.PickService(rand.Float64())
-	if !c.handler.options.Accepts(c.route, c.deadline) {
-		return stoppingAnswer
-	}
-	if rejected := c.readBody(configuration.Limits.BodyBytes); rejected != nil {
-		return rejected
-	}
-	if !c.handler.options.Accepts(c.route, c.deadline) {
-		return stoppingAnswer // reading the body took until now
-	}
-	return nil
-}
-
-// errEntryStops is the cause of the end of requests that are in progress when the process is about to exit.
-var errEntryStops = errors.New("the entry stops")
-
-// stoppingAnswer is the answer to a request that has not run, since the shutdown would cut it off.
-var stoppingAnswer = &errorAnswer{status: http.StatusServiceUnavailable, reason: "entry is stopping", retryAfter: stopRetryAfter}
-
-// isCutOff reports whether the request ends because the process is about to exit.
-func (c *request) isCutOff() bool { return errors.Is(context.Cause(c.http.Context()), errEntryStops) }
-
-// askToClose asks the caller to close its connection if the entry is about to stop.
-func (c *request) askToClose() {
-	if c.handler.options.Draining() {
-		c.writer.Header().Set("Connection", "close")
-	}
-}
-
-func hostOf(host string) string {
-	name, _, err := net.SplitHostPort(host)
-	if err != nil {
-		return host
-	}
-	return name
-}
-
-// pathOf returns the path as the caller sent it.
-func pathOf(r *http.Request) string {
-	if !strings.HasPrefix(r.RequestURI, "/") {
-		return r.URL.EscapedPath()
-	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	return path
-}
-
 // uriOf returns the path and query as the caller sent them, without scheme and host.
 func uriOf(r *http.Request) string {
 	if !strings.HasPrefix(r.RequestURI, "/") {
@@ -214,33 +135,6 @@
 	return r.RequestURI
 }
 
-func (c *request) readBody(limit int64) *errorAnswer {
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if c.http.ContentLength == 0 {
-		return nil
-	}
-	control := http.NewResponseController(c.writer)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // if unsupported, the server's own timeouts apply
-	stopReading := context.AfterFunc(c.http.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.http.Body, limit))
-	if stopReading() {
-		_ = control.SetReadDeadline(time.Time{})
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &errorAnswer{status: http.StatusRequestEntityTooLarge, reason: "body larger than " + strconv.FormatInt(limit, 10)}
-	case err != nil && c.isCutOff():
-		return stoppingAnswer
-	case err != nil:
-		return &errorAnswer{status: http.StatusBadRequest, reason: "body: " + err.Error()}
-	}
-	c.body = body
-	return nil
-}
-
 // writeError writes an answer that the entry itself gives.
 func (c *request) writeError(r *errorAnswer) {
 	if r.retryAfter > 0 {
