Handle a request by the configuration in force when its body has arrived

What callers saw: a request whose body takes seconds (up to 5) ran by a configuration that was replaced meanwhile: with a key that was revoked, at the service from which its route was moved. Cause: route, key and service were chosen as the head came, and not again. Class: a choice that is not checked again when it is carried out. Change: they are matched again if the configuration changed while the body was read.

--- a/adapters/passthrough/admit.go
+++ b/adapters/passthrough/admit.go
@@ -22,6 +22,31 @@
 	if !c.snapshot.Ready() {
 		return &errorAnswer{status: http.StatusServiceUnavailable, reason: "no configuration or targets known yet", retryAfter: startRetryAfter}
 	}
+	if rejected := c.match(); rejected != nil {
+		return rejected
+	}
+	if !c.handler.options.Accepts(c.route, c.deadline) {
+		return stoppingAnswer
+	}
+	if rejected := c.readBody(c.snapshot.Configuration.Limits.BodyBytes); rejected != nil {
+		return rejected
+	}
+	// Reading the body may take seconds, in which the configuration changes or a stop proceeds.
+	if latest := c.handler.options.Snapshot(); latest.Configuration != c.snapshot.Configuration {
+		c.snapshot = latest
+		if rejected := c.match(); rejected != nil {
+			return rejected
+		}
+	}
+	if !c.handler.options.Accepts(c.route, c.deadline) {
+		return stoppingAnswer
+	}
+	return nil
+}
+
+// match finds the route, the customer and the service of the request in its snapshot. It returns the answer to the caller if the
+// configuration doesn't allow the request.
+func (c *request) match() *errorAnswer {
 	configuration := c.snapshot.Configuration
 	c.route = configuration.Match(hostOf(c.http.Host), pathOf(c.http))
 	if c.route == nil {
@@ -32,8 +57,9 @@
 		if !known {
 			return &errorAnswer{status: http.StatusUnauthorized, reason: "unknown key"}
 		}
-		c.customer = customer.Name
-		c.priority = customer.Priority
+		c.customer, c.priority = customer.Name, customer.Priority
+	} else {
+		c.customer, c.priority = "", nil
 	}
 	wait := c.header.Timeout
 	if wait == 0 {
@@ -44,15 +70,6 @@
 	}
 	c.deadline = c.arrived.Add(wait)
 	c.service = c.route.PickService(rand.Float64())
-	if !c.handler.options.Accepts(c.route, c.deadline) {
-		return stoppingAnswer
-	}
-	if rejected := c.readBody(configuration.Limits.BodyBytes); rejected != nil {
-		return rejected
-	}
-	if !c.handler.options.Accepts(c.route, c.deadline) {
-		return stoppingAnswer // reading the body took until now
-	}
 	return nil
 }
 
