Check again that a chosen target may get a request when its path is found

What callers saw: nothing; a request was sent to a target that had begun to leave while a connection to it was opened, or while peers were asked for a path, which takes up to a second and more. Class: a choice that is not checked again when it is carried out. Change: requests over the entry's own links and through peers are sent only if the target may get new work at that moment; else they have not run, and go to another target. Calls of an engine's management interface go to leaving engines too, which hand their KV cache over.

--- a/adapters/passthrough/paths.go
+++ b/adapters/passthrough/paths.go
@@ -46,6 +46,9 @@
 	return &Paths{pool: pool, router: router, peers: peers, limits: limits}
 }
 
+// errNoNewWork: the target was chosen, and gets no new work any more.
+var errNoNewWork = errors.New("target gets no new work any more")
+
 // errPaused: the target has asked this entry for a pause.
 var errPaused = errors.New("target asked for a pause")
 
@@ -80,15 +83,19 @@
 	return answer, nil
 }
 
-// Do sends a request once. The request is built when a path is found, so that it names the time that is left then. An
-// error that wraps *service.NotSentError proves that nothing was sent; after any other error the target may have run the
-// request.
-func (p *Paths) Do(ctx context.Context, target detour.Target, deadline time.Time, build func() *targethttp.Request) (*targethttp.Answer, error) {
+// Do sends a request once, if the target still may get it when a path is found, which may take a second. The request is built then,
+// so that it names the time that is left. An error that wraps *service.NotSentError proves that nothing was sent; after any
+// other error the target may have run the request.
+func (p *Paths) Do(ctx context.Context, target detour.Target, deadline time.Time, mayGetWork func() bool, build func() *targethttp.Request) (*targethttp.Answer, error) {
 	var answer *targethttp.Answer
 	var sendErr error
 	request := build()
 	fresh := true
 	err := p.router.Do(ctx, request.ID, target, func(ctx context.Context, peer *membership.Peer) detour.Result {
+		if !mayGetWork() {
+			sendErr = &service.NotSentError{Cause: errNoNewWork}
+			return detour.Result{Outcome: detour.Sent}
+		}
 		if !fresh {
 			request = build()
 		}
--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -89,7 +89,7 @@
 	}
 	deadline := time.Now().Add(attempt.Timeout)
 	sent := time.Now()
-	received, err := t.paths.Do(ctx, pathTarget(attempt.Target), deadline, func() *targethttp.Request {
+	received, err := t.paths.Do(ctx, pathTarget(attempt.Target), deadline, t.mayGetWork(attempt.Target.ID, attempt.Target.Address), func() *targethttp.Request {
 		header.Timeout = time.Until(deadline)
 		return payload.encode(header)
 	})
@@ -174,9 +174,17 @@
 	return detour.Target{ID: target.ID, Address: target.Address}
 }
 
+// mayGetWork returns a function that reports whether the target may get new work now.
+func (t *Targets) mayGetWork(id, address string) func() bool {
+	return func() bool { return t.directory.Snapshot().MayGetWork(id, address) }
+}
+
+// always lets calls of an engine's management interface pass: engines that leave hand their KV cache over.
+func always() bool { return true }
+
 // callEngine sends a call to an engine's management interface and returns the body of its answer.
 func (t *Targets) callEngine(ctx context.Context, target *directory.Target, call platform.EngineCall) ([]byte, error) {
-	received, err := t.paths.Do(ctx, pathTarget(target), time.Now().Add(engineCallTimeout), func() *targethttp.Request {
+	received, err := t.paths.Do(ctx, pathTarget(target), time.Now().Add(engineCallTimeout), always, func() *targethttp.Request {
 		return &targethttp.Request{Method: call.Method, URI: call.Path, Host: target.Address, Header: call.Header, Body: call.Body, IDHeader: platform.RequestIDHeader}
 	})
 	if err != nil {
@@ -195,7 +203,7 @@
 // Send implements service.Sender.
 func (t *Targets) Send(ctx context.Context, target service.Target, call *service.ForwardedCall) service.SendResult {
 	sent := time.Now()
-	received, err := t.paths.Do(ctx, detour.Target{ID: target.Name, Address: target.Address}, call.Deadline, func() *targethttp.Request {
+	received, err := t.paths.Do(ctx, detour.Target{ID: target.Name, Address: target.Address}, call.Deadline, t.mayGetWork(target.Name, target.Address), func() *targethttp.Request {
 		return call.Payload.(*targetPayload).encode(platform.TargetHeader{Instance: target.Name, Timeout: time.Until(call.Deadline)})
 	})
 	if err != nil {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -255,6 +255,18 @@
 // Target returns the target with the ID; nil if it is not known.
 func (s *Snapshot) Target(id string) *Target { return s.byID[id] }
 
+// MayGetWork reports whether the target with the ID, at the address, may get new work.
+func (s *Snapshot) MayGetWork(id, address string) bool {
+	known := s.byID[id]
+	switch {
+	case known == nil || known.Address != address:
+		return false
+	case !known.Draining && !known.Unregistered:
+		return true
+	}
+	return slices.Contains(s.available[known.Service], known)
+}
+
 // availableTargets returns the targets that may get new work. If there are none, it returns the
 // unregistered ones that aren't draining: objects expire while the store is unavailable, although their
 // targets run.
--- a/entry/heldup_test.go
+++ b/entry/heldup_test.go
@@ -75,3 +75,31 @@
 		}
 	}
 }
+
+// Guards against requests that reach a target which began to leave after it was chosen, while a connection to it was opened.
+func TestTargetThatLeavesWhileItsConnectionIsOpenedGetsNoRequest(t *testing.T) {
+	const (
+		dialTime = 150 * time.Millisecond // less than the time limit of the entry
+		// watchPause is longer than the pause after which the entry watches the store again.
+		watchPause = time.Second
+	)
+	is := is.NewRelaxed(t)
+	c := startClusterWithLinks(t, 1, newTargetLinks(t, 1))
+	c.links[0].dialTime = dialTime
+	options := target.Options{ID: "i-only", Service: "desk", AvailabilityZone: "a", Slots: 6}
+	desk := c.startTarget(t, options)
+	c.awaitTargets(t, "desk", 1)
+	time.Sleep(watchPause)
+	var calls sync.WaitGroup
+	for _, path := range []string{"/ledger/x", "/search/x"} {
+		calls.Go(func() {
+			response, _, err := c.request(0, "POST", path, path, "k1", "")
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		})
+	}
+	time.Sleep(dialTime / 5)
+	c.register(desk, options, "draining")
+	calls.Wait()
+	is.Equal(len(desk.runs(t)), 0)
+}
--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -39,6 +39,8 @@
 	mu         sync.Mutex
 	forwarders map[string]*cluster.Forwarder
 	cut        *partition
+	// dialTime is how long it takes to open a connection.
+	dialTime time.Duration
 }
 
 func newTargetLinks(t *testing.T, entries int) []*targetLinks {
@@ -54,7 +56,7 @@
 // dial implements Options.DialTarget.
 func (l *targetLinks) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	l.mu.Lock()
-	cut, forwarder := l.cut, l.forwarders[address]
+	cut, forwarder, dialTime := l.cut, l.forwarders[address], l.dialTime
 	var err error
 	if forwarder == nil {
 		forwarder, err = cluster.NewForwarder(address)
@@ -70,6 +72,7 @@
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
 	}
+	time.Sleep(dialTime)
 	return new(net.Dialer).DialContext(ctx, network, forwarder.Address())
 }
 
