Conclude that one version serves only when others confirm it

What callers saw: a stream that had begun at an engine of a new version broke off and was taken up at an entry that had been cut off from its peers and the store; it went on there at the version that this entry knew: text of two versions in one answer (ORDER). Cause: 'one version is all I see' and 'nobody answers' were taken for 'one version is all there is'. Class: what one entry knows, taken for what the fleet knows. Change: before a stream without a record is bound to the only known version, three peers are asked which versions have served; if none answers, the store is read, at most once a second. One that knows another version, or no answer at all, means: look for the record again, else 503 with Retry-After, not run. No clock is asked, since the steady clock doesn't count a suspended VM's time.

--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -93,6 +93,41 @@
 	// ctx ends when the entry stops.
 	ctx  context.Context
 	stop context.CancelFunc
+
+	mu sync.Mutex
+	// stale are the targets as the entry knows them while it doesn't follow the fleet's; nil otherwise.
+	stale []*directory.Target
+	// cutFromPeers and cutFromStore are set while the entry doesn't reach them.
+	cutFromPeers, cutFromStore bool
+}
+
+// setOutOfStep has the entry keep stale targets, and reach no peers or not the store.
+func (e *fleetEntry) setOutOfStep(stale []*directory.Target, cutFromPeers, cutFromStore bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stale, e.cutFromPeers, e.cutFromStore = stale, cutFromPeers, cutFromStore
+}
+
+func (e *fleetEntry) isCutFromPeers() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cutFromPeers
+}
+
+func (e *fleetEntry) isCutFromStore() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cutFromStore
+}
+
+// targets returns the targets as the entry knows them.
+func (e *fleetEntry) targets(fleet *crashFleet) []*directory.Target {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.stale != nil {
+		return e.stale
+	}
+	return fleet.targets()
 }
 
 type modelEngine struct {
@@ -120,7 +155,10 @@
 }
 
 // fleetVersions carries records of versions between the entries of a fleet. It implements streamversion.Transport.
-type fleetVersions struct{ fleet *crashFleet }
+type fleetVersions struct {
+	fleet *crashFleet
+	from  *fleetEntry
+}
 
 func (v fleetVersions) Put(ctx context.Context, peer membership.Peer, record streamversion.Record) error {
 	to, err := v.reach(ctx, peer)
@@ -151,7 +189,7 @@
 // reach returns the peer's entry after the network's delay; an entry that has ended doesn't answer.
 func (v fleetVersions) reach(ctx context.Context, peer membership.Peer) (*fleetEntry, error) {
 	to := v.fleet.entry(peer.Address)
-	if to == nil || to.ctx.Err() != nil {
+	if to == nil || to.ctx.Err() != nil || to.isCutFromPeers() || v.from.isCutFromPeers() {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
@@ -199,9 +237,9 @@
 		Seed:     uint64(i),
 		OnNotice: e.records.receive, RetainedKinds: retainedNotices,
 	})
-	versions := streamversion.Options{View: e.members, Transport: fleetVersions{f}}
+	versions := streamversion.Options{View: e.members, Transport: fleetVersions{f, e}}
 	if f.store != nil {
-		versions.Store = storeOfEntry{f.store, fmt.Sprintf("e%03d", i)}
+		versions.Store = storeOfEntry{f.store, fmt.Sprintf("e%03d", i), e.isCutFromStore}
 	}
 	e.versions = streamversion.NewManager(versions)
 	e.records.isDown = func(target health.CrashedTarget) bool { return f.desk(target.ID) == nil && f.engine(target.ID) == nil }
@@ -209,7 +247,7 @@
 	e.records.broadcast = func(notice membership.Notice) { go e.members.Broadcast(notice) }
 	e.relay = generation.NewRelay(generation.RelayOptions{
 		Engine: f.client, Placer: modelPlacer{f}, Budget: unlimitedRetries{}, CrashRecords: e.records,
-		Targets: func(string) []*directory.Target { return f.targets() }, Versions: sharedVersions{e.versions},
+		Targets: func(string) []*directory.Target { return e.targets(f) }, Versions: sharedVersions{e.versions},
 	})
 	e.forwarder = service.NewForwarder(service.ForwarderOptions{
 		Sender: modelCallSender{f}, Directory: modelCallSender{f}, Budget: unlimitedRetries{}, Seed: uint64(i),
--- a/entry/modelstore_test.go
+++ b/entry/modelstore_test.go
@@ -37,6 +37,8 @@
 type storeOfEntry struct {
 	*modelStore
 	entry string
+	// isCut reports whether the entry doesn't reach the store now.
+	isCut func() bool
 }
 
 // hashShare returns a number in [0, 1) that belongs to a text.
@@ -49,7 +51,7 @@
 // call waits for the answer; it returns an error if the entry gets none that counts.
 func (s storeOfEntry) call(ctx context.Context) error {
 	s.mu.Lock()
-	latency, fails := s.latency, s.down || hashShare(s.entry) < s.deniedShare
+	latency, fails := s.latency, s.down || s.isCut() || hashShare(s.entry) < s.deniedShare
 	s.mu.Unlock()
 	select {
 	case <-time.After(latency):
@@ -122,7 +124,7 @@
 func (f *crashFleet) observeServing(e *fleetEntry) {
 	for e.ctx.Err() == nil {
 		var versions []string
-		for _, target := range f.targets() {
+		for _, target := range e.targets(f) {
 			if !slices.Contains(versions, target.Version) {
 				versions = append(versions, target.Version)
 			}
--- a/entry/streamversions.go
+++ b/entry/streamversions.go
@@ -24,6 +24,11 @@
 	return s.Find(ctx, request.Service, request.Resumes, request.Customer)
 }
 
+// ConfirmOnlyVersion implements generation.StreamVersions.
+func (s sharedVersions) ConfirmOnlyVersion(ctx context.Context, request *generation.RelayRequest, version string) bool {
+	return s.Confirm(ctx, request.Service, request.Resumes, version)
+}
+
 // EndStream implements generation.StreamVersions.
 func (s sharedVersions) EndStream(request *generation.RelayRequest, complete bool) {
 	s.End(streamOf(request), request.Customer, complete)
--- a/generation/relayversion.go
+++ b/generation/relayversion.go
@@ -130,6 +130,9 @@
 	// IsOnlyVersion reports whether every stream of the service that a caller may take up began at the version. It is false also if
 	// what served before is not known.
 	IsOnlyVersion(service, version string) bool
+	// ConfirmOnlyVersion reports whether other entries, or the store, know of no other version than the one that IsOnlyVersion reports:
+	// this entry may have been cut off, or paused, while another one joined.
+	ConfirmOnlyVersion(ctx context.Context, request *RelayRequest, version string) bool
 	// EndStream is called when the stream of a request whose version was shared has ended here.
 	EndStream(request *RelayRequest, complete bool)
 }
@@ -142,6 +145,9 @@
 	return "", false
 }
 func (unsharedVersions) IsOnlyVersion(string, string) bool { return true }
+func (unsharedVersions) ConfirmOnlyVersion(context.Context, *RelayRequest, string) bool {
+	return true
+}
 func (unsharedVersions) EndStream(*RelayRequest, bool)     {}
 
 // versionRenewal is the time after which the version of a running stream is shared once more: those who hold it forget it after
@@ -157,10 +163,7 @@
 	if run.request.LastEvent < 0 {
 		return nil
 	}
-	name, found := run.relay.options.Versions.FindVersion(ctx, run.request)
-	if found {
-		run.version = streamVersion{name: name, known: true}
-		run.log("stream-version-found", Field{"version", name}, Field{"resumes", run.request.Resumes})
+	if run.findVersion(ctx) {
 		return nil
 	}
 	targets := run.relay.options.Targets(run.request.Service)
@@ -168,14 +171,29 @@
 		return run.failureError(ErrNoTarget)
 	}
 	if only := versionOf(targets[0]); run.isOnlyVersion(only) {
-		run.version = only
-		return nil
+		if run.relay.options.Versions.ConfirmOnlyVersion(ctx, run.request, only.name) {
+			run.version = only
+			return nil
+		}
+		if run.findVersion(ctx) { // the store, read for the confirmation, may know the stream
+			return nil
+		}
 	}
 	run.relay.stats.VersionsUnknown.Add(1)
 	run.log("stream-version-unknown", Field{"resumes", run.request.Resumes})
 	return &GivenUpError{RetryAfter: retryAfter, Cause: errVersionUnknown}
 }
 
+// findVersion binds the stream to the version that is known to have begun it. It returns false if none is.
+func (run *relayRun) findVersion(ctx context.Context) bool {
+	name, found := run.relay.options.Versions.FindVersion(ctx, run.request)
+	if found {
+		run.version = streamVersion{name: name, known: true}
+		run.log("stream-version-found", Field{"version", name}, Field{"resumes", run.request.Resumes})
+	}
+	return found
+}
+
 // isOnlyVersion reports whether every stream of the request's service belongs to the version.
 func (run *relayRun) isOnlyVersion(version streamVersion) bool {
 	return run.servesOneVersion() && run.relay.options.Versions.IsOnlyVersion(run.request.Service, version.name)
--- a/generation/relayversion_test.go
+++ b/generation/relayversion_test.go
@@ -80,6 +80,7 @@
 	ended          []string
 }
 
+func (f *fakeVersions) ConfirmOnlyVersion(context.Context, *RelayRequest, string) bool { return true }
 func (f *fakeVersions) IsOnlyVersion(_, version string) bool {
 	return !slices.ContainsFunc(f.formerVersions, func(former string) bool { return former != version })
 }
--- a/streamversion/manager.go
+++ b/streamversion/manager.go
@@ -95,7 +95,9 @@
 	// servingKnown is set once serving holds what served before this entry started.
 	servingKnown bool
 	// hasRead is set once the store has been read. reading is closed when the read in progress ends; nil for none.
-	hasRead  bool
+	hasRead bool
+	// readAt is when the store was last read.
+	readAt   time.Time
 	reading  chan struct{}
 	nextRead time.Time
 
--- a/streamversion/manager_test.go
+++ b/streamversion/manager_test.go
@@ -20,6 +20,8 @@
 	managers map[string]*Manager
 	down     map[string]bool
 	puts     int
+	// questions counts those for the versions that have served lately.
+	questions int
 }
 
 func (m *memoryPeers) reach(ctx context.Context, peer membership.Peer) (*Manager, error) {
@@ -59,6 +61,9 @@
 	if err != nil {
 		return nil, false, err
 	}
+	m.mu.Lock()
+	m.questions++
+	m.mu.Unlock()
 	serving, known := to.Serving()
 	return serving, known, nil
 }
@@ -138,3 +143,37 @@
 		is.Equal(manager.records.Len(), 0)
 	})
 }
+
+// Guards against the conclusion that one version serves from what this entry alone knows, and against questions that grow with the fleet.
+func TestOnlyVersionIsConfirmedByAFewPeers(t *testing.T) {
+	for _, count := range []int{2, 30, 76, 195, 300} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				peers, live := newPeers(count)
+				for _, manager := range peers.managers {
+					manager.ObserveServing("drafts", []string{"v1"})
+				}
+				asking := peers.managers["e00"]
+				is.True(asking.Confirm(t.Context(), "drafts", "s1", "v1"))
+				synctest.Wait()
+				is.Equal(peers.questions, min(count-1, askedForServing))
+				for _, peer := range live[1:] {
+					peers.managers[peer.Name].ObserveServing("drafts", []string{"v1", "v2"})
+				}
+				is.True(asking.IsOnlyVersion("drafts", "v1")) // as far as it knows
+				is.True(!asking.Confirm(t.Context(), "drafts", "s2", "v1"))
+				for _, zone := range []string{"a", "b", "c"} {
+					peers.mu.Lock()
+					for _, peer := range live {
+						if peer.AvailabilityZone == zone {
+							peers.down[peer.Name] = true
+						}
+					}
+					peers.mu.Unlock()
+				}
+				is.True(!asking.Confirm(t.Context(), "drafts", "s3", "v1"))
+			})
+		})
+	}
+}
--- a/streamversion/sync.go
+++ b/streamversion/sync.go
@@ -229,7 +229,7 @@
 			}
 		}
 	}
-	m.hasRead, m.servingKnown = true, true
+	m.hasRead, m.servingKnown, m.readAt = true, true, now
 	event.Serving = m.serving.all(now)
 	m.mu.Unlock()
 	m.options.Observe(event)
