Soak: links that hang deliver later what they held up

Each connection leads over a loopback connection in the process now, on which the kernel keeps what is not acknowledged, as over a cut link.

--- a/standin/linkfault/linkfault.go
+++ b/standin/linkfault/linkfault.go
@@ -4,10 +4,9 @@
 
 import (
 	"context"
-	"errors"
+	"io"
 	"net"
 	"os"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -43,14 +42,17 @@
 
 const pollInterval = 10 * time.Millisecond
 
-// Links are the links of one entry to targets.
+// Links are the links of one entry to targets. Each connection leads over a loopback connection within the process, on which what the
+// entry sends is dropped while the link hangs: its kernel keeps the bytes and sends them again, as over a cut link.
 type Links struct {
 	file   string
 	dialer net.Dialer
+	// pairing guards the opening of loopback connections, one at a time.
+	pairing sync.Mutex
 
 	mu    sync.Mutex
 	mode  Mode
-	conns map[*conn]struct{}
+	links map[*link]struct{}
 	// sound is closed while connections are not held back.
 	sound chan struct{}
 }
@@ -69,7 +71,7 @@
 
 // New returns sound links.
 func New() *Links {
-	l := &Links{conns: map[*conn]struct{}{}, sound: make(chan struct{})}
+	l := &Links{links: map[*link]struct{}{}, sound: make(chan struct{})}
 	close(l.sound)
 	return l
 }
@@ -97,13 +99,19 @@
 	}
 	if l.mode == Hang {
 		close(l.sound)
+		for open := range l.links {
+			_ = Restore(open.inbound) // fails only if the connection has ended
+		}
 	}
 	l.mode = mode
 	switch mode {
 	case Hang:
 		l.sound = make(chan struct{})
+		for open := range l.links {
+			_ = Drop(open.inbound) // fails only if the connection has ended
+		}
 	case Reset, Refuse:
-		for open := range l.conns {
+		for open := range l.links {
 			open.reset()
 		}
 	}
@@ -122,145 +130,102 @@
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
 	}
-	opened, err := l.dialer.DialContext(ctx, network, address)
+	outbound, err := l.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	near, inbound, err := l.pair(ctx)
 	if err != nil {
+		_ = outbound.Close()
 		return nil, err
 	}
-	c := &conn{TCPConn: opened.(*net.TCPConn), links: l, closed: make(chan struct{}), deadlineSet: make(chan struct{})}
+	opened := &link{links: l, inbound: inbound.(*net.TCPConn), outbound: outbound.(*net.TCPConn)}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns[c] = struct{}{}
-	return c, nil
-}
-
-// conn is a connection over the links.
-type conn struct {
-	*net.TCPConn
-	links *Links
-
-	closeOnce sync.Once
-	closed    chan struct{}
-	// held are bytes that arrived while the link hung. Only the goroutine that reads uses it.
-	held []byte
-
-	mu       sync.Mutex
-	wasReset bool
-	// readDeadline limits Read also while the link hangs; deadlineSet is closed when it changes.
-	readDeadline time.Time
-	deadlineSet  chan struct{}
-}
-
-func (c *conn) reset() {
-	c.mu.Lock()
-	c.wasReset = true
-	c.mu.Unlock()
-	_ = c.TCPConn.SetLinger(0)
-	_ = c.TCPConn.Close()
-}
-
-// sound returns the channel that is closed while the links don't hang.
-func (c *conn) sound() <-chan struct{} {
-	c.links.mu.Lock()
-	defer c.links.mu.Unlock()
-	return c.links.sound
-}
-
-// hangs reports whether the links hang.
-func (c *conn) hangs() bool {
-	select {
-	case <-c.sound():
-		return false
-	default:
-		return true
+	l.links[opened] = struct{}{}
+	if l.mode == Hang {
+		_ = Drop(opened.inbound) // cannot fail: the connection is open
 	}
+	l.mu.Unlock()
+	go opened.carry()
+	return near, nil
 }
 
-// awaitRead waits while the links hang, as a read of a silent connection does: until its deadline, or the end of the
-// connection.
-func (c *conn) awaitRead() error {
-	for {
-		c.mu.Lock()
-		deadline, changed := c.readDeadline, c.deadlineSet
-		c.mu.Unlock()
-		var expired <-chan time.Time
-		if !deadline.IsZero() {
-			expired = time.After(time.Until(deadline))
-		}
-		select {
-		case <-c.sound():
-			return nil
-		case <-c.closed:
-			return net.ErrClosed
-		case <-expired:
-			return os.ErrDeadlineExceeded
-		case <-changed:
-		}
+// pair opens a loopback connection and returns both of its ends.
+func (l *Links) pair(ctx context.Context) (near, far net.Conn, err error) {
+	l.pairing.Lock()
+	defer l.pairing.Unlock()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	defer listener.Close()
+	if near, err = l.dialer.DialContext(ctx, "tcp", listener.Addr().String()); err != nil {
+		return nil, nil, err
+	}
+	if far, err = listener.Accept(); err != nil {
+		_ = near.Close()
+		return nil, nil, err
 	}
+	return near, far, nil
 }
 
-// SetReadDeadline implements net.Conn.
-func (c *conn) SetReadDeadline(deadline time.Time) error {
-	c.mu.Lock()
-	c.readDeadline = deadline
-	close(c.deadlineSet)
-	c.deadlineSet = make(chan struct{})
-	c.mu.Unlock()
-	return c.TCPConn.SetReadDeadline(deadline)
+// link carries one connection between the entry, at inbound, and a target, at outbound.
+type link struct {
+	links             *Links
+	inbound, outbound *net.TCPConn
 }
 
-// SetDeadline implements net.Conn.
-func (c *conn) SetDeadline(deadline time.Time) error {
-	return errors.Join(c.SetReadDeadline(deadline), c.SetWriteDeadline(deadline))
+func (k *link) carry() {
+	var directions sync.WaitGroup
+	directions.Go(func() { k.copy(k.outbound, k.inbound, false) })
+	directions.Go(func() { k.copy(k.inbound, k.outbound, true) })
+	directions.Wait()
+	k.links.mu.Lock()
+	delete(k.links.links, k)
+	k.links.mu.Unlock()
+	_ = k.inbound.Close()
+	_ = k.outbound.Close()
 }
 
-// resetOr returns the error of a connection that was reset, or err.
-func (c *conn) resetOr(err error) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if err != nil && c.wasReset {
-		return &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ECONNRESET)}
-	}
-	return err
-}
+const copyBytes = 16 << 10
 
-// Read implements net.Conn.
-func (c *conn) Read(buffer []byte) (int, error) {
+// copy carries bytes in one direction until it ends; those to the entry wait while the links hang.
+func (k *link) copy(to, from *net.TCPConn, held bool) {
+	buffer := make([]byte, copyBytes)
 	for {
-		if c.hangs() {
-			if err := c.awaitRead(); err != nil {
-				return 0, c.resetOr(err)
-			}
+		n, err := from.Read(buffer)
+		if held {
+			k.links.awaitSound()
 		}
-		if len(c.held) > 0 {
-			n := copy(buffer, c.held)
-			c.held = c.held[n:]
-			return n, nil
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				k.reset()
+				return
+			}
 		}
-		n, err := c.TCPConn.Read(buffer)
-		if n > 0 && c.hangs() {
-			c.held = slices.Clone(buffer[:n])
-			continue
+		switch {
+		case err == io.EOF:
+			_ = to.CloseWrite() // fails if the other direction has ended
+			return
+		case err != nil:
+			k.reset()
+			return
 		}
-		return n, c.resetOr(err)
 	}
 }
 
-// Write implements net.Conn.
-func (c *conn) Write(content []byte) (int, error) {
-	select {
-	case <-c.sound():
-	case <-c.closed:
-		return 0, net.ErrClosed
-	}
-	n, err := c.TCPConn.Write(content)
-	return n, c.resetOr(err)
+// awaitSound waits while the links hang.
+func (l *Links) awaitSound() {
+	l.mu.Lock()
+	sound := l.sound
+	l.mu.Unlock()
+	<-sound
 }
 
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	c.closeOnce.Do(func() { close(c.closed) })
-	c.links.mu.Lock()
-	delete(c.links.conns, c)
-	c.links.mu.Unlock()
-	return c.TCPConn.Close()
+// reset resets both connections.
+func (k *link) reset() {
+	for _, conn := range []*net.TCPConn{k.inbound, k.outbound} {
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	}
 }
