Expect calls to take as long as those that targets answered

A call that ended by its timeout raised the expected duration of all calls of its route: beside a faulty target, an entry that stops would refuse calls needlessly for a while. Only answers below 500 count now. Tests of the stop pass.

--- a/entry/observe.go
+++ b/entry/observe.go
@@ -53,7 +53,7 @@
 	switch {
 	case o.Class == directory.Stream && o.Status == http.StatusOK:
 		e.shutdown.streamEnded(o.Took)
-	case o.Class != directory.Stream && o.Dispatched && o.Status != 0:
+	case o.Class != directory.Stream && o.Dispatched && o.Status != 0 && o.Status < http.StatusInternalServerError:
 		e.shutdown.callEnded(o.Route, o.Took)
 	}
 }
