--- a/adapters/peerexchange/givenup_test.go
+++ b/adapters/peerexchange/givenup_test.go
@@ -18,7 +18,7 @@
 	"github.com/azurebarrow/azurebarrow/standin/linkfault"
 )
 
-// newLinkedServer starts a server and tells of the connections that become idle.
+// newLinkedServer starts a server and sends its connections that become idle to a channel.
 func newLinkedServer(t *testing.T, handler http.Handler) (address string, idle <-chan net.Conn) {
 	t.Helper()
 	conns := make(chan net.Conn, 16)
--- a/adapters/peerexchange/handler.go
+++ b/adapters/peerexchange/handler.go
@@ -160,7 +160,7 @@
 	}
 	w.WriteHeader(answer.Status)
 	if err := copyFlushing(w, answer.Body); err != nil {
-		_ = http.NewResponseController(w).Flush() // the head tells that it was the target that broke off; the peer may have left
+		_ = http.NewResponseController(w).Flush() // without the head, the peer takes this entry for the one that broke off
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -288,8 +288,8 @@
 }
 
 // abandon closes the connection of an exchange that did not end in order, and has the kernel discard what the target's host
-// has not acknowledged: it would be sent for many seconds after the close, and run for nobody once the link works again. A
-// connection of which everything is acknowledged ends in order instead, since a reset is sent once only and may be lost.
+// has not acknowledged: the kernel retransmits it for many seconds after a close, and the target would run an abandoned request. A
+// connection of which everything is acknowledged ends in order instead, since a reset is not retransmitted.
 func (e *exchange) abandon() {
 	e.abandonOnce.Do(func() {
 		bytes, err := unacknowledgedBytes(e.conn.Conn)
--- a/adapters/targethttp/givenup_test.go
+++ b/adapters/targethttp/givenup_test.go
@@ -29,7 +29,7 @@
 	requests chan string
 }
 
-// newLinkedTarget returns a target that answers the requests "first" and tells of all.
+// newLinkedTarget returns a target that answers the requests "first" and reports all of them.
 func newLinkedTarget(t *testing.T) *linkedTarget {
 	t.Helper()
 	linked := &linkedTarget{conns: make(chan net.Conn, 16), requests: make(chan string, 16)}
@@ -82,7 +82,7 @@
 	}
 }
 
-// Guards against targets that work on for nobody: they learn of the end of a request that reached them, also over a link that was cut
+// Guards against targets that keep running an abandoned request: they learn of its end, also over a link that was cut
 // as it was given up.
 func TestTargetLearnsOfTheEndOfARequestThatReachedIt(t *testing.T) {
 	is := is.New(t)
@@ -115,7 +115,7 @@
 	select {
 	case <-ended:
 	case <-time.After(retransmissionTime):
-		t.Fatal("the target works on for nobody")
+		t.Fatal("the target keeps running the abandoned request")
 	}
 }
 
--- a/entry/heldup_test.go
+++ b/entry/heldup_test.go
@@ -67,7 +67,7 @@
 	}
 	calls.Wait()
 	t.Logf("answers %+v", results)
-	// The one that may run twice has no other target; nothing tells whether the other one has run.
+	// The one that may run twice has no other target; whether the other one has run is unknown.
 	is.Equal(results["ledger"].status, http.StatusBadGateway)
 	for name, got := range results {
 		if got.after > drainBound {
--- a/generation/relayversion.go
+++ b/generation/relayversion.go
@@ -148,7 +148,7 @@
 func (unsharedVersions) ConfirmOnlyVersion(context.Context, *RelayRequest, string) bool {
 	return true
 }
-func (unsharedVersions) EndStream(*RelayRequest, bool)     {}
+func (unsharedVersions) EndStream(*RelayRequest, bool) {}
 
 // versionRenewal is the time after which the version of a running stream is shared once more: those who hold it forget it after
 // twice as long.
--- a/streamversion/confirm.go
+++ b/streamversion/confirm.go
@@ -8,7 +8,7 @@
 
 // Confirm reports whether peers, or else the store, know of no other version of the service than the one that IsOnlyVersion
 // reports. What this entry knows itself may be old: it may have been cut off, or paused, while engines of another version joined.
-// Peers are asked for each stream, since no clock tells how long the entry was paused.
+// Peers are asked for each stream, since the steady clock leaves out the time for which a VM was suspended.
 func (m *Manager) Confirm(ctx context.Context, service, stream, version string) bool {
 	others, confirmed := m.askServing(ctx, service, stream, version)
 	switch {
--- a/streamversion/manager_test.go
+++ b/streamversion/manager_test.go
@@ -161,7 +161,7 @@
 				for _, peer := range live[1:] {
 					peers.managers[peer.Name].ObserveServing("drafts", []string{"v1", "v2"})
 				}
-				is.True(asking.IsOnlyVersion("drafts", "v1")) // as far as it knows
+				is.True(asking.IsOnlyVersion("drafts", "v1")) // by its own knowledge
 				is.True(!asking.Confirm(t.Context(), "drafts", "s2", "v1"))
 				for _, zone := range []string{"a", "b", "c"} {
 					peers.mu.Lock()
