--- a/review/rig/rig_test.go
+++ b/review/rig/rig_test.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -91,8 +92,13 @@
 		}
 		done <- script(r)
 	}()
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
 	select {
 	case code = <-done:
+	case <-ended:
+		r.note("could not run: ended by a signal")
+		code = couldNot
 	case <-time.After(timeLimit):
 		r.note("could not run: the time is over")
 		code = couldNot
