--- a/review/rig/upgraded_test.go
+++ b/review/rig/upgraded_test.go
@@ -15,8 +15,8 @@
 const (
 	storeDownFor = 8 * time.Second         // platform_down
 	engineDown   = 1200 * time.Millisecond // srv_crash
-	// crashed is the number of engines of a zone that crash, of 6: a share of 0.86.
-	crashed = 5
+	// crashed is the number of engines of a zone that crash, all: a share of 1.0.
+	crashed = 6
 	// mixedAllowed is the number of streams of two versions that ORDER excuses.
 	mixedAllowed = 2
 )
@@ -40,7 +40,7 @@
 	r.startEntries(8)
 	r.at(8)
 
-	answers := r.startStreams(4, "/drafts/1", 18*time.Second)
+	answers := r.startStreams(5, "/drafts/1", 18*time.Second)
 	r.at(12)
 	if r.trouble {
 		r.store.setMode(busy)
@@ -48,7 +48,7 @@
 		down := time.Now()
 		time.Sleep(300 * time.Millisecond)
 		next := r.crash(first, "v2")
-		time.Sleep(4500 * time.Millisecond)
+		time.Sleep(5100 * time.Millisecond)
 		next = append(next, r.crash(second, "v1")...)
 		time.Sleep(storeDownFor - time.Since(down))
 		r.store.setMode(up)
