--- a/review/rig/upgraded_test.go
+++ b/review/rig/upgraded_test.go
@@ -111,7 +111,7 @@
 				time.Sleep(time.Duration(i) * 400 * time.Millisecond)
 				c := r.newClient(e)
 				for n := 0; ctx.Err() == nil; n++ {
-					answers <- c.do(request{method: "POST", path: path, key: "key-a", timeout: 25 * time.Second, body: []byte("prompt"), header: map[string]string{
+					answers <- c.do(request{method: "POST", path: path, key: "key-a", timeout: 25 * time.Second, body: fmt.Appendf(nil, "prompt %s %d %d", e.name, i, n), header: map[string]string{
 						"X-Model": "m", "X-Token-Usage": "5000,650", "X-Prompt-Prefix": fmt.Sprintf("aa%d:200,%s%d%d:4800", n%7, e.name[5:], i, n),
 					}})
 					time.Sleep(50 * time.Millisecond)
