--- a/review/rig/rig_test.go
+++ b/review/rig/rig_test.go
@@ -56,10 +56,9 @@
 	entries []*entry
 	engines []*engine
 
-	mu      sync.Mutex
-	record  *os.File
-	seq     int
-	clients sync.WaitGroup
+	mu     sync.Mutex
+	record *os.File
+	seq    int
 }
 
 func play(script func(*rig) int, record string) (code int) {
