Write records of streams and prompts again to a restored store

What callers would see: after a drill of the store and the loss of all entries, streams that they take up are refused or prefilled anew, since the copy lacks the records of the versions that began them and of their prompts.

Cause: both managers take what they wrote for stored, and write again only with new content.

Change: the store's era, which rises with a restore, is kept beside what was written. A later one has an entry write its object once more, in the present pacing, and forget the revisions of other entries' objects.

--- a/entry/modelstore_test.go
+++ b/entry/modelstore_test.go
@@ -64,6 +64,9 @@
 	return ctx.Err()
 }
 
+// Era implements streamversion.Store.
+func (s storeOfEntry) Era() int64 { return 0 }
+
 func (s storeOfEntry) WriteStreamVersions(ctx context.Context, entry string, content streamversion.Content) error {
 	if err := s.call(ctx); err != nil {
 		return err
--- a/promptindex/manager.go
+++ b/promptindex/manager.go
@@ -17,6 +17,8 @@
 	// ReadPrompts returns the prompts of all entries. It returns an error when the store is silent; the caller
 	// does not limit the time of a read that receives data.
 	ReadPrompts(ctx context.Context) (map[string]string, error)
+	// Era returns the latest known era of the store, which rises each time it is restored from an older copy; 0 if none is known.
+	Era() int64
 }
 
 // Options configures a Manager.
@@ -79,6 +81,9 @@
 	// readSucceeded is set once a read has succeeded.
 	readSucceeded bool
 	storeFailing  bool
+
+	// storeEra is the era of the store that holds what was written last. Only Run uses it.
+	storeEra int64
 }
 
 // NewManager returns a Manager; Run shares its prompt locations with other entries.
@@ -243,6 +248,13 @@
 }
 
 func (m *Manager) write(ctx context.Context) {
+	if era := m.options.Store.Era(); era != m.storeEra {
+		if m.storeEra != 0 {
+			m.index.markChanged() // an older copy may lack what was written
+			m.options.Log("prompt-store-restored", nil)
+		}
+		m.storeEra = era
+	}
 	prompts, changed := m.index.export(time.Now())
 	if !changed || m.options.Live() > maxEntries {
 		return
--- a/promptindex/manager_test.go
+++ b/promptindex/manager_test.go
@@ -22,8 +22,12 @@
 	// readDelay is the time that a read takes, in nanoseconds.
 	readDelay atomic.Int64
 	down      bool
+	era       atomic.Int64
 }
 
+// Era implements Store.
+func (s *memoryStore) Era() int64 { return s.era.Load() }
+
 var errDown = errors.New("down")
 
 func (s *memoryStore) WritePrompts(_ context.Context, entry string, prompts map[string]string) error {
@@ -148,6 +152,29 @@
 	})
 }
 
+// Guards against prompts that are lost with all entries after the store was restored from a copy that lacks them.
+func TestPromptsAreWrittenAgainToARestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster()
+		c.store.era.Store(3)
+		c.start(t, "a", 2).RecordPlacement("p", "engine-1")
+		time.Sleep(2 * writeInterval)
+		for range 2 {
+			before, _ := c.store.callCounts()
+			c.store.mu.Lock()
+			delete(c.store.objects, "a")
+			c.store.mu.Unlock()
+			c.store.era.Add(1)
+			time.Sleep(2 * writeInterval)
+			after, _ := c.store.callCounts()
+			is.Equal(after-before, 1)
+			is.Equal(c.store.object("a"), map[string]string{"p": "engine-1"})
+		}
+		c.stopAll()
+	})
+}
+
 func TestPromptOfALostEntryIsFoundByAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/streamversion/manager.go
+++ b/streamversion/manager.go
@@ -102,8 +102,11 @@
 	nextRead time.Time
 
 	// saved is what the store holds of this entry. Only Run uses it, and what follows, once the store has been read.
-	saved           Content
-	savedAt         time.Time
+	saved   Content
+	savedAt time.Time
+	// storeEra is the era of the store to which saved and left belong. mustRewrite is set while the store may lack saved.
+	storeEra        int64
+	mustRewrite     bool
 	keepersChosenAt time.Time
 	// keeperUntil is the time until which this entry keeps the serving versions in the store.
 	keeperUntil   time.Time
--- a/streamversion/store_test.go
+++ b/streamversion/store_test.go
@@ -26,6 +26,27 @@
 	down          bool
 	// readTime is how long a read takes.
 	readTime time.Duration
+	era      int64
+}
+
+// Era implements Store.
+func (s *memoryStore) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// copyNow returns a function that restores the store from its present content.
+func (s *memoryStore) copyNow() (restore func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept, revision := maps.Clone(s.objects), s.revision
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.objects, s.revision = maps.Clone(kept), revision
+		s.era++
+	}
 }
 
 var errDown = errors.New("down")
@@ -388,3 +409,34 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against records that are lost with all entries after the store was restored from a copy that lacks them, twice in a row.
+func TestRecordsAreWrittenAgainToARestoredStore(t *testing.T) {
+	for _, count := range []int{8, 30, 76, 195, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			store := newMemoryStore()
+			store.era = 3
+			e := startEntries(t, store, count)
+			e.observe(5*time.Second, "v1")
+			restore := store.copyNow()
+			e.managers["e03"].Share(t.Context(), Record{Stream: "s", Customer: "ranch", Version: "v1"})
+			time.Sleep(time.Second)
+			for range 2 {
+				_, before := store.snapshot()
+				restore()
+				time.Sleep(2 * time.Second)
+				_, after := store.snapshot()
+				t.Logf("%d entries: %d writes", count, after-before)
+				is.True(after-before <= keepers+1) // those that keep something there
+			}
+			e.stop()
+			synctest.Wait()
+			e = startEntries(t, store, count)
+			version, found := e.managers["e05"].Find(t.Context(), "drafts", "s", "ranch")
+			is.Equal([]any{version, found}, []any{"v1", true})
+			e.stop()
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/streamversion/stored.go
+++ b/streamversion/stored.go
@@ -46,6 +46,8 @@
 	ReadStreamVersions(ctx context.Context, stale bool) ([]Object, error)
 	// DeleteStreamVersions deletes the object of an entry if it still has the revision.
 	DeleteStreamVersions(ctx context.Context, entry string, revision int64) error
+	// Era returns the latest known era of the store, which rises each time it is restored from an older copy; 0 if none is known.
+	Era() int64
 }
 
 // maxStoredStreams limits what an entry keeps in the store, to about 100 KB. Further streams are known to peers only.
--- a/streamversion/sync.go
+++ b/streamversion/sync.go
@@ -50,6 +50,8 @@
 	// EventStoreLost and EventStoreRegained: calls to the store fail, and succeed again.
 	EventStoreLost     EventKind = "stream-version-store-lost"
 	EventStoreRegained EventKind = "stream-version-store-regained"
+	// EventStoreRestored: the store was restored from an older copy, so that what this entry keeps there is written again.
+	EventStoreRestored EventKind = "stream-version-store-restored"
 	// EventUnusable: an object in the store can't be decoded.
 	EventUnusable EventKind = "stream-versions-unusable"
 	// EventDeleted: the object of an entry that has left was deleted.
@@ -135,7 +137,8 @@
 func (m *Manager) writeStore(ctx context.Context) (called bool, err error) {
 	now := time.Now()
 	content := m.content(now)
-	isNew := m.saved.lacks(content)
+	m.checkEra(content)
+	isNew := m.mustRewrite || m.saved.lacks(content)
 	isSurplus := content.lacks(m.saved)
 	if !isNew && (!isSurplus || now.Sub(m.savedAt) < removeInterval) {
 		return false, nil
@@ -146,11 +149,26 @@
 	m.stats.Writes.Add(1)
 	m.recordStoreState(err)
 	if err == nil {
-		m.saved, m.savedAt = content, now
+		m.saved, m.savedAt, m.mustRewrite = content, now, false
 	}
 	return true, err
 }
 
+// checkEra has the content written again if the store was restored from an older copy, which may lack it, or hold more.
+func (m *Manager) checkEra(content Content) {
+	era := m.options.Store.Era()
+	if era == m.storeEra {
+		return
+	}
+	if m.storeEra != 0 {
+		nothing := Content{}
+		m.mustRewrite = m.mustRewrite || nothing.lacks(content) || nothing.lacks(m.saved)
+		m.left = nil // revisions are given out again
+		m.options.Observe(Event{Kind: EventStoreRestored, Entry: m.options.View.Self().Name})
+	}
+	m.storeEra = era
+}
+
 // readStore reads the store, or waits for the read in progress. It reports whether the store has been read since the start.
 func (m *Manager) readStore(ctx context.Context) bool {
 	select {
