Give targets that have not registered a version of their own

Cause: a provisional target was a copy of the target that it replaced, with its version, which nothing had told. All targets seemed to have one version, so that streams crossed in both directions. Ruled out: records of streams (none was taken up), engines that restart under their ID (all IDs were new).

Change: until it registers, a provisional target has a version that no other target shares. A stream that it began takes the version of its object once there is one, in the records of peers and the store too. A report's start (born) tells incarnations of one ID apart.

Why it works: versions are compared by name, and no name stands for a version that is not known.

--- a/directory/address_mismatch.go
+++ b/directory/address_mismatch.go
@@ -8,8 +8,15 @@
 
 // Identifier queries the process at an address.
 type Identifier interface {
-	// Models returns the models of the engine at the address.
-	Models(ctx context.Context, address string) ([]string, error)
+	// Identify returns what the engine at the address reports of itself.
+	Identify(ctx context.Context, address string) (EngineReport, error)
+}
+
+// EngineReport is what an engine reports of itself. It doesn't name the version of its software.
+type EngineReport struct {
+	Models []string
+	// StartedMs is when the engine started, in Unix milliseconds; 0 if it doesn't say so.
+	StartedMs int64
 }
 
 // identifyTimeout limits a call of the Identifier. Engines answer within a few round trips.
@@ -46,17 +53,23 @@
 func (m *Manager) identifyReplacement(replaced *Target, found string, configuration *Configuration) {
 	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
 	defer cancel()
-	models, err := m.options.Identifier.Models(ctx, replaced.Address)
-	if err != nil || serviceOfModels(configuration, models) != replaced.Service {
+	report, err := m.options.Identifier.Identify(ctx, replaced.Address)
+	if err != nil || serviceOfModels(configuration, report.Models) != replaced.Service {
 		m.options.Observe(Event{Kind: EventReplacementUnusable, Subject: found, Detail: replaced.Address, Err: err})
 		return
 	}
 	replacement := *replaced
 	replacement.ID = found
-	// The real start isn't known. This one is later than that of the replaced target, and earlier than that
-	// of a target that registers at this address.
-	replacement.StartedMs = replaced.StartedMs + 1
+	replacement.StartedMs = report.StartedMs
+	if report.StartedMs <= replaced.StartedMs {
+		// The real start isn't known. This one is later than that of the replaced target, and earlier than that
+		// of a target that registers at this address.
+		replacement.StartedMs, replacement.StartUnknown = replaced.StartedMs+1, true
+	}
 	replacement.Provisional = true
+	if replaced.Version != "" {
+		replacement.Version = provisionalVersion(&replacement)
+	}
 	replacement.Unregistered = false
 	replacement.Draining = false
 	m.enqueue(ctx, func(now time.Time) { m.addProvisional(&replacement, now) })
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -201,7 +201,7 @@
 	Service          string
 	Address          string
 	AvailabilityZone string
-	// Version is the version of the target's software.
+	// Version is the version of the target's software; see RegisteredVersion for that of a provisional target.
 	Version string
 	// Slots is the number of requests that the target runs at the same time.
 	Slots int
@@ -215,18 +215,20 @@
 	// Provisional is set if the target has no object in the store yet. It answered at the address of the
 	// target that it replaces.
 	Provisional bool
+	// StartUnknown is set for a provisional target that didn't report its start. StartedMs is then a guess.
+	StartUnknown bool
 }
 
 // Key identifies the target by ID and address.
 func (t *Target) Key() string { return t.ID + "@" + t.Address }
 
-// SameIncarnation reports whether t and other are the same incarnation of the same target. The start of
-// a provisional target isn't known and is not compared.
+// SameIncarnation reports whether t and other are the same incarnation of the same target. A start that
+// isn't known is not compared.
 func (t *Target) SameIncarnation(other *Target) bool {
 	if t.ID != other.ID || t.Address != other.Address {
 		return false
 	}
-	return t.StartedMs == other.StartedMs || t.Provisional || other.Provisional
+	return t.StartedMs == other.StartedMs || t.StartUnknown || other.StartUnknown
 }
 
 // Snapshot is an immutable state of the directory.
--- a/entry/streamversions.go
+++ b/entry/streamversions.go
@@ -42,7 +42,9 @@
 	for service := range snapshot.Configuration.StreamServices() {
 		versions := map[string]bool{}
 		for _, target := range snapshot.AvailableTargets(service) {
-			versions[target.Version] = true
+			if !directory.IsProvisionalVersion(target.Version) {
+				versions[target.Version] = true
+			}
 		}
 		e.versions.ObserveServing(service, slices.Collect(maps.Keys(versions)))
 	}
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -121,6 +121,8 @@
 	// version is the software version that began the stream; versionSharedAt is when other entries were told last.
 	version         streamVersion
 	versionSharedAt time.Time
+	// versionChanged is set when the version's name has changed since it was shared.
+	versionChanged bool
 	// versionChecked is when it was last checked whether the version must be shared.
 	versionChecked time.Time
 	// lastAnswer is the last failure that a target answered with.
@@ -210,9 +212,10 @@
 )
 
 // awaitTarget has a stream that its caller has in part wait while none of the targets that can continue it takes it, and reports
-// whether to look again: their limits and pauses last for parts of a second. A stream without such a target ends at once.
+// whether to look again: their limits and pauses last for parts of a second. A stream without such a target ends at once, unless
+// provisional targets may turn out to be of its version.
 func (run *relayRun) awaitTarget(ctx context.Context) bool {
-	if !run.headSent || len(run.targets()) == 0 {
+	if !run.headSent || len(run.targets()) == 0 && !run.mayFitOnceRegistered() {
 		return false
 	}
 	if run.noTargetSince.IsZero() {
--- a/generation/relayversion.go
+++ b/generation/relayversion.go
@@ -66,8 +66,7 @@
 }
 
 // fits returns the function that reports whether a stream of the version may go on at a target; nil if it may at any of
-// the targets. While several versions serve, a target whose version is not known is left out: an empty one, or that of a
-// replacement that is not in the store yet.
+// the targets. While several versions serve, a target without a version is left out. A provisional target has a version of its own.
 func (v streamVersion) fits(targets []*directory.Target) func(*directory.Target) bool {
 	if defect.Enabled(defect.VersionIgnored) {
 		return nil
@@ -76,7 +75,7 @@
 		return nil
 	}
 	return func(target *directory.Target) bool {
-		return target.Version == v.name && v.name != "" && !target.Provisional
+		return target.Version == v.name && v.name != ""
 	}
 }
 
@@ -84,7 +83,8 @@
 // stream whose only target is lost or replaced can't go on.
 const minVersionTargets = 2
 
-// fitsNew returns the function that reports whether a target may begin a stream; nil if any of the targets may.
+// fitsNew returns the function that reports whether a target may begin a stream; nil if any of the targets may. Provisional targets
+// soon register under a version.
 func fitsNew(targets []*directory.Target) func(*directory.Target) bool {
 	counts := map[string]int{}
 	for _, target := range targets {
@@ -94,11 +94,21 @@
 	if !slices.ContainsFunc(targets, lasting) {
 		return nil
 	}
-	return lasting
+	return func(target *directory.Target) bool { return target.Provisional || lasting(target) }
+}
+
+// updateVersion replaces the version of a target that had not registered by the one under which it has registered since.
+func (run *relayRun) updateVersion(targets []*directory.Target) {
+	if name := directory.RegisteredVersion(run.version.name, targets); name != run.version.name {
+		run.log("stream-version-registered", Field{"version", name}, Field{"before", run.version.name})
+		run.version.name = name
+		run.versionChanged = true
+	}
 }
 
 // placementFits returns the function that reports whether the next attempt may be placed at a target; nil for any.
 func (run *relayRun) placementFits(available []*directory.Target) func(*directory.Target) bool {
+	run.updateVersion(available)
 	if run.version.known || run.servesOneVersion() {
 		return run.version.fits(available)
 	}
@@ -113,6 +123,7 @@
 // targets returns the available targets at which the stream may go on.
 func (run *relayRun) targets() []*directory.Target {
 	available := run.relay.options.Targets(run.request.Service)
+	run.updateVersion(available)
 	fits := run.version.fits(available)
 	if fits == nil {
 		return available
@@ -120,6 +131,12 @@
 	return slices.DeleteFunc(slices.Clone(available), func(target *directory.Target) bool { return !fits(target) })
 }
 
+// mayFitOnceRegistered reports whether a provisional target may turn out to have the stream's version.
+func (run *relayRun) mayFitOnceRegistered() bool {
+	available := run.relay.options.Targets(run.request.Service)
+	return run.version.known && slices.ContainsFunc(available, func(t *directory.Target) bool { return directory.IsProvisionalVersion(t.Version) })
+}
+
 // StreamVersions is the port to the versions that began streams, which entries share. No request is held up for long.
 type StreamVersions interface {
 	// ShareVersion has other entries know the version that began the stream of a request, before its first event goes
@@ -202,11 +219,13 @@
 // shareVersion has other entries know the version of the stream, once streams of several versions may be taken up.
 func (run *relayRun) shareVersion(ctx context.Context) {
 	now := time.Now()
-	isDue := run.versionSharedAt.IsZero() || now.Sub(run.versionSharedAt) >= versionRenewal
-	if !run.version.known || !isDue || run.isOnlyVersion(run.version) {
+	run.updateVersion(run.relay.options.Targets(run.request.Service))
+	isDue := run.versionSharedAt.IsZero() || run.versionChanged || now.Sub(run.versionSharedAt) >= versionRenewal
+	isCorrection := run.versionChanged && !run.versionSharedAt.IsZero()
+	if !run.version.known || !isDue || !isCorrection && run.isOnlyVersion(run.version) {
 		return
 	}
-	run.versionSharedAt = now
+	run.versionSharedAt, run.versionChanged = now, false
 	peers := run.relay.options.Versions.ShareVersion(ctx, run.request, run.version.name)
 	run.log("stream-version-shared", Field{"version", run.version.name}, Field{"peers", peers})
 }
@@ -216,7 +235,9 @@
 func (a *activeAttempt) bindVersion() error {
 	run := a.run
 	now := versionOf(a.target)
-	for _, target := range run.relay.options.Targets(run.request.Service) {
+	available := run.relay.options.Targets(run.request.Service)
+	run.updateVersion(available)
+	for _, target := range available {
 		if target.ID == a.target.ID && target.Address == a.target.Address {
 			now = versionOf(target)
 		}
--- a/generation/relayversion_test.go
+++ b/generation/relayversion_test.go
@@ -275,3 +275,62 @@
 		is.Equal(versions.ended, []string{"r true"})
 	})
 }
+
+// Guards against a stream that goes on through an engine which replaced another and has not registered: it may run other software.
+func TestStreamCrossesUnregisteredEnginesOnlyOnceTheirVersionIsKnown(t *testing.T) {
+	broken := io.ErrUnexpectedEOF
+	begun := func(events ...int64) []script {
+		return []script{{events: events, pause: 50 * time.Millisecond, end: broken}}
+	}
+	whole := func(events ...int64) []script { return []script{{events: events, end: io.EOF}} }
+	for _, each := range []struct {
+		name     string
+		versions []string
+		scripts  map[string][]script
+		// registersAs is the version under which c registers after a second; empty if it never does.
+		registersAs string
+		beginsAtC   bool
+		events      []int64
+		err         error
+	}{
+		{"v1 waits for c", []string{"v1", "v2", ""}, map[string][]script{"a": begun(1, 2), "b": whole(3, 4), "c": whole(3, 4)}, "v1", false, []int64{1, 2, 3, 4}, nil},
+		{"c turns out to be v2", []string{"v1", "v2", ""}, map[string][]script{"a": begun(1, 2), "b": whole(3, 4), "c": whole(3, 4)}, "v2", false, []int64{1, 2}, ErrRelayBroken},
+		{"c never registers", []string{"v1", "v2", ""}, map[string][]script{"a": begun(1, 2), "b": whole(3, 4), "c": whole(3, 4)}, "", false, []int64{1, 2}, ErrRelayBroken},
+		{"began at c, goes on there", []string{"v1", "v1", ""}, map[string][]script{"c": {{events: []int64{1, 2}, end: broken}, {events: []int64{3, 4}, end: io.EOF}}, "b": whole(3, 4)}, "", true, []int64{1, 2, 3, 4}, nil},
+		{"began at c, which registers as v1", []string{"v1", "v1", ""}, map[string][]script{"c": {{events: []int64{1, 2}, pause: 400 * time.Millisecond, end: broken}}, "a": whole(3, 4), "b": whole(3, 4)}, "v1", true, []int64{1, 2, 3, 4}, nil},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newVersionFixture(each.versions, each.scripts)
+				c := f.openTargets[2]
+				c.Provisional, c.StartUnknown, c.Version = true, true, "unregistered/c"
+				if each.beginsAtC {
+					f.openTargets = []*directory.Target{c, f.openTargets[0], f.openTargets[1]}
+				} else {
+					defer time.AfterFunc(120*time.Millisecond, func() { // a ends
+						f.mu.Lock()
+						defer f.mu.Unlock()
+						f.openTargets = slices.Clone(f.openTargets[1:])
+					}).Stop()
+				}
+				timer := time.AfterFunc(time.Second, func() {
+					f.mu.Lock()
+					defer f.mu.Unlock()
+					if each.registersAs == "" {
+						return
+					}
+					registered := *c
+					registered.Provisional, registered.StartUnknown, registered.Version, registered.StartedMs = false, false, each.registersAs, 9
+					f.openTargets = slices.Clone(f.openTargets)
+					f.openTargets[slices.Index(f.openTargets, c)] = &registered
+				})
+				defer timer.Stop()
+				sink := &recordingSink{}
+				err := f.relay.Run(t.Context(), relayRequest(), sink)
+				is.Equal(err, each.err)
+				is.Equal(sink.events, each.events)
+			})
+		})
+	}
+}
