Expect a stream of a stopping entry to take as long as others of its kind

Cause: the time that a stream would take was one moving mean over all routes, which frequent short streams set. Ruled out: an early end of the grace, and a decision taken before the body was read.

Change: the longest of the last 128 to 256 streams of the same route and power of two of the maximum length counts, times 1.2; with fewer than three of them 6 s are expected. From 3 s after the SIGTERM a stream must also end in time if its target is silent for up to 2 s. The others are refused at once.

The test of the former mean names the route and length now; its bounds are the same.

--- a/adapters/passthrough/admit.go
+++ b/adapters/passthrough/admit.go
@@ -25,7 +25,7 @@
 	if rejected := c.match(); rejected != nil {
 		return rejected
 	}
-	if !c.handler.options.Accepts(c.route, c.deadline) {
+	if !c.handler.options.Accepts(c.route, c.header.OutputTokens, c.deadline) {
 		return stoppingAnswer
 	}
 	if rejected := c.readBody(c.snapshot.Configuration.Limits.BodyBytes); rejected != nil {
@@ -38,7 +38,7 @@
 			return rejected
 		}
 	}
-	if !c.handler.options.Accepts(c.route, c.deadline) {
+	if !c.handler.options.Accepts(c.route, c.header.OutputTokens, c.deadline) {
 		return stoppingAnswer
 	}
 	return nil
--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -28,9 +28,10 @@
 	Forwarder *service.Forwarder
 	// Draining reports whether the entry is about to stop: callers are asked to close their connections.
 	Draining func() bool
-	// Accepts reports whether a request of the route, whose caller waits until the deadline, may start; it may not if the
+	// Accepts reports whether a request of the route, whose answer has up to that many tokens (0 if unknown) and whose caller waits
+	// until the deadline, may start; it may not if the
 	// shutdown would cut it off.
-	Accepts func(route *directory.Route, deadline time.Time) bool
+	Accepts func(route *directory.Route, outputTokens int, deadline time.Time) bool
 	// Stopped ends when the requests in progress must be answered, since the process is about to exit.
 	Stopped context.Context
 	// WaitReady waits until a snapshot is ready, up to limit.
@@ -45,9 +46,11 @@
 type Observation struct {
 	Class directory.Class
 	// Route is the name of the route; empty if there is none.
-	Route  string
-	Status int
-	Took   time.Duration
+	Route string
+	// OutputTokens is the maximum length of the answer; 0 if unknown.
+	OutputTokens int
+	Status       int
+	Took         time.Duration
 	// Dispatched reports that the request was admitted, so that targets may have got it.
 	Dispatched bool
 }
@@ -165,7 +168,9 @@
 		fields = append(fields, generation.Field{Key: "route", Value: c.route.Name}, generation.Field{Key: "service", Value: c.service})
 	}
 	c.handler.options.Log("request-ended", fields...)
-	c.handler.options.Observe(Observation{Class: class, Route: route, Status: status, Took: took, Dispatched: c.dispatched})
+	c.handler.options.Observe(Observation{
+		Class: class, Route: route, OutputTokens: c.header.OutputTokens, Status: status, Took: took, Dispatched: c.dispatched,
+	})
 }
 
 // abort closes the caller's connection, so that the caller does not take a partial answer for a complete one.
--- a/directory/provisionalversion_test.go
+++ b/directory/provisionalversion_test.go
@@ -11,7 +11,9 @@
 // reports answers for the engines at addresses.
 type reports map[string]EngineReport
 
-func (r reports) Identify(_ context.Context, address string) (EngineReport, error) { return r[address], nil }
+func (r reports) Identify(_ context.Context, address string) (EngineReport, error) {
+	return r[address], nil
+}
 
 // Guards against a provisional target that is taken to run the software of the target that it replaced: streams went on at another version.
 func TestProvisionalTargetHasAVersionOfItsOwnUntilItRegisters(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -249,8 +249,8 @@
 		Forwarder: e.forwarder,
 		WaitReady: e.directory.WaitReady,
 		Draining:  e.shutdown.stopping,
-		Accepts: func(route *directory.Route, deadline time.Time) bool {
-			return e.shutdown.accepts(route, deadline, time.Now())
+		Accepts: func(route *directory.Route, outputTokens int, deadline time.Time) bool {
+			return e.shutdown.accepts(route, outputTokens, deadline, time.Now())
 		},
 		Stopped: e.stopped,
 		Log:     e.log,
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -52,7 +52,7 @@
 	e.counters.observe(o)
 	switch {
 	case o.Class == directory.Stream && o.Status == http.StatusOK:
-		e.shutdown.streamEnded(o.Took)
+		e.shutdown.streamEnded(o.Route, o.OutputTokens, o.Took)
 	case o.Class != directory.Stream && o.Dispatched && o.Status != 0 && o.Status < http.StatusInternalServerError:
 		e.shutdown.callEnded(o.Route, o.Took)
 	}
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math/bits"
 	"sync"
 	"time"
 
@@ -25,26 +26,33 @@
 
 // shutdown decides which requests a draining entry still accepts. In a rolling restart under load, new
 // requests are accepted as long as they are expected to finish in time: both a rejected request and a
-// broken stream would cost the caller a retry. It is safe for concurrent use.
+// broken stream would cost the caller a retry, and the work on a broken stream is lost. It is safe for concurrent use.
 type shutdown struct {
 	grace time.Duration
 
 	mu sync.Mutex
 	// beganAt is the start of the shutdown; zero before.
 	beganAt time.Time
-	// meanStreamTime is the moving mean of the duration of completed streams.
-	meanStreamTime time.Duration
+	// streamTimes are the longest recent durations of completed streams, by kind.
+	streamTimes map[streamKind]*longestTime
 	// callTimes are the longest recent durations of calls, by route.
 	callTimes map[string]time.Duration
 }
 
 const (
-	// initialStreamTime is the initial value of the mean, before any stream has completed.
-	initialStreamTime = 6 * time.Second
-	// streamTimeWeight is the weight of the newest duration in the moving mean.
-	streamTimeWeight = 0.1
-	// streamTimeMargin is the multiple of the mean that is taken as the maximum duration of a stream.
+	// unknownStreamTime is the expected duration of streams of a kind of which fewer than minStreams have completed, if these
+	// took less.
+	unknownStreamTime = 6 * time.Second
+	minStreams        = 3
+	// streamTimeMargin is the multiple of the longest recent duration that is taken as the maximum duration of a stream.
 	streamTimeMargin = 1.2
+	// lateAfter is the time after the start of the shutdown from which a stream is only accepted if it also ends in time when
+	// its target falls silent for silenceAllowance: sound targets do so for a second or so, and a stream that begins late could
+	// not be expected by its caller to be cut.
+	lateAfter        = 3 * time.Second
+	silenceAllowance = 2 * time.Second
+	// maxStreamKinds limits the kinds of streams that are observed.
+	maxStreamKinds = 4096
 	// unknownCallTime is the expected duration of calls on a route that has no latency objective and none so far.
 	unknownCallTime = time.Second
 	// callTimeDecay is the share by which a shorter call lowers the expected duration.
@@ -56,7 +64,7 @@
 )
 
 func newShutdown(grace time.Duration) *shutdown {
-	return &shutdown{grace: grace, meanStreamTime: initialStreamTime, callTimes: map[string]time.Duration{}}
+	return &shutdown{grace: grace, streamTimes: map[streamKind]*longestTime{}, callTimes: map[string]time.Duration{}}
 }
 
 // begin starts the shutdown; further calls change nothing.
@@ -75,11 +83,63 @@
 	return !s.beganAt.IsZero()
 }
 
-// streamEnded adds the duration of a completed stream to the moving mean.
-func (s *shutdown) streamEnded(took time.Duration) {
+// streamKind are the streams of a route whose maximum lengths have the same power of two: how long a stream takes depends on both.
+type streamKind struct {
+	route      string
+	lengthBits int
+}
+
+func streamKindOf(route string, outputTokens int) streamKind {
+	return streamKind{route, bits.Len(uint(max(0, outputTokens)))}
+}
+
+// longestTime is the longest of the last durations: of those since the last turn, which comes every longestTurn durations, and of those
+// between the last two.
+type longestTime struct {
+	count             int
+	current, previous time.Duration
+}
+
+// longestTurn is the number of durations after which a longest one begins to be forgotten.
+const longestTurn = 128
+
+func (l *longestTime) observe(took time.Duration) {
+	if l.count > 0 && l.count%longestTurn == 0 {
+		l.previous, l.current = l.current, 0
+	}
+	l.count++
+	l.current = max(l.current, took)
+}
+
+func (l *longestTime) longest() time.Duration { return max(l.current, l.previous) }
+
+// streamEnded records the duration of a completed stream.
+func (s *shutdown) streamEnded(route string, outputTokens int, took time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.meanStreamTime += time.Duration(streamTimeWeight * float64(took-s.meanStreamTime))
+	kind := streamKindOf(route, outputTokens)
+	known := s.streamTimes[kind]
+	if known == nil {
+		if len(s.streamTimes) >= maxStreamKinds {
+			return
+		}
+		known = &longestTime{}
+		s.streamTimes[kind] = known
+	}
+	known.observe(took)
+}
+
+// expectedStreamTime returns how long a stream of the route, of up to that many tokens, may take.
+func (s *shutdown) expectedStreamTime(route *directory.Route, outputTokens int) time.Duration {
+	known := s.streamTimes[streamKindOf(route.Name, outputTokens)]
+	if known == nil {
+		return unknownStreamTime
+	}
+	expected := time.Duration(streamTimeMargin * float64(known.longest()))
+	if known.count < minStreams {
+		return max(expected, unknownStreamTime)
+	}
+	return expected
 }
 
 // callEnded records the duration of a call of the route.
@@ -107,8 +167,9 @@
 	return unknownCallTime
 }
 
-// accepts reports whether a new request of the route, whose caller waits until the deadline, may be accepted now.
-func (s *shutdown) accepts(route *directory.Route, deadline, now time.Time) bool {
+// accepts reports whether a new request of the route, whose answer has up to that many tokens and whose caller waits until the
+// deadline, may be accepted now.
+func (s *shutdown) accepts(route *directory.Route, outputTokens int, deadline, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.beganAt.IsZero() {
@@ -119,7 +180,10 @@
 	if route.Class != directory.Stream {
 		return since < time.Duration(acceptCallsShare*float64(s.grace)) && since+min(s.expectedCallTime(route), deadline.Sub(now)) < end
 	}
-	expected := time.Duration(streamTimeMargin * float64(s.meanStreamTime))
+	expected := s.expectedStreamTime(route, outputTokens)
+	if since >= lateAfter {
+		expected += silenceAllowance
+	}
 	return since+expected < end
 }
 
--- a/entry/shutdown_test.go
+++ b/entry/shutdown_test.go
@@ -17,24 +17,24 @@
 	booking := &directory.Route{Name: "book", Class: directory.AtMostOnce, LatencyObjective: 100 * time.Millisecond}
 	lookup := &directory.Route{Name: "find", Class: directory.Idempotent, LatencyObjective: 100 * time.Millisecond}
 	for range 100 {
-		s.streamEnded(5 * time.Second)
+		s.streamEnded("drafts", 500, 5*time.Second)
 	}
-	is.True(s.accepts(stream, now.Add(time.Minute), now))
+	is.True(s.accepts(stream, 500, now.Add(time.Minute), now))
 	is.True(!s.stopping())
 	s.begin(now)
 	is.True(s.stopping())
-	is.True(s.accepts(stream, now.Add(time.Minute), now.Add(time.Second)))    // expected to end at 7 s
-	is.True(!s.accepts(stream, now.Add(time.Minute), now.Add(2*time.Second))) // would be aborted
-	is.True(s.accepts(booking, now.Add(time.Minute), now.Add(6*time.Second))) // takes milliseconds
-	is.True(!s.accepts(lookup, now.Add(time.Minute), now.Add(7*time.Second)))
+	is.True(s.accepts(stream, 500, now.Add(time.Minute), now.Add(time.Second)))    // expected to end at 7 s
+	is.True(!s.accepts(stream, 500, now.Add(time.Minute), now.Add(2*time.Second))) // would be aborted
+	is.True(s.accepts(booking, 0, now.Add(time.Minute), now.Add(6*time.Second)))   // takes milliseconds
+	is.True(!s.accepts(lookup, 0, now.Add(time.Minute), now.Add(7*time.Second)))
 	s.callEnded("book", time.Second)
-	is.True(!s.accepts(booking, now.Add(time.Minute), now.Add(6500*time.Millisecond)))          // would be cut off at 7.5 s
-	is.True(s.accepts(booking, now.Add(7200*time.Millisecond), now.Add(6500*time.Millisecond))) // its caller gives up before
-	is.True(s.accepts(lookup, now.Add(time.Minute), now.Add(6500*time.Millisecond)))            // other calls take less
+	is.True(!s.accepts(booking, 0, now.Add(time.Minute), now.Add(6500*time.Millisecond)))          // would be cut off at 7.5 s
+	is.True(s.accepts(booking, 0, now.Add(7200*time.Millisecond), now.Add(6500*time.Millisecond))) // its caller gives up before
+	is.True(s.accepts(lookup, 0, now.Add(time.Minute), now.Add(6500*time.Millisecond)))            // other calls take less
 	for range 300 {
 		s.callEnded("book", time.Millisecond)
 	}
-	is.True(s.accepts(booking, now.Add(time.Minute), now.Add(6500*time.Millisecond)))
+	is.True(s.accepts(booking, 0, now.Add(time.Minute), now.Add(6500*time.Millisecond)))
 	is.True(!s.shouldExit(now.Add(2*time.Second), 0)) // the platform still routes connections here
 	is.True(s.shouldExit(now.Add(3*time.Second), 0))
 	is.True(!s.shouldExit(now.Add(7*time.Second), 1))
@@ -52,3 +52,64 @@
 	is.True(!s.lasts(10*time.Second, now.Add(time.Second)))
 	is.True(!s.lasts(1500*time.Millisecond, now.Add(7*time.Second)))
 }
+
+// Guards against long streams that an entry accepts late in its stop, since it has seen many short ones end, or none of their kind,
+// and that it cuts as its grace ends.
+func TestShutdownAcceptsStreamsByHowLongTheirKindTakes(t *testing.T) {
+	const grace, short, long = 8 * time.Second, 600 * time.Millisecond, 4 * time.Second
+	const shortTokens, longTokens = 100, 650
+	history := &directory.Route{Name: "history", Class: directory.Stream}
+	summary := &directory.Route{Name: "summary", Class: directory.Stream}
+	now := time.Unix(1000, 0)
+	deadline := now.Add(time.Minute)
+	for _, each := range []struct {
+		name string
+		seen func(s *shutdown)
+		// tokens are those of the stream on history that is tried, and took how long it takes.
+		tokens int
+	}{
+		{"long ones are on another route", func(s *shutdown) {
+			for range 12 {
+				s.streamEnded("history", longTokens, long)
+			}
+		}, longTokens},
+		{"none of the route seen", func(*shutdown) {}, longTokens},
+		{"few of the route seen, all short", func(s *shutdown) { s.streamEnded("history", longTokens, short) }, longTokens},
+		{"short ones on the same route", func(s *shutdown) {
+			for range 500 {
+				s.streamEnded("history", shortTokens, short)
+			}
+		}, longTokens},
+		{"one in a hundred is long", func(s *shutdown) {
+			for i := range 500 {
+				s.streamEnded("history", longTokens, short)
+				if i%100 == 50 {
+					s.streamEnded("history", longTokens, long)
+				}
+			}
+		}, longTokens},
+		{"lengths unknown", func(s *shutdown) {
+			for range 20 {
+				s.streamEnded("history", 0, long)
+			}
+		}, 0},
+	} {
+		t.Run(each.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newShutdown(grace)
+			for range 1000 {
+				s.streamEnded("summary", shortTokens, short)
+			}
+			each.seen(s)
+			s.begin(now)
+			for since := time.Duration(0); since < grace; since += 100 * time.Millisecond {
+				accepted := s.accepts(history, each.tokens, deadline, now.Add(since))
+				if since >= lateAfter {
+					is.True(!accepted || since+long+time.Second < 94*grace/100) // also if its target falls silent for a second
+				}
+				is.True(!accepted || since+long < 94*grace/100)
+			}
+			is.True(s.accepts(summary, shortTokens, deadline, now.Add(4500*time.Millisecond))) // these end in time
+		})
+	}
+}
