Keep streams at silent engines while no other takes them

What callers saw (the users' own runs, LOST around changes of the configuration and SIGTERMs): answers of streams that ended without their rest, beside sound engines that write nothing for a second.

Cause: after 0.5 s of silence a stream leaves its engine. Under load the others refuse it, each try costs the retry budget, and once that is spent, or after twelve tries, the answer is cut. Ruled out: deadlines (no cut stream was near its own) and the change itself (all cut streams end with "stream can't be continued" after stalled and refused attempts).

One that was moved isn't ended by refusals or a spent budget, but waits for both until its deadline, with pauses.

Why it works: what a sound engine holds is only given up for a target that is likely to be better, and the stream outlasts the wait for room.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -229,6 +229,7 @@
 		Connectivity:    e.connectivity,
 		Detour:          relayDetour{e.router},
 		CrashRecords:    e.crashRecords,
+		Stopping:        e.shutdown.stopping,
 		Versions:        sharedVersions{e.versions},
 		Prompts:         e.prompts,
 		Log:             e.log,
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -25,6 +25,8 @@
 	// AddressMismatch is called on an address mismatch: the target with the ID found, empty when unknown,
 	// answered at target's address. Nil ignores mismatches.
 	AddressMismatch func(target *directory.Target, found string)
+	// Stopping reports whether this process is about to exit; nil means that it never is.
+	Stopping func() bool
 	// Versions shares the versions that began streams; nil shares none.
 	Versions StreamVersions
 	// Prompts locates the cached prompts of streams that callers resume; nil locates none.
@@ -61,6 +63,9 @@
 	if options.Limits == nil {
 		options.Limits = unlimitedTargets{}
 	}
+	if options.Stopping == nil {
+		options.Stopping = func() bool { return false }
+	}
 	if options.Versions == nil {
 		options.Versions = unsharedVersions{}
 	}
@@ -116,6 +121,8 @@
 	// attempt.
 	moves       int
 	moveClaimed bool
+	// moveRefusals counts the refusals in a row since the stream was moved.
+	moveRefusals int
 	// onTrial is true while the request is let through although parts of its prompt are refused.
 	onTrial bool
 	// version is the software version that began the stream; versionSharedAt is when other entries were told last.
@@ -163,7 +170,7 @@
 
 // runAttempts makes attempts until the stream is complete or can't be resumed.
 func (run *relayRun) runAttempts(ctx context.Context) error {
-	r, request := run.relay, run.request
+	request := run.request
 	for {
 		if err := run.rejectPoison(); err != nil {
 			return err
@@ -171,6 +178,9 @@
 		if err := run.awaitConnectivity(ctx); err != nil {
 			return run.finalError(contextEnding(ctx), err)
 		}
+		if err := run.awaitBudget(ctx); err != nil {
+			return run.finalError(contextEnding(ctx), err)
+		}
 		target := run.chooseTarget()
 		if target == nil {
 			if run.awaitTarget(ctx) {
@@ -182,7 +192,7 @@
 			return run.failureError(ErrNoTarget)
 		}
 		run.noTargetSince = time.Time{}
-		if run.attempts > 0 && !run.moveClaimed && !r.options.Budget.Spend(request.Service, run.retryUrgency()) {
+		if run.attempts > 0 && !run.moveClaimed && !run.relay.options.Budget.Spend(request.Service, run.retryUrgency()) {
 			return run.failureError(errBudgetSpent)
 		}
 		run.moveClaimed = false
@@ -190,7 +200,7 @@
 		input := retryInput{
 			ending: ending, resumable: run.resumable(),
 			attemptsRun: run.attemptsRun, maxAttempts: request.MaxAttempts, attempts: run.attempts,
-			remaining: time.Until(request.Deadline),
+			moved: run.hasMoved(), remaining: time.Until(request.Deadline),
 		}
 		step := nextStep(input)
 		run.log("attempt-ended", Field{"target", target.ID}, Field{"ending", ending}, Field{"last_event", run.lastEvent},
@@ -201,6 +211,7 @@
 		if step == stepFinish {
 			return run.finalError(ending, err)
 		}
+		run.awaitRoom(ctx, ending)
 	}
 }
 
@@ -221,7 +232,7 @@
 	if run.noTargetSince.IsZero() {
 		run.noTargetSince = time.Now()
 	}
-	return time.Since(run.noTargetSince) < maxTargetWait && wait.For(ctx, targetPollInterval) == nil
+	return (run.hasMoved() || time.Since(run.noTargetSince) < maxTargetWait) && wait.For(ctx, targetPollInterval) == nil
 }
 
 // resumable reports whether another target can continue the stream where it is now.
@@ -639,7 +650,7 @@
 		}
 		a.copier.checkCopy(ctx, now)
 		step := judgeSilence(silenceInput{
-			limits:  silenceLimitsFor(a.run.request, a.eventCount > 0, &a.gaps, a.run.moves),
+			limits:  a.silenceLimits(now),
 			silence: a.silence(now), sinceProbe: now.Sub(lastProbe), hasProbe: lastProbe.After(a.lastProgress),
 			probeAnswered: probeAnswered,
 		})
@@ -736,6 +747,7 @@
 	}
 	a.eventCount++
 	a.lastProgress = now
+	a.monitor.lastEvent.Store(now.UnixNano())
 	a.placed.PrefillDone()
 	if err := a.forwardEvent(message.event); err != nil {
 		if errors.Is(err, errCallerWrite) {
--- a/generation/relaydecide.go
+++ b/generation/relaydecide.go
@@ -1,10 +1,8 @@
 package generation
 
 import (
-	"slices"
 	"time"
 
-	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/health"
 )
 
@@ -49,6 +47,8 @@
 	attemptsRun, maxAttempts int
 	// attempts counts all attempts.
 	attempts int
+	// moved reports that the stream left a target that was only silent, and went on there perhaps.
+	moved bool
 	// remaining is the time until the deadline.
 	remaining time.Duration
 }
@@ -82,6 +82,9 @@
 		}
 		return stepRetry
 	case endingRefused:
+		if in.moved && in.remaining >= minAttemptTime {
+			return stepRetry // the answer could have been complete by now, had it not been given up for this
+		}
 	default:
 		if !in.resumable || in.attemptsRun >= in.maxAttempts {
 			return stepFinish
@@ -152,31 +155,6 @@
 	return silenceLimits{probeAfter: gaps.SilenceLimit(probeSensitivity), probeInterval: silentProbeInterval, stallTimeout: stall}
 }
 
-// claimMove reports whether a stream that stalls at a target is moved: another attempt is allowed, another target could take it
-// up, and the retry budget pays for it. Otherwise it stays, since an answer that goes on slowly is worth more than none.
-func (run *relayRun) claimMove(from *directory.Target) bool {
-	input := retryInput{
-		ending: endingStalled, resumable: run.resumable(), attemptsRun: run.attemptsRun + 1, maxAttempts: run.request.MaxAttempts,
-		attempts: run.attempts, remaining: time.Until(run.request.Deadline),
-	}
-	if nextStep(input) != stepRetry || !run.hasOtherTarget(from) {
-		return false
-	}
-	if !run.relay.options.Budget.Spend(run.request.Service, run.retryUrgency()) {
-		return false
-	}
-	run.moveClaimed = true
-	run.moves++
-	return true
-}
-
-// hasOtherTarget reports whether a target besides one may take the stream up that has not failed it.
-func (run *relayRun) hasOtherTarget(from *directory.Target) bool {
-	return slices.ContainsFunc(run.targets(), func(target *directory.Target) bool {
-		return target.ID != from.ID && !slices.Contains(run.exclude, target.ID)
-	})
-}
-
 func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
 // silenceInput is what the judgement of an attempt's silence depends on.
--- a/generation/relaymonitor.go
+++ b/generation/relaymonitor.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/azurebarrow/azurebarrow/directory"
 )
@@ -29,6 +31,8 @@
 	target    *directory.Target
 	streams   int
 	probeDone chan struct{} // closed when the probe in progress ends
+	// lastEvent is when the target last sent an event of any stream, in Unix nanoseconds; 0 if it has sent none.
+	lastEvent atomic.Int64
 	// answered reports whether the latest probe was answered, linkLost whether only peers reached the target.
 	answered, linkLost bool
 	// unreachable is closed when the target is found unreachable.
@@ -63,6 +67,24 @@
 	}
 }
 
+// otherSilence counts the targets, besides one, with open streams of its service: those that have sent an event since a time, and those
+// that sent some before it only.
+func (m *targetMonitors) otherSilence(than *directory.Target, since time.Time) (active, silent int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, monitor := range m.monitors {
+		last := monitor.lastEvent.Load()
+		switch {
+		case monitor.target.Service != than.Service || monitor.key == than.Key() || monitor.isUnreachable || last == 0:
+		case last > since.UnixNano():
+			active++
+		default:
+			silent++
+		}
+	}
+	return active, silent
+}
+
 // markUnreachable ends the attempts of all streams at the target.
 func (m *targetMonitors) markUnreachable(monitor *targetMonitor) {
 	m.mu.Lock()
