Limit the comments between two events of a stream

Cause: a comment counts as progress, and is passed on; only single events have a bound.

Change: after 64 KB of comments without an event the stream counts as broken off, and goes on at another engine.

Evidence: TestCommentsWithoutEndAreCutOff doesn't end without the bound. Why it works: comments that keep a connection open are a few bytes, some seconds apart.

--- a/adapters/passthrough/events.go
+++ b/adapters/passthrough/events.go
@@ -13,6 +13,8 @@
 
 var (
 	errEventTooLarge = errors.New("an event is larger than the bound")
+	// errOnlyComments: comments that keep a connection open are a few bytes each, some seconds apart.
+	errOnlyComments = errors.New("comments without events are larger than the bound")
 	// errTruncatedEvent: the body ended inside an event. It does not wrap io.EOF, which means a complete
 	// stream.
 	errTruncatedEvent = errors.New("the stream ended inside an event")
@@ -28,8 +30,13 @@
 	reader *bufio.Reader
 	// begun is true once a byte order mark, which may stand before the first event, has been looked for.
 	begun bool
+	// commentBytes counts the bytes of comments since the last event.
+	commentBytes int
 }
 
+// maxCommentBytes limits the comments between two events.
+const maxCommentBytes = 64 << 10
+
 // byteOrderMark is no part of the first line, and none of a stream that another target began.
 var byteOrderMark = []byte("\ufeff")
 
@@ -61,7 +68,7 @@
 		}
 		line := bytes.TrimRight(event.Bytes[lineStart:], "\r\n")
 		if len(line) == 0 && !onlyLineEnds {
-			return event, nil
+			return event, s.checkComments(event)
 		}
 		onlyLineEnds = onlyLineEnds && len(line) == 0
 		lineStart = len(event.Bytes)
@@ -79,6 +86,19 @@
 	}
 }
 
+// checkComments returns an error if too many comments have come without an event.
+func (s *eventScanner) checkComments(event generation.RelayEvent) error {
+	if !event.Comment {
+		s.commentBytes = 0
+		return nil
+	}
+	s.commentBytes += len(event.Bytes)
+	if s.commentBytes > maxCommentBytes {
+		return errOnlyComments
+	}
+	return nil
+}
+
 // skipByteOrderMark waits for no more bytes than it needs: a stream may begin with a single line end.
 func (s *eventScanner) skipByteOrderMark() {
 	for n := range len(byteOrderMark) {
--- a/adapters/passthrough/events_test.go
+++ b/adapters/passthrough/events_test.go
@@ -165,3 +165,30 @@
 		is.Equal(string(event.Bytes), text)
 	}
 }
+
+// Guards against a target that sends comments without end: the caller was kept waiting, and its link busy, until its deadline.
+func TestCommentsWithoutEndAreCutOff(t *testing.T) {
+	is := is.New(t)
+	endless := iotest.OneByteReader(&repeatingReader{text: ": comment\n\n"})
+	_, passed, err := scanAll(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\n"), endless))
+	is.Equal(err, errOnlyComments)
+	is.True(len(passed) <= maxCommentBytes+64)
+
+	comments := strings.Repeat(": still here\n\n", maxCommentBytes/20)
+	text := strings.Repeat(comments+"id: 1\ndata: a\n\n", 5) // as many before each event
+	_, passed, err = scanAll(strings.NewReader(text))
+	is.Equal(err, io.EOF)
+	is.Equal(string(passed), text)
+}
+
+// repeatingReader returns a text again and again.
+type repeatingReader struct {
+	text string
+	at   int
+}
+
+func (r *repeatingReader) Read(p []byte) (int, error) {
+	n := copy(p, r.text[r.at:])
+	r.at = (r.at + n) % len(r.text)
+	return n, nil
+}
