Bound the memory of large request bodies together

Cause: each body was read into a buffer that grows by copies, and copied for each attempt; nothing bounded their sum.

Change: bodies of more than 128 KB share 16 MB. One without room waits, unread, for a quarter of its caller's time in order of arrival, and is then refused with Retry-After. Its buffer has the right length from the start.

Why it works: what isn't read stays with its sender.

--- a/adapters/passthrough/admit.go
+++ b/adapters/passthrough/admit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -114,9 +113,10 @@
 		return nil
 	}
 	control := http.NewResponseController(c.writer)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // if unsupported, the server's own timeouts apply
+	wait := time.Duration(bodyRoomShare * float64(time.Until(c.deadline)))
+	_ = control.SetReadDeadline(time.Now().Add(wait + bodyTimeout)) // if unsupported, the server's own timeouts apply
 	stopReading := context.AfterFunc(c.http.Context(), func() { _ = control.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.http.Body, limit))
+	body, release, err := c.handler.bodies.read(c.http.Context(), http.MaxBytesReader(c.writer, c.http.Body, limit), c.http.ContentLength, limit, wait)
 	if stopReading() {
 		_ = control.SetReadDeadline(time.Time{})
 	}
@@ -126,9 +126,11 @@
 		return &errorAnswer{status: http.StatusRequestEntityTooLarge, reason: "body larger than " + strconv.FormatInt(limit, 10)}
 	case err != nil && c.isCutOff():
 		return stoppingAnswer
+	case errors.Is(err, errNoBodyRoom):
+		return &errorAnswer{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: bodyRetryAfter}
 	case err != nil:
 		return &errorAnswer{status: http.StatusBadRequest, reason: "body: " + err.Error()}
 	}
-	c.body = body
+	c.body, c.releaseBody = body, release
 	return nil
 }
--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -56,10 +56,15 @@
 }
 
 // Handler serves callers. It implements http.Handler.
-type Handler struct{ options Options }
+type Handler struct {
+	options Options
+	bodies  *bodyMemory
+}
 
 // NewHandler returns a Handler.
-func NewHandler(options Options) *Handler { return &Handler{options: options} }
+func NewHandler(options Options) *Handler {
+	return &Handler{options: options, bodies: newBodyMemory()}
+}
 
 const (
 	// defaultWait is the timeout of requests whose caller does not say how long it waits.
@@ -76,6 +81,8 @@
 	stopRetryAfter = 20 * time.Millisecond
 	// startRetryAfter is the Retry-After of an entry without a snapshot, while the store does not answer.
 	startRetryAfter = 300 * time.Millisecond
+	// bodyRetryAfter is the Retry-After of a request whose body found no room: large bodies are sent on within tenths of a second.
+	bodyRetryAfter = 300 * time.Millisecond
 )
 
 // request is one request of a caller while it is served.
@@ -93,6 +100,8 @@
 	priority *int
 	snapshot *directory.Snapshot
 	body     []byte
+	// releaseBody frees the memory that the body takes of that of all bodies; nil for a small one.
+	releaseBody func()
 	// dispatched is set once the request is admitted.
 	dispatched bool
 }
@@ -109,6 +118,11 @@
 	// Prevents net/http from adding fields that the target did not send.
 	w.Header()["Date"] = nil
 	w.Header()["Content-Type"] = nil
+	defer func() {
+		if call.releaseBody != nil {
+			call.releaseBody()
+		}
+	}()
 	if rejected := call.admit(); rejected != nil {
 		call.writeError(rejected)
 		return
