Bound the memory of large requests that a peer sends for others

What callers would see: entries with cut links send large bodies through one peer, whose memory is exceeded; all requests in progress there end.

Cause: a peer reads each request that it is asked to send as a whole, up to 64 MB, and nothing bounds their sum.

Change: requests of more than 128 KB share 16 MB at a peer; one without room is refused, so that another peer is asked.

Evidence: TestPeerRefusesLargeRequestsBeyondItsMemory doesn't end without the bound, since all requests are sent. Why it works: a refusal before anything was sent is an outcome that entries already act on.

--- a/adapters/peerexchange/handler.go
+++ b/adapters/peerexchange/handler.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
 	"github.com/azurebarrow/azurebarrow/detour"
 	"github.com/azurebarrow/azurebarrow/internal/httpheader"
@@ -30,10 +32,16 @@
 }
 
 // Handler sends requests of peers to targets.
-type Handler struct{ options HandlerOptions }
+type Handler struct {
+	options HandlerOptions
+	// room is the memory for large requests of peers.
+	room *semaphore.Weighted
+}
 
 // NewHandler returns a Handler.
-func NewHandler(options HandlerOptions) *Handler { return &Handler{options} }
+func NewHandler(options HandlerOptions) *Handler {
+	return &Handler{options: options, room: semaphore.NewWeighted(maxLargeRequestsBytes)}
+}
 
 // Register adds the handler's paths to a mux. The handler of exchanges is wrapped.
 func (h *Handler) Register(mux *http.ServeMux, wrap func(http.Handler) http.Handler) {
@@ -103,6 +111,12 @@
 		writeResult(w, detour.Result{Outcome: outcome})
 		return
 	}
+	release, hasRoom := h.reserve(r.ContentLength)
+	if !hasRoom {
+		writeResult(w, detour.Result{Outcome: detour.Refused})
+		return
+	}
+	defer release()
 	request, err := readRequest(http.MaxBytesReader(w, r.Body, maxRequestBytes), r.Header.Get(fieldIDHeader))
 	if err != nil {
 		writeResult(w, detour.Result{Outcome: detour.Refused})
@@ -119,6 +133,19 @@
 	}
 }
 
+// reserve takes memory for a request of a length, -1 if unknown, until release is called. It reports whether there was enough: a peer
+// without room refuses, and another one may help.
+func (h *Handler) reserve(length int64) (release func(), hasRoom bool) {
+	if length < 0 {
+		length = maxRequestBytes
+	}
+	if length <= smallRequestBytes {
+		return func() {}, true
+	}
+	length = min(length, maxLargeRequestsBytes) // a larger one is held alone
+	return func() { h.room.Release(length) }, h.room.TryAcquire(length)
+}
+
 // exchange sends the request and passes the answer on. If nothing was sent, nothing is passed on either.
 func (h *Handler) exchange(ctx context.Context, w http.ResponseWriter, target detour.Target, request *targethttp.Request) detour.Result {
 	answer, err := h.options.Send(ctx, target, request)
--- a/adapters/peerexchange/peerexchange_test.go
+++ b/adapters/peerexchange/peerexchange_test.go
@@ -276,3 +276,47 @@
 	}
 	is.Equal(client.pool.DialCount(), int64(1))
 }
+
+// Guards against a peer whose memory is exceeded by large requests that it sends for other entries.
+func TestPeerRefusesLargeRequestsBeyondItsMemory(t *testing.T) {
+	is := is.New(t)
+	const size = 5 << 20
+	const requests, fitting = 8, maxLargeRequestsBytes / size
+	arrived := make(chan struct{}, requests)
+	finish := make(chan struct{})
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(idHeader, r.Header.Get(idHeader))
+		arrived <- struct{}{}
+		<-finish
+	}))
+	defer target.Close()
+	peer, client := newPeer(t), newClient()
+	outcomes := make(chan error, requests)
+	send := func(size int) {
+		answer, err := client.Do(t.Context(), peer, detour.Target{ID: "t", Address: target.Listener.Addr().String()}, 20*time.Second, &targethttp.Request{
+			Method: http.MethodPost, URI: "/x", Host: "h", Body: make([]byte, size), HasBody: true, IDHeader: idHeader, ID: "r", Header: http.Header{idHeader: {"r"}},
+		})
+		if err == nil {
+			answer.Close()
+		}
+		outcomes <- err
+	}
+	for range fitting {
+		go send(size)
+		<-arrived
+	}
+	for range requests - fitting {
+		go send(size)
+		is.Equal(ResultOf(<-outcomes).Outcome, detour.Refused)
+	}
+	go send(smallRequestBytes / 2) // needs no room
+	<-arrived
+	close(finish)
+	for range fitting + 1 {
+		is.NoErr(<-outcomes)
+	}
+	go send(size)
+	<-arrived
+	is.NoErr(<-outcomes)
+}
--- a/adapters/peerexchange/protocol.go
+++ b/adapters/peerexchange/protocol.go
@@ -42,8 +42,13 @@
 	outcomeHeldUp = "held-up"
 )
 
-// maxRequestBytes limits a request that a peer sends for another entry.
-const maxRequestBytes = 64 << 20
+const (
+	// maxRequestBytes limits a request that a peer sends for another entry.
+	maxRequestBytes = 64 << 20
+	// maxLargeRequestsBytes limits those of more than smallRequestBytes together, each until its exchange ends.
+	maxLargeRequestsBytes = 16 << 20
+	smallRequestBytes     = 128 << 10
+)
 
 // NotSentError reports that the peer sent nothing to the target.
 type NotSentError struct{ Result detour.Result }
