Count attempts whose answer is lost at a target that lives

Cause: a connection that breaks off was taken for the loss of its target, which max_attempts doesn't count; the target lived. Ruled out: refused attempts, which run nowhere, and plain calls, which count all that may have run.

Change: such an attempt counts if the target's incarnation is known and accepts a connection, which is only tried when the maximum depends on it. For the move of a stalled stream all of them count.

Why it works: what the limit doesn't count is an engine that ended, and one that ended accepts no connection.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -117,6 +117,8 @@
 	cachedAt string
 	// exclude are the targets that the next attempt avoids; failed are those of them that ran the stream and lost it.
 	exclude, failed []string
+	// brokenAt are the targets at which an attempt's connection broke off.
+	brokenAt []*directory.Target
 	// moves counts the attempts that were given up as stalled. moveClaimed reports that the retry budget has paid for the next
 	// attempt.
 	moves       int
@@ -202,6 +204,9 @@
 			attemptsRun: run.attemptsRun, maxAttempts: request.MaxAttempts, attempts: run.attempts,
 			moved: run.hasMoved(), remaining: time.Until(request.Deadline),
 		}
+		if ending == endingBroken {
+			input.attemptsRun = run.countAttempts(ctx)
+		}
 		step := nextStep(input)
 		run.log("attempt-ended", Field{"target", target.ID}, Field{"ending", ending}, Field{"last_event", run.lastEvent},
 			Field{"sends", run.attempts}, Field{"again", step == stepRetry}, Field{"error", err})
@@ -514,6 +519,9 @@
 	case endingBroken, endingSilent:
 		run.mayHaveRun = true
 		run.excludeFailed(a.target.ID)
+		if ending == endingBroken {
+			run.brokenAt = append(run.brokenAt, a.target)
+		}
 		run.relay.stats.Broken.Add(1)
 		lost := run.relay.connectivity.IsLost()
 		if lost && run.relay.options.Detour == nil {
--- a/generation/relaydecide.go
+++ b/generation/relaydecide.go
@@ -43,7 +43,7 @@
 	ending    relayEnding
 	resumable bool
 	// attemptsRun counts the attempts that a target may have run, except those whose target was
-	// lost.
+	// lost; see countAttempts.
 	attemptsRun, maxAttempts int
 	// attempts counts all attempts.
 	attempts int
--- a/generation/relaymove.go
+++ b/generation/relaymove.go
@@ -32,7 +32,7 @@
 // up, and the retry budget pays for it. Otherwise it stays, since an answer that goes on slowly is worth more than none.
 func (run *relayRun) claimMove(from *directory.Target) bool {
 	input := retryInput{
-		ending: endingStalled, resumable: run.resumable(), attemptsRun: run.attemptsRun + 1, maxAttempts: run.request.MaxAttempts,
+		ending: endingStalled, resumable: run.resumable(), attemptsRun: run.attemptsRun + len(run.brokenAt) + 1, maxAttempts: run.request.MaxAttempts,
 		attempts: run.attempts, remaining: time.Until(run.request.Deadline),
 	}
 	if nextStep(input) != stepRetry || !run.hasOtherTarget(from) {
