Allocate no more for a request body than the bound of all bodies

Cause: the buffer of a body had the length that its sender names, or with none the limit of the configuration, which an operator may set to any size. Found by reading the diff; callers saw nothing.

Change: the buffer begins with 16 MB at most, and with 256 KB where no length is named. Wording of four comments.

--- a/adapters/passthrough/bodies.go
+++ b/adapters/passthrough/bodies.go
@@ -17,7 +17,7 @@
 	// maxBodiesBytes limits the larger bodies that are held together, each until its request ends. A body is copied once for each
 	// attempt, and an entry has 184 MB in the smallest deployment.
 	maxBodiesBytes = 16 << 20
-	// bodyRoomShare is the share of the time left to a request for which it waits for room: it can still be served after that.
+	// bodyRoomShare is the share of the time left to a request for which it waits for room. The rest is for serving it.
 	bodyRoomShare = 0.25
 )
 
@@ -51,21 +51,22 @@
 		return nil, nil, &http.MaxBytesError{Limit: limit}
 	}
 	var start bytes.Buffer
+	capacity := min(length, maxBodiesBytes)
 	if length < 0 {
 		if _, err := io.CopyN(&start, body, smallBodyBytes); err == io.EOF {
 			return start.Bytes(), nil, nil
 		} else if err != nil {
 			return nil, nil, err
 		}
-		length = limit
+		length, capacity = limit, 2*smallBodyBytes
 	}
 	if length > smallBodyBytes {
 		if release, err = m.reserve(ctx, length, wait); err != nil {
 			return nil, nil, err
 		}
 	}
-	buffer := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead)) // with less, the buffer would grow at the end
-	_, _ = buffer.Write(start.Bytes())                               // never fails
+	buffer := bytes.NewBuffer(make([]byte, 0, capacity+bytes.MinRead)) // with less, the buffer would grow at the end
+	_, _ = buffer.Write(start.Bytes())                                 // never fails
 	if _, err := buffer.ReadFrom(body); err != nil {
 		if release != nil {
 			release()
--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -29,8 +29,7 @@
 	// Draining reports whether the entry is about to stop: callers are asked to close their connections.
 	Draining func() bool
 	// Accepts reports whether a request of the route, whose answer has up to that many tokens (0 if unknown) and whose caller waits
-	// until the deadline, may start; it may not if the
-	// shutdown would cut it off.
+	// until the deadline, may start; it may not if the shutdown would cut it off.
 	Accepts func(route *directory.Route, outputTokens int, deadline time.Time) bool
 	// Stopped ends when the requests in progress must be answered, since the process is about to exit.
 	Stopped context.Context
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -47,8 +47,7 @@
 	// streamTimeMargin is the multiple of the longest recent duration that is taken as the maximum duration of a stream.
 	streamTimeMargin = 1.2
 	// lateAfter is the time after the start of the shutdown from which a stream is only accepted if it also ends in time when
-	// its target falls silent for silenceAllowance: sound targets do so for a second or so, and a stream that begins late could
-	// not be expected by its caller to be cut.
+	// its target is silent for silenceAllowance: sound targets are silent for a second or so.
 	lateAfter        = 3 * time.Second
 	silenceAllowance = 2 * time.Second
 	// maxStreamKinds limits the kinds of streams that are observed.
--- a/generation/relaydecide.go
+++ b/generation/relaydecide.go
@@ -47,7 +47,7 @@
 	attemptsRun, maxAttempts int
 	// attempts counts all attempts.
 	attempts int
-	// moved reports that the stream left a target that was only silent, and went on there perhaps.
+	// moved reports that the stream left a target that may have been sound.
 	moved bool
 	// remaining is the time until the deadline.
 	remaining time.Duration
@@ -83,7 +83,7 @@
 		return stepRetry
 	case endingRefused:
 		if in.moved && in.remaining >= minAttemptTime {
-			return stepRetry // the answer could have been complete by now, had it not been given up for this
+			return stepRetry // no number of refusals ends a stream that left a target which may have been sound
 		}
 	default:
 		if !in.resumable || in.attemptsRun >= in.maxAttempts {
