Tests: place of a moved way to a target; a fake that several streams use

The list of ways to targets names files, and the way of streams moved to relayattempt.go unchanged.

Change: the list names the new file; the fake keeps no lists. No check or bound changed.

--- a/generation/relaymove_test.go
+++ b/generation/relaymove_test.go
@@ -149,6 +149,9 @@
 	return &spreadStream{p, target.ID}
 }
 
+func (p *spreadPlacer) ReportLost(*directory.Target)    {}
+func (p *spreadPlacer) ReportRefused(*directory.Target) {}
+
 type spreadStream struct {
 	placer *spreadPlacer
 	target string
--- a/internal/targetcalls_test.go
+++ b/internal/targetcalls_test.go
@@ -26,7 +26,7 @@
 
 var targetWays = []targetWay{
 	{"service/forward.go startAttempt Sender.Send", "TestCallThatCrashesTargetsIsRefusedByTheWholeFleet", "", "behind paths.Do"},
-	{"generation/relay.go readStream Engine.Open", "TestRequestThatCrashesThreeEnginesIsRefused", "", "behind paths.Do"},
+	{"generation/relayattempt.go readStream Engine.Open", "TestRequestThatCrashesThreeEnginesIsRefused", "", "behind paths.Do"},
 	{"service/executorcrashes.go send Transport.Do", "TestCallOfAnyClassThatCrashesTargetsIsRefused", "", "native interface: a 503 is the answer of the service, and asks its caller"},
 	{"generation/start.go openStream Engine.Generate", "TestPoisonRequestKillsAtMostThreeTargets", "", "native interface: its engines ask for no pause"},
 	{"generation/produceractions.go attach Engine.Attach", "", "reads a run that the target still has; nothing is run", "native interface: its engines ask for no pause"},
