--- a/directory/provisionalversion.go
+++ b/directory/provisionalversion.go
@@ -6,7 +6,7 @@
 	"strings"
 )
 
-// provisionalVersionPrefix begins the version of a provisional target. Only the store tells which software a target runs, and one that
+// provisionalVersionPrefix begins the version of a provisional target. Only the store names the software of a target, and one that
 // replaced another may run a newer one. Until it registers, its version is one of its own, which no other target has.
 const provisionalVersionPrefix = "unregistered/"
 
--- a/directory/restored.go
+++ b/directory/restored.go
@@ -60,7 +60,7 @@
 	return k.judge(part, max(k.era, latest))
 }
 
-// isOtherEra reports whether a reader of the era knows revisions of another one than this feed, as far as both are known.
+// isOtherEra reports whether a reader of the era knows revisions of another era than this feed; false if either is not known.
 func (k *feedKind) isOtherEra(era int64) bool { return era != 0 && k.era != 0 && era != k.era }
 
 // restore replaces the objects of the kind by those of a store that was restored from an older copy, and returns the changes. Those that
--- a/generation/relaymove.go
+++ b/generation/relaymove.go
@@ -29,7 +29,7 @@
 )
 
 // claimMove reports whether a stream that stalls at a target is moved: another attempt is allowed, another target could take it
-// up, and the retry budget pays for it. Otherwise it stays, since an answer that goes on slowly is worth more than none.
+// up, and the retry budget pays for it. Otherwise it stays, since a slow answer is worth more than none.
 func (run *relayRun) claimMove(from *directory.Target) bool {
 	input := retryInput{
 		ending: endingStalled, resumable: run.resumable(), attemptsRun: run.attemptsRun + len(run.brokenAt) + 1, maxAttempts: run.request.MaxAttempts,
--- a/generation/relayversion_test.go
+++ b/generation/relayversion_test.go
@@ -276,7 +276,7 @@
 	})
 }
 
-// Guards against a stream that goes on through an engine which replaced another and has not registered: it may run other software.
+// Guards against a stream that is resumed at an engine which replaced another and has not registered: it may run other software.
 func TestStreamCrossesUnregisteredEnginesOnlyOnceTheirVersionIsKnown(t *testing.T) {
 	broken := io.ErrUnexpectedEOF
 	begun := func(events ...int64) []script {
