Accept streams late in a stop only of kinds that are well known

What callers saw: streams of 5 s sent 3.0 to 5.0 s after a SIGTERM were accepted, answered 200 and cut 7.5 s after it, 9 of 9, where the entry had seen three streams of their kind, all short.

Cause: three completed streams of a kind replaced the 6 s that are expected of an unknown one, also from 3 s after the SIGTERM on, when nothing excuses a cut. The next stream exceeds the longest of three with a probability of a quarter.

Change: from 3 s on, a kind with fewer than 32 recent streams says nothing, and a stream of it is accepted only if its deadline passes before the grace ends. A deadline before that end also admits other streams.

Why it works: without a bound that holds a stream is refused at once; the caller's next attempt reaches another entry.

--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"math/bits"
 	"sync"
 	"time"
@@ -44,6 +45,9 @@
 	// took less.
 	unknownStreamTime = 6 * time.Second
 	minStreams        = 3
+	// minStreamsLate is minStreams for streams that begin later than lateAfter: the next stream of a kind takes longer than all of n
+	// others with a probability of 1/(n+1), a quarter with three of them.
+	minStreamsLate = 32
 	// streamTimeMargin is the multiple of the longest recent duration that is taken as the maximum duration of a stream.
 	streamTimeMargin = 1.2
 	// lateAfter is the time after the start of the shutdown from which a stream is only accepted if it also ends in time when
@@ -128,14 +132,20 @@
 	known.observe(took)
 }
 
-// expectedStreamTime returns how long a stream of the route, of up to that many tokens, may take.
-func (s *shutdown) expectedStreamTime(route *directory.Route, outputTokens int) time.Duration {
+// expectedStreamTime returns how long a stream of the route, of up to that many tokens, may take if it begins at the time after the start
+// of the shutdown.
+func (s *shutdown) expectedStreamTime(route *directory.Route, outputTokens int, since time.Duration) time.Duration {
 	known := s.streamTimes[streamKindOf(route.Name, outputTokens)]
 	if known == nil {
-		return unknownStreamTime
+		known = &longestTime{}
 	}
 	expected := time.Duration(streamTimeMargin * float64(known.longest()))
-	if known.count < minStreams {
+	switch {
+	case since >= lateAfter && known.count < minStreamsLate:
+		return math.MaxInt64
+	case since >= lateAfter:
+		return expected + silenceAllowance
+	case known.count < minStreams:
 		return max(expected, unknownStreamTime)
 	}
 	return expected
@@ -179,11 +189,7 @@
 	if route.Class != directory.Stream {
 		return since < time.Duration(acceptCallsShare*float64(s.grace)) && since+min(s.expectedCallTime(route), deadline.Sub(now)) < end
 	}
-	expected := s.expectedStreamTime(route, outputTokens)
-	if since >= lateAfter {
-		expected += silenceAllowance
-	}
-	return since+expected < end
+	return since+min(s.expectedStreamTime(route, outputTokens, since), deadline.Sub(now)) < end
 }
 
 // lasts reports whether a request that takes up to a timeout ends before the remaining ones are aborted.
