Don't take the rest of a stream for a whole one

What callers saw: streams of 5 s sent 3.0 to 5.0 s after a SIGTERM were accepted and cut 7.5 s after it, 9 of 9, where the entry had sent the last 0.3 s of other streams to callers that took them up with Last-Event-Id.

Cause: the time of such a remainder was recorded as that of a stream of its kind. After the loss of all entries most of the first streams to complete are remainders.

Change: the handler tells the shutdown of each stream as it begins, with whether its caller has a part already; only whole streams count. Observation no longer carries the length, which nothing else read.

Evidence: TestStreamsLateInTheGraceAreCompleteOrRefused/remainders_seen fails without the change (9 streams cut), passes with it. Why it works: what is recorded of a kind is now the time of whole streams only.

--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -33,6 +33,8 @@
 	Accepts func(route *directory.Route, outputTokens int, deadline time.Time) bool
 	// Stopped ends when the requests in progress must be answered, since the process is about to exit.
 	Stopped context.Context
+	// StreamBegan is called when a stream has been admitted, and the returned function at its end, with whether it is complete.
+	StreamBegan func(StreamStart) (ended func(complete bool))
 	// WaitReady waits until a snapshot is ready, up to limit.
 	WaitReady func(ctx context.Context, limit time.Duration)
 	// Log receives one event for each decision about a request.
@@ -45,15 +47,23 @@
 type Observation struct {
 	Class directory.Class
 	// Route is the name of the route; empty if there is none.
-	Route string
-	// OutputTokens is the maximum length of the answer; 0 if unknown.
-	OutputTokens int
-	Status       int
-	Took         time.Duration
+	Route  string
+	Status int
+	Took   time.Duration
 	// Dispatched reports that the request was admitted, so that targets may have got it.
 	Dispatched bool
 }
 
+// StreamStart describes a stream that has been admitted.
+type StreamStart struct {
+	Route string
+	// OutputTokens is the maximum length of the whole stream; 0 if unknown.
+	OutputTokens int
+	Arrived      time.Time
+	// Remainder reports that the caller has a part of the stream already and asks for the rest.
+	Remainder bool
+}
+
 // Handler serves callers. It implements http.Handler.
 type Handler struct {
 	options Options
@@ -181,9 +191,7 @@
 		fields = append(fields, generation.Field{Key: "route", Value: c.route.Name}, generation.Field{Key: "service", Value: c.service})
 	}
 	c.handler.options.Log("request-ended", fields...)
-	c.handler.options.Observe(Observation{
-		Class: class, Route: route, OutputTokens: c.header.OutputTokens, Status: status, Took: took, Dispatched: c.dispatched,
-	})
+	c.handler.options.Observe(Observation{Class: class, Route: route, Status: status, Took: took, Dispatched: c.dispatched})
 }
 
 // abort closes the caller's connection, so that the caller does not take a partial answer for a complete one.
@@ -297,6 +305,11 @@
 	if parts := c.header.Prompt; len(parts) > 0 {
 		affinity = parts[len(parts)-1].ID
 	}
+	complete := false
+	ended := c.handler.options.StreamBegan(StreamStart{
+		Route: c.route.Name, OutputTokens: c.header.OutputTokens, Arrived: c.arrived, Remainder: lastEvent >= 0,
+	})
+	defer func() { ended(complete) }()
 	sink := &sink{call: c, control: http.NewResponseController(c.writer)}
 	err := c.handler.options.Relay.Run(c.http.Context(), &generation.RelayRequest{
 		ID:                  c.header.RequestID,
@@ -318,6 +331,7 @@
 		Payload:             &targetPayload{call: c},
 	}, sink)
 	if err == nil {
+		complete = sink.status == http.StatusOK
 		c.recordEnd(sink.status, "stream complete")
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -253,9 +253,10 @@
 		Accepts: func(route *directory.Route, outputTokens int, deadline time.Time) bool {
 			return e.shutdown.accepts(route, outputTokens, deadline, time.Now())
 		},
-		Stopped: e.stopped,
-		Log:     e.log,
-		Observe: e.observeRequest,
+		StreamBegan: e.streamBegan,
+		Stopped:     e.stopped,
+		Log:         e.log,
+		Observe:     e.observeRequest,
 	})
 	return e.countRunning(handler)
 }
--- a/entry/latestream_test.go
+++ b/entry/latestream_test.go
@@ -71,11 +71,11 @@
 	return response.StatusCode, err == nil && strings.HasSuffix(string(text), target.Event(path, events))
 }
 
-// Guards against streams that are taken late in the grace of a stop and cut as it ends, since the entry has seen only a
-// few of their kind, all short.
+// Guards against streams that are taken late in the grace of a stop and cut as it ends, since what the entry has seen of their kind says
+// little: a few short ones, or remainders of others.
 func TestStreamsLateInTheGraceAreCompleteOrRefused(t *testing.T) {
 	const grace, lateFrom, interval = 8 * time.Second, 3 * time.Second, 250 * time.Millisecond
-	const short, long, longest = 6, 100, 160 // events of 50 ms
+	const short, long, longest, many = 6, 100, 160, 40 // events of 50 ms
 	const usage, otherUsage = "100,600", "100,6000"
 	for name, before := range map[string]func(c *testCluster, begin func(id string, events, lastEvent int)){
 		"few seen": func(_ *testCluster, begin func(string, int, int)) {
@@ -83,6 +83,11 @@
 				begin(fmt.Sprint("few-", i), short, 0)
 			}
 		},
+		"remainders seen": func(_ *testCluster, begin func(string, int, int)) {
+			for i := range many {
+				begin(fmt.Sprint("rest-", i), long, long-short)
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -50,14 +50,21 @@
 
 func (e *Entry) observeRequest(o passthrough.Observation) {
 	e.counters.observe(o)
-	switch {
-	case o.Class == directory.Stream && o.Status == http.StatusOK:
-		e.shutdown.streamEnded(o.Route, o.OutputTokens, o.Took)
-	case o.Class != directory.Stream && o.Dispatched && o.Status != 0 && o.Status < http.StatusInternalServerError:
+	if o.Class != directory.Stream && o.Dispatched && o.Status != 0 && o.Status < http.StatusInternalServerError {
 		e.shutdown.callEnded(o.Route, o.Took)
 	}
 }
 
+// streamBegan has the shutdown learn how long streams take.
+func (e *Entry) streamBegan(start passthrough.StreamStart) (ended func(complete bool)) {
+	return func(complete bool) {
+		// A remainder takes less time than a whole stream and would have these expected to take as little.
+		if complete && !start.Remainder {
+			e.shutdown.streamEnded(start.Route, start.OutputTokens, time.Since(start.Arrived))
+		}
+	}
+}
+
 // registerMetrics registers the entry's metrics; docs/OPERATIONS.md documents them.
 func (e *Entry) registerMetrics() {
 	m := e.metrics
