Count streams in progress when a stopping entry judges a late stream

What callers saw: streams of 5 s sent 3.0 to 3.75 s after a SIGTERM were accepted and cut 7.5 s after it, 4 of 4, where 40 short streams of their kind had completed and a long one was still in progress.

Cause: only completed streams counted. Where streams grow longer, as when engines fill up, those that have completed are the short ones.

Change: the age of the oldest stream in progress of the same kind counts like the time of a completed one.

Evidence: TestStreamsLateInTheGraceAreCompleteOrRefused/long_ones_in_progress fails without the change (4 streams cut), passes with it. Why it works: a stream in progress takes at least its age, so that the expected time grows with streams that grow longer.

--- a/entry/latestream_test.go
+++ b/entry/latestream_test.go
@@ -72,7 +72,7 @@
 }
 
 // Guards against streams that are taken late in the grace of a stop and cut as it ends, since what the entry has seen of their kind says
-// little: a few short ones, or remainders of others.
+// little: a few, remainders of others, or short ones only while long ones are still in progress.
 func TestStreamsLateInTheGraceAreCompleteOrRefused(t *testing.T) {
 	const grace, lateFrom, interval = 8 * time.Second, 3 * time.Second, 250 * time.Millisecond
 	const short, long, longest, many = 6, 100, 160, 40 // events of 50 ms
@@ -88,6 +88,12 @@
 				begin(fmt.Sprint("rest-", i), long, long-short)
 			}
 		},
+		"long ones in progress": func(_ *testCluster, begin func(string, int, int)) {
+			for i := range many {
+				begin(fmt.Sprint("short-", i), short, 0)
+			}
+			begin("long", long, 0)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -57,7 +57,9 @@
 
 // streamBegan has the shutdown learn how long streams take.
 func (e *Entry) streamBegan(start passthrough.StreamStart) (ended func(complete bool)) {
+	stopped := e.shutdown.streamBegan(start.Route, start.OutputTokens, start.Arrived)
 	return func(complete bool) {
+		stopped()
 		// A remainder takes less time than a whole stream and would have these expected to take as little.
 		if complete && !start.Remainder {
 			e.shutdown.streamEnded(start.Route, start.OutputTokens, time.Since(start.Arrived))
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -36,6 +36,8 @@
 	beganAt time.Time
 	// streamTimes are the longest recent durations of completed streams, by kind.
 	streamTimes map[streamKind]*longestTime
+	// streams are those in progress.
+	streams map[*runningStream]struct{}
 	// callTimes are the longest recent durations of calls, by route.
 	callTimes map[string]time.Duration
 }
@@ -67,7 +69,7 @@
 )
 
 func newShutdown(grace time.Duration) *shutdown {
-	return &shutdown{grace: grace, streamTimes: map[streamKind]*longestTime{}, callTimes: map[string]time.Duration{}}
+	return &shutdown{grace: grace, streamTimes: map[streamKind]*longestTime{}, streams: map[*runningStream]struct{}{}, callTimes: map[string]time.Duration{}}
 }
 
 // begin starts the shutdown; further calls change nothing.
@@ -116,6 +118,25 @@
 
 func (l *longestTime) longest() time.Duration { return max(l.current, l.previous) }
 
+// runningStream is a stream in progress.
+type runningStream struct {
+	kind  streamKind
+	began time.Time
+}
+
+// streamBegan records that a stream is in progress until the returned function is called.
+func (s *shutdown) streamBegan(route string, outputTokens int, began time.Time) (ended func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stream := &runningStream{streamKindOf(route, outputTokens), began}
+	s.streams[stream] = struct{}{}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.streams, stream)
+	}
+}
+
 // streamEnded records the duration of a completed stream.
 func (s *shutdown) streamEnded(route string, outputTokens int, took time.Duration) {
 	s.mu.Lock()
@@ -133,13 +154,20 @@
 }
 
 // expectedStreamTime returns how long a stream of the route, of up to that many tokens, may take if it begins at the time after the start
-// of the shutdown.
+// of the shutdown. Streams in progress count by their age: where streams grow longer, the completed ones are the short ones.
 func (s *shutdown) expectedStreamTime(route *directory.Route, outputTokens int, since time.Duration) time.Duration {
-	known := s.streamTimes[streamKindOf(route.Name, outputTokens)]
+	kind := streamKindOf(route.Name, outputTokens)
+	known := s.streamTimes[kind]
 	if known == nil {
 		known = &longestTime{}
 	}
-	expected := time.Duration(streamTimeMargin * float64(known.longest()))
+	longest := known.longest()
+	for stream := range s.streams {
+		if stream.kind == kind {
+			longest = max(longest, s.beganAt.Add(since).Sub(stream.began))
+		}
+	}
+	expected := time.Duration(streamTimeMargin * float64(longest))
 	switch {
 	case since >= lateAfter && known.count < minStreamsLate:
 		return math.MaxInt64
