Accept nothing once a stopping entry has decided to exit

A request that arrives between the check that none is in progress and the close of the connections was accepted, perhaps sent on, and cancelled at once.

Cause: the decision to exit read the number of requests first and told accepts nothing, so that the two could interleave.

Change: shouldExit reads the number under the lock and marks the shutdown; accepts and lasts refuse from then on.

Evidence: TestNothingIsAcceptedOnceTheProcessIsToExit fails without the refusal. Why it works: requests are counted before they ask accepts, so that a request is either counted by the decision or refused. TestShutdownAcceptsWorkThatFinishesInTime asks a second shutdown for its idle case, as a decision to exit is now final; same bounds.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -333,7 +333,7 @@
 func (e *Entry) drain() error {
 	e.shutdown.begin(time.Now())
 	e.log("entry-draining", generation.Field{Key: "running", Value: e.running.Load()})
-	for !e.shutdown.shouldExit(time.Now(), e.running.Load()) {
+	for !e.shutdown.shouldExit(time.Now(), e.running.Load) {
 		time.Sleep(drainPollInterval)
 	}
 	e.stop()
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -34,6 +34,8 @@
 	mu sync.Mutex
 	// beganAt is the start of the shutdown; zero before.
 	beganAt time.Time
+	// exiting is set once the process is to exit.
+	exiting bool
 	// streamTimes are the longest recent durations of completed streams, by kind.
 	streamTimes map[streamKind]*longestTime
 	// streams are those in progress.
@@ -212,6 +214,9 @@
 	if s.beganAt.IsZero() {
 		return true
 	}
+	if s.exiting {
+		return false
+	}
 	since := now.Sub(s.beganAt)
 	end := time.Duration(abortShare * float64(s.grace))
 	if route.Class != directory.Stream {
@@ -224,16 +229,16 @@
 func (s *shutdown) lasts(timeout time.Duration, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.beganAt.IsZero() || now.Sub(s.beganAt)+timeout < time.Duration(abortShare*float64(s.grace))
+	return s.beganAt.IsZero() || !s.exiting && now.Sub(s.beganAt)+timeout < time.Duration(abortShare*float64(s.grace))
 }
 
-// shouldExit reports whether the process should exit, given the number of running requests.
-func (s *shutdown) shouldExit(now time.Time, running int64) bool {
+// shouldExit reports whether the process should exit, given the number of running requests. Once it does, no request is accepted: one that
+// was accepted later would be cut off. running is read under the lock, so that it counts each request that was accepted before; callers
+// count their requests before they ask accepts.
+func (s *shutdown) shouldExit(now time.Time, running func() int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if defect.Enabled(defect.AbortOnDrain) {
-		return true
-	}
 	share := float64(now.Sub(s.beganAt)) / float64(s.grace)
-	return share >= abortShare || share >= minRunShare && running == 0
+	s.exiting = s.exiting || defect.Enabled(defect.AbortOnDrain) || share >= abortShare || share >= minRunShare && running() == 0
+	return s.exiting
 }
--- a/entry/shutdown_test.go
+++ b/entry/shutdown_test.go
@@ -35,10 +35,29 @@
 		s.callEnded("book", time.Millisecond)
 	}
 	is.True(s.accepts(booking, 0, now.Add(time.Minute), now.Add(6500*time.Millisecond)))
-	is.True(!s.shouldExit(now.Add(2*time.Second), 0)) // the platform still routes connections here
-	is.True(s.shouldExit(now.Add(3*time.Second), 0))
-	is.True(!s.shouldExit(now.Add(7*time.Second), 1))
-	is.True(s.shouldExit(now.Add(7600*time.Millisecond), 1)) // before SIGKILL
+	running := func(count int64) func() int64 { return func() int64 { return count } }
+	is.True(!s.shouldExit(now.Add(2*time.Second), running(0))) // the platform still routes connections here
+	is.True(!s.shouldExit(now.Add(7*time.Second), running(1)))
+	idle := newShutdown(8 * time.Second)
+	idle.begin(now)
+	is.True(idle.shouldExit(now.Add(3*time.Second), running(0)))
+	is.True(s.shouldExit(now.Add(7600*time.Millisecond), running(1))) // before SIGKILL
+}
+
+// Guards against a request that is accepted after the entry has found none in progress and decided to exit, and that is cut off.
+func TestNothingIsAcceptedOnceTheProcessIsToExit(t *testing.T) {
+	is := is.New(t)
+	s := newShutdown(8 * time.Second)
+	now := time.Unix(1000, 0)
+	booking := &directory.Route{Name: "book", Class: directory.AtMostOnce, LatencyObjective: 100 * time.Millisecond}
+	s.begin(now)
+	after := now.Add(3 * time.Second)
+	is.True(s.accepts(booking, 0, after.Add(time.Minute), after))
+	is.True(s.lasts(time.Second, after))
+	is.True(s.shouldExit(after, func() int64 { return 0 }))
+	is.True(!s.accepts(booking, 0, after.Add(time.Minute), after))
+	is.True(!s.lasts(time.Second, after)) // neither for peers
+	is.True(s.shouldExit(after, func() int64 { return 1 }))
 }
 
 // Guards against an entry that stops and refuses the short requests of peers that have no other helper.
