Allow for a SIGTERM that the process learns of late

A stream sent 3.0 s after a SIGTERM that an entry with little processor time handles 0.4 s late counts as sent 2.6 s after it: it is accepted without the allowance for a silent target, and a second of silence has it cut.

Cause: the time from which the allowance counts is the 3 s of callers, measured from where the process learns of the signal.

Change: the allowance counts from 2.5 s on. Half a second is the most that fits between the abort, at 0.94 of a grace of 8 s, and SIGKILL.

Evidence: TestStreamsSentLateGetTheirAllowanceAlsoIfTheSignalIsHandledLate fails with 3 s and passes with 2.5 s. Why it works: a signal handled up to half a second late no longer moves a stream to the early side of the bound.

--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -54,9 +54,14 @@
 	minStreamsLate = 32
 	// streamTimeMargin is the multiple of the longest recent duration that is taken as the maximum duration of a stream.
 	streamTimeMargin = 1.2
+	// excusedAfter is the time after SIGTERM up to which callers have to expect that streams are cut: the platform has taken the
+	// entry out of its routing by then. signalDelay is how late a process with little processor time learns of the signal, and streams
+	// reach it later than they are sent.
+	excusedAfter = 3 * time.Second
+	signalDelay  = 500 * time.Millisecond
 	// lateAfter is the time after the start of the shutdown from which a stream is only accepted if it also ends in time when
 	// its target is silent for silenceAllowance: sound targets are silent for a second or so.
-	lateAfter        = 3 * time.Second
+	lateAfter        = excusedAfter - signalDelay
 	silenceAllowance = 2 * time.Second
 	// maxStreamKinds limits the kinds of streams that are observed.
 	maxStreamKinds = 4096
--- a/entry/shutdown_test.go
+++ b/entry/shutdown_test.go
@@ -132,3 +132,21 @@
 		})
 	}
 }
+
+// Guards against streams that count as sent early in the stop, and get no allowance for a silent target, since the process has learned
+// of the SIGTERM late.
+func TestStreamsSentLateGetTheirAllowanceAlsoIfTheSignalIsHandledLate(t *testing.T) {
+	is := is.New(t)
+	const grace, handledAfter, took, silence = 8 * time.Second, 400 * time.Millisecond, 3800 * time.Millisecond, time.Second
+	history := &directory.Route{Name: "history", Class: directory.Stream}
+	s := newShutdown(grace)
+	for range 100 {
+		s.streamEnded("history", 650, took)
+	}
+	signalled := time.Unix(1000, 0)
+	s.begin(signalled.Add(handledAfter))
+	for since := 3 * time.Second; since < grace; since += 100 * time.Millisecond {
+		accepted := s.accepts(history, 650, signalled.Add(time.Minute), signalled.Add(since))
+		is.True(!accepted || since+took+silence < 94*grace/100+handledAfter)
+	}
+}
