Send large parts of a directory feed compressed

Change: answers of 1,400 bytes and more are compressed for readers that ask for it, as HTTP clients do; a former build doesn't and gets them plain. The feed's budget charges such readers a quarter of the plain bytes. Compression keeps no memory between answers.

--- a/adapters/peertwirp/directorypeer/directorypeer.go
+++ b/adapters/peertwirp/directorypeer/directorypeer.go
@@ -63,7 +63,7 @@
 // recorded in transfers.
 func NewHandler(feed *directory.Feed, transfers *Transfers) (string, http.Handler) {
 	handler := NewDirectoryServer(&server{feed: feed})
-	return handler.PathPrefix(), transfers.observe(handler)
+	return handler.PathPrefix(), transfers.observe(compress(handler))
 }
 
 // Since implements Directory.
@@ -73,6 +73,7 @@
 		Eras:        request.GetEras(),
 		Wait:        min(time.Duration(request.GetWaitMilliseconds())*time.Millisecond, maxWait),
 		OnlyChanges: request.GetOnlyChanges(),
+		Compressed:  isCompressed(ctx),
 	}
 	answer := &SinceResponse{}
 	for _, part := range s.feed.Since(ctx, query) {
--- a/directory/feed.go
+++ b/directory/feed.go
@@ -38,12 +38,19 @@
 	Age time.Duration
 }
 
+// compressedShare is the share of a part's bytes that is charged for it if it is sent compressed. Objects of the platform are JSON texts
+// that resemble each other; configurations and lists of targets take less.
+const compressedShare = 0.25
+
 // size returns the approximate number of bytes that the part takes on the wire.
-func (p Part) size() int {
+func (p Part) size(compressed bool) int {
 	bytes := 0
 	for _, object := range p.Objects {
 		bytes += len(object.Name) + len(object.Value)
 	}
+	if compressed {
+		return int(compressedShare * float64(bytes))
+	}
 	return bytes
 }
 
@@ -301,6 +308,8 @@
 	// full part are omitted, and so are changes that are too large to be sent to all readers, as soon as
 	// this entry begins to read them.
 	OnlyChanges bool
+	// Compressed is set if the answer is sent compressed.
+	Compressed bool
 }
 
 // Since returns the changes after the revisions of the query: one part for each kind that the feed knows,
@@ -347,7 +356,7 @@
 				part.Objects = append(part.Objects, item.object)
 			}
 		}
-		if len(part.Objects) > 0 && !f.budget.take(part.size(), query.OnlyChanges, now) {
+		if len(part.Objects) > 0 && !f.budget.take(part.size(query.Compressed), query.OnlyChanges, now) {
 			f.withheld++
 			immediate = true // the reader must know without delay that it needs another source
 			continue
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -153,9 +153,12 @@
 		Serving:             func() bool { return e.directory.Snapshot().Ready() },
 	})
 	dialer := net.Dialer{Timeout: peerDialTimeout}
-	e.peerClient = &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: peerIdleTimeout,
-	}}
+	}
+	e.peerClient = &http.Client{Transport: transport}
+	feedTransport := transport.Clone()
+	feedTransport.DisableCompression = false
 	e.prompts = promptindex.NewManager(promptindex.Options{
 		Entry: e.settings.Name,
 		Store: store,
@@ -178,7 +181,7 @@
 		Store:      store,
 		StoreEra:   store.Era,
 		Decoder:    platform.Decoder{},
-		Peers:      directorypeer.NewClient(e.peerClient),
+		Peers:      directorypeer.NewClient(&http.Client{Transport: feedTransport}),
 		View:       e.members,
 		Identifier: platform.NewEngineReports(),
 		Observe:    e.observeDirectory,
