Place streams by how slow each engine is

Cause: the placement took all engines of a service for equally fast. Where they differ by more than twice, or slow down long before they are full, streams were late beside faster engines with room; fixed weights fit neither.

Change: each entry estimates how many times as long as the others of its service an engine takes for an event, from the median of nine gaps of its own streams, and weighs it in the cost of the engine. Nothing is sent or stored. PlacedStream.PrefillDone, which was called for each event, is EventArrived.

Ruled out: the time to the first event as the measure (other entries' prompts look like slowness), the mean of the gaps (prompts beside the stream).

--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -410,8 +410,8 @@
 
 type modelPlaced struct{}
 
-func (modelPlaced) PrefillDone() {}
-func (modelPlaced) Ended()       {}
+func (modelPlaced) EventArrived() {}
+func (modelPlaced) Ended()        {}
 
 type unlimitedRetries struct{}
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -220,6 +220,10 @@
 		Entries: func() (membership.Peer, []membership.Peer) {
 			return e.members.Self(), e.members.Live()
 		},
+		ReportPace: func(engine *directory.Target, slowness float64) {
+			e.log("target-pace", generation.Field{Key: "target", Value: engine.ID}, generation.Field{Key: "service", Value: engine.Service},
+				generation.Field{Key: "slowness", Value: slowness})
+		},
 		Seed: rand.Uint64(),
 	})
 	e.relay = generation.NewRelay(generation.RelayOptions{
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -124,6 +124,7 @@
 	m.AddGauge("targets_brittle", func() float64 { return float64(e.limits.brittle.BrittleCount()) })
 	m.AddCounter("target_pauses", e.limits.pauses.Count)
 	m.AddGauge("targets_paused", func() float64 { return float64(e.limits.pauses.PausedCount(time.Now())) })
+	m.AddGauge("targets_slow", func() float64 { return float64(e.placement.SlowCount()) })
 	m.AddGauge("targets_limited", func() float64 { return float64(e.limits.LimitedCount()) })
 	m.AddGauge("prompt_parts_refused", func() float64 { _, parts := e.crashRecords.crashes.RefusedCounts(); return float64(parts) })
 	m.AddGauge("requests_refused_for_crashes", func() float64 { requests, _ := e.crashRecords.crashes.RefusedCounts(); return float64(requests) })
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -245,8 +245,8 @@
 
 type noopPlaced struct{}
 
-func (noopPlaced) PrefillDone() {}
-func (noopPlaced) Ended()       {}
+func (noopPlaced) EventArrived() {}
+func (noopPlaced) Ended()        {}
 
 // countedRetries is a retry budget with a fixed number of retries.
 type countedRetries struct{ left, spent, refunded int }
--- a/generation/relayattempt.go
+++ b/generation/relayattempt.go
@@ -368,7 +368,7 @@
 	a.eventCount++
 	a.lastProgress = now
 	a.monitor.lastEvent.Store(now.UnixNano())
-	a.placed.PrefillDone()
+	a.placed.EventArrived()
 	if err := a.forwardEvent(message.event); err != nil {
 		if errors.Is(err, errCallerWrite) {
 			return endingCallerDisconnected, true, err
--- a/generation/relaymove_test.go
+++ b/generation/relaymove_test.go
@@ -157,7 +157,7 @@
 	target string
 }
 
-func (s *spreadStream) PrefillDone() {}
+func (s *spreadStream) EventArrived() {}
 func (s *spreadStream) Ended() {
 	s.placer.mu.Lock()
 	defer s.placer.mu.Unlock()
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -247,8 +247,9 @@
 
 // PlacedStream accounts for a stream at its engine. Ended must be called once.
 type PlacedStream interface {
-	// PrefillDone is called when an event arrives: the prompt is prefilled.
-	PrefillDone()
+	// EventArrived is called when an event arrives: the prompt is prefilled, and the engine has taken the time since the event before
+	// for this one.
+	EventArrived()
 	// Ended is called when the stream has ended at the engine.
 	Ended()
 }
--- a/routing/neighbours_test.go
+++ b/routing/neighbours_test.go
@@ -16,9 +16,14 @@
 type batchedStream struct {
 	begin           time.Time
 	prefill, decode float64 // tokens left
-	placed          generation.PlacedStream
+	// sinceEvent is the number of tokens since the last event.
+	sinceEvent float64
+	placed     generation.PlacedStream
 }
 
+// eventTokens is the number of tokens of an event.
+const eventTokens = 9
+
 // advance runs an engine's batch for a tick and returns the streams that are left: each step makes a token of every running
 // stream and prefills a chunk of the first prompt that waits.
 func advance(streams []*batchedStream, tick time.Duration, ended func(*batchedStream)) []*batchedStream {
@@ -35,10 +40,13 @@
 		switch {
 		case i == waiting:
 			if s.prefill -= chunkTokens * steps; s.prefill <= 0 {
-				s.placed.PrefillDone()
+				s.placed.EventArrived()
 			}
 		case s.prefill <= 0:
 			s.decode -= steps
+			for s.sinceEvent += steps; s.sinceEvent >= eventTokens; s.sinceEvent -= eventTokens {
+				s.placed.EventArrived()
+			}
 		}
 		if s.decode <= 0 {
 			ended(s)
@@ -50,9 +58,12 @@
 }
 
 // simulateStreamTimes plays streams of 5,200 prompt tokens and about 1,100 more through entries with unevenly many callers, on
-// engines that prefill prompts between the steps of their batch; one availability zone is lost for a third of the time. It
-// returns the sorted times that streams take.
-func simulateStreamTimes(seed uint64, entries, engineCount int, perSecond float64, model PlacementModel) []time.Duration {
+// engines that prefill prompts between the steps of their batch; one availability zone is lost for a third of the time, unless the engines
+// differ in speed. speedOf returns the speed of an engine at a time; nil if all have the speed 1. It returns the sorted times that
+// streams take.
+func simulateStreamTimes(
+	seed uint64, entries, engineCount int, perSecond float64, model PlacementModel, speedOf func(engine int, at time.Duration) float64,
+) []time.Duration {
 	const tick = 5 * time.Millisecond
 	const length = 30 * time.Second
 	begin := time.Unix(1000, 0)
@@ -75,7 +86,7 @@
 	next := begin
 	for ; now.Before(begin.Add(length)); now = now.Add(tick) {
 		available := engines
-		if at := now.Sub(begin); at > length/3 && at < 2*length/3 {
+		if at := now.Sub(begin); speedOf == nil && at > length/3 && at < 2*length/3 {
 			available = remaining
 		}
 		for ; !next.After(now); next = next.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))) {
@@ -86,8 +97,12 @@
 				placed: chooser.AddStream(engine, draftSize, draftSize.Prompt),
 			})
 		}
-		for _, engine := range engines {
-			running[engine.ID] = advance(running[engine.ID], tick, func(s *batchedStream) {
+		for i, engine := range engines {
+			speed := 1.0
+			if speedOf != nil {
+				speed = speedOf(i, now.Sub(begin))
+			}
+			running[engine.ID] = advance(running[engine.ID], time.Duration(speed*float64(tick)), func(s *batchedStream) {
 				s.placed.Ended()
 				times = append(times, now.Sub(s.begin))
 			})
@@ -109,8 +124,8 @@
 	}{{8, 24, 6.2}, {59, 224, 55}, {195, 248, 60}} {
 		var baseline, times []time.Duration
 		for seed := range uint64(3) {
-			baseline = append(baseline, simulateStreamTimes(seed, fleet.entries, fleet.engines, fleet.perSecond, before)...)
-			times = append(times, simulateStreamTimes(seed, fleet.entries, fleet.engines, fleet.perSecond, DefaultPlacementModel)...)
+			baseline = append(baseline, simulateStreamTimes(seed, fleet.entries, fleet.engines, fleet.perSecond, before, nil)...)
+			times = append(times, simulateStreamTimes(seed, fleet.entries, fleet.engines, fleet.perSecond, DefaultPlacementModel, nil)...)
 		}
 		late := func(times []time.Duration) float64 {
 			count := 0
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -19,14 +19,15 @@
 // prompt that is prefilled beside another one takes twice as long.
 //
 // It knows this entry's own streams exactly and nothing of other entries' streams. Each entry therefore
-// prefers the engines assigned to it, and other engines cost more for the uncertainty of their load. It
-// implements generation.RelayPlacer and is safe for concurrent use.
+// prefers the engines assigned to it, and other engines cost more for the uncertainty of their load. How slow
+// an engine is it estimates from the events of its own streams; see paceTable. It implements generation.RelayPlacer and is safe for concurrent use.
 type Placement struct {
 	options PlacementOptions
 
 	mu          sync.Mutex
 	random      *rand.Rand
 	engines     map[engineKey]*engineState
+	paces       *paceTable
 	assignments assignmentCache
 	// recentLosses holds the times of recent engine losses by availability zone.
 	recentLosses map[string][]time.Time
@@ -40,6 +41,9 @@
 	// it is the only one.
 	Entries func() (self membership.Peer, live []membership.Peer)
 	Model   PlacementModel
+	// ReportPace is called when an engine has become slow, or is no longer, with how many times as long as others of its service it
+	// takes; nil reports nothing.
+	ReportPace func(engine *directory.Target, slowness float64)
 	// Seed makes the random choices reproducible.
 	Seed uint64
 	// Now is the clock; nil means time.Now.
@@ -71,6 +75,9 @@
 	// Affinity is the gain at the engine that the hash of the prompt selects: a caller that reconnects
 	// through another entry finds its prompt cached there.
 	Affinity time.Duration
+	// Slowness is the cost of an engine that takes twice as long for an event as the others of its service; 0 takes all engines for equally
+	// fast.
+	Slowness time.Duration
 }
 
 // DefaultPlacementModel fits the engines that the deployments declare: they prefill 5 tokens in a
@@ -85,6 +92,7 @@
 	RandomSpread:           60 * time.Millisecond,
 	RecentFailure:          3 * time.Second,
 	Affinity:               40 * time.Millisecond,
+	Slowness:               time.Second,
 }
 
 const (
@@ -124,6 +132,8 @@
 	prefillTokens  float64
 	residentTokens float64
 	prefilled      bool
+	// window is only used by EventArrived, which one goroutine calls.
+	window gapWindow
 }
 
 // NewPlacement returns a Placement without streams.
@@ -131,6 +141,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.ReportPace == nil {
+		options.ReportPace = func(*directory.Target, float64) {}
+	}
 	if options.Model == (PlacementModel{}) {
 		options.Model = DefaultPlacementModel
 	}
@@ -138,6 +151,7 @@
 		options:      options,
 		random:       rand.New(rand.NewPCG(options.Seed, 1)),
 		engines:      map[engineKey]*engineState{},
+		paces:        newPaceTable(),
 		recentLosses: map[string][]time.Time{},
 	}
 }
@@ -218,7 +232,8 @@
 	model := p.options.Model
 	state := p.engines[keyOf(engine)]
 	now := p.options.Now()
-	var cost time.Duration
+	slowness := p.slowness(engine, now)
+	cost := time.Duration((slowness - 1) * float64(model.Slowness))
 	if p.zoneSuspected(engine.AvailabilityZone, now) {
 		cost += model.RecentFailure / 2
 	}
@@ -228,8 +243,7 @@
 	if now.Before(state.avoidUntil) {
 		cost += model.RecentFailure
 	}
-	cost += p.prefillTime(state.prefillTokens)
-	cost += time.Duration(state.streams) * model.Neighbour
+	cost += time.Duration(slowness * float64(p.prefillTime(state.prefillTokens)+time.Duration(state.streams)*model.Neighbour))
 	capacity := float64(defaultMemoryTokens)
 	if query.Spec != nil && query.Spec.MemoryTokens > 0 {
 		capacity = float64(query.Spec.MemoryTokens)
@@ -241,6 +255,14 @@
 	return cost
 }
 
+// slowness returns how many times as long as others of its service the engine takes.
+func (p *Placement) slowness(engine *directory.Target, now time.Time) float64 {
+	if p.options.Model.Slowness == 0 {
+		return 1
+	}
+	return p.paces.slowness(keyOf(engine), now)
+}
+
 // neighbourDelay returns the time that this entry's streams at the engine lose together while it prefills the
 // prompt.
 func (p *Placement) neighbourDelay(engine *directory.Target, query generation.RelayQuery) time.Duration {
@@ -249,7 +271,8 @@
 		return 0
 	}
 	prefill := p.prefillTime(float64(query.Size.Prompt))
-	return time.Duration(float64(state.streams) * p.options.Model.PrefillDelay * float64(prefill))
+	slowness := p.slowness(engine, p.options.Now())
+	return time.Duration(slowness * float64(state.streams) * p.options.Model.PrefillDelay * float64(prefill))
 }
 
 // cachedPromptGain returns the time that is lost where a cached prompt is prefilled again: by the stream, and by one other
@@ -320,24 +343,45 @@
 	return stream
 }
 
-// PrefillDone records that the stream's first event has arrived: its prompt has been prefilled.
-func (s *placedStream) PrefillDone() {
+// EventArrived records that an event of the stream has arrived: with the first one, its prompt has been prefilled.
+func (s *placedStream) EventArrived() {
 	p := s.placement
+	now := p.options.Now()
+	gap, observed := s.window.add(now)
+	if s.prefilled && !observed {
+		return
+	}
+	p.mu.Lock()
+	s.recordPrefilled()
+	changed := observed && p.paces.observe(keyOf(s.engine), s.engine.Service, gap, now)
+	slowness := p.paces.slowness(keyOf(s.engine), now)
+	p.mu.Unlock()
+	if changed {
+		p.options.ReportPace(s.engine, slowness)
+	}
+}
+
+// SlowCount returns the number of engines that are slow.
+func (p *Placement) SlowCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s.prefilled {
-		return
+	return p.paces.slowCount()
+}
+
+// recordPrefilled records that the engine has no more of the prompt to prefill.
+func (s *placedStream) recordPrefilled() {
+	if !s.prefilled {
+		s.prefilled = true
+		s.placement.ensureState(s.engine).prefillTokens -= s.prefillTokens
 	}
-	s.prefilled = true
-	p.ensureState(s.engine).prefillTokens -= s.prefillTokens
 }
 
 // Ended records that the stream is no longer at the engine.
 func (s *placedStream) Ended() {
-	s.PrefillDone()
 	p := s.placement
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	s.recordPrefilled()
 	state := p.ensureState(s.engine)
 	state.streams--
 	state.residentTokens -= s.residentTokens
@@ -356,6 +400,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
+	p.paces.sweep(now)
 	for key, state := range p.engines {
 		if state.idle(now) {
 			delete(p.engines, key)
--- a/routing/placement_test.go
+++ b/routing/placement_test.go
@@ -120,7 +120,7 @@
 	engines := engineFleet(2)
 	p := NewPlacement(PlacementOptions{AvailabilityZone: "a", Seed: 1})
 	for range 8 {
-		p.AddStream(engines[0], draftSize, 0).PrefillDone()
+		p.AddStream(engines[0], draftSize, 0).EventArrived()
 	}
 	is.Equal(p.Place(draftQuery(engines)).ID, engines[1].ID)
 }
@@ -257,7 +257,7 @@
 	}
 	p := NewPlacement(PlacementOptions{AvailabilityZone: "a", Seed: 1})
 	for range 9 {
-		p.AddStream(engines[5], draftSize, 0).PrefillDone()
+		p.AddStream(engines[5], draftSize, 0).EventArrived()
 	}
 	query := draftQuery(engines)
 	query.CachedAt = engines[5].ID
