Keep the race detector from crashing in the tests of the relay

Seen: SIGSEGV of the race runtime in a bubble of TestOwnDelayIsNotTakenForTheTargetsSilence, as a control check ran. Callers see nothing of it; it hides what the test says.

Probes of two control targets at once each received from time.After(0), and a script without a pause had its stream receive from a timer of 0. Go 1.26.8 runs an expired timer channel on the receiver's thread with the one race context of the bubble; two receivers at once corrupt it. One of the three waits of the fake guarded against that, two didn't.

Change, in the fake only: the three waits use wait.For, which has no timer for 0. Times, checks and bounds are the same. An ended context now always ends a wait of 0; before, the select chose.

--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/health"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
 )
 
 // script is the behavior of a fake engine for one attempt.
@@ -141,10 +142,9 @@
 	e.failProbes = max(0, e.failProbes-1)
 	refused, delay := e.refused[target.ID], e.probeDelay[target.ID]
 	e.mu.Unlock()
-	select {
-	case <-time.After(delay):
-	case <-ctx.Done():
-		return ctx.Err()
+	// wait.For makes no timer of 0: goroutines of a synctest bubble that receive from these at once crash the race runtime (Go 1.26.8).
+	if err := wait.For(ctx, delay); err != nil {
+		return err
 	}
 	if refused {
 		return ErrProbeRefused
@@ -169,16 +169,12 @@
 func (s *scriptedStream) Head() any { return s.target }
 
 func (s *scriptedStream) Next() (RelayEvent, error) {
-	timer := time.NewTimer(s.script.pause)
-	defer timer.Stop()
 	if len(s.script.events) == 0 && s.script.end == nil {
 		<-s.ctx.Done()
 		return RelayEvent{}, s.ctx.Err()
 	}
-	select {
-	case <-timer.C:
-	case <-s.ctx.Done():
-		return RelayEvent{}, s.ctx.Err()
+	if err := wait.For(s.ctx, s.script.pause); err != nil {
+		return RelayEvent{}, err
 	}
 	var outage time.Duration
 	if len(s.script.events) > 0 || !s.engine.breakDuringOutage {
@@ -186,13 +182,8 @@
 			outage += s.engine.eventDelay
 		}
 	}
-	// Goroutines of a synctest bubble that receive from timers of 0 at once crash the race runtime (Go 1.26.8).
-	if outage > 0 {
-		select {
-		case <-time.After(outage):
-		case <-s.ctx.Done():
-			return RelayEvent{}, s.ctx.Err()
-		}
+	if err := wait.For(s.ctx, outage); err != nil {
+		return RelayEvent{}, err
 	}
 	if len(s.script.events) == 0 {
 		return RelayEvent{}, s.script.end
