Keep streams at targets that sent an event after an unanswered probe

What callers would see: a stream whose target sends events goes on at another target, prefilled again or from a KV cache copy, and an attempt of the retry budget is spent; `attempt-ended ending=silent error="target accepts no connection"`.

Change: a stream that has received an event since the failed probe was sent stays and gets a new monitor of its target; an event that waits is handled first. The time counts at which the event was received, so that an event from before the probe, handled late, keeps no stream. Silent streams at the target leave at once as before.

Why the fix works: the verdict now needs both, no answer and no event since; endingSilent already said so. A target that dies is probed again by its streams after their silence.

Tests: the test had a tie of answer and timeout; it has a case for each outcome now, and no check less.

--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -724,25 +724,64 @@
 // Guards against a stream that is moved since its own goroutine ran late, while its next event waited. The goroutine sees the event
 // and the end of a probe at once, in any order.
 func TestOwnDelayIsNotTakenForTheTargetsSilence(t *testing.T) {
-	for range 20 {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			f := newRelayFixture(map[string][]script{
-				"a": {{events: eventsUpTo(4), pause: 300 * time.Millisecond, end: io.EOF}},
-				"b": {{events: []int64{2, 3, 4}, end: io.EOF}},
-			})
-			f.engine.probeDelay = map[string]time.Duration{"a": 100 * time.Millisecond}
-			records := &changingRecords{relayLocalRecords{health.NewCrashes()}, make(chan struct{}), 5 * time.Second}
-			f.relay.options.CrashRecords = records
-			time.AfterFunc(560*time.Millisecond, func() { close(records.changed) }) // during a probe, before the second event
-			sink := &recordingSink{}
-			is.NoErr(f.relay.Run(t.Context(), relayRequest(), sink))
-			is.Equal(sink.events, eventsUpTo(4))
-			is.Equal(len(f.engine.attempts), 1)
+	for name, probe := range map[string]struct {
+		delay time.Duration
+		dark  bool
+	}{
+		"answered":   {delay: 90 * time.Millisecond},
+		"unanswered": {dark: true}, // the goroutine of the probe ran late as well
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 20 {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newRelayFixture(map[string][]script{
+						"a": {{events: eventsUpTo(4), pause: 300 * time.Millisecond, end: io.EOF}},
+						"b": {{events: []int64{2, 3, 4}, end: io.EOF}},
+					})
+					f.engine.probeDelay = map[string]time.Duration{"a": probe.delay}
+					f.engine.dark["a"] = probe.dark
+					records := &changingRecords{relayLocalRecords{health.NewCrashes()}, make(chan struct{}), 5 * time.Second}
+					f.relay.options.CrashRecords = records
+					time.AfterFunc(560*time.Millisecond, func() { close(records.changed) }) // during a probe, before the second event
+					sink := &recordingSink{}
+					is.NoErr(f.relay.Run(t.Context(), relayRequest(), sink))
+					is.Equal(sink.events, eventsUpTo(4))
+					is.Equal(len(f.engine.attempts), 1)
+				})
+			}
 		})
 	}
 }
 
+// Guards against a probe without an answer that moves a stream whose target has sent an event since, and against such a stream
+// that stays when its target is silent later. The silent stream beside it leaves at once.
+func TestUnansweredProbeMovesOnlyStreamsWithoutAnEventSince(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRelayFixture(map[string][]script{
+			"a": {{events: eventsUpTo(2), pause: 300 * time.Millisecond}, {events: []int64{1}, pause: 10 * time.Millisecond}},
+			"c": {{events: []int64{2}, end: io.EOF}, {events: []int64{3}, end: io.EOF}},
+		})
+		f.engine.setDark("a")
+		active, silent := &recordingSink{}, &recordingSink{}
+		start := time.Now()
+		done := make(chan error, 1)
+		go func() { done <- f.relay.Run(t.Context(), relayRequest(), active) }()
+		synctest.Wait() // the first script is the active stream's
+		request := relayRequest()
+		request.ID = "silent"
+		is.NoErr(f.relay.Run(t.Context(), request, silent))
+		is.NoErr(<-done)
+		is.Equal(silent.events, eventsUpTo(2))
+		// Its probe ends at 360 ms, after the active stream's first event.
+		is.Equal(silent.times[1].Sub(start), 10*time.Millisecond+probeSensitivity.InitialLimit+targetProbeTimeout)
+		is.Equal(active.events, eventsUpTo(3))
+		is.Equal(active.times[2].Sub(start), 600*time.Millisecond+probeSensitivity.InitialLimit+targetProbeTimeout)
+		is.Equal(len(f.engine.attempts), 4)
+	})
+}
+
 // changingRecords are RelayCrashRecords that change once.
 type changingRecords struct {
 	relayLocalRecords
--- a/generation/relayattempt.go
+++ b/generation/relayattempt.go
@@ -26,6 +26,8 @@
 	eventCount   int
 	startedAt    time.Time
 	lastProgress time.Time
+	// lastReceived is when the reading goroutine received the latest handled event; zero before the first one.
+	lastReceived time.Time
 	messages     chan relayMessage
 	copier       *kvCopier
 }
@@ -35,7 +37,9 @@
 type relayMessage struct {
 	stream RelayStream
 	event  RelayEvent
-	err    error
+	// receivedAt is when the event was received.
+	receivedAt time.Time
+	err        error
 }
 
 // runAttempt sends the request to a target and passes events on to the caller until the attempt
@@ -45,7 +49,7 @@
 	defer cancel()
 	attempt := run.newAttempt(target)
 	a := run.startAttempt(attempt)
-	defer run.relay.monitors.release(a.monitor)
+	defer func() { run.relay.monitors.release(a.monitor) }()
 	defer a.placed.Ended()
 	run.log("attempt-sent", Field{"target", target.ID}, Field{"address", target.Address}, Field{"zone", target.AvailabilityZone},
 		Field{"version", target.Version}, Field{"resumes", run.request.Resumes}, Field{"after_event", run.lastEvent}, Field{"copy_at", targetID(attempt.Copy.holder())},
@@ -214,7 +218,7 @@
 	for err == nil {
 		var event RelayEvent
 		event, err = stream.Next()
-		if !a.post(ctx, relayMessage{event: event, err: err}) {
+		if !a.post(ctx, relayMessage{event: event, receivedAt: time.Now(), err: err}) {
 			return
 		}
 	}
@@ -252,7 +256,18 @@
 				return ending, err
 			}
 		case <-a.monitor.unreachable:
-			return endingSilent, errProbeFailed
+			// This goroutine may run late, and the probe's as well: a target that has sent an event since is reachable.
+			select {
+			case message := <-a.messages:
+				if ending, ended, err := a.handleMessage(ctx, message); ended {
+					return ending, err
+				}
+			default:
+			}
+			if !a.lastReceived.After(a.monitor.failedProbeSentAt) {
+				return endingSilent, errProbeFailed
+			}
+			a.monitor, probeDone = a.run.relay.monitors.renew(a.monitor), nil
 		case <-probeDone:
 			probeDone = nil
 			lastProbe, probeAnswered = time.Now(), a.run.relay.monitors.lastProbeAnswered(a.monitor)
@@ -366,7 +381,7 @@
 		a.gaps.Observe(now.Sub(a.lastProgress))
 	}
 	a.eventCount++
-	a.lastProgress = now
+	a.lastProgress, a.lastReceived = now, message.receivedAt
 	a.monitor.lastEvent.Store(now.UnixNano())
 	a.placed.PrefillDone()
 	if err := a.forwardEvent(message.event); err != nil {
--- a/generation/relaymonitor.go
+++ b/generation/relaymonitor.go
@@ -13,7 +13,8 @@
 
 // targetMonitors holds a monitor for each target with open streams, which detects that the target
 // stopped answering. All streams of an entry at a target share the monitor: a probe that fails for
-// one of them moves the others too. It is safe for concurrent use.
+// one of them moves the others too, except those that have received an event since it was sent. It is
+// safe for concurrent use.
 type targetMonitors struct {
 	connectivity *Connectivity
 	// detour is the way through peers; nil for none.
@@ -38,6 +39,8 @@
 	// unreachable is closed when the target is found unreachable.
 	unreachable   chan struct{}
 	isUnreachable bool
+	// failedProbeSentAt is when the probe was sent that found the target unreachable. It is set before unreachable is closed.
+	failedProbeSentAt time.Time
 }
 
 func newTargetMonitors(shared *Connectivity, targets func(string) []*directory.Target, detour RelayDetour) *targetMonitors {
@@ -67,6 +70,14 @@
 	}
 }
 
+// renew replaces an unreachable monitor for a stream that has received an event since the failed probe was sent.
+func (m *targetMonitors) renew(monitor *targetMonitor) *targetMonitor {
+	renewed := m.acquire(monitor.target)
+	renewed.lastEvent.CompareAndSwap(0, monitor.lastEvent.Load())
+	m.release(monitor)
+	return renewed
+}
+
 // otherSilence counts the targets, besides one, with open streams of its service: those that have sent an event since a time, and those
 // that sent some before it only.
 func (m *targetMonitors) otherSilence(than *directory.Target, since time.Time) (active, silent int) {
@@ -85,12 +96,13 @@
 	return active, silent
 }
 
-// markUnreachable ends the attempts of all streams at the target.
-func (m *targetMonitors) markUnreachable(monitor *targetMonitor) {
+// markUnreachable ends the attempts of all streams at the target that have received no event since the failed probe was sent.
+func (m *targetMonitors) markUnreachable(monitor *targetMonitor, probeSentAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !monitor.isUnreachable {
 		monitor.isUnreachable = true
+		monitor.failedProbeSentAt = probeSentAt
 		close(monitor.unreachable)
 	}
 }
@@ -119,10 +131,11 @@
 	}
 	done := make(chan struct{})
 	monitor.probeDone = done
+	sentAt := time.Now()
 	go func() {
 		found := m.connectivity.examine(monitor.target, func() []*directory.Target { return m.controlCandidates(service) })
 		if found == unreachable {
-			m.markUnreachable(monitor)
+			m.markUnreachable(monitor, sentAt)
 		}
 		linkLost := found == undetermined && m.detour != nil && m.detour.Reaches(context.Background(), monitor.target)
 		m.mu.Lock()
