Charge callers' heads to a budget before net/http parses them

Cause: header fields are not counted, while net/http keeps 100 bytes and more for each. 1,200 connections with legal heads of 2,500 short fields took 379 to 412 MB of an entry; the smallest VM has 144 MB.

Ruled out: a cap on the number of fields refuses a legal request; a counting listener alone doesn't know where a head ends; limits by address fail behind a load balancer.

Change: package adapters/callerlimit. A net.Conn wrapper counts bytes and lines of heads as they are read. Half of limits.callerMemoryBytes pays for the connections, each with 12 KiB for its request, so that an ordinary request takes no shared memory and no lock. Larger heads share the other half. If that is used up, the connection that has held the most for the longest, of the address that holds the most, is refused with 503, unless its request has been forwarded or is younger than 200 ms and of the same address; otherwise the request itself is refused. A head that exceeds all shared memory is held alone. BeginForwarding charges the copy for the target.

Tests changed: newCallerListener takes the limiter; callerlistener_test.go passes one with its defaults.

--- a/adapters/passthrough/admit.go
+++ b/adapters/passthrough/admit.go
@@ -81,6 +81,14 @@
 // isCutOff reports whether the request ends because the process is about to exit.
 func (c *request) isCutOff() bool { return errors.Is(context.Cause(c.http.Context()), errEntryStops) }
 
+// refuseForMemory returns the answer to a request that has not run, since there is no memory for it, and counts it. The connection is
+// closed: the rest of the request is not read.
+func (c *request) refuseForMemory() *errorAnswer {
+	c.conn.RecordRefusal()
+	c.writer.Header().Set("Connection", "close")
+	return &errorAnswer{status: http.StatusServiceUnavailable, reason: errNoBodyRoom.Error(), retryAfter: bodyRetryAfter}
+}
+
 // askToClose asks the caller to close its connection if the entry is about to stop.
 func (c *request) askToClose() {
 	if c.handler.options.Draining() {
@@ -126,8 +134,8 @@
 		return &errorAnswer{status: http.StatusRequestEntityTooLarge, reason: "body larger than " + strconv.FormatInt(limit, 10)}
 	case err != nil && c.isCutOff():
 		return stoppingAnswer
-	case errors.Is(err, errNoBodyRoom):
-		return &errorAnswer{status: http.StatusServiceUnavailable, reason: err.Error(), retryAfter: bodyRetryAfter}
+	case errors.Is(err, errNoBodyRoom) || err != nil && c.conn.IsEvicted():
+		return c.refuseForMemory()
 	case err != nil:
 		return &errorAnswer{status: http.StatusBadRequest, reason: "body: " + err.Error()}
 	}
--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/adapters/callerlimit"
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
@@ -96,10 +97,12 @@
 
 // request is one request of a caller while it is served.
 type request struct {
-	handler  *Handler
-	header   platform.CallerHeader
-	http     *http.Request
-	writer   http.ResponseWriter
+	handler *Handler
+	header  platform.CallerHeader
+	http    *http.Request
+	writer  http.ResponseWriter
+	// conn is the caller's connection; nil if its server doesn't limit what callers make the process hold.
+	conn     *callerlimit.Conn
 	arrived  time.Time
 	deadline time.Time
 	route    *directory.Route
@@ -121,7 +124,7 @@
 	defer cancel(nil)
 	defer context.AfterFunc(h.options.Stopped, func() { cancel(errEntryStops) })()
 	call := &request{
-		handler: h, http: r.WithContext(ctx), writer: w, arrived: time.Now(),
+		handler: h, http: r.WithContext(ctx), writer: w, conn: callerlimit.FromContext(ctx), arrived: time.Now(),
 		header: platform.DecodeCallerHeader(r.Header), snapshot: h.options.Snapshot(),
 	}
 	// Prevents net/http from adding fields that the target did not send.
@@ -136,6 +139,10 @@
 		call.writeError(rejected)
 		return
 	}
+	if !call.conn.BeginForwarding() {
+		call.writeError(call.refuseForMemory())
+		return
+	}
 	call.dispatched = true
 	if call.route.Class == directory.Stream {
 		call.relay()
--- a/entry/callerlistener.go
+++ b/entry/callerlistener.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/adapters/callerlimit"
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
 )
@@ -34,6 +35,7 @@
 type callerListener struct {
 	listener net.Listener
 	handler  http.Handler
+	limiter  *callerlimit.Limiter
 	log      func(event string, fields ...generation.Field)
 
 	mu      sync.Mutex
@@ -50,14 +52,14 @@
 	conns *channelListener
 }
 
-func newCallerListener(address string, handler http.Handler, log func(string, ...generation.Field)) (*callerListener, error) {
+func newCallerListener(address string, handler http.Handler, limiter *callerlimit.Limiter, log func(string, ...generation.Field)) (*callerListener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	f := &callerListener{listener: listener, handler: handler, log: log}
-	f.apply(directory.Limits{})
-	return f, nil
+	l := &callerListener{listener: limiter.NewListener(listener), handler: handler, limiter: limiter, log: log}
+	l.apply(directory.Limits{})
+	return l, nil
 }
 
 // apply makes new connections use the limits.
@@ -77,6 +79,7 @@
 		},
 		conns: &channelListener{address: l.listener.Addr(), conns: make(chan net.Conn), done: make(chan struct{})},
 	}
+	l.limiter.Configure(server.http)
 	l.current = server
 	l.servers = append(l.servers, server)
 	go func() { _ = server.http.Serve(server.conns) }() // returns when the server is closed
--- a/entry/callerlistener_test.go
+++ b/entry/callerlistener_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/azurebarrow/azurebarrow/adapters/callerlimit"
 	"github.com/azurebarrow/azurebarrow/generation"
 )
 
@@ -19,7 +20,7 @@
 		close(accepted)
 		time.Sleep(closeTimeout / 4) // a call takes milliseconds
 		_, _ = io.WriteString(w, "whole")
-	}), func(string, ...generation.Field) {})
+	}), callerlimit.New(callerlimit.Options{}), func(string, ...generation.Field) {})
 	is.NoErr(err)
 	go func() { _ = listener.run() }()
 	type result struct {
@@ -51,7 +52,7 @@
 	listener, err := newCallerListener("127.0.0.1:0", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		close(accepted)
 		<-r.Context().Done()
-	}), func(string, ...generation.Field) {})
+	}), callerlimit.New(callerlimit.Options{}), func(string, ...generation.Field) {})
 	is.NoErr(err)
 	go func() { _ = listener.run() }()
 	ended := make(chan error, 1)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/oklog/run"
 
+	"github.com/azurebarrow/azurebarrow/adapters/callerlimit"
 	"github.com/azurebarrow/azurebarrow/adapters/crashprobe"
 	"github.com/azurebarrow/azurebarrow/adapters/metrics"
 	"github.com/azurebarrow/azurebarrow/adapters/passthrough"
@@ -72,6 +73,8 @@
 	versions     *streamversion.Manager
 	prompts      *promptindex.Manager
 	callers      *callerListener
+	// callerLimits limits what callers make the entry hold.
+	callerLimits *callerlimit.Limiter
 	ready        boundServer
 	peers        boundServer
 	admin        boundServer
@@ -105,6 +108,10 @@
 	e := &Entry{settings: s.WithDefaults(), options: options, log: options.Log, metrics: metrics.New(), retryTotals: admission.NewRetryTotals(), crashRecords: newSharedCrashRecords(options.Log)}
 	e.shutdown = newShutdown(e.settings.Passthrough.StopGrace)
 	e.stopped, e.stop = context.WithCancel(context.Background())
+	e.callerLimits = callerlimit.New(callerlimit.Options{
+		MemoryBytes: e.settings.Limits.CallerMemoryBytes, Connections: e.settings.Limits.CallerConnections,
+		DefersForwarding: true, Listener: "callers", Log: e.log,
+	})
 	e.buildMembership()
 	e.buildLimits()
 	e.buildDirectory()
@@ -264,7 +271,7 @@
 // listen opens the listeners of all servers.
 func (e *Entry) listen(callers http.Handler) error {
 	var err error
-	if e.callers, err = newCallerListener(e.settings.CallerAddress, callers, e.log); err != nil {
+	if e.callers, err = newCallerListener(e.settings.CallerAddress, callers, e.callerLimits, e.log); err != nil {
 		return merry.Prepend(err, "callerAddress")
 	}
 	if err := e.ready.open(e.settings.Passthrough.ReadyAddress, e.readyHandler()); err != nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -60,6 +60,12 @@
 	HeaderTimeout time.Duration `yaml:"headerTimeout"`
 	// BodyTimeout is the maximum time for reading a request's body.
 	BodyTimeout time.Duration `yaml:"bodyTimeout"`
+	// CallerMemoryBytes is the memory that callers may make the entry hold. 0 means a quarter of the memory of the VM, at least 16 MiB
+	// and at most 64 MiB.
+	CallerMemoryBytes int64 `yaml:"callerMemoryBytes"`
+	// CallerConnections is the maximum number of callers' connections. 0 means half of the descriptors of the process, or as many as
+	// half of CallerMemoryBytes pays for if these are fewer.
+	CallerConnections int `yaml:"callerConnections"`
 	// ReplicaBytes is the maximum memory for replicas of other entries' generations.
 	ReplicaBytes int64 `yaml:"replicaBytes"`
 	// RetryWindow is how long a finished generation is kept, so that callers can retry and get its
@@ -73,6 +79,9 @@
 	Level string `yaml:"level"`
 }
 
+// MinCallerMemoryBytes is the least memory for callers: with less, a few large heads would take all of it.
+const MinCallerMemoryBytes = 2 << 20
+
 // Default limits.
 const (
 	DefaultBodyBytes     = 4 << 20
@@ -201,6 +210,12 @@
 	if l.BodyTimeout < 0 {
 		addFault("limits.bodyTimeout", "%v is negative", l.BodyTimeout)
 	}
+	if l.CallerMemoryBytes < 0 || l.CallerMemoryBytes > 0 && l.CallerMemoryBytes < MinCallerMemoryBytes {
+		addFault("limits.callerMemoryBytes", "%d is less than %d", l.CallerMemoryBytes, MinCallerMemoryBytes)
+	}
+	if l.CallerConnections < 0 {
+		addFault("limits.callerConnections", "%d is negative", l.CallerConnections)
+	}
 	if l.ReplicaBytes < 0 {
 		addFault("limits.replicaBytes", "%d is negative", l.ReplicaBytes)
 	}
