--- a/adapters/callerlimit/limiter.go
+++ b/adapters/callerlimit/limiter.go
@@ -19,7 +19,7 @@
 	connectionBytes = 24 << 10
 	// prepaidBytes is what one request may hold without taking of the shared memory, so that ordinary requests are never refused for
 	// lack of it.
-	prepaidBytes = 12 << 10
+	prepaidBytes = 16 << 10
 	// fieldBytes is charged for each line of a head, beside its bytes: net/http keeps a map entry, two strings and a slice for a field.
 	fieldBytes = 384
 	// grantBytes is the step in which a connection takes shared memory, so that few reads take the lock of the Limiter.
@@ -29,6 +29,9 @@
 	// releaseWait and releasePolls limit the wait for evicted connections to release their memory, which takes milliseconds.
 	releaseWait  = 5 * time.Millisecond
 	releasePolls = 20
+	// searchInterval is the time after a search for a connection to evict that found none in which there is no other for the same address:
+	// a crowd that is refused would make the entry search all the time.
+	searchInterval = 20 * time.Millisecond
 	// minEvictionAge is the time for which a request keeps its memory before another of its address may have it evicted. Without it, each
 	// of a crowd would evict another, and the memory of those that are evicted is free only once it is collected.
 	minEvictionAge = 200 * time.Millisecond
@@ -89,7 +92,10 @@
 	// granted is the part of the shared memory that connections hold, releasing the part of it that evicted connections hold.
 	granted, releasing int64
 	connections        map[*Conn]struct{}
-	addresses          map[netip.Addr]*address
+	// searchedAt and searchedFor are the time and the address of the last search for a connection to evict that found none.
+	searchedAt  time.Time
+	searchedFor netip.Addr
+	addresses   map[netip.Addr]*address
 }
 
 // address is what the connections of one remote address hold.
@@ -227,8 +233,12 @@
 			return true, false
 		}
 		now := time.Now()
+		if now.Sub(l.searchedAt) < searchInterval && l.searchedFor == conn.address {
+			return false, false
+		}
 		victim := l.largestHolder(now)
 		if victim == nil || victim == conn || victim.address == conn.address && victim.age(now) < minEvictionAge {
+			l.searchedAt, l.searchedFor = now, conn.address
 			return false, false
 		}
 		l.evict(victim)
--- a/adapters/passthrough/bodies_test.go
+++ b/adapters/passthrough/bodies_test.go
@@ -24,7 +24,7 @@
 	for _, length := range []int64{size, -1} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			memory := newBodyMemory()
+			memory := newBodyMemory(maxBodiesBytes)
 			var held, most, refused, read atomic.Int64
 			ended := make(chan struct{})
 			for range callers {
@@ -59,7 +59,7 @@
 // Guards against ordinary requests that wait for large bodies, and against room that is lost with a body that breaks off.
 func TestSmallBodiesNeedNoRoom(t *testing.T) {
 	is := is.New(t)
-	memory := newBodyMemory()
+	memory := newBodyMemory(maxBodiesBytes)
 	ctx := t.Context()
 	release, err := memory.reserve(ctx, maxBodiesBytes+1, time.Second) // larger than all of the room: held alone
 	is.NoErr(err)
--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -36,6 +36,8 @@
 	Stopped context.Context
 	// StreamBegan is called when a stream has been admitted, and the returned function at its end, with whether it is complete.
 	StreamBegan func(StreamStart) (ended func(complete bool))
+	// RequestMemoryBytes is the memory that callerlimit lets all requests share; 0 if nothing limits it.
+	RequestMemoryBytes int64
 	// WaitReady waits until a snapshot is ready, up to limit.
 	WaitReady func(ctx context.Context, limit time.Duration)
 	// Log receives one event for each decision about a request.
@@ -73,7 +75,11 @@
 
 // NewHandler returns a Handler.
 func NewHandler(options Options) *Handler {
-	return &Handler{options: options, bodies: newBodyMemory()}
+	bodies := int64(maxBodiesBytes)
+	if options.RequestMemoryBytes > 0 {
+		bodies = min(bodies, int64(maxBodiesShare*float64(options.RequestMemoryBytes)))
+	}
+	return &Handler{options: options, bodies: newBodyMemory(bodies)}
 }
 
 const (
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -256,7 +256,9 @@
 		Relay:     e.relay,
 		Forwarder: e.forwarder,
 		WaitReady: e.directory.WaitReady,
-		Draining:  e.shutdown.stopping,
+
+		RequestMemoryBytes: e.callerLimits.SharedBytes(),
+		Draining:           e.shutdown.stopping,
 		Accepts: func(route *directory.Route, outputTokens int, deadline time.Time) bool {
 			return e.shutdown.accepts(route, outputTokens, deadline, time.Now())
 		},
