Limit callers' connections

Cause: the callers' listener accepted connections without a limit. Each costs a descriptor and 13 KB of resident memory before it has sent anything; the smallest VM has 3,075 descriptors, of which requests need some for their targets.

Change: limits.callerConnections, by default half of the descriptors, or as many as half of limits.callerMemoryBytes pays for. Above it the connection that has been idle for the longest time is closed for a new one, or, if none is idle, the oldest request that has not been forwarded is refused; connections of the address that has the most go first. If all requests have been forwarded, or a quarter of the connections (half, for an address with few) is still being closed, the new one gets 503 and is closed.

--- a/adapters/callerlimit/callerlimit_test.go
+++ b/adapters/callerlimit/callerlimit_test.go
@@ -374,3 +374,54 @@
 		}
 	})
 }
+
+// Guards against connections without a limit: callers open them and send nothing, or stop in the middle of a head, until no descriptor
+// or no memory is left for others.
+func TestConnectionsAreLimited(t *testing.T) {
+	const limit = 20
+	for _, sent := range []string{"", "POST /x HT", smallRequest} { // the last becomes idle
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := startServer(t, Options{Connections: limit}, answer)
+			ordinary := s.dial(2)
+			is.Equal(call(ordinary, smallRequest), http.StatusOK)
+			time.Sleep(time.Second)
+			for range 10 * limit {
+				conn := s.dial(1)
+				go func() { _, _ = io.Copy(io.Discard, conn) }()
+				go func() { _, _ = io.WriteString(conn, sent) }()
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(time.Second)
+			is.True(s.limiter.ConnectionCount() <= limit)
+			is.Equal(call(s.dial(2), smallRequest), http.StatusOK)
+			// The connection that has been idle for the longest time is kept: its address has few.
+			if sent != "POST /x HT" {
+				is.Equal(call(ordinary, smallRequest), http.StatusOK)
+			}
+			is.True(s.limiter.RefusalCount(KindIdle)+s.limiter.RefusalCount(KindEvicted) >= 9*limit)
+			is.Equal(s.limiter.RefusalCount(KindConnection), int64(0))
+		})
+	}
+}
+
+// Guards against new connections that end requests which have been forwarded.
+func TestNewConnectionIsRefusedBesideForwardedRequests(t *testing.T) {
+	const limit = 5
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		release := make(chan struct{})
+		s := startServer(t, Options{Connections: limit}, func(http.ResponseWriter, *http.Request) { <-release })
+		var callers sync.WaitGroup
+		for range limit {
+			conn := s.dial(1)
+			callers.Go(func() { is.Equal(call(conn, smallRequest), http.StatusOK) })
+		}
+		synctest.Wait()
+		is.Equal(call(s.dial(2), smallRequest), http.StatusServiceUnavailable)
+		is.Equal(s.limiter.RefusalCount(KindConnection), int64(1))
+		close(release)
+		callers.Wait()
+		is.Equal(call(s.dial(2), smallRequest), http.StatusOK) // one of the others is idle now
+	})
+}
--- a/adapters/callerlimit/conn.go
+++ b/adapters/callerlimit/conn.go
@@ -237,6 +237,14 @@
 	}
 }
 
+// refuseNew refuses a connection of which nothing has been read.
+func (c *Conn) refuseNew() {
+	c.limiter.record(KindConnection, c.address)
+	_ = c.Conn.SetDeadline(time.Now().Add(refusalTimeout))
+	_, _ = io.WriteString(c.Conn, refusal) // the connection is closed in any case
+	_ = c.Conn.Close()
+}
+
 // RecordRefusal counts a request that its handler refuses for lack of memory.
 func (c *Conn) RecordRefusal() {
 	if c == nil {
--- a/adapters/callerlimit/limiter.go
+++ b/adapters/callerlimit/limiter.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,8 @@
 	grantBytes = 4 << 10
 	// maxReleasingShare is the share of the shared memory that evicted connections may still hold while others are granted it already.
 	maxReleasingShare = 0.25
+	// fewConnectionsShare is the share of all connections up to which those of one address are few.
+	fewConnectionsShare = 0.125
 	// releaseWait and releasePolls limit the wait for evicted connections to release their memory, which takes milliseconds.
 	releaseWait  = 5 * time.Millisecond
 	releasePolls = 20
@@ -50,12 +53,16 @@
 	KindBody
 	// KindEvicted: the memory of a request that had not been forwarded was needed by others.
 	KindEvicted
+	// KindIdle: an idle connection was closed for a new one.
+	KindIdle
+	// KindConnection: a new connection was refused, since all others had requests that were forwarded.
+	KindConnection
 	kinds
 )
 
 // String returns the kind as log events and metrics name it.
 func (k Kind) String() string {
-	return [kinds]string{"head", "body", "evicted"}[k]
+	return [kinds]string{"head", "body", "evicted", "idle", "connection"}[k]
 }
 
 // Kinds returns all kinds of refusals.
@@ -92,6 +99,8 @@
 	// granted is the part of the shared memory that connections hold, releasing the part of it that evicted connections hold.
 	granted, releasing int64
 	connections        map[*Conn]struct{}
+	// closing is the number of evicted connections in connections.
+	closing int
 	// searchedAt and searchedFor are the time and the address of the last search for a connection to evict that found none.
 	searchedAt  time.Time
 	searchedFor netip.Addr
@@ -153,12 +162,16 @@
 // RefusalCount returns the number of refusals of the kind.
 func (l *Limiter) RefusalCount(kind Kind) int64 { return l.refusals[kind].count.Load() }
 
-// accept returns the connection under the limits.
+// accept returns the connection under the limits, nil if it is refused.
 func (l *Limiter) accept(conn net.Conn) *Conn {
 	limited := &Conn{Conn: conn, limiter: l, address: addressOf(conn.RemoteAddr())}
 	limited.enter(phaseNew)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.makeRoom(limited.address, time.Now()) {
+		go limited.refuseNew() // logging takes the lock
+		return nil
+	}
 	l.connections[limited] = struct{}{}
 	from := l.addresses[limited.address]
 	if from == nil {
@@ -169,6 +182,51 @@
 	return limited
 }
 
+// makeRoom reports whether there is room for another connection of the address. At the limit it closes one. The caller holds mu.
+func (l *Limiter) makeRoom(remote netip.Addr, now time.Time) bool {
+	open := len(l.connections) - l.closing
+	if open < l.options.Connections {
+		return true
+	}
+	// Connections that are being closed still hold descriptors. An address with few connections gets more of these.
+	closing := float64(l.closing) / float64(l.options.Connections)
+	few := l.addresses[remote] == nil || float64(l.addresses[remote].connections) <= fewConnectionsShare*float64(l.options.Connections)
+	if closing > 2*maxReleasingShare || closing > maxReleasingShare && !few {
+		return false
+	}
+	victim := l.leastActive(now)
+	if victim == nil {
+		return false
+	}
+	if phase := victim.phase.Load(); phase == phaseNew || phase == phaseIdle {
+		go l.record(KindIdle, victim.address) // logging takes the lock
+	}
+	return l.evict(victim)
+}
+
+// leastActive returns the connection to close for a new one: one that is idle or, if there is none, one whose request has not been
+// forwarded; of these, one of the address that has the most connections; of these, the one that has been so for the longest time. It
+// returns nil if there is none. The caller holds mu.
+func (l *Limiter) leastActive(now time.Time) *Conn {
+	var found *Conn
+	var rank [3]int64
+	for conn := range l.connections {
+		idle := int64(0)
+		switch conn.phase.Load() {
+		case phaseNew, phaseIdle:
+			idle = 1
+		case phaseHead, phaseRequest:
+		default:
+			continue
+		}
+		candidate := [3]int64{idle, int64(l.addresses[conn.address].connections), int64(conn.age(now))}
+		if found == nil || slices.Compare(candidate[:], rank[:]) > 0 {
+			found, rank = conn, candidate
+		}
+	}
+	return found
+}
+
 func addressOf(remote net.Addr) netip.Addr {
 	if tcp, ok := remote.(*net.TCPAddr); ok {
 		return tcp.AddrPort().Addr().Unmap()
@@ -184,6 +242,9 @@
 		return
 	}
 	l.setGrant(conn, 0)
+	if conn.releasing {
+		l.closing--
+	}
 	delete(l.connections, conn)
 	from := l.addresses[conn.address]
 	if from.connections--; from.connections == 0 {
@@ -272,12 +333,16 @@
 	return found
 }
 
-// evict has a connection refuse its request. The caller holds mu.
-func (l *Limiter) evict(conn *Conn) {
-	if conn.evict() {
-		conn.releasing = true
-		l.releasing += conn.granted.Load()
+// evict has a connection refuse its request, or closes it if it is idle. It reports false if the request may have been forwarded. The
+// caller holds mu.
+func (l *Limiter) evict(conn *Conn) bool {
+	if !conn.evict() {
+		return false
 	}
+	conn.releasing = true
+	l.closing++
+	l.releasing += conn.granted.Load()
+	return true
 }
 
 // record counts a refusal and logs it, at most once per logInterval.
--- a/adapters/callerlimit/server.go
+++ b/adapters/callerlimit/server.go
@@ -19,11 +19,15 @@
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if limited := l.limiter.accept(conn); limited != nil {
+			return limited, nil
+		}
 	}
-	return l.limiter.accept(conn), nil
 }
 
 type connKey struct{}
