Close callers' connections to which nothing can be written

Cause: a caller that reads nothing of its response kept its connection, its handler and what its request held until the deadline of a stream, and without end for a response of the entry itself.

Change: Write of the connection wrapper fails once nothing could be written for 10 s. A write that makes progress goes on, and the deadline that a handler sets stays the upper bound. Writes within a second share one deadline. An evicted connection gets no further memory.

--- a/adapters/callerlimit/callerlimit_test.go
+++ b/adapters/callerlimit/callerlimit_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -425,3 +427,85 @@
 		is.Equal(call(s.dial(2), smallRequest), http.StatusOK) // one of the others is idle now
 	})
 }
+
+// Guards against connections that callers keep open by reading nothing of a response.
+func TestResponseThatIsNotReadEndsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		failed := make(chan error, 1)
+		s := startServer(t, Options{Connections: 10}, func(w http.ResponseWriter, _ *http.Request) {
+			var err error
+			for err == nil {
+				_, err = w.Write(make([]byte, 8<<10)) // larger than the buffer of net/http
+			}
+			failed <- err
+		})
+		conn := s.dial(1)
+		_, err := io.WriteString(conn, smallRequest)
+		is.NoErr(err)
+		start := time.Now()
+		is.True(errors.Is(<-failed, os.ErrDeadlineExceeded))
+		is.True(time.Since(start) <= writeProgressTimeout)
+		synctest.Wait()
+		is.Equal(s.limiter.ConnectionCount(), 0)
+		is.Equal(s.limiter.RefusalCount(KindUnread), int64(1))
+	})
+}
+
+// Guards against responses and streams that are cut although their caller reads them, slowly or after pauses; and against the deadline
+// of a handler that is moved.
+func TestSlowReadersGetTheirResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const size = 64 << 10
+		s := startServer(t, Options{Connections: 10}, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/deadline" {
+				is.NoErr(http.NewResponseController(w).SetWriteDeadline(time.Now().Add(3 * time.Second)))
+			}
+			if r.URL.Path == "/stream" {
+				for range 5 { // longer between two events than the timeout
+					time.Sleep(2 * writeProgressTimeout)
+					_, err := io.WriteString(w, "event")
+					is.NoErr(err)
+					is.NoErr(http.NewResponseController(w).Flush())
+				}
+				return
+			}
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+			_, err := w.Write(make([]byte, size))
+			is.Equal(errors.Is(err, os.ErrDeadlineExceeded), r.URL.Path == "/deadline")
+		})
+		for _, each := range []struct {
+			path  string
+			pause time.Duration
+			want  int
+		}{{"/slow", writeProgressTimeout - time.Second, size}, {"/stream", 0, len("event") * 5}} {
+			conn := s.dial(1)
+			go func() { _, _ = io.WriteString(conn, strings.Replace(smallRequest, "/x", each.path, 1)) }()
+			response, err := http.ReadResponse(bufio.NewReader(&pausingReader{conn, each.pause}), nil)
+			is.NoErr(err)
+			text, err := io.ReadAll(response.Body)
+			is.NoErr(err)
+			is.Equal(len(text), each.want)
+		}
+		conn := s.dial(1)
+		start := time.Now()
+		go func() { _, _ = io.WriteString(conn, strings.Replace(smallRequest, "/x", "/deadline", 1)) }()
+		response, err := http.ReadResponse(bufio.NewReader(&pausingReader{conn, time.Second}), nil)
+		is.NoErr(err)
+		_, err = io.ReadAll(response.Body)
+		is.True(err != nil)
+		is.True(time.Since(start) < 2*writeProgressTimeout)
+	})
+}
+
+// pausingReader waits before each read.
+type pausingReader struct {
+	io.Reader
+	pause time.Duration
+}
+
+func (r *pausingReader) Read(p []byte) (int, error) {
+	time.Sleep(r.pause)
+	return r.Reader.Read(p)
+}
--- a/adapters/callerlimit/conn.go
+++ b/adapters/callerlimit/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -30,6 +31,10 @@
 const (
 	// readBufferBytes is the size of the buffer into which net/http reads.
 	readBufferBytes = 4 << 10
+	// writeProgressTimeout is the time after which a connection is closed to which nothing could be written.
+	writeProgressTimeout = 10 * time.Second
+	// writeDeadlineStep is the time for which writes share a deadline: setting one for each event of a stream would cost more.
+	writeDeadlineStep = time.Second
 	// refusalTimeout limits the time for writing a refusal and for waiting until the caller closes the connection. Without the wait, the
 	// kernel would discard the refusal when unread bytes of the caller arrive.
 	refusalTimeout = 50 * time.Millisecond
@@ -63,6 +68,12 @@
 	refused atomic.Bool
 	// buffered is the cost of the last read: as much of the next head may be in the buffer of net/http when a request ends.
 	buffered atomic.Int64
+	// unread is set once a write has made no progress.
+	unread atomic.Bool
+	// writeMu guards the fields below: the deadline that was set, zero for none, and that for progress.
+	writeMu          sync.Mutex
+	writeDeadline    time.Time
+	progressDeadline time.Time
 	// deadlines counts the read deadlines that net/http has set since the last request: the first when it starts to wait for the next
 	// request, the second when it has seen the beginning of that.
 	deadlines atomic.Int32
@@ -276,6 +287,66 @@
 	return errors.Join(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
+// Write implements net.Conn. It fails once nothing could be written for writeProgressTimeout, or at the deadline that was set.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.refused.Load() {
+		return 0, net.ErrClosed // net/http would answer the incomplete head with 400
+	}
+	written := 0
+	for {
+		if err := c.extendWriteDeadline(); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if n == 0 || written == len(p) || !errors.Is(err, os.ErrDeadlineExceeded) || c.isPastWriteDeadline() {
+			if errors.Is(err, os.ErrDeadlineExceeded) && !c.isPastWriteDeadline() && !c.unread.Swap(true) {
+				c.limiter.record(KindUnread, c.address)
+			}
+			return written, err
+		}
+	}
+}
+
+// extendWriteDeadline lets the next write wait for writeProgressTimeout at least, or until the deadline that was set.
+func (c *Conn) extendWriteDeadline() error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	now := time.Now()
+	if c.progressDeadline.Sub(now) > writeProgressTimeout-writeDeadlineStep {
+		return nil
+	}
+	return c.setEarlierWriteDeadline(now)
+}
+
+// setEarlierWriteDeadline sets the earlier of the deadline that was set and that for progress. The caller holds writeMu.
+func (c *Conn) setEarlierWriteDeadline(now time.Time) error {
+	c.progressDeadline = now.Add(writeProgressTimeout)
+	deadline := c.progressDeadline
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
+		deadline = c.writeDeadline
+	}
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// isPastWriteDeadline reports whether the deadline that was set has passed.
+func (c *Conn) isPastWriteDeadline() bool {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	return !c.writeDeadline.IsZero() && !time.Now().Before(c.writeDeadline)
+}
+
+// SetWriteDeadline implements net.Conn. Writes fail at the deadline, or earlier if they make no progress.
+func (c *Conn) SetWriteDeadline(t time.Time) error {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	if t.IsZero() && c.writeDeadline.IsZero() {
+		return nil // net/http does so for each request
+	}
+	c.writeDeadline = t
+	return c.setEarlierWriteDeadline(time.Now())
+}
+
 // CloseWrite closes the writing side. net/http calls it so that a caller that is still sending receives the response.
 func (c *Conn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/adapters/callerlimit/limiter.go
+++ b/adapters/callerlimit/limiter.go
@@ -57,12 +57,14 @@
 	KindIdle
 	// KindConnection: a new connection was refused, since all others had requests that were forwarded.
 	KindConnection
+	// KindUnread: the caller did not read its response.
+	KindUnread
 	kinds
 )
 
 // String returns the kind as log events and metrics name it.
 func (k Kind) String() string {
-	return [kinds]string{"head", "body", "evicted", "idle", "connection"}[k]
+	return [kinds]string{"head", "body", "evicted", "idle", "connection", "unread"}[k]
 }
 
 // Kinds returns all kinds of refusals.
@@ -280,8 +282,8 @@
 func (l *Limiter) tryGrant(conn *Conn, bytes int64) (granted, again bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, open := l.connections[conn]; !open {
-		return false, false // closed meanwhile: nobody would release the grant
+	if _, open := l.connections[conn]; !open || conn.releasing {
+		return false, false // nobody would release the grant of a closed connection
 	}
 	for {
 		others := l.granted - l.releasing - conn.granted.Load()
