Limit callers of all listeners, and of the native interface

Cause: the readiness, peers and admin listeners had no limits: 1,200 connections with heads of 2,500 short fields at the readiness address took 430 MB of an entry. Their servers set no MaxHeaderBytes. The native interface had none on heads, bodies together or connections either.

Change: every listener of both interfaces has a Limiter of its own. Readiness and admin (with metrics): 4 MiB and 64 connections; peers: 16 MiB and a quarter of the descriptors. callerhttp reads bodies as they arrive under the limits of its connection; a request without memory gets 503, code overloaded, with the outcomes that notReady has. A refused connection waits 50 ms for its caller only while few do, and then counts as closing instead of as one of the connections: with 64 of them, ordinary readiness checks got 503 meanwhile (found by TestCrowdAtOneListenerLeavesTheOthersAlone).

--- a/adapters/callerhttp/body.go
+++ b/adapters/callerhttp/body.go
@@ -4,22 +4,29 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
+
+	"github.com/azurebarrow/azurebarrow/adapters/callerlimit"
 )
 
-// readBody reads the body of a request, limited in size and time.
+// readBody reads the body of a request, limited in size and time. If there is memory for the request, it is marked as forwarded.
 func readBody(w http.ResponseWriter, r *http.Request, bytes int64, timeout time.Duration) ([]byte, *Error) {
 	controller := http.NewResponseController(w)
 	// A writer without deadlines, as in tests, gets only the size limit.
 	_ = controller.SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bytes))
+	conn := callerlimit.FromContext(r.Context())
+	body, err := conn.ReadBody(http.MaxBytesReader(w, r.Body, bytes), r.ContentLength, bytes)
 	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, badRequest(http.StatusRequestEntityTooLarge, CodeTooLarge, fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit))
 	}
+	if errors.Is(err, callerlimit.ErrNoMemory) || conn.IsEvicted() || err == nil && !conn.BeginForwarding() {
+		conn.RecordRefusal()
+		w.Header().Set("Connection", "close")
+		return nil, noMemory().withKeyOf(r)
+	}
 	if err != nil {
 		return nil, badRequest(http.StatusRequestTimeout, CodeBadRequest, "the body did not arrive in time")
 	}
--- a/adapters/callerhttp/errors.go
+++ b/adapters/callerhttp/errors.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/adapters/callerlimit"
 	"github.com/azurebarrow/azurebarrow/generation"
 )
 
@@ -92,6 +93,14 @@
 		Outcome: OutcomeNotRun, RetryAfter: notReadyRetryAfter}
 }
 
+// noMemoryRetryAfter is the Retry-After of a request for which there is no memory: large requests are sent on within tenths of a second.
+const noMemoryRetryAfter = time.Second
+
+func noMemory() *Error {
+	return &Error{Status: http.StatusServiceUnavailable, Code: CodeOverloaded, Message: callerlimit.ErrNoMemory.Error(),
+		Outcome: OutcomeNotRun, RetryAfter: noMemoryRetryAfter}
+}
+
 // withKeyOf changes the outcome "not-run" to "unknown" if the caller sent a key: a request under
 // this key may have run through another entry, whatever is wrong with this attempt.
 func (e *Error) withKeyOf(r *http.Request) *Error {
--- a/adapters/callerlimit/conn.go
+++ b/adapters/callerlimit/conn.go
@@ -62,8 +62,9 @@
 	head atomic.Int64
 	// granted is the shared memory that the connection has taken; Limiter.mu guards its changes.
 	granted atomic.Int64
-	// releasing is set when the connection is evicted; Limiter.mu guards it.
-	releasing bool
+	// closing is set when the request is refused or the connection evicted, releasing when others have got its memory by that.
+	// Limiter.mu guards both.
+	closing, releasing bool
 	// refused is set once a refusal has been written.
 	refused atomic.Bool
 	// buffered is the cost of the last read: as much of the next head may be in the buffer of net/http when a request ends.
@@ -236,8 +237,9 @@
 		return errRefused
 	}
 	c.limiter.record(kind, c.address)
+	mayWait := c.limiter.beginClosing(c)
 	_ = c.Conn.SetDeadline(time.Now().Add(refusalTimeout))
-	if _, err := io.WriteString(c.Conn, refusal); err != nil || c.CloseWrite() != nil {
+	if _, err := io.WriteString(c.Conn, refusal); err != nil || c.CloseWrite() != nil || !mayWait {
 		return errRefused
 	}
 	var discarded [512]byte
--- a/adapters/callerlimit/defaults.go
+++ b/adapters/callerlimit/defaults.go
@@ -5,6 +5,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/azurebarrow/azurebarrow/generation"
 )
 
 const (
@@ -16,6 +18,12 @@
 	memoryShare    = 0.25
 	minMemoryBytes = 16 << 20
 	maxMemoryBytes = 64 << 20
+	// operatorMemoryBytes and operatorConnections limit the readiness, admin and metrics listeners, which a few programs of the operators
+	// call. A legal head with the most fields takes a megabyte.
+	operatorMemoryBytes = 4 << 20
+	operatorConnections = 64
+	// peerMemoryBytes limits what peers make an entry hold, without the bodies between peers, which have limits of their own.
+	peerMemoryBytes = 16 << 20
 	// descriptorShare is the share of the descriptors for callers' connections: requests need others for their targets.
 	descriptorShare = 0.5
 )
@@ -38,6 +46,21 @@
 	return int64(min(limit.Cur, math.MaxInt32)), nil
 }
 
+// ForOperators returns the limits of a listener that programs of the operators call.
+func ForOperators(listener string, log func(event string, fields ...generation.Field)) Options {
+	return Options{MemoryBytes: operatorMemoryBytes, Connections: operatorConnections, Listener: listener, Log: log}
+}
+
+// ForPeers returns the limits of the listener for other entries.
+func ForPeers(log func(event string, fields ...generation.Field)) Options {
+	return Options{MemoryBytes: peerMemoryBytes, Connections: defaultPeerConnections(descriptorsOfProcess), Listener: "peers", Log: log}
+}
+
+// defaultPeerConnections returns the number of connections from peers: half as many as of callers.
+func defaultPeerConnections(descriptors func() (int64, error)) int {
+	return int(descriptorShare / 2 * float64(orFallback(descriptors, fallbackDescriptors)))
+}
+
 // orFallback returns what read returns, or the fallback if that fails.
 func orFallback(read func() (int64, error), fallback int64) int64 {
 	value, err := read()
--- a/adapters/callerlimit/limiter.go
+++ b/adapters/callerlimit/limiter.go
@@ -27,8 +27,6 @@
 	grantBytes = 4 << 10
 	// maxReleasingShare is the share of the shared memory that evicted connections may still hold while others are granted it already.
 	maxReleasingShare = 0.25
-	// fewConnectionsShare is the share of all connections up to which those of one address are few.
-	fewConnectionsShare = 0.125
 	// releaseWait and releasePolls limit the wait for evicted connections to release their memory, which takes milliseconds.
 	releaseWait  = 5 * time.Millisecond
 	releasePolls = 20
@@ -101,7 +99,7 @@
 	// granted is the part of the shared memory that connections hold, releasing the part of it that evicted connections hold.
 	granted, releasing int64
 	connections        map[*Conn]struct{}
-	// closing is the number of evicted connections in connections.
+	// closing is the number of connections that are being closed.
 	closing int
 	// searchedAt and searchedFor are the time and the address of the last search for a connection to evict that found none.
 	searchedAt  time.Time
@@ -170,7 +168,7 @@
 	limited.enter(phaseNew)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.makeRoom(limited.address, time.Now()) {
+	if !l.makeRoom(time.Now()) {
 		go limited.refuseNew() // logging takes the lock
 		return nil
 	}
@@ -184,18 +182,12 @@
 	return limited
 }
 
-// makeRoom reports whether there is room for another connection of the address. At the limit it closes one. The caller holds mu.
-func (l *Limiter) makeRoom(remote netip.Addr, now time.Time) bool {
+// makeRoom reports whether there is room for another connection. At the limit it closes one. The caller holds mu.
+func (l *Limiter) makeRoom(now time.Time) bool {
 	open := len(l.connections) - l.closing
 	if open < l.options.Connections {
 		return true
 	}
-	// Connections that are being closed still hold descriptors. An address with few connections gets more of these.
-	closing := float64(l.closing) / float64(l.options.Connections)
-	few := l.addresses[remote] == nil || float64(l.addresses[remote].connections) <= fewConnectionsShare*float64(l.options.Connections)
-	if closing > 2*maxReleasingShare || closing > maxReleasingShare && !few {
-		return false
-	}
 	victim := l.leastActive(now)
 	if victim == nil {
 		return false
@@ -244,7 +236,7 @@
 		return
 	}
 	l.setGrant(conn, 0)
-	if conn.releasing {
+	if conn.closing {
 		l.closing--
 	}
 	delete(l.connections, conn)
@@ -282,7 +274,7 @@
 func (l *Limiter) tryGrant(conn *Conn, bytes int64) (granted, again bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, open := l.connections[conn]; !open || conn.releasing {
+	if _, open := l.connections[conn]; !open || conn.closing {
 		return false, false // nobody would release the grant of a closed connection
 	}
 	for {
@@ -335,14 +327,33 @@
 	return found
 }
 
+// beginClosing counts a connection whose request is refused as closing. It reports whether the connection may wait until its caller has
+// received the refusal: if many do, it is closed at once, since each holds a descriptor.
+func (l *Limiter) beginClosing(conn *Conn) (mayWait bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, open := l.connections[conn]; open {
+		l.setClosing(conn)
+	}
+	return float64(l.closing) <= maxReleasingShare*float64(l.options.Connections)
+}
+
+// setClosing counts a connection as closing. The caller holds mu.
+func (l *Limiter) setClosing(conn *Conn) {
+	if !conn.closing {
+		conn.closing = true
+		l.closing++
+	}
+}
+
 // evict has a connection refuse its request, or closes it if it is idle. It reports false if the request may have been forwarded. The
 // caller holds mu.
 func (l *Limiter) evict(conn *Conn) bool {
 	if !conn.evict() {
 		return false
 	}
+	l.setClosing(conn)
 	conn.releasing = true
-	l.closing++
 	l.releasing += conn.granted.Load()
 	return true
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,6 +93,7 @@
 type boundServer struct {
 	listener net.Listener
 	server   *http.Server
+	limiter  *callerlimit.Limiter
 }
 
 // minExpectedEntries is the number of entries among which the constant part of the retry budget is
@@ -276,25 +277,27 @@
 	if e.callers, err = newCallerListener(e.settings.CallerAddress, callers, e.callerLimits, e.log); err != nil {
 		return merry.Prepend(err, "callerAddress")
 	}
-	if err := e.ready.open(e.settings.Passthrough.ReadyAddress, e.readyHandler()); err != nil {
+	if err := e.ready.open(e.settings.Passthrough.ReadyAddress, e.readyHandler(), callerlimit.New(callerlimit.ForOperators("ready", e.log))); err != nil {
 		return merry.Prepend(err, "passthrough.readyAddress")
 	}
-	if err := e.peers.open(e.settings.PeerAddress, e.peerHandler()); err != nil {
+	if err := e.peers.open(e.settings.PeerAddress, e.peerHandler(), callerlimit.New(callerlimit.ForPeers(e.log))); err != nil {
 		return merry.Prepend(err, "peerAddress")
 	}
-	if err := e.admin.open(e.settings.AdminAddress, e.adminHandler()); err != nil {
+	if err := e.admin.open(e.settings.AdminAddress, e.adminHandler(), callerlimit.New(callerlimit.ForOperators("admin", e.log))); err != nil {
 		return merry.Prepend(err, "adminAddress")
 	}
 	return nil
 }
 
-func (b *boundServer) open(address string, handler http.Handler) error {
+func (b *boundServer) open(address string, handler http.Handler, limiter *callerlimit.Limiter) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	b.listener = listener
-	b.server = &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	b.listener = limiter.NewListener(listener)
+	b.server = &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultHeaderBytes}
+	limiter.Configure(b.server)
+	b.limiter = limiter
 	return nil
 }
 
--- a/servers.go
+++ b/servers.go
@@ -9,6 +9,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/oklog/run"
+
+	"github.com/azurebarrow/azurebarrow/adapters/callerlimit"
 )
 
 // idleTimeout is how long an idle connection stays open, of callers as well as to peers.
@@ -36,6 +38,7 @@
 type boundServer struct {
 	listener net.Listener
 	server   *http.Server
+	limiter  *callerlimit.Limiter
 }
 
 // servers are the three HTTP servers of an entry.
@@ -51,27 +54,34 @@
 func (s *servers) listen(n *Entry, callers http.Handler) error {
 	s.peerMux = http.NewServeMux()
 	limits := n.settings.Limits
+	callerLimits := callerlimit.Options{
+		MemoryBytes: limits.CallerMemoryBytes, Connections: limits.CallerConnections, DefersForwarding: true, Listener: "callers", Log: n.logEvent,
+	}
 	for _, endpoint := range []struct {
 		bound   *boundServer
 		name    string
 		address string
 		handler http.Handler
+		limits  callerlimit.Options
 	}{
-		{&s.callers, "callerAddress", n.settings.CallerAddress, callers},
-		{&s.peers, "peerAddress", n.settings.PeerAddress, s.peerMux},
-		{&s.admin, "adminAddress", n.settings.AdminAddress, n.adminHandler()},
+		{&s.callers, "callerAddress", n.settings.CallerAddress, callers, callerLimits},
+		{&s.peers, "peerAddress", n.settings.PeerAddress, s.peerMux, callerlimit.ForPeers(n.logEvent)},
+		{&s.admin, "adminAddress", n.settings.AdminAddress, n.adminHandler(), callerlimit.ForOperators("admin", n.logEvent)},
 	} {
 		listener, err := net.Listen("tcp", endpoint.address)
 		if err != nil {
 			s.close()
 			return merry.Prependf(err, "%s", endpoint.name)
 		}
-		*endpoint.bound = boundServer{listener: listener, server: &http.Server{
+		server := &http.Server{
 			Handler:           endpoint.handler,
 			ReadHeaderTimeout: limits.HeaderTimeout,
 			MaxHeaderBytes:    limits.HeaderBytes,
 			IdleTimeout:       idleTimeout,
-		}}
+		}
+		limiter := callerlimit.New(endpoint.limits)
+		limiter.Configure(server)
+		*endpoint.bound = boundServer{listener: limiter.NewListener(listener), server: server, limiter: limiter}
 	}
 	return nil
 }
