--- a/adapters/callerlimit/callerlimit_test.go
+++ b/adapters/callerlimit/callerlimit_test.go
@@ -424,6 +424,7 @@
 		is.Equal(s.limiter.RefusalCount(KindConnection), int64(1))
 		close(release)
 		callers.Wait()
+		synctest.Wait() // net/http marks the connections as idle after the responses
 		is.Equal(call(s.dial(2), smallRequest), http.StatusOK) // one of the others is idle now
 	})
 }
--- a/adapters/callerlimit/defaults.go
+++ b/adapters/callerlimit/defaults.go
@@ -37,6 +37,9 @@
 	return int64(info.Totalram) * int64(info.Unit), nil
 }
 
+// MemoryOfProcess returns the memory that the process sees, or that of the smallest VM if it can't be read.
+func MemoryOfProcess() int64 { return orFallback(memoryOfProcess, fallbackMemoryBytes) }
+
 // descriptorsOfProcess returns the number of descriptors that the process may open.
 func descriptorsOfProcess() (int64, error) {
 	var limit syscall.Rlimit
--- a/adapters/callerlimit/limiter.go
+++ b/adapters/callerlimit/limiter.go
@@ -142,6 +142,12 @@
 	}
 }
 
+// MemoryBytes returns the memory that callers may make the process hold.
+func (l *Limiter) MemoryBytes() int64 { return l.options.MemoryBytes }
+
+// MaxConnections returns the maximum number of connections.
+func (l *Limiter) MaxConnections() int { return l.options.Connections }
+
 // SharedBytes returns the memory for what connections hold beyond the part that each may hold.
 func (l *Limiter) SharedBytes() int64 { return l.shared }
 
--- a/cmd/azurebarrow/commands.go
+++ b/cmd/azurebarrow/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/signal"
@@ -15,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/azurebarrow/azurebarrow"
+	"github.com/azurebarrow/azurebarrow/adapters/callerlimit"
 	"github.com/azurebarrow/azurebarrow/adapters/eventlog"
 	"github.com/azurebarrow/azurebarrow/entry"
 	"github.com/azurebarrow/azurebarrow/generation"
@@ -63,6 +65,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory()
 	c.override(&loaded)
 	if findings := settings.Check("flags", loaded); len(findings) > 0 {
 		for _, finding := range findings {
@@ -88,6 +91,17 @@
 	return nativeEntry.Run(ctx)
 }
 
+// memoryLimitShare is the share of the memory that the process sees from which on the garbage collector works harder. What callers hold is
+// limited by less; see docs/design/caller-limits.md.
+const memoryLimitShare = 0.8
+
+// limitMemory sets the memory limit of the Go runtime, unless GOMEMLIMIT has set one.
+func limitMemory() {
+	if debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(callerlimit.MemoryOfProcess())))
+	}
+}
+
 // dialTarget opens the connections to targets; nil except in builds with the tag "linkfault".
 var dialTarget func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -286,6 +286,7 @@
 	if err := e.admin.open(e.settings.AdminAddress, e.adminHandler(), callerlimit.New(callerlimit.ForOperators("admin", e.log))); err != nil {
 		return merry.Prepend(err, "adminAddress")
 	}
+	callerlimit.RegisterMetrics(e.metrics, e.callerLimits, e.ready.limiter, e.peers.limiter, e.admin.limiter)
 	return nil
 }
 
@@ -329,7 +330,9 @@
 		generation.Field{Key: "callers", Value: e.settings.CallerAddress},
 		generation.Field{Key: "peers", Value: e.settings.PeerAddress},
 		generation.Field{Key: "admin", Value: e.settings.AdminAddress},
-		generation.Field{Key: "store", Value: e.settings.Platform.URL})
+		generation.Field{Key: "store", Value: e.settings.Platform.URL},
+		generation.Field{Key: "caller_memory", Value: e.callerLimits.MemoryBytes()},
+		generation.Field{Key: "caller_connections", Value: e.callerLimits.MaxConnections()})
 	err := group.Run()
 	e.log("entry-stopped", generation.Field{Key: "error", Value: err}, generation.Field{Key: "running", Value: e.running.Load()})
 	return err
--- a/servers.go
+++ b/servers.go
@@ -83,6 +83,7 @@
 		limiter.Configure(server)
 		*endpoint.bound = boundServer{listener: limiter.NewListener(listener), server: server, limiter: limiter}
 	}
+	callerlimit.RegisterMetrics(n.metrics, s.callers.limiter, s.peers.limiter, s.admin.limiter)
 	return nil
 }
 
