Tests of an entry beside crowds of misbehaving callers

Crowds: heads of many short fields, unfinished bodies, bodies in chunks of one byte, bodies far over the limit, pipelined requests whose responses nobody reads, slow senders, slow readers, and callers that stop half-way; at a route, at a path without a route and at the readiness address. One test sends single requests within the limits.

Each test starts the program, without the race detector, with the settings of deploy/settings.yaml.tmpl, 3,075 descriptors and GOMAXPROCS=2. It checks VmHWM (100 MB), open descriptors (2,562), that the process is alive, and that an ordinary caller from another loopback address gets 200 beside the crowd and after it.

A program without the setting limits.callerMemoryBytes starts without it; one that has it gets the default of the smallest VM, since the default would follow the memory of the machine that runs the tests.

--- /dev/null
+++ b/test/crowds/crowd_test.go
@@ -0,0 +1,223 @@
+package crowds
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// place is where a crowd sends its requests.
+type place struct {
+	name    string
+	address func(*entryProcess) string
+	method  string
+	path    string
+}
+
+var (
+	route     = place{"route", (*entryProcess).callers, "POST", callPrefix + "crowd"}
+	stream    = place{"stream", (*entryProcess).callers, "POST", streamPrefix + "crowd"}
+	noRoute   = place{"no-route", (*entryProcess).callers, "POST", "/nowhere"}
+	readiness = place{"readiness", (*entryProcess).readiness, "GET", "/v1/ready"}
+)
+
+func (e *entryProcess) callers() string   { return e.callerAddress }
+func (e *entryProcess) readiness() string { return e.readyAddress }
+
+// head returns the head of a request with further lines, up to the blank line that ends it.
+func (p place) head(lines ...string) []byte {
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Request-Id: crowd\r\n", p.method, p.path, hostName, apiKey)
+	for _, line := range lines {
+		text.WriteString(line + "\r\n")
+	}
+	text.WriteString("\r\n")
+	return text.Bytes()
+}
+
+// chunk returns a body's bytes as one chunk.
+func chunk(content []byte) []byte { return fmt.Appendf(nil, "%x\r\n%s\r\n", len(content), content) }
+
+// caller is one caller of a crowd, with its connection.
+type caller struct {
+	crowd *crowd
+	conn  *net.TCPConn
+}
+
+// send writes to the connection, in pieces so that the progress shows. It reports whether the entry has taken everything.
+func (c *caller) send(text []byte) bool {
+	const pieceBytes = 16 << 10
+	for len(text) > 0 {
+		n, err := c.conn.Write(text[:min(len(text), pieceBytes)])
+		c.crowd.sent.Add(int64(n))
+		if err != nil {
+			return false
+		}
+		text = text[n:]
+	}
+	return true
+}
+
+// sleep waits, and reports whether the crowd is still to go on.
+func (c *caller) sleep(pause time.Duration) bool {
+	select {
+	case <-c.crowd.ctx.Done():
+		return false
+	case <-time.After(pause):
+		return true
+	}
+}
+
+// crowd is a number of callers that behave alike. A caller whose connection is refused or closed does not come back.
+type crowd struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	callers sync.WaitGroup
+	// dialed is the number of callers that have a connection or were refused one, sent the number of bytes that all have written.
+	dialed, sent atomic.Int64
+
+	mu    sync.Mutex
+	conns []*net.TCPConn
+}
+
+// concurrentDials limits the connections that are being opened, to stay below the accept queue of the listener.
+const concurrentDials = 100
+
+// shrinkBuffers gives a connection, before it is opened, small buffers and the segments of a network, in which the kernel keeps a few
+// dozen KB that nobody reads. With the buffers and segments of loopback it keeps more than 1 MB.
+func shrinkBuffers(_, _ string, conn syscall.RawConn) error {
+	const receiveBytes, sendBytes, segmentBytes = 4 << 10, 64 << 10, 1400
+	var failure error
+	err := conn.Control(func(descriptor uintptr) {
+		failure = errors.Join(
+			syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes),
+			syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBytes),
+			syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes))
+	})
+	return errors.Join(err, failure)
+}
+
+// startCrowd opens a connection for each caller and then runs behave for it. The connections stay open until stop.
+func startCrowd(size int, address string, behave func(*caller)) *crowd {
+	c := &crowd{}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	dials := make(chan struct{}, concurrentDials)
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(crowdAddress)}, Control: shrinkBuffers}
+	for range size {
+		c.callers.Go(func() {
+			dials <- struct{}{}
+			conn, err := dialer.DialContext(c.ctx, "tcp", address)
+			<-dials
+			c.dialed.Add(1)
+			if err != nil {
+				return // a refusal is allowed
+			}
+			tcp := conn.(*net.TCPConn)
+			c.mu.Lock()
+			c.conns = append(c.conns, tcp)
+			c.mu.Unlock()
+			if c.ctx.Err() == nil {
+				behave(&caller{c, tcp})
+			}
+		})
+	}
+	return c
+}
+
+// stop resets all connections of the crowd.
+func (c *crowd) stop() {
+	c.cancel()
+	c.mu.Lock()
+	for _, conn := range c.conns {
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	}
+	c.mu.Unlock()
+	c.callers.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+}
+
+// The crowd has done its worst once all callers are connected, and neither side has moved more than quietBytes for quietTime. It is not
+// waited for longer than settleTimeout.
+const (
+	quietBytes    = 64 << 10
+	quietTime     = 500 * time.Millisecond
+	settleTimeout = 10 * time.Second
+)
+
+// settle waits until the crowd has done its worst.
+func (c *crowd) settle(e *entryProcess, size int) {
+	progress := func() int64 {
+		read, _ := e.procValue("io", "rchar") // an error means that the process has ended, which isAlive tells
+		return read + c.sent.Load()
+	}
+	last, since := progress(), time.Now()
+	for end := time.Now().Add(settleTimeout); time.Now().Before(end) && e.isAlive(); time.Sleep(pollInterval) {
+		if now := progress(); now-last > quietBytes || c.dialed.Load() < int64(size) {
+			last, since = now, time.Now()
+		}
+		if time.Since(since) > quietTime {
+			return
+		}
+	}
+}
+
+// withstand starts an entry and a crowd, and fails the test unless the entry stays alive and within its bounds, and serves an ordinary
+// caller beside the crowd and after it.
+func withstand(t *testing.T, at place, size int, behave func(*caller)) {
+	t.Helper()
+	e := startEntry(t, startStandins(t))
+	c := startCrowd(size, at.address(e), behave)
+	defer c.stop()
+	c.settle(e, size)
+	beside := e.callOrdinarily("beside")
+	c.stop()
+	after := e.callOrdinarily("after")
+	e.stopWatch()
+	resident, err := e.maxResident()
+	if !e.isAlive() {
+		err = errors.New("the process has ended")
+	}
+	t.Logf("%d callers at %s: VmHWM %.1f MB, %d descriptors, %.1f MB sent", size, at.name,
+		float64(resident)/(1<<20), e.mostDescriptors, float64(c.sent.Load())/(1<<20))
+	var faults []string
+	fail := func(format string, values ...any) { faults = append(faults, fmt.Sprintf(format, values...)) }
+	if err != nil {
+		fail("not alive at the end: %v", err)
+	}
+	if resident > maxResidentBytes {
+		fail("resident memory of %.1f MB, want at most %d", float64(resident)/(1<<20), maxResidentBytes>>20)
+	}
+	if e.mostDescriptors > maxDescriptors {
+		fail("%d open descriptors, want at most %d", e.mostDescriptors, maxDescriptors)
+	}
+	if beside != nil {
+		fail("ordinary caller beside the crowd: %v", beside)
+	}
+	if after != nil {
+		fail("ordinary caller after the crowd: %v", after)
+	}
+	if len(faults) > 0 {
+		t.Errorf("%s\nend of the entry's log:\n%s", strings.Join(faults, "\n"), e.lastLogLines())
+	}
+}
+
+// at runs a test for each place.
+func at(t *testing.T, places []place, test func(t *testing.T, at place)) {
+	t.Helper()
+	for _, each := range places {
+		t.Run(each.name, func(t *testing.T) { test(t, each) })
+	}
+}
