--- a/test/crowds/crowds_test.go
+++ b/test/crowds/crowds_test.go
@@ -288,7 +288,10 @@
 			t.Errorf("%s: %v\n%s", name, err, e.lastLogLines())
 		}
 	}
-	if !e.isAlive() {
-		t.Error("the process has ended")
+	e.stopWatch()
+	resident, err := e.maxResident()
+	if err != nil || !e.isAlive() {
+		t.Error("the process has ended: ", err)
 	}
+	t.Logf("VmHWM %.1f MB, %d descriptors", float64(resident)/(1<<20), e.mostDescriptors)
 }
