Test that requests refused for memory never run

Cause: 503 promises that a request has not run and never will. A request is refused for memory while its body arrives, or is evicted as it is about to be forwarded; nothing checked the promise with real targets.

Change: a test in entry sends more bodies that stop short of their end than the memory is enough for, lets an ordinary and a large request evict some, completes the rest, and compares the statuses with what the targets ran.

--- a/entry/crowd_test.go
+++ b/entry/crowd_test.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -70,3 +73,66 @@
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusOK)
 }
+
+// Guards against requests that run although they were refused with 503 for lack of memory, which promises that they never do: a request is
+// refused while its body arrives, or as it is about to be forwarded.
+func TestRequestsRefusedForMemoryHaveNotRun(t *testing.T) {
+	const (
+		callers = 240 // of which the memory is enough for about half
+		size    = 120 << 10
+	)
+	is := is.NewRelaxed(t)
+	c := startCluster(t, 1)
+	desks := c.startDesks(t, 64, 0)
+	goOn := make(chan struct{})
+	statuses := map[string]int{}
+	var mu sync.Mutex
+	var arriving, calls sync.WaitGroup
+	arriving.Add(callers)
+	for i := range callers {
+		calls.Go(func() {
+			id := fmt.Sprint("r", i)
+			conn, err := net.Dial("tcp", c.entries[0].settings.CallerAddress)
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST /search/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 9000\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\n", id, size)
+			is.NoErr(err)
+			_, _ = conn.Write(bytes.Repeat([]byte("x"), size-1)) // the request may have been refused
+			arriving.Done()
+			<-goOn
+			_, _ = conn.Write([]byte("x"))
+			status := 0 // the kernel may discard a refusal when more bytes arrive
+			if response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: "POST"}); err == nil {
+				status = response.StatusCode
+				_ = response.Body.Close()
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[id] = status
+		})
+	}
+	arriving.Wait()
+	time.Sleep(300 * time.Millisecond) // from then on the first ones may be evicted
+	response, _, err := c.request(0, "POST", "/search/x", "ordinary", "k1", strings.Repeat("x", 4<<10))
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	response, _, err = c.request(0, "POST", "/search/x", "large", "k1", strings.Repeat("x", size))
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK) // others were evicted for it
+	close(goOn)
+	calls.Wait()
+	counts := map[int]int{}
+	for id, status := range statuses {
+		counts[status]++
+		for _, desk := range desks {
+			if _, ran := desk.runs(t)[id]; ran && status == http.StatusServiceUnavailable {
+				t.Error(id, " was refused and has run")
+			}
+		}
+	}
+	t.Log(counts)
+	limiter := c.entries[0].callerLimits
+	is.True(counts[http.StatusOK] > 0)
+	is.True(limiter.RefusalCount(callerlimit.KindBody) > 0)
+	is.True(limiter.RefusalCount(callerlimit.KindEvicted) > 0)
+}
