Don't close new connections as idle before their request is read

Cause: at the limit of connections, the only connections without a request in progress may be those that were just accepted; an entry that is slow to read their requests closed them.

Change: a connection that has sent nothing counts as idle after a second. Connections of an address with more than half of all go first, idle or not: otherwise a crowd that keeps no connection idle would cost others theirs, which TestConnectionsAreLimited showed.

--- a/adapters/callerlimit/callerlimit_test.go
+++ b/adapters/callerlimit/callerlimit_test.go
@@ -424,7 +424,7 @@
 		is.Equal(s.limiter.RefusalCount(KindConnection), int64(1))
 		close(release)
 		callers.Wait()
-		synctest.Wait() // net/http marks the connections as idle after the responses
+		synctest.Wait()                                        // net/http marks the connections as idle after the responses
 		is.Equal(call(s.dial(2), smallRequest), http.StatusOK) // one of the others is idle now
 	})
 }
@@ -510,3 +510,33 @@
 	time.Sleep(r.pause)
 	return r.Reader.Read(p)
 }
+
+// Guards against a new connection that is closed as idle before its request has been read, since all others have requests in progress.
+func TestNewConnectionDoesNotCountAsIdle(t *testing.T) {
+	const limit = 5
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		release := make(chan struct{})
+		s := startServer(t, Options{Connections: limit, DefersForwarding: true}, func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/held" {
+				<-release
+			}
+		})
+		for range limit {
+			conn := s.dial(1)
+			go call(conn, strings.Replace(smallRequest, "/x", "/held", 1))
+		}
+		time.Sleep(time.Millisecond)
+		ordinary := s.dial(2)
+		time.Sleep(time.Millisecond)
+		next := s.dial(1)
+		synctest.Wait()
+		is.Equal(call(ordinary, smallRequest), http.StatusOK)
+		is.Equal(s.limiter.RefusalCount(KindIdle), int64(0))
+		time.Sleep(2 * newConnectionGrace)
+		_ = s.dial(1)
+		synctest.Wait()
+		is.True(call(next, smallRequest) != http.StatusOK) // it has sent nothing for long enough
+		close(release)
+	})
+}
--- a/adapters/callerlimit/limiter.go
+++ b/adapters/callerlimit/limiter.go
@@ -36,6 +36,9 @@
 	// minEvictionAge is the time for which a request keeps its memory before another of its address may have it evicted. Without it, each
 	// of a crowd would evict another, and the memory of those that are evicted is free only once it is collected.
 	minEvictionAge = 200 * time.Millisecond
+	// newConnectionGrace is the time after which a connection that has sent nothing counts as idle. A caller sends its request as soon as
+	// it is connected, but the entry may be slow to read it.
+	newConnectionGrace = time.Second
 	// logInterval is the minimum time between two log lines of one kind of refusal.
 	logInterval = time.Second
 )
@@ -204,22 +207,30 @@
 	return l.evict(victim)
 }
 
-// leastActive returns the connection to close for a new one: one that is idle or, if there is none, one whose request has not been
-// forwarded; of these, one of the address that has the most connections; of these, the one that has been so for the longest time. It
-// returns nil if there is none. The caller holds mu.
+// leastActive returns the connection to close for a new one: of the address that has more than half of all connections, if there is one;
+// of these, one that is idle or, if there is none, one whose request has not been forwarded; of these, one of the address that has the most
+// connections; of these, the one that has been so for the longest time. It returns nil if there is none. The caller holds mu.
 func (l *Limiter) leastActive(now time.Time) *Conn {
 	var found *Conn
-	var rank [3]int64
+	var rank [4]int64
 	for conn := range l.connections {
 		idle := int64(0)
 		switch conn.phase.Load() {
-		case phaseNew, phaseIdle:
+		case phaseIdle:
 			idle = 1
+		case phaseNew:
+			if conn.age(now) > newConnectionGrace {
+				idle = 1
+			}
 		case phaseHead, phaseRequest:
 		default:
 			continue
 		}
-		candidate := [3]int64{idle, int64(l.addresses[conn.address].connections), int64(conn.age(now))}
+		share, most := int64(l.addresses[conn.address].connections), int64(0)
+		if share > int64(l.options.Connections/2) {
+			most = 1
+		}
+		candidate := [4]int64{most, idle, share, int64(conn.age(now))}
 		if found == nil || slices.Compare(candidate[:], rank[:]) > 0 {
 			found, rank = conn, candidate
 		}
