Test the settings of caller limits

Guards against limits that refuse ordinary requests: less than 2 MiB of memory, or a negative number of connections. go test -race ./settings passes.

--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -74,3 +74,14 @@
 	f.Add([]byte("name: [a, b]\nlimits: 3\npeers: {}\n"))
 	f.Fuzz(func(_ *testing.T, data []byte) { Parse("fuzz.yaml", data) })
 }
+
+// Guards against limits of callers that refuse ordinary requests.
+func TestLimitsOfCallersAreChecked(t *testing.T) {
+	is := is.New(t)
+	_, findings := Parse("entry.yaml", []byte(valid+"  callerMemoryBytes: 2097152\n  callerConnections: 20\n"))
+	is.Equal(len(findings), 0)
+	_, findings = Parse("entry.yaml", []byte(valid+"  callerMemoryBytes: 64\n  callerConnections: -1\n"))
+	is.Equal(len(findings), 2)
+	is.Equal(findings[0].String(), "entry.yaml:12: limits.callerMemoryBytes: 64 is less than 2097152")
+	is.Equal(findings[1].String(), "entry.yaml:13: limits.callerConnections: -1 is negative")
+}
