--- a/cmd/azurebarrow/commands.go
+++ b/cmd/azurebarrow/commands.go
@@ -55,6 +55,7 @@
 	PlatformURL      string        `long:"platform-url" value-name:"URL" description:"overrides platform.url"`
 	LogLevel         string        `long:"log-level" choice:"debug" choice:"info" choice:"warning" choice:"error" description:"overrides log.level"`
 	DrainNotice      time.Duration `long:"drain-notice" default:"2s" description:"how long to show not-ready before no more is accepted"`
+	rolloutOptions
 }
 
 // Execute implements flags.Commander. It runs an entry until a signal stops it.
@@ -64,7 +65,8 @@
 		return err
 	}
 	c.override(&loaded)
-	if findings := settings.Check("flags", loaded); len(findings) > 0 {
+	findings := c.rolloutOptions.override(&loaded.Passthrough.Rollouts)
+	if findings = append(findings, settings.Check("flags", loaded)...); len(findings) > 0 {
 		for _, finding := range findings {
 			fmt.Fprintln(os.Stderr, finding)
 		}
@@ -124,6 +126,7 @@
 		return
 	}
 	c.override(&loaded)
+	_ = c.rolloutOptions.override(&loaded.Passthrough.Rollouts) // Execute has reported the findings
 	log("settings-reloaded", generation.Field{Key: "changed", Value: !reflect.DeepEqual(inUse, loaded)})
 }
 
--- a/settings/passthrough.go
+++ b/settings/passthrough.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -33,14 +34,32 @@
 	LinkMbps float64 `yaml:"linkMbps"`
 	// StopGrace is the time that the platform leaves between SIGTERM and SIGKILL.
 	StopGrace time.Duration `yaml:"stopGrace"`
+	// Rollouts bounds the rollouts of new versions of targets; without a share there are none.
+	Rollouts Rollouts `yaml:"rollouts"`
 }
 
+// Rollouts bounds what a bad version gets of the requests of its service, at all entries together.
+type Rollouts struct {
+	// Share is the maximum share of a service's requests, from the order of a rollout to its deadline; 0 switches rollouts off.
+	Share float64 `yaml:"share"`
+	// Slack is the number of requests that a bad version may get beyond the share.
+	Slack float64 `yaml:"slack"`
+	// RollbackAfter is the time after the 50th bad response from which a bad version gets no request.
+	RollbackAfter time.Duration `yaml:"rollbackAfter"`
+}
+
+// Enabled reports whether the entry carries out rollouts.
+func (r Rollouts) Enabled() bool { return r.Share > 0 }
+
 // Defaults of Passthrough, for installations that do not set their own values.
 const (
 	defaultRetryRatio  = 0.1
 	defaultRetrySlack  = 20
 	defaultRetryWindow = 10 * time.Second
 	defaultStopGrace   = 8 * time.Second
+
+	defaultRolloutSlack  = 50
+	defaultRollbackAfter = 5 * time.Second
 )
 
 func (p Passthrough) withDefaults() Passthrough {
@@ -56,9 +75,24 @@
 	if p.StopGrace == 0 {
 		p.StopGrace = defaultStopGrace
 	}
+	p.Rollouts = p.Rollouts.withDefaults()
 	return p
 }
 
+// withDefaults leaves rollouts that are switched off as they are.
+func (r Rollouts) withDefaults() Rollouts {
+	if !r.Enabled() {
+		return r
+	}
+	if r.Slack == 0 {
+		r.Slack = defaultRolloutSlack
+	}
+	if r.RollbackAfter == 0 {
+		r.RollbackAfter = defaultRollbackAfter
+	}
+	return r
+}
+
 // LinkBytesPerSecond returns LinkMbps in bytes per second.
 func (p Passthrough) LinkBytesPerSecond() float64 {
 	const bytesPerMegabit = 1e6 / 8
@@ -85,4 +119,17 @@
 	if p.StopGrace < 0 {
 		addFault("passthrough.stopGrace", "%v is negative", p.StopGrace)
 	}
+	p.Rollouts.validate(addFault)
+}
+
+func (r Rollouts) validate(addFault func(field, format string, args ...any)) {
+	if !(r.Share >= 0 && r.Share <= 1) {
+		addFault("passthrough.rollouts.share", "%v is not between 0 and 1", r.Share)
+	}
+	if !(r.Slack >= 0) || math.IsInf(r.Slack, 0) {
+		addFault("passthrough.rollouts.slack", "%v is not a number of requests", r.Slack)
+	}
+	if r.RollbackAfter < 0 {
+		addFault("passthrough.rollouts.rollbackAfter", "%v is negative", r.RollbackAfter)
+	}
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -74,3 +75,22 @@
 	f.Add([]byte("name: [a, b]\nlimits: 3\npeers: {}\n"))
 	f.Fuzz(func(_ *testing.T, data []byte) { Parse("fuzz.yaml", data) })
 }
+
+// Guards against bounds of rollouts that switch rollouts on by themselves, and against bounds that mean nothing.
+func TestRolloutBounds(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Passthrough{}.withDefaults().Rollouts, Rollouts{})
+	is.Equal(Passthrough{Rollouts: Rollouts{Slack: 9}}.withDefaults().Rollouts, Rollouts{Slack: 9})
+	is.Equal(Passthrough{Rollouts: Rollouts{Share: 0.1}}.withDefaults().Rollouts, Rollouts{Share: 0.1, Slack: 50, RollbackAfter: 5 * time.Second})
+	for _, each := range []struct {
+		bounds Rollouts
+		faults int
+	}{
+		{Rollouts{}, 0}, {Rollouts{Share: 1}, 0}, {Rollouts{Share: 1.1}, 1}, {Rollouts{Share: math.NaN()}, 1}, {Rollouts{Slack: math.Inf(1)}, 1},
+		{Rollouts{Share: -0.1, Slack: -1, RollbackAfter: -1}, 3},
+	} {
+		faults := 0
+		each.bounds.validate(func(string, string, ...any) { faults++ })
+		is.Equal(faults, each.faults)
+	}
+}
