Read the orders of rollouts through the directory

Kind rollouts is one more kind of the directory, read only by entries that carry out rollouts. A feed sends it only to readers that name it: an entry of a former build can't take a part of an unknown kind. Where the followed peers have no such feed, the entry lists the kind by stale lists, a tenth of a call every 700 ms; the other kinds still come from the peers.

Targets of a version that registered after the known orders get no work until the orders are known as of the registration, at most 2 s, unless the service has no others. The status is written to the revision that was read.

--- a/directory/callcounts.go
+++ b/directory/callcounts.go
@@ -29,14 +29,19 @@
 const (
 	callList  = "list"
 	callWatch = "watch"
+	// callStaleList is a list that may lack the changes of the last seconds.
+	callStaleList = "stalelist"
 )
 
 // callCounts counts the calls to the store by class. The map does not change.
 type callCounts map[storeCall]*atomic.Int64
 
-func newCallCounts() callCounts {
+func newCallCounts(kinds []string) callCounts {
 	counts := callCounts{}
 	for _, kind := range kinds {
+		if kind == KindRollout {
+			counts[storeCall{kind, callStaleList, occasionUnserved}] = &atomic.Int64{}
+		}
 		for call, occasions := range map[string][]occasion{
 			callList:  {occasionStart, occasionAgain},
 			callWatch: {occasionStart, occasionElected, occasionUnserved},
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -245,6 +245,8 @@
 	byID map[string]*Target
 	// ConfigurationRevision and TargetsRevision are the revisions of the store that the snapshot reflects.
 	ConfigurationRevision, TargetsRevision int64
+	// rollouts are the orders of rollouts by service.
+	rollouts map[string]*Rollout
 }
 
 // Ready reports whether the snapshot is sufficient to serve requests.
--- a/directory/feed.go
+++ b/directory/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,8 +13,11 @@
 const (
 	KindConfiguration = "configuration"
 	KindTarget        = "target"
+	// KindRollout is only read by entries that carry out rollouts.
+	KindRollout = "rollout"
 )
 
+// kinds are the kinds that every entry reads.
 var kinds = []string{KindConfiguration, KindTarget}
 
 // tombstoneTTL is how long the tombstone of a removed object is kept, so that a late message of another
@@ -51,6 +55,9 @@
 // lets other entries read them. An object is only replaced by a later revision, whatever the source. A Feed
 // is safe for concurrent use.
 type Feed struct {
+	// kindNames are the kinds that the feed holds, in the order of its answers.
+	kindNames []string
+
 	mu     sync.Mutex
 	kinds  map[string]*feedKind
 	budget feedBudget
@@ -95,9 +102,10 @@
 	removedAt      time.Time
 }
 
-func newFeed() *Feed {
-	f := &Feed{kinds: map[string]*feedKind{}, changed: make(chan struct{})}
-	for _, kind := range kinds {
+// newFeed returns a feed of the kinds that every entry reads, and of others.
+func newFeed(others ...string) *Feed {
+	f := &Feed{kindNames: slices.Concat(kinds, others), kinds: map[string]*feedKind{}, changed: make(chan struct{})}
+	for _, kind := range f.kindNames {
 		f.kinds[kind] = &feedKind{items: map[string]feedItem{}}
 	}
 	return f
@@ -276,14 +284,14 @@
 	return known
 }
 
-// Age returns the time since all kinds were known to be up to date with the store.
+// Age returns the time since the kinds that every entry reads were known to be up to date with the store.
 func (f *Feed) Age(now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	oldest := now
-	for _, k := range f.kinds {
-		if k.confirmedAt.Before(oldest) {
-			oldest = k.confirmedAt
+	for _, kind := range kinds {
+		if confirmedAt := f.kinds[kind].confirmedAt; confirmedAt.Before(oldest) {
+			oldest = confirmedAt
 		}
 	}
 	return now.Sub(oldest)
@@ -303,6 +311,13 @@
 	OnlyChanges bool
 }
 
+// reads reports whether the reader knows the kind. One of a former build names only the kinds that every entry reads, and can't take
+// parts of others.
+func (q FeedQuery) reads(kind string) bool {
+	_, named := q.Revisions[kind]
+	return named || slices.Contains(kinds, kind)
+}
+
 // Since returns the changes after the revisions of the query: one part for each kind that the feed knows,
 // except those that it omits; see FeedQuery.OnlyChanges and feedBudget. It waits for a change, at most for the
 // Wait of the query, and doesn't wait if it omits a kind. It returns nil if ctx ends.
@@ -330,9 +345,9 @@
 func (f *Feed) partsSince(query FeedQuery, now time.Time) (parts []Part, immediate bool, changed <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, kind := range kinds {
+	for _, kind := range f.kindNames {
 		k := f.kinds[kind]
-		if k.revision == 0 {
+		if k.revision == 0 || !query.reads(kind) {
 			continue
 		}
 		since := query.Revisions[kind]
--- a/directory/manager.go
+++ b/directory/manager.go
@@ -88,6 +88,8 @@
 	// StoreEra returns the latest era that an answer of the store named, whatever was asked; nil if the store names none.
 	StoreEra func() int64
 	Decoder  Decoder
+	// Rollouts decodes the orders of rollouts; nil when the entry carries out none and doesn't read them.
+	Rollouts RolloutDecoder
 	// Peers and View give access to the other entries; nil when there are none.
 	Peers Peers
 	View  membership.View
@@ -138,7 +140,9 @@
 	// provisionalSince is when each provisional target was added.
 	provisionalSince map[string]time.Time
 	// storeRegainedAt is when the store last became available again.
-	storeRegainedAt                time.Time
+	storeRegainedAt time.Time
+	// rollouts is nil when the entry carries out none.
+	rollouts                       *rolloutState
 	configuration                  *Configuration
 	targetsKnown                   bool
 	configRevision, targetRevision int64
@@ -165,6 +169,10 @@
 		drained:          map[string]drainedTarget{},
 		provisionalSince: map[string]time.Time{},
 	}
+	if options.Rollouts != nil {
+		m.feed = newFeed(KindRollout)
+		m.rollouts = newRolloutState()
+	}
 	m.syncer = newSyncer(options, m.feed, m.deliver)
 	m.snapshot.Store(&Snapshot{})
 	return m
@@ -194,7 +202,7 @@
 // Run follows the store and the other entries until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	for _, kind := range kinds {
+	for _, kind := range m.syncer.kinds {
 		group.Go(func() error { return m.syncer.followStore(ctx, kind) })
 	}
 	group.Go(func() error { return m.syncer.followPeers(ctx) })
@@ -214,7 +222,7 @@
 			apply(time.Now())
 		case now := <-ticker.C:
 			m.removeUnregistered(now)
-			if len(m.leaving) > 0 {
+			if len(m.leaving) > 0 || m.rollouts.awaits() {
 				m.publish()
 			}
 		}
@@ -245,9 +253,13 @@
 func (m *Manager) applyPart(part Part, now time.Time) {
 	wasUnavailable := m.feed.ageOf(part.Kind, now) > storeUnavailableAfter
 	changes := m.feed.apply(part, now)
-	if part.Kind == KindConfiguration {
+	switch part.Kind {
+	case KindConfiguration:
 		m.applyConfigurations(changes)
 		return
+	case KindRollout:
+		m.applyRollouts(changes, now)
+		return
 	}
 	listedBefore := m.targetsKnown
 	m.targetsKnown = true
@@ -322,6 +334,7 @@
 	}
 	before := m.known[target.ID]
 	target.FirstSeen = now
+	m.rollouts.noteRegistration(target, object.Revision, now)
 	if before != nil && before.SameIncarnation(target) {
 		target.FirstSeen = before.FirstSeen
 	}
@@ -429,7 +442,7 @@
 		Targets:               make(map[string][]*Target),
 		available:             make(map[string][]*Target),
 		byID:                  make(map[string]*Target, len(m.known)),
-		TargetsKnown:          m.targetsKnown,
+		TargetsKnown:          m.targetsKnown && !m.rollouts.awaitsFirst(m.feed, time.Now()),
 		ConfigurationRevision: m.configRevision,
 		TargetsRevision:       m.targetRevision,
 	}
@@ -443,11 +456,12 @@
 	}
 	for service, targets := range next.Targets {
 		slices.SortFunc(targets, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
-		next.available[service] = availableTargets(targets)
+		next.available[service] = m.rollouts.withoutHeld(availableTargets(targets))
 		if len(next.available[service]) == 0 {
 			next.available[service] = m.lastResorts(targets, time.Now())
 		}
 	}
+	m.rollouts.publish(next, m.known)
 	m.snapshot.Store(next)
 	if next.Ready() {
 		m.readyOnce.Do(func() { close(m.ready) })
--- a/directory/peerreader.go
+++ b/directory/peerreader.go
@@ -49,7 +49,8 @@
 			if len(upstream) > 0 {
 				s.occasion.Store(occasionElected)
 			}
-			s.switchToStore("elected", kinds, nil)
+			s.readsStale.Store(false)
+			s.switchToStore("elected", s.kinds, nil)
 			if s.storeSilent() {
 				_, _ = s.readPeers(ctx, upstream) // a watcher reads the store also if it finds a fresh feed
 			}
@@ -86,8 +87,9 @@
 // the store itself and continues to query the peers, since the store may be unavailable.
 func (s *syncer) followAnyPeer(ctx context.Context, peers []membership.Peer) bool {
 	fresh, err := s.readPeers(ctx, peers)
-	if err != nil {
-		unread := kinds
+	withoutRollouts := errors.Is(err, errNoRollouts)
+	if err != nil && !withoutRollouts {
+		unread := s.kinds
 		var withheld *withheldError
 		if errors.As(err, &withheld) {
 			unread = withheld.kinds
@@ -99,11 +101,24 @@
 		return false
 	}
 	s.hasFollowed = true
-	if s.readsAnyKind() {
-		s.setReadsStore(nil)
-		s.observe(Event{Kind: EventFollowingPeer, Subject: fresh.Name})
+	var fromStore []string
+	if withoutRollouts {
+		fromStore = []string{KindRollout}
+	}
+	if s.readsExactly(fromStore) && s.readsStale.Load() == withoutRollouts {
+		return !withoutRollouts
+	}
+	if !s.readsAnyKind() {
+		s.noteStoreAnswer() // the silence of the store counts from here
 	}
-	return true
+	s.readsStale.Store(withoutRollouts)
+	s.setReadsStore(fromStore)
+	event := Event{Kind: EventFollowingPeer, Subject: fresh.Name}
+	if withoutRollouts {
+		event.Detail = "without rollouts"
+	}
+	s.observe(event)
+	return !withoutRollouts
 }
 
 // readPeers queries the peers in turn and returns the first one whose feed is fresh, or else an error: that of the peer that withheld
@@ -111,8 +126,8 @@
 func (s *syncer) readPeers(ctx context.Context, peers []membership.Peer) (fresh membership.Peer, err error) {
 	var least *withheldError
 	for _, peer := range peers {
-		if err = s.readPeer(ctx, peer); err == nil {
-			return peer, nil
+		if err = s.readPeer(ctx, peer); err == nil || errors.Is(err, errNoRollouts) {
+			return peer, err
 		}
 		var withheld *withheldError
 		if errors.As(err, &withheld) && withheld.contradicted {
@@ -140,6 +155,9 @@
 
 var errStalePeer = errors.New("the peer's feed is stale")
 
+// errNoRollouts: the peer's feed is fresh but for the rollouts, which an entry of a former build doesn't have.
+var errNoRollouts = errors.New("the peer's feed has no fresh rollouts")
+
 // withheldError: the peer does not send objects of the kinds, because it has none, or because they are too much for its link. All
 // kinds are named if what it sends is stale.
 type withheldError struct {
@@ -158,7 +176,8 @@
 func (s *syncer) readPeer(ctx context.Context, peer membership.Peer) error {
 	err := s.queryPeer(ctx, peer, true, peerWait+peerTimeout)
 	var withheld *withheldError
-	if errors.As(err, &withheld) && !withheld.contradicted && s.storeSilent() {
+	isIncomplete := errors.As(err, &withheld) && !withheld.contradicted || errors.Is(err, errNoRollouts)
+	if isIncomplete && s.storeSilent() {
 		err = s.queryPeer(ctx, peer, false, peerWait+peerTimeout+peerTransferTimeout)
 	}
 	return err
@@ -168,9 +187,9 @@
 // returns an error if the feed is not fresh.
 func (s *syncer) queryPeer(ctx context.Context, peer membership.Peer, onlyChanges bool, timeout time.Duration) error {
 	query := FeedQuery{
-		Revisions: make(map[string]int64, len(kinds)), Eras: make(map[string]int64, len(kinds)), Wait: peerWait, OnlyChanges: onlyChanges,
+		Revisions: make(map[string]int64, len(s.kinds)), Eras: make(map[string]int64, len(s.kinds)), Wait: peerWait, OnlyChanges: onlyChanges,
 	}
-	for _, kind := range kinds {
+	for _, kind := range s.kinds {
 		known := s.feed.settledPosition(kind)
 		query.Revisions[kind], query.Eras[kind] = known.revision, known.era
 	}
@@ -182,8 +201,11 @@
 		return err
 	}
 	transfer := max(0, time.Since(start)-query.Wait) // the peer took its ages at the start of the transfer
-	fresh, contradicted, unread := true, false, slices.Clone(kinds)
+	fresh, contradicted, unread := true, false, slices.Clone(s.kinds)
 	for _, part := range parts {
+		if !slices.Contains(s.kinds, part.Kind) {
+			continue
+		}
 		part.Age += transfer
 		if !part.Full && part.Era != 0 && part.Era != query.Eras[part.Kind] && query.Revisions[part.Kind] > 0 {
 			continue // the store was restored between the query and the answer
@@ -201,12 +223,17 @@
 			continue
 		}
 		s.deliver(ctx, part)
+		if part.Kind == KindRollout && part.Age >= peerStaleAfter {
+			continue // another entry may read them later than the rest
+		}
 		fresh = fresh && part.Age < peerStaleAfter
 		unread = slices.DeleteFunc(unread, func(kind string) bool { return kind == part.Kind })
 	}
 	switch {
+	case fresh && slices.Equal(unread, []string{KindRollout}) && !contradicted:
+		return errNoRollouts
 	case len(unread) > 0 && !fresh:
-		return &withheldError{kinds, contradicted}
+		return &withheldError{s.kinds, contradicted}
 	case len(unread) > 0:
 		return &withheldError{unread, contradicted}
 	case !fresh:
--- a/directory/storereader.go
+++ b/directory/storereader.go
@@ -30,6 +30,10 @@
 	// another connection: a store that was silent never answers the calls that it got before it recovered.
 	// The client's timeout limits the concurrent calls to five.
 	firstListHedgeDelay = 300 * time.Millisecond
+	// stalePollInterval is the time between two stale lists, each of which costs a tenth of a watch.
+	stalePollInterval = watchWait
+	// staleListAge is the age that a stale list counts as: it may lack the changes of the last seconds.
+	staleListAge = 2 * time.Second
 	// rolePollInterval is the interval at which an entry that follows a peer checks whether it has to read
 	// the store.
 	rolePollInterval = 50 * time.Millisecond
@@ -37,7 +41,7 @@
 
 // followStore reads one kind of objects from the store whenever this entry has to read it.
 func (s *syncer) followStore(ctx context.Context, kind string) error {
-	if kind == KindTarget {
+	if kind != KindConfiguration {
 		select {
 		case <-s.storeAnswered:
 		case <-ctx.Done():
@@ -86,7 +90,10 @@
 		}
 		s.deliver(ctx, part)
 		s.feed.setArriving(kind, false)
-		if len(part.Objects) > 0 {
+		switch {
+		case s.listsStale(kind):
+			_ = wait.For(ctx, stalePollInterval)
+		case len(part.Objects) > 0:
 			_ = wait.For(ctx, batchPause-time.Since(firstRead))
 		}
 	}
@@ -129,6 +136,9 @@
 			Kind: kind, Era: cmp.Or(list.Era, known.era), Revision: list.Revision, Full: true, Objects: list.Items, Restored: restored, Age: time.Since(start),
 		}, nil
 	}
+	if s.listsStale(kind) {
+		return s.listStale(announcing, kind)
+	}
 	s.calls[storeCall{kind, callWatch, s.occasion.Load().(occasion)}].Add(1)
 	known := s.feed.position(kind)
 	list, err := s.store.Watch(announcing, kind, known.revision, watchWait)
@@ -143,6 +153,39 @@
 	return Part{Kind: kind, Era: cmp.Or(list.Era, known.era), Revision: list.Revision, Objects: list.Items}, err
 }
 
+// staleLister is implemented by stores that offer stale lists.
+type staleLister interface {
+	// ListStale returns every object of a kind; it may lack the changes of the last seconds.
+	ListStale(ctx context.Context, kind string) (objects.List, error)
+}
+
+// listsStale reports whether this entry reads the kind by stale lists.
+func (s *syncer) listsStale(kind string) bool {
+	_, offered := s.store.(staleLister)
+	return kind == KindRollout && s.readsStale.Load() && offered
+}
+
+// listStale lists a kind by a stale list. One that is older than what is known changes nothing.
+func (s *syncer) listStale(ctx context.Context, kind string) (Part, error) {
+	s.calls[storeCall{kind, callStaleList, occasionUnserved}].Add(1)
+	known := s.feed.position(kind)
+	list, err := s.store.(staleLister).ListStale(ctx, kind)
+	switch {
+	case err != nil:
+		return Part{}, err
+	case list.Era > known.era:
+		return Part{}, errLaterEra
+	case list.Era != 0 && list.Era < known.era:
+		return Part{}, errEarlierEra
+	case list.Revision <= known.revision:
+		return Part{Kind: kind, Era: known.era, Revision: known.revision, Age: staleListAge}, nil
+	}
+	s.reportUnreadable(kind, list)
+	return Part{
+		Kind: kind, Era: cmp.Or(list.Era, known.era), Revision: list.Revision, Full: true, Objects: list.Items, Age: staleListAge,
+	}, nil
+}
+
 var (
 	// errLaterEra: the store has been restored from an older copy, so that its changes after the known revision are not all changes.
 	errLaterEra = errors.New("answer of the store: of a later era than the known revision")
--- a/directory/sync.go
+++ b/directory/sync.go
@@ -37,6 +37,10 @@
 	storeEra func() int64
 	deliver  func(ctx context.Context, part Part)
 	observe  func(Event)
+	// kinds are the kinds that this entry reads.
+	kinds []string
+	// readsStale is set while this entry reads the rollouts by stale lists, since the peers that it follows don't send them.
+	readsStale atomic.Bool
 	// readsStore is set, by kind, while this entry reads objects of the kind from the store itself.
 	readsStore map[string]*atomic.Bool
 	// lastAnswer is when the store last answered, in nanoseconds since timeBase.
@@ -59,10 +63,10 @@
 	s := &syncer{
 		store: options.Store, peers: options.Peers, view: options.View, feed: feed, storeEra: options.StoreEra,
 		deliver: deliver, observe: options.Observe, relist: map[string]*atomic.Bool{}, readsStore: map[string]*atomic.Bool{},
-		storeAnswered: make(chan struct{}), calls: newCallCounts(),
+		storeAnswered: make(chan struct{}), calls: newCallCounts(feed.kindNames), kinds: feed.kindNames,
 	}
 	s.occasion.Store(occasionStart)
-	for _, kind := range kinds {
+	for _, kind := range s.kinds {
 		s.relist[kind], s.readsStore[kind] = &atomic.Bool{}, &atomic.Bool{}
 		s.relist[kind].Store(true)
 		s.readsStore[kind].Store(true)
@@ -84,13 +88,18 @@
 
 // readsAnyKind reports whether this entry reads objects of any kind from the store itself.
 func (s *syncer) readsAnyKind() bool {
-	return slices.ContainsFunc(kinds, func(kind string) bool { return s.readsStore[kind].Load() })
+	return slices.ContainsFunc(s.kinds, func(kind string) bool { return s.readsStore[kind].Load() })
+}
+
+// readsExactly reports whether this entry reads the given kinds, and no others, from the store itself.
+func (s *syncer) readsExactly(wanted []string) bool {
+	return !slices.ContainsFunc(s.kinds, func(kind string) bool { return s.readsStore[kind].Load() != slices.Contains(wanted, kind) })
 }
 
 // setReadsStore has this entry read the kinds in wanted from the store, and no others. It reports whether it reads a kind now that it
 // did not read before.
 func (s *syncer) setReadsStore(wanted []string) (added bool) {
-	for _, kind := range kinds {
+	for _, kind := range s.kinds {
 		wants := slices.Contains(wanted, kind)
 		if had := s.readsStore[kind].Swap(wants); wants && !had {
 			added = true
@@ -105,5 +114,6 @@
 		wanted.Store(true)
 	}
 	s.noteStoreAnswer()
-	s.setReadsStore(kinds)
+	s.readsStale.Store(false)
+	s.setReadsStore(s.kinds)
 }
--- a/standin/platform/wire.go
+++ b/standin/platform/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -25,6 +26,7 @@
 	mux.HandleFunc("GET /v1/objects/{kind}/{name}", p.withFaultsAndLimit(&p.stats.Gets, p.reads, p.serveWireGet))
 	mux.HandleFunc("POST /v1/objects/{kind}", p.withFaultsAndLimit(&p.stats.Puts, p.writes, p.serveWireCreate))
 	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", p.withFaultsAndLimit(&p.stats.Puts, p.writes, p.serveWireReplace))
+	mux.HandleFunc("PUT /v1/objects/{kind}/{name}/status", p.withFaultsAndLimit(&p.stats.Puts, p.writes, p.serveWireStatus))
 	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", p.withFaultsAndLimit(&p.stats.Deletes, p.writes, p.serveDelete))
 	return mux
 }
@@ -33,6 +35,7 @@
 type wireObject struct {
 	Metadata wireMetadata    `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status,omitempty"`
 }
 
 type wireMetadata struct {
@@ -46,8 +49,44 @@
 	Deleted bool       `json:"deleted"`
 }
 
+// withStatus is the value of an object that has a status. A write of the object replaces it by a spec without one.
+type withStatus struct {
+	Spec   json.RawMessage `json:"specOfStatus"`
+	Status json.RawMessage `json:"statusOfSpec"`
+}
+
 func toWire(object objects.Object) wireObject {
-	return wireObject{Metadata: wireMetadata{object.Name, object.Revision}, Spec: object.Value}
+	wire := wireObject{Metadata: wireMetadata{object.Name, object.Revision}, Spec: object.Value}
+	var split withStatus
+	if json.Unmarshal(object.Value, &split) == nil && split.Status != nil {
+		wire.Spec, wire.Status = split.Spec, split.Status
+	}
+	return wire
+}
+
+// serveWireStatus replaces the status of an object, if the revision in its metadata is the current one.
+func (p *Platform) serveWireStatus(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objects.MaxValueBytes))
+	var written wireObject
+	if err != nil || json.Unmarshal(body, &written) != nil || written.Status == nil {
+		http.Error(w, "want an object with metadata and status", http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	current, exists := p.store.get(keyOf(r))
+	p.mu.Unlock()
+	if !exists {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	value, err := json.Marshal(withStatus{Spec: toWire(current).Spec, Status: written.Status})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	// The condition also guards against a write since the object was read above.
+	revision := cmp.Or(written.Metadata.Revision, current.Revision)
+	p.applyWrite(w, r, condition{revision: revision}, func(c condition) (objects.Object, error) { return p.store.put(keyOf(r), value, c) })
 }
 
 // serveWireKind lists the objects of a kind, or watches them if the query has the parameter watch, a revision.
