--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -1,6 +1,11 @@
 package rollout
 
-import "time"
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Outcome is the result of one request at a target, as evidence counts it.
 type Outcome int
@@ -21,9 +26,10 @@
 	MaxRoutes = 16
 	// OtherRoutes is the name under which the routes beyond MaxRoutes are counted.
 	OtherRoutes = "(others)"
-	// LatencyBuckets is the number of latency buckets. Bucket i holds latencies from 2^(i/4) ms up to the lower
-	// bound of the next; the first and the last one hold what is beyond.
-	LatencyBuckets = 80
+	// LatencyBuckets is the number of latency buckets. Bucket i holds latencies from 2^(i/bucketsPerDoubling) ms up to
+	// the lower bound of the next; the first and the last one hold what is beyond. The last one begins at 15 minutes.
+	LatencyBuckets     = 80
+	bucketsPerDoubling = 4
 )
 
 // Evidence is what was seen of one version within a window. The zero value is empty. Its fields are its form in
@@ -49,18 +55,111 @@
 func (e *Evidence) AddStarted() { e.Started++ }
 
 // Record counts the end of a request, or the first event of a stream. latency is the time to the response or to
-// the first event; only that of an answered request counts. A stream that fails after its first event is
-// recorded by RecordLateFailure.
-func (e *Evidence) Record(route string, outcome Outcome, latency time.Duration) { panic("not built yet") }
+// the first event; only that of an answered request counts.
+func (e *Evidence) Record(route string, outcome Outcome, latency time.Duration) {
+	counts := e.route(route)
+	counts.Requests++
+	switch outcome {
+	case Failed:
+		counts.Failures++
+	case Broken:
+		counts.Broken++
+	default:
+		bucket := latencyBucket(latency)
+		counts.extend(bucket + 1)
+		counts.Latency[bucket]++
+	}
+}
 
-// RecordLateFailure turns one answered request of the route into one with the outcome given.
-func (e *Evidence) RecordLateFailure(route string, outcome Outcome) { panic("not built yet") }
+// RecordLateFailure counts a stream that ended with the outcome given after its first event, which was recorded as
+// answered. It counts as a further request, since the first record may be part of an earlier window.
+func (e *Evidence) RecordLateFailure(route string, outcome Outcome) { e.Record(route, outcome, 0) }
 
 // Add adds what was seen elsewhere or in another window. It retains nothing of other.
-func (e *Evidence) Add(other Evidence) { panic("not built yet") }
+func (e *Evidence) Add(other Evidence) {
+	e.Started += other.Started
+	for _, added := range other.Routes {
+		counts := e.route(added.Route)
+		counts.Requests += added.Requests
+		counts.Failures += added.Failures
+		counts.Broken += added.Broken
+		counts.extend(len(added.Latency))
+		for bucket, count := range added.Latency {
+			counts.Latency[bucket] += count
+		}
+	}
+}
 
 // Empty reports whether the evidence holds nothing.
 func (e Evidence) Empty() bool { return e.Started == 0 && len(e.Routes) == 0 }
 
-// Valid reports whether evidence from a message can be added: within the bounds, and no negative counts.
-func (e Evidence) Valid() bool { panic("not built yet") }
+// Valid reports whether evidence from a message can be added: it is within the bounds and sorted, and its counts
+// agree.
+func (e Evidence) Valid() bool {
+	if e.Started < 0 || len(e.Routes) > MaxRoutes {
+		return false
+	}
+	for i, counts := range e.Routes {
+		if i > 0 && e.Routes[i-1].Route >= counts.Route {
+			return false
+		}
+		if counts.Requests < 0 || counts.Failures < 0 || counts.Broken < 0 || len(counts.Latency) > LatencyBuckets {
+			return false
+		}
+		// Failures are compared by subtraction, since the sum of two counts of a message may overflow.
+		if counts.Failures > counts.Requests || counts.Broken > counts.Requests-counts.Failures {
+			return false
+		}
+		answered := int64(0)
+		for _, count := range counts.Latency {
+			answered += int64(count)
+		}
+		if answered != counts.answered() {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *RouteEvidence) answered() int64 { return r.Requests - r.Failures - r.Broken }
+
+func (r *RouteEvidence) extend(buckets int) {
+	if missing := buckets - len(r.Latency); missing > 0 {
+		r.Latency = append(r.Latency, make([]uint32, missing)...)
+	}
+}
+
+// route returns the counts of a route, those of OtherRoutes if there is no place for it.
+func (e *Evidence) route(name string) *RouteEvidence {
+	index, found := e.find(name)
+	if found {
+		return &e.Routes[index]
+	}
+	others, hasOthers := e.find(OtherRoutes)
+	distinct := len(e.Routes)
+	if hasOthers {
+		distinct--
+	}
+	if name != OtherRoutes && distinct >= MaxRoutes-1 {
+		if hasOthers {
+			return &e.Routes[others]
+		}
+		name, index = OtherRoutes, others
+	}
+	e.Routes = slices.Insert(e.Routes, index, RouteEvidence{Route: name})
+	return &e.Routes[index]
+}
+
+func (e *Evidence) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(e.Routes, name, func(counts RouteEvidence, name string) int {
+		return strings.Compare(counts.Route, name)
+	})
+}
+
+func latencyBucket(latency time.Duration) int {
+	if latency <= time.Millisecond {
+		return 0
+	}
+	milliseconds := float64(latency) / float64(time.Millisecond)
+	return min(int(bucketsPerDoubling*math.Log2(milliseconds)), LatencyBuckets-1)
+}
