Carry out rollouts in the entry with the passthrough interface

Each request chooses the version that may get it as it begins: the gate lets some of the new requests through, retries and hedges go to the old version until all new requests go to the new one, and a stream stays on the version that began it. Attempts are observed around the ports of the forwarder and the relay. Entries report their evidence to the first ranked entry as JSON over HTTP; a report whose answer was lost is repeated under its number, so that nothing counts twice. The interval is at most 700 ms: at 300 entries 5 ms for each would exceed the age at which a share lets nothing through.

A rollback that a lost coordinator could not write is adopted by the next one from the reports. Without a share nothing of this is built: the test counts the calls at the store and asks for the handlers.

The list of ways to a target gets the two observed ports, and its pattern now also finds RelayEngine.Open.

--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -35,6 +35,10 @@
 	Stopped context.Context
 	// StreamBegan is called when a stream has been admitted, and the returned function at its end, with whether it is complete.
 	StreamBegan func(StreamStart) (ended func(complete bool))
+	// BeginRequest is called when a request has been admitted; resumed is set for the rest of a stream. It returns the versions of targets
+	// that may get the request, and a function to be called at its end with whether its caller may come back for the rest of a stream.
+	// nil means any.
+	BeginRequest func(service string, resumed bool) (versions VersionChoice, ended func(mayResume bool))
 	// WaitReady waits until a snapshot is ready, up to limit.
 	WaitReady func(ctx context.Context, limit time.Duration)
 	// Log receives one event for each decision about a request.
@@ -43,6 +47,20 @@
 	Observe func(Observation)
 }
 
+// VersionChoice is the choice of the software version that may run a request.
+type VersionChoice interface {
+	service.VersionChoice
+	generation.VersionChoice
+}
+
+// beginRequest calls Options.BeginRequest.
+func (h *Handler) beginRequest(name string, resumed bool) (versions VersionChoice, ended func(mayResume bool)) {
+	if h.options.BeginRequest == nil {
+		return nil, func(bool) {}
+	}
+	return h.options.BeginRequest(name, resumed)
+}
+
 // Observation is the outcome of one request. Status is 0 if the caller's connection was aborted.
 type Observation struct {
 	Class directory.Class
@@ -265,10 +283,14 @@
 
 // forward serves a plain call.
 func (c *request) forward() {
+	versions, ended := c.handler.beginRequest(c.service, false)
+	defer ended(false)
 	result, err := c.handler.options.Forwarder.Do(c.http.Context(), &service.ForwardedCall{
 		ID:          c.header.RequestID,
 		Fingerprint: c.fingerprint(),
 		Service:     c.service,
+		Route:       c.route.Name,
+		Versions:    versions,
 		Repeatable:  c.route.Repeatable(),
 		MaxAttempts: c.route.MaxAttempts,
 		Deadline:    c.deadline,
@@ -310,6 +332,8 @@
 		Route: c.route.Name, OutputTokens: c.header.OutputTokens, Arrived: c.arrived, Remainder: lastEvent >= 0,
 	})
 	defer func() { ended(complete) }()
+	versions, requestEnded := c.handler.beginRequest(c.service, lastEvent >= 0)
+	defer func() { requestEnded(!complete) }()
 	sink := &sink{call: c, control: http.NewResponseController(c.writer)}
 	err := c.handler.options.Relay.Run(c.http.Context(), &generation.RelayRequest{
 		ID:                  c.header.RequestID,
@@ -317,6 +341,8 @@
 		Customer:            c.customer,
 		SharedParts:         sharedParts(c.header.Prompt),
 		Service:             c.service,
+		Route:               c.route.Name,
+		Versions:            versions,
 		Spec:                c.snapshot.Configuration.Services[c.service].Engine,
 		PromptTokens:        c.header.PromptTokens,
 		OutputTokens:        c.header.OutputTokens,
--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -26,6 +26,8 @@
 	paths     *Paths
 	directory *directory.Manager
 	limits    Limits
+	// available returns the targets of a service that may get new work.
+	available func(service string) []*directory.Target
 	answers   answerReader
 	log       func(event string, fields ...generation.Field)
 }
@@ -33,7 +35,15 @@
 // NewTargets returns Targets that sends over the paths, reads the manager's snapshots and keeps the limits that targets
 // name.
 func NewTargets(pool *targethttp.Pool, paths *Paths, manager *directory.Manager, limits Limits, log func(event string, fields ...generation.Field)) *Targets {
-	return &Targets{pool: pool, paths: paths, directory: manager, limits: limits, log: log}
+	t := &Targets{pool: pool, paths: paths, directory: manager, limits: limits, log: log}
+	t.available = func(service string) []*directory.Target { return manager.Snapshot().AvailableTargets(service) }
+	return t
+}
+
+// LimitAvailable has Targets return only some of the targets that may get new work by the directory. It is called before any other method.
+func (t *Targets) LimitAvailable(limit func(service string, targets []*directory.Target) []*directory.Target) {
+	all := t.available
+	t.available = func(service string) []*directory.Target { return limit(service, all(service)) }
 }
 
 // observeLimit records the limit that an answer names.
@@ -282,14 +292,14 @@
 
 // Targets implements service.Directory. It leaves out the targets whose limit allows no request now.
 func (t *Targets) Targets(name string) []service.Target {
-	open := t.directory.Snapshot().AvailableTargets(name)
+	open := t.available(name)
 	targets := make([]service.Target, 0, len(open))
 	now := time.Now()
 	for _, target := range open {
 		if !t.limits.Available(target.ID, now) {
 			continue
 		}
-		targets = append(targets, service.Target{Name: target.ID, Address: target.Address, StartedMs: target.StartedMs, Concurrency: target.Slots})
+		targets = append(targets, service.Target{Name: target.ID, Address: target.Address, StartedMs: target.StartedMs, Concurrency: target.Slots, Version: target.Version})
 	}
 	return targets
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/peermembership"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/retrypeer"
 	"github.com/azurebarrow/azurebarrow/adapters/promptpeer"
+	"github.com/azurebarrow/azurebarrow/adapters/rolloutpeer"
 	"github.com/azurebarrow/azurebarrow/adapters/streamversionpeer"
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
 	"github.com/azurebarrow/azurebarrow/admission"
@@ -31,6 +32,7 @@
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/platform"
 	"github.com/azurebarrow/azurebarrow/promptindex"
+	"github.com/azurebarrow/azurebarrow/rolloutcontrol"
 	"github.com/azurebarrow/azurebarrow/routing"
 	"github.com/azurebarrow/azurebarrow/service"
 	"github.com/azurebarrow/azurebarrow/settings"
@@ -71,12 +73,14 @@
 	limits       *sendLimits
 	versions     *streamversion.Manager
 	prompts      *promptindex.Manager
-	callers      *callerListener
-	ready        boundServer
-	peers        boundServer
-	admin        boundServer
-	metrics      *metrics.Set
-	counters     counters
+	// rollouts is nil if the entry carries out none.
+	rollouts *rolloutcontrol.Manager
+	callers  *callerListener
+	ready    boundServer
+	peers    boundServer
+	admin    boundServer
+	metrics  *metrics.Set
+	counters counters
 
 	shutdown *shutdown
 	// stopped ends when the requests in progress must be answered, since the process is about to exit; stop ends it.
@@ -173,11 +177,13 @@
 	e.versions = streamversion.NewManager(streamversion.Options{
 		View: e.members, Transport: streamversionpeer.NewClient(e.peerClient), Store: store, Observe: e.logStreamVersions,
 	})
+	e.buildRollouts(store)
 	e.transfers = &directorypeer.Transfers{Report: e.logTransfer}
 	e.directory = directory.NewManager(directory.Options{
 		Store:      store,
 		StoreEra:   store.Era,
 		Decoder:    platform.Decoder{},
+		Rollouts:   e.rolloutDecoder(),
 		Peers:      directorypeer.NewClient(e.peerClient),
 		View:       e.members,
 		Identifier: platform.NewEngineReports(),
@@ -199,6 +205,9 @@
 	mux.Handle(retrypeer.NewHandler(e.retryTotals))
 	mux.Handle(streamversionpeer.NewHandler(e.versions))
 	mux.Handle(promptpeer.NewHandler(e.prompts))
+	if e.rollouts != nil {
+		mux.Handle(rolloutpeer.NewHandler(e.rollouts))
+	}
 	e.exchangeHandler().Register(mux, e.countRunning)
 	return mux
 }
@@ -208,6 +217,13 @@
 	e.buildPaths()
 	e.crashRecords.isDown = crashprobe.New(e.pool, e.router).IsDown
 	targets := passthrough.NewTargets(e.pool, e.paths, e.directory, e.limits, e.log)
+	var engine generation.RelayEngine = targets
+	var sender service.Sender = targets
+	available := func(name string) []*directory.Target { return e.directory.Snapshot().AvailableTargets(name) }
+	if e.rollouts != nil {
+		engine, sender, available = observedEngine{targets}, observedSender{targets}, e.availableTargets
+		targets.LimitAvailable(e.rollouts.Available)
+	}
 	limits := e.settings.Passthrough
 	e.retries = admission.NewSharedRetryBudget(admission.SharedRetryLimits{
 		Ratio: limits.RetryRatio, Slack: limits.RetrySlack, Window: limits.RetryWindow,
@@ -220,11 +236,11 @@
 		Seed: rand.Uint64(),
 	})
 	e.relay = generation.NewRelay(generation.RelayOptions{
-		Engine:          targets,
+		Engine:          engine,
 		Placer:          e.placement,
 		Budget:          e.retries,
 		Limits:          e.limits,
-		Targets:         func(name string) []*directory.Target { return e.directory.Snapshot().AvailableTargets(name) },
+		Targets:         available,
 		AddressMismatch: e.directory.ReportAddressMismatch,
 		Connectivity:    e.connectivity,
 		Detour:          relayDetour{e.router},
@@ -235,7 +251,7 @@
 		Log:             e.log,
 	})
 	e.forwarder = service.NewForwarder(service.ForwarderOptions{
-		Sender:    targets,
+		Sender:    sender,
 		Directory: targets,
 		Budget:    e.retries,
 		Limits:    e.limits,
@@ -253,10 +269,11 @@
 		Accepts: func(route *directory.Route, outputTokens int, deadline time.Time) bool {
 			return e.shutdown.accepts(route, outputTokens, deadline, time.Now())
 		},
-		StreamBegan: e.streamBegan,
-		Stopped:     e.stopped,
-		Log:         e.log,
-		Observe:     e.observeRequest,
+		StreamBegan:  e.streamBegan,
+		BeginRequest: e.beginRequest(),
+		Stopped:      e.stopped,
+		Log:          e.log,
+		Observe:      e.observeRequest,
 	})
 	return e.countRunning(handler)
 }
@@ -305,6 +322,9 @@
 	addActor(&group, e.directory.Run)
 	addActor(&group, e.prompts.Run)
 	addActor(&group, e.versions.Run)
+	if e.rollouts != nil {
+		addActor(&group, e.rollouts.Run)
+	}
 	addActor(&group, e.maintain)
 	addActor(&group, e.router.Run)
 	addActor(&group, func(ctx context.Context) error {
@@ -365,6 +385,9 @@
 			http.Error(w, "no such parts are refused: "+r.FormValue("parts"), http.StatusNotFound)
 		}
 	})
+	if e.rollouts != nil {
+		mux.HandleFunc("GET /rollouts", e.serveRollouts)
+	}
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return mux
 }
--- a/entry/loopback_test.go
+++ b/entry/loopback_test.go
@@ -95,10 +95,32 @@
 	links []*targetLinks
 	stops []context.CancelFunc
 	ended sync.WaitGroup
+	// rollouts are the bounds of rollouts in the settings of the entries.
+	rollouts settings.Rollouts
+	storeURL string
+	// storeHandler is the store's interface.
+	storeHandler http.Handler
 
 	mu sync.Mutex
 	// logs holds the log lines of the entries, by request ID.
 	logs map[string]string
+	// storeCalls counts the calls to the store by method and path.
+	storeCalls map[string]int
+	// storeDown makes the store reject all calls, and statusDown the writes of a status.
+	storeDown, statusDown bool
+}
+
+// serveStore serves the store's interface and counts the calls.
+func (c *testCluster) serveStore(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	c.storeCalls[r.Method+" "+r.URL.Path]++
+	isDown := c.storeDown || c.statusDown && strings.HasSuffix(r.URL.Path, "/status")
+	c.mu.Unlock()
+	if isDown {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	c.storeHandler.ServeHTTP(w, r)
 }
 
 // startCluster starts a store, three engines, a records service and entries on loopback.
@@ -110,9 +132,17 @@
 // startClusterWithLinks is startCluster with links to the targets for each entry; nil for none.
 func startClusterWithLinks(t *testing.T, entries int, links []*targetLinks) *testCluster {
 	t.Helper()
-	cluster := &testCluster{links: links, store: standinplatform.New(standinplatform.Options{}), logs: map[string]string{}}
-	store := httptest.NewServer(cluster.store.UsersAPIHandler())
+	return startPreparedCluster(t, entries, &testCluster{links: links})
+}
+
+// startPreparedCluster is startCluster for a cluster whose options are set.
+func startPreparedCluster(t *testing.T, entries int, cluster *testCluster) *testCluster {
+	t.Helper()
+	cluster.store, cluster.logs, cluster.storeCalls = standinplatform.New(standinplatform.Options{}), map[string]string{}, map[string]int{}
+	cluster.storeHandler = cluster.store.UsersAPIHandler()
+	store := httptest.NewServer(http.HandlerFunc(cluster.serveStore))
 	t.Cleanup(store.Close)
+	cluster.storeURL = store.URL
 	for i, zone := range []string{"a", "b", "c"} {
 		cluster.engines = append(cluster.engines, cluster.startTarget(t, target.Options{
 			ID: fmt.Sprintf("i-%d", i), Service: "drafts", AvailabilityZone: zone, Slots: 64,
@@ -157,9 +187,13 @@
 
 // register writes the object of a target into the store.
 func (c *testCluster) register(started *standinTarget, options target.Options, state string) {
+	version := ""
+	if options.Version != "" {
+		version = fmt.Sprintf(`,"version":%q`, options.Version)
+	}
 	c.store.Put(target.ObjectKind, options.ID, json.RawMessage(fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":%q}`,
-		options.Service, started.address, options.AvailabilityZone, options.Slots, state)))
+		`{"service":%q,"address":%q,"zone":%q,"slots":%d,"state":%q%s}`,
+		options.Service, started.address, options.AvailabilityZone, options.Slots, state, version)))
 }
 
 func (c *testCluster) configure(version int, key string) {
@@ -198,6 +232,7 @@
 			Platform: settings.Platform{URL: store},
 			Passthrough: settings.Passthrough{
 				ReadyAddress: freeAddress(t), Seeds: seeds, RetryRatio: 0.8, RetrySlack: 150, StopGrace: 2 * time.Second,
+				Rollouts: c.rollouts,
 			},
 		}
 		if findings := settings.Check("test", s); len(findings) > 0 {
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -332,7 +332,7 @@
 }
 
 func (run *relayRun) placementQuery() RelayQuery {
-	available := run.relay.options.Targets(run.request.Service)
+	available := run.allowedTargets(run.relay.options.Targets(run.request.Service))
 	return RelayQuery{
 		Engines:  available,
 		Spec:     run.request.Spec,
@@ -366,6 +366,9 @@
 		query.Fits = nil // any version is better than none
 		target = run.placeWithinLimits(query)
 	}
+	if target == nil && run.fallBack() {
+		return run.chooseTarget()
+	}
 	if target == nil && len(run.exclude) > len(run.failed) {
 		run.exclude = slices.Clone(run.failed) // one that refused, since a copy was not there, say, may take the stream now
 		target = run.placeWithinLimits(run.placementQuery())
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -23,7 +23,11 @@
 	// SharedParts are the IDs of the parts of the prompt that other requests may share, in order.
 	SharedParts []string
 	Service     string
-	Spec        *directory.EngineSpec
+	// Route is the name of the route.
+	Route string
+	// Versions restricts the targets that may begin the stream by their software versions; nil for any.
+	Versions VersionChoice
+	Spec     *directory.EngineSpec
 	// PromptTokens and OutputTokens are the declared sizes; 0 when unknown.
 	PromptTokens, OutputTokens int
 	// Affinity identifies the prompt; empty when unknown.
@@ -45,6 +49,14 @@
 	Payload any
 }
 
+// VersionChoice is the port to the choice of the software version that may begin a stream.
+type VersionChoice interface {
+	// Allows reports whether a target of the version may get the next attempt.
+	Allows(version string) bool
+	// FallBack widens the choice since no target was found. It returns false if it can't.
+	FallBack() bool
+}
+
 // RelayEvent is one event of a stream, with its bytes as the target sent them.
 type RelayEvent struct {
 	// ID counts the events; -1 when the event has none.
--- a/generation/relayversion.go
+++ b/generation/relayversion.go
@@ -115,6 +115,19 @@
 	return fitsNew(available)
 }
 
+// allowedTargets returns the targets that the request may go to by their versions. A stream that has begun stays on its version.
+func (run *relayRun) allowedTargets(available []*directory.Target) []*directory.Target {
+	if run.version.known || run.request.Versions == nil {
+		return available
+	}
+	return slices.DeleteFunc(slices.Clone(available), func(target *directory.Target) bool { return !run.request.Versions.Allows(target.Version) })
+}
+
+// fallBack has the request allow more versions, and reports whether it does.
+func (run *relayRun) fallBack() bool {
+	return !run.version.known && run.request.Versions != nil && run.request.Versions.FallBack()
+}
+
 // versionOf returns the version of a stream that the target begins.
 func versionOf(target *directory.Target) streamVersion {
 	return streamVersion{name: target.Version, known: true}
--- a/internal/targetcalls_test.go
+++ b/internal/targetcalls_test.go
@@ -32,6 +32,8 @@
 	{"generation/produceractions.go attach Engine.Attach", "", "reads a run that the target still has; nothing is run", "native interface: its engines ask for no pause"},
 	{"generation/relaycopy.go sendCopyCommand engine.CopyKVCache", "", "copies the cache of a run in progress; nothing is run", "behind paths.Do"},
 	{"adapters/passthrough/targets.go Open paths.Do", "", "behind Engine.Open", "behind paths.Do"},
+	{"entry/rollouts.go Open RelayEngine.Open", "", "behind Engine.Open", "behind paths.Do"},
+	{"entry/rollouts.go Send Sender.Send", "", "behind Sender.Send", "behind paths.Do"},
 	{"adapters/passthrough/targets.go Send paths.Do", "", "behind Sender.Send", "behind paths.Do"},
 	{"adapters/passthrough/targets.go callEngine paths.Do", "", "behind CopyKVCache and FreeCopy: the engine's management interface", "behind paths.Do"},
 	{"adapters/passthrough/paths.go SendDirectly pool.Do", "", "behind paths.Do, or a request that the peer which asks has judged behind its own", "asks TakePause"},
@@ -43,7 +45,7 @@
 	{"adapters/peerexchange/client.go Probe pool.Do", "", "asks a peer to connect to a target; nothing is run", "a connection without a request"},
 }
 
-var targetCall = regexp.MustCompile(`^((pool|paths|peers)\.Do|Sender\.Send|Transport\.Do|Engine\.(Open|Generate|Attach)|engine\.CopyKVCache)$`)
+var targetCall = regexp.MustCompile(`^((pool|paths|peers)\.Do|Sender\.Send|Transport\.Do|(Relay)?Engine\.(Open|Generate|Attach)|engine\.CopyKVCache)$`)
 
 // calledName returns the last two names of a call's function, as "pool.Do" for t.pool.Do(…).
 func calledName(call *ast.CallExpr) string {
--- a/service/forward.go
+++ b/service/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,10 @@
 	// Fingerprint identifies the work, independent of the ID.
 	Fingerprint string
 	Service     string
+	// Route is the name of the route.
+	Route string
+	// Versions restricts the targets by their software versions; nil for any.
+	Versions VersionChoice
 	// Repeatable reports that the call may run more than once.
 	Repeatable bool
 	// MaxAttempts limits the number of targets that may run the call.
@@ -32,6 +37,14 @@
 	Payload any
 }
 
+// VersionChoice is the port to the choice of the software version that may run a call.
+type VersionChoice interface {
+	// Allows reports whether a target of the version may get the next attempt.
+	Allows(version string) bool
+	// FallBack widens the choice since no target was found. It returns false if it can't.
+	FallBack() bool
+}
+
 // SendVerdict says what is known about an attempt that has ended.
 type SendVerdict int
 
@@ -368,8 +381,11 @@
 // chooseTarget returns a lease on a target that has not received the call yet and whose limit allows it.
 func (w *forwardRun) chooseTarget() (*lease, bool) {
 	for {
-		lease, ok := w.pool.chooseForward(w.tried)
+		lease, ok := w.pool.chooseForward(w.tried, w.call.Versions)
 		if !ok {
+			if w.call.Versions != nil && w.call.Versions.FallBack() {
+				continue
+			}
 			return nil, false
 		}
 		w.tried = append(w.tried, lease.target.Name)
@@ -464,8 +480,11 @@
 
 // chooseForward returns a lease on the target with the fewest calls in progress. A target whose
 // breaker is half-open receives a call as its probe.
-func (p *pool) chooseForward(tried []string) (*lease, bool) {
+func (p *pool) chooseForward(tried []string, versions VersionChoice) (*lease, bool) {
 	targets := p.directory.Targets(p.deployment)
+	if versions != nil {
+		targets = slices.DeleteFunc(slices.Clone(targets), func(target Target) bool { return !versions.Allows(target.Version) })
+	}
 	p.mu.Lock()
 	now := time.Now()
 	for _, target := range targets {
@@ -475,7 +494,7 @@
 		}
 	}
 	p.mu.Unlock()
-	return p.chooseTarget(tried, false)
+	return p.chooseAmong(targets, tried, false)
 }
 
 // abandon releases a lease whose call was cancelled. A probe that was not answered in time counts as
--- a/service/pool.go
+++ b/service/pool.go
@@ -71,7 +71,11 @@
 // chooseTarget returns a lease on the target with the fewest calls in progress, except those already
 // tried. Targets whose breaker is open are used only if there is no other.
 func (p *pool) chooseTarget(tried []string, nonInteractive bool) (*lease, bool) {
-	targets := p.directory.Targets(p.deployment)
+	return p.chooseAmong(p.directory.Targets(p.deployment), tried, nonInteractive)
+}
+
+// chooseAmong is chooseTarget for the given targets.
+func (p *pool) chooseAmong(targets []Target, tried []string, nonInteractive bool) (*lease, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	candidates := p.candidates(targets, tried, nonInteractive, true)
--- a/service/service.go
+++ b/service/service.go
@@ -90,6 +90,8 @@
 	StartedMs int64
 	// Concurrency is the number of concurrent calls that the target handles well; 0 means no limit.
 	Concurrency int
+	// Version is the version of the target's software; empty if unknown.
+	Version string
 	// Deduplicates reports that the target runs a call at most once for each request key.
 	Deduplicates bool
 }
