Send reports of rollouts in a compact form

The latency buckets of one report are mostly empty: pairs of bucket and count take the place of lists of up to 80 numbers.

--- a/adapters/rolloutpeer/rolloutpeer.go
+++ b/adapters/rolloutpeer/rolloutpeer.go
@@ -30,7 +30,7 @@
 // Report implements rolloutcontrol.Transport.
 func (c *Client) Report(ctx context.Context, peer membership.Peer, report rolloutcontrol.Report) (rolloutcontrol.Answer, error) {
 	var answer rolloutcontrol.Answer
-	body, err := json.Marshal(report)
+	body, err := json.Marshal(reportToWire(report))
 	if err != nil {
 		return answer, err
 	}
@@ -56,8 +56,10 @@
 // NewHandler returns the handler of the reports that this entry receives, and its path.
 func NewHandler(manager *rolloutcontrol.Manager) (pattern string, handler http.Handler) {
 	return "POST " + path, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var report rolloutcontrol.Report
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxReportBytes)).Decode(&report); err != nil || report.Entry == "" {
+		var wire wireReport
+		err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxReportBytes)).Decode(&wire)
+		report, invalid := wire.decode()
+		if err != nil || invalid != nil || report.Entry == "" {
 			http.Error(w, "not a report of a rollout", http.StatusBadRequest)
 			return
 		}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -252,6 +252,9 @@
 // Ready reports whether the snapshot is sufficient to serve requests.
 func (s *Snapshot) Ready() bool { return s.Configuration != nil && s.TargetsKnown }
 
+// KnownTargets returns the known targets of a service, in the order of their IDs.
+func (s *Snapshot) KnownTargets(service string) []*Target { return s.Targets[service] }
+
 // AvailableTargets returns the targets of a service that may get new work. Every call on a snapshot returns
 // the same slice, which must not be changed.
 func (s *Snapshot) AvailableTargets(service string) []*Target { return s.available[service] }
--- a/entry/loopback_test.go
+++ b/entry/loopback_test.go
@@ -283,7 +283,12 @@
 }
 
 func (c *testCluster) request(entry int, method, path, id, key, body string) (*http.Response, string, error) {
-	request, err := http.NewRequest(method, "http://"+c.entries[entry].settings.CallerAddress+path, strings.NewReader(body))
+	return requestAt(c.entries[entry].settings.CallerAddress, method, path, id, key, body)
+}
+
+// requestAt sends a request to the entry at the address.
+func requestAt(address, method, path, id, key, body string) (*http.Response, string, error) {
+	request, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return nil, "", err
 	}
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -26,7 +26,7 @@
 	}
 	e.rollouts = rolloutcontrol.NewManager(rolloutcontrol.Options{
 		Bounds:    rollout.Bounds{Share: bounds.Share, Slack: int(bounds.Slack), RollbackAfter: bounds.RollbackAfter},
-		Snapshot:  func() *directory.Snapshot { return e.directory.Snapshot() },
+		Snapshot:  func() rolloutcontrol.Directory { return e.directory.Snapshot() },
 		View:      e.members,
 		Transport: rolloutpeer.NewClient(e.peerClient),
 		Store:     store,
--- a/rolloutcontrol/coordinator.go
+++ b/rolloutcontrol/coordinator.go
@@ -162,7 +162,7 @@
 // countTargets returns the registered targets of other versions, and the targets of the order's version that may get work.
 func (m *Manager) countTargets(order rollout.Order) (old, ready int) {
 	snapshot := m.options.Snapshot()
-	for _, target := range snapshot.Targets[order.Service] {
+	for _, target := range snapshot.KnownTargets(order.Service) {
 		if target.Version != order.To && !target.Unregistered {
 			old++
 		}
--- a/rolloutcontrol/manager.go
+++ b/rolloutcontrol/manager.go
@@ -32,9 +32,9 @@
 
 // Answer is what the coordinator answers to a report.
 type Answer struct {
-	To    string
-	Stage rollout.Stage
-	Share float64
+	To    string        `json:"to"`
+	Stage rollout.Stage `json:"stage"`
+	Share float64       `json:"share"`
 }
 
 // Transport sends reports to other entries.
@@ -51,6 +51,16 @@
 	WriteRolloutStatus(ctx context.Context, read *directory.Rollout, status rollout.Status) error
 }
 
+// Directory is what is known of orders and targets; directory.Snapshot is one.
+type Directory interface {
+	// Rollouts returns the orders of rollouts, Rollout that of a service; nil if there is none.
+	Rollouts() []*directory.Rollout
+	Rollout(service string) *directory.Rollout
+	// KnownTargets returns the known targets of a service, AvailableTargets those that may get new work.
+	KnownTargets(service string) []*directory.Target
+	AvailableTargets(service string) []*directory.Target
+}
+
 // EventKind is the kind of an Event.
 type EventKind string
 
@@ -87,7 +97,7 @@
 // Options configure a Manager.
 type Options struct {
 	Bounds    rollout.Bounds
-	Snapshot  func() *directory.Snapshot
+	Snapshot  func() Directory
 	View      membership.View
 	Transport Transport
 	Store     Store
@@ -248,7 +258,7 @@
 
 // servesOther reports whether a target of another version than the given one is known. The caller holds mu.
 func (m *Manager) servesOther(service, version string) bool {
-	for _, target := range m.options.Snapshot().Targets[service] {
+	for _, target := range m.options.Snapshot().KnownTargets(service) {
 		if target.Version != version {
 			return true
 		}
@@ -332,7 +342,7 @@
 		return
 	}
 	live := m.options.View.Live()
-	interval := min(maxReportInterval, max(reportInterval, time.Duration(len(live))*reportIntervalPerEntry))
+	interval := ReportInterval(len(live))
 	m.coordinate(ctx, known, live, interval)
 	for service, order := range known {
 		if !order.Ended() {
@@ -341,6 +351,11 @@
 	}
 }
 
+// ReportInterval returns the time between two reports of an entry, among a number of live entries.
+func ReportInterval(live int) time.Duration {
+	return min(maxReportInterval, max(reportInterval, time.Duration(live)*reportIntervalPerEntry))
+}
+
 // sweepRequests drops the streams whose callers did not come back. The caller holds mu.
 func (m *Manager) sweepRequests() {
 	now := m.options.Now()
