--- a/rolloutcontrol/coordinator.go
+++ b/rolloutcontrol/coordinator.go
@@ -159,11 +159,12 @@
 	go m.writeStatus(ctx, c, &object, status)
 }
 
-// countTargets returns the registered targets of other versions, and the targets of the order's version that may get work.
+// countTargets returns the known targets of other versions, and the targets of the order's version that may get work. Unregistered ones
+// count too: objects expire while the store is unavailable, although their targets run.
 func (m *Manager) countTargets(order rollout.Order) (old, ready int) {
 	snapshot := m.options.Snapshot()
 	for _, target := range snapshot.KnownTargets(order.Service) {
-		if target.Version != order.To && !target.Unregistered {
+		if target.Version != order.To {
 			old++
 		}
 	}
