--- a/entry/rollouts_test.go
+++ b/entry/rollouts_test.go
@@ -31,6 +31,8 @@
 	// sent counts the requests by version.
 	mu   sync.Mutex
 	sent map[string]int
+	// running counts the requests in progress at the targets, by version.
+	running map[string]int
 	// addresses are the callers' addresses of the entries that get requests.
 	addresses map[int]string
 	// callers are the sources of requests.
@@ -50,9 +52,16 @@
 // requestInterval is the time between two requests.
 const requestInterval = 2 * time.Millisecond
 
+// Requests at slowPath, one of slowEvery, take slowTime at the old version.
+const (
+	slowPath  = "/slow"
+	slowEvery = 50
+	slowTime  = 3 * time.Second
+)
+
 func startRolloutCluster(t *testing.T, entries int) *rolloutCluster {
 	t.Helper()
-	c := &rolloutCluster{sent: map[string]int{}, addresses: map[int]string{}, failures: map[string]int{}, stopped: make(chan struct{}), oldWork: 3 * time.Millisecond}
+	c := &rolloutCluster{sent: map[string]int{}, running: map[string]int{}, addresses: map[int]string{}, failures: map[string]int{}, stopped: make(chan struct{}), oldWork: 3 * time.Millisecond}
 	c.testCluster = startPreparedCluster(t, entries, &testCluster{rollouts: settings.Rollouts{Share: 0.1, Slack: 50, RollbackAfter: 5 * time.Second}})
 	for i := range 2 {
 		c.startVersion(t, i, "v1")
@@ -84,7 +93,16 @@
 	started.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c.mu.Lock()
 		c.sent[version]++
+		c.running[version]++
 		c.mu.Unlock()
+		defer func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.running[version]--
+		}()
+		if version == "v1" && strings.HasSuffix(r.URL.Path, slowPath) {
+			time.Sleep(slowTime)
+		}
 		if version != "v1" && rand.Int64N(1000) < c.failing.Load() {
 			w.Header().Set(target.FieldRequestID, r.Header.Get(target.FieldRequestID))
 			w.Header().Set(target.FieldSignature, target.Signature(r.Header.Get(target.FieldRequestID)))
@@ -144,9 +162,12 @@
 			return
 		case <-ticker.C:
 		}
-		address := c.nextAddress(number)
+		address, path := c.nextAddress(number), "/ledger/x"
+		if number%slowEvery == 0 {
+			path = "/ledger" + slowPath
+		}
 		c.callers.Go(func() {
-			response, _, err := requestAt(address, "POST", "/ledger/x", fmt.Sprint("c", number), "k1", "")
+			response, _, err := requestAt(address, "POST", path, fmt.Sprint("c", number), "k1", "")
 			switch {
 			case err != nil:
 				c.fail(err.Error())
@@ -207,8 +228,8 @@
 
 func always(int) bool { return true }
 
-// Guards against a good version that does not get its requests in time, and against requests at the old one once the store says that it is
-// no longer needed.
+// Guards against a good version that does not get its requests in time, and against requests in progress at the old one, or later ones,
+// once the store says that it is no longer needed.
 func TestGoodVersionSucceedsOnLoopback(t *testing.T) {
 	is := is.New(t)
 	c := startRolloutCluster(t, 3)
@@ -219,6 +240,9 @@
 	}
 	c.await(t, "succeeded", func() bool { return c.status().State == rollout.StateSucceeded })
 	is.Equal(c.status().To, "v2")
+	c.mu.Lock()
+	is.Equal(c.running["v1"], 0) // the old targets stop at once
+	c.mu.Unlock()
 	before := c.sentCopy()
 	time.Sleep(300 * time.Millisecond)
 	after := c.sentCopy()
