Keep the time of an order to the clock of the entry that saw it

The deadline followed the status, by the clock of the entry that wrote it: a coordinator with another clock could have rolled a good version back. Only an entry that learns of the order from the status takes its time, and none that is in the future.

--- a/directory/rollouts.go
+++ b/directory/rollouts.go
@@ -96,16 +96,17 @@
 	}
 }
 
-// setOrdered sets the time of the order, which the platform does not name, if the status doesn't either.
+// setOrdered sets the time of the order, which the platform does not name: when this entry first saw it. Only an entry that comes later takes
+// what the status names, by the clock of another.
 func (r *Rollout) setOrdered(before *Rollout, now time.Time) {
-	if !r.Order.Ordered.IsZero() {
+	now = now.UTC().Truncate(time.Millisecond).Round(0) // as exact as the status is
+	if before != nil && before.Order.Service == r.Order.Service && before.Order.To == r.Order.To && (r.Ended() || !before.Ended()) {
+		r.Order.Ordered = before.Order.Ordered
 		return
 	}
-	r.Order.Ordered = now.UTC().Truncate(time.Millisecond).Round(0) // as exact as the status is
-	if before == nil || before.Order.Service != r.Order.Service || before.Order.To != r.Order.To || before.Ended() && !r.Ended() {
-		return
+	if r.Order.Ordered.IsZero() || r.Order.Ordered.After(now) {
+		r.Order.Ordered = now
 	}
-	r.Order.Ordered = before.Order.Ordered
 }
 
 // noteRegistration holds the version of a registered target back if it is the first one of its version and the orders of rollouts are not
--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -119,7 +119,7 @@
 	})
 }
 
-// Guards against a deadline that moves with each write of the status, and against an order that takes over that of the one before.
+// Guards against a deadline that moves with each write of the status or with the clock of another entry, and against an order that takes over that of the one before.
 func TestTimeOfAnOrder(t *testing.T) {
 	is := is.New(t)
 	f := newRolloutFixture()
@@ -131,7 +131,16 @@
 	told := orderTo("v2")
 	told.Order.Ordered = testStart.Add(-time.Second).UTC()
 	f.applyRollout(testStart.Add(2*time.Second), told)
-	is.True(ordered().Equal(told.Order.Ordered))
+	is.True(ordered().Equal(testStart)) // its own clock
+	later := newRolloutFixture()
+	later.applyRollout(testStart.Add(2*time.Second), told)
+	is.True(later.Snapshot().Rollout("drafts").Order.Ordered.Equal(told.Order.Ordered))
+	told.Order.Ordered = testStart.Add(time.Hour).UTC() // by a clock that is wrong
+	f.applyRollout(testStart.Add(2*time.Second), told)
+	is.True(ordered().Equal(testStart))
+	ahead := newRolloutFixture()
+	ahead.applyRollout(testStart.Add(2*time.Second), told)
+	is.True(ahead.Snapshot().Rollout("drafts").Order.Ordered.Equal(testStart.Add(2 * time.Second)))
 	f.applyRollout(testStart.Add(3*time.Second), orderTo("v3"))
 	is.True(ordered().Equal(testStart.Add(3 * time.Second)))
 	f.applyRollout(testStart.Add(4*time.Second), Rollout{Name: "drafts"}) // can't be decoded
