--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -423,7 +423,9 @@
 	}
 	b.slowBucket = min(bucket+1+slowMarginBuckets, LatencyBuckets-1)
 	b.short.answered, b.bin.answered = b.latencies.short.countFrom(0), b.latencies.bin.countFrom(0)
-	b.long.slow, b.short.slow, b.bin.slow = b.latencies.long.countFrom(b.slowBucket), b.latencies.short.countFrom(b.slowBucket), b.latencies.bin.countFrom(b.slowBucket)
+	b.long.slow = b.latencies.long.countFrom(b.slowBucket)
+	b.short.slow = b.latencies.short.countFrom(b.slowBucket)
+	b.bin.slow = b.latencies.bin.countFrom(b.slowBucket)
 }
 
 func countFrom(latencies []uint32, bucket int) float64 {
