--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/peermembership"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/retrypeer"
 	"github.com/azurebarrow/azurebarrow/adapters/promptpeer"
+	"github.com/azurebarrow/azurebarrow/adapters/rolloutpeer"
 	"github.com/azurebarrow/azurebarrow/adapters/streamversionpeer"
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
 	"github.com/azurebarrow/azurebarrow/admission"
@@ -32,6 +33,7 @@
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/platform"
 	"github.com/azurebarrow/azurebarrow/promptindex"
+	"github.com/azurebarrow/azurebarrow/rolloutcontrol"
 	"github.com/azurebarrow/azurebarrow/routing"
 	"github.com/azurebarrow/azurebarrow/service"
 	"github.com/azurebarrow/azurebarrow/settings"
@@ -72,6 +74,8 @@
 	limits       *sendLimits
 	versions     *streamversion.Manager
 	prompts      *promptindex.Manager
+	// rollouts is nil if the entry carries out none.
+	rollouts     *rolloutcontrol.Manager
 	callers      *callerListener
 	// callerLimits limits what callers make the entry hold.
 	callerLimits *callerlimit.Limiter
@@ -184,11 +188,13 @@
 	e.versions = streamversion.NewManager(streamversion.Options{
 		View: e.members, Transport: streamversionpeer.NewClient(e.peerClient), Store: store, Observe: e.logStreamVersions,
 	})
+	e.buildRollouts(store)
 	e.transfers = &directorypeer.Transfers{Report: e.logTransfer}
 	e.directory = directory.NewManager(directory.Options{
 		Store:      store,
 		StoreEra:   store.Era,
 		Decoder:    platform.Decoder{},
+		Rollouts:   e.rolloutDecoder(),
 		Peers:      directorypeer.NewClient(&http.Client{Transport: feedTransport}),
 		View:       e.members,
 		Identifier: platform.NewEngineReports(),
@@ -210,6 +216,9 @@
 	mux.Handle(retrypeer.NewHandler(e.retryTotals))
 	mux.Handle(streamversionpeer.NewHandler(e.versions))
 	mux.Handle(promptpeer.NewHandler(e.prompts))
+	if e.rollouts != nil {
+		mux.Handle(rolloutpeer.NewHandler(e.rollouts))
+	}
 	e.exchangeHandler().Register(mux, e.countRunning)
 	return mux
 }
@@ -219,6 +228,13 @@
 	e.buildPaths()
 	e.crashRecords.isDown = crashprobe.New(e.pool, e.router).IsDown
 	targets := passthrough.NewTargets(e.pool, e.paths, e.directory, e.limits, e.log)
+	var engine generation.RelayEngine = targets
+	var sender service.Sender = targets
+	available := func(name string) []*directory.Target { return e.directory.Snapshot().AvailableTargets(name) }
+	if e.rollouts != nil {
+		engine, sender, available = observedEngine{targets}, observedSender{targets}, e.availableTargets
+		targets.LimitAvailable(e.rollouts.Available)
+	}
 	limits := e.settings.Passthrough
 	e.retries = admission.NewSharedRetryBudget(admission.SharedRetryLimits{
 		Ratio: limits.RetryRatio, Slack: limits.RetrySlack, Window: limits.RetryWindow,
@@ -235,11 +251,11 @@
 		Seed: rand.Uint64(),
 	})
 	e.relay = generation.NewRelay(generation.RelayOptions{
-		Engine:          targets,
+		Engine:          engine,
 		Placer:          e.placement,
 		Budget:          e.retries,
 		Limits:          e.limits,
-		Targets:         func(name string) []*directory.Target { return e.directory.Snapshot().AvailableTargets(name) },
+		Targets:         available,
 		AddressMismatch: e.directory.ReportAddressMismatch,
 		Connectivity:    e.connectivity,
 		Detour:          relayDetour{e.router},
@@ -250,7 +266,7 @@
 		Log:             e.log,
 	})
 	e.forwarder = service.NewForwarder(service.ForwarderOptions{
-		Sender:    targets,
+		Sender:    sender,
 		Directory: targets,
 		Budget:    e.retries,
 		Limits:    e.limits,
@@ -270,10 +286,11 @@
 		Accepts: func(route *directory.Route, outputTokens int, deadline time.Time) bool {
 			return e.shutdown.accepts(route, outputTokens, deadline, time.Now())
 		},
-		StreamBegan: e.streamBegan,
-		Stopped:     e.stopped,
-		Log:         e.log,
-		Observe:     e.observeRequest,
+		StreamBegan:  e.streamBegan,
+		BeginRequest: e.beginRequest(),
+		Stopped:      e.stopped,
+		Log:          e.log,
+		Observe:      e.observeRequest,
 	})
 	return e.countRunning(handler)
 }
@@ -325,6 +342,9 @@
 	addActor(&group, e.directory.Run)
 	addActor(&group, e.prompts.Run)
 	addActor(&group, e.versions.Run)
+	if e.rollouts != nil {
+		addActor(&group, e.rollouts.Run)
+	}
 	addActor(&group, e.maintain)
 	addActor(&group, e.router.Run)
 	addActor(&group, func(ctx context.Context) error {
@@ -387,6 +407,9 @@
 			http.Error(w, "no such parts are refused: "+r.FormValue("parts"), http.StatusNotFound)
 		}
 	})
+	if e.rollouts != nil {
+		mux.HandleFunc("GET /rollouts", e.serveRollouts)
+	}
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return mux
 }
