--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,8 +75,8 @@
 	versions     *streamversion.Manager
 	prompts      *promptindex.Manager
 	// rollouts is nil if the entry carries out none.
-	rollouts     *rolloutcontrol.Manager
-	callers      *callerListener
+	rollouts *rolloutcontrol.Manager
+	callers  *callerListener
 	// callerLimits limits what callers make the entry hold.
 	callerLimits *callerlimit.Limiter
 	ready        boundServer
