--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -220,9 +221,8 @@
 		Entries: func() (membership.Peer, []membership.Peer) {
 			return e.members.Self(), e.members.Live()
 		},
-		ReportPace: func(engine *directory.Target, slowness float64) {
-			e.log("target-pace", generation.Field{Key: "target", Value: engine.ID}, generation.Field{Key: "service", Value: engine.Service},
-				generation.Field{Key: "slowness", Value: slowness})
+		ReportPace: func(engine string, slowness float64) {
+			e.log("target-pace", generation.Field{Key: "target", Value: engine}, generation.Field{Key: "slowness", Value: math.Round(10*slowness) / 10})
 		},
 		Seed: rand.Uint64(),
 	})
--- a/routing/pace_test.go
+++ b/routing/pace_test.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -127,9 +129,8 @@
 		table.observe(slow, "model", usual, later)
 	}
 	is.True(table.slowness(slow, later) < 1.4)
-	for range 10 {
-		table.observe(slow, "model", usual, later)
-	}
+	table.observe(slow, "model", usual, later)
+	is.Equal(table.sweep(later), []engineKey{slow}) // an operator reads of the end as well
 	is.Equal(table.slowCount(), 0)
 	table.sweep(later.Add(paceTTL + time.Second))
 	is.Equal(len(table.engines), 0)
@@ -155,3 +156,69 @@
 		is.True(slowness > 0.9 && slowness < 1.1)
 	}
 }
+
+// Guards against an engine that passes for fast, or for one of changing pace, because its events arrive several at a time.
+func TestEventsThatArriveTogetherShareTheirGap(t *testing.T) {
+	is := is.New(t)
+	for together := 1; together <= 4; together++ {
+		var window gapWindow
+		now := time.Unix(1000, 0)
+		medians := 0
+		for range 40 {
+			now = now.Add(time.Duration(together) * 30 * time.Millisecond)
+			for range together {
+				if median, full := window.add(now); full {
+					is.Equal(median, 30*time.Millisecond)
+					medians++
+				}
+				now = now.Add(time.Microsecond)
+			}
+			now = now.Add(-time.Duration(together) * time.Microsecond)
+		}
+		is.True(medians >= 3)
+	}
+}
+
+// Guards against the pace of a former service of an engine that is started for another one at its address under its ID.
+func TestPaceOfAFormerServiceIsForgotten(t *testing.T) {
+	is := is.New(t)
+	table := newPaceTable()
+	key, other := engineKey{id: "moved"}, engineKey{id: "other"}
+	now := time.Unix(1000, 0)
+	for range 50 {
+		table.observe(key, "small", 10*time.Millisecond, now)
+		table.observe(other, "large", 200*time.Millisecond, now)
+	}
+	table.observe(key, "large", 200*time.Millisecond, now)
+	is.Equal(table.slowness(key, now), 1.0)
+}
+
+// Guards against noise in the gaps that sends callers who reconnect away from the engine that has their prompt cached.
+func TestNoiseDoesNotOutweighAffinity(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	kept := func(noise float64) (count int) {
+		random := rand.New(rand.NewPCG(1, 2))
+		engines := engineFleet(12)
+		for i := range 300 {
+			p := NewPlacement(PlacementOptions{AvailabilityZone: "a", Seed: uint64(i), Now: func() time.Time { return now }})
+			for _, engine := range engines {
+				var window gapWindow
+				for range 20 * paceWindow {
+					now = now.Add(time.Duration((1 + noise*(2*random.Float64()-1)) * float64(30*time.Millisecond)))
+					if median, full := window.add(now); full {
+						p.paces.observe(keyOf(engine), "", median, now)
+					}
+				}
+			}
+			query := draftQuery(engines)
+			query.Affinity = fmt.Sprint("prompt-", i)
+			if p.Place(query).ID == p.affinityEngine(query) {
+				count++
+			}
+		}
+		return count
+	}
+	is.Equal(kept(0.1), kept(0))
+	is.Equal(kept(0.3), kept(0))
+}
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -41,9 +41,9 @@
 	// it is the only one.
 	Entries func() (self membership.Peer, live []membership.Peer)
 	Model   PlacementModel
-	// ReportPace is called when an engine has become slow, or is no longer, with how many times as long as others of its service it
-	// takes; nil reports nothing.
-	ReportPace func(engine *directory.Target, slowness float64)
+	// ReportPace is called when the engine with the ID has become slow, or is no longer, with how many times as long as is usual for its
+	// service it takes; nil reports nothing.
+	ReportPace func(engine string, slowness float64)
 	// Seed makes the random choices reproducible.
 	Seed uint64
 	// Now is the clock; nil means time.Now.
@@ -142,7 +142,7 @@
 		options.Now = time.Now
 	}
 	if options.ReportPace == nil {
-		options.ReportPace = func(*directory.Target, float64) {}
+		options.ReportPace = func(string, float64) {}
 	}
 	if options.Model == (PlacementModel{}) {
 		options.Model = DefaultPlacementModel
@@ -233,7 +233,10 @@
 	state := p.engines[keyOf(engine)]
 	now := p.options.Now()
 	slowness := p.slowness(engine, now)
-	cost := time.Duration((slowness - 1) * float64(model.Slowness))
+	var cost time.Duration
+	if slowness > slownessTolerance || slowness < 1/slownessTolerance {
+		cost = time.Duration((slowness - 1) * float64(model.Slowness))
+	}
 	if p.zoneSuspected(engine.AvailabilityZone, now) {
 		cost += model.RecentFailure / 2
 	}
@@ -255,7 +258,7 @@
 	return cost
 }
 
-// slowness returns how many times as long as others of its service the engine takes.
+// slowness returns how many times as long as is usual for its service the engine takes.
 func (p *Placement) slowness(engine *directory.Target, now time.Time) float64 {
 	if p.options.Model.Slowness == 0 {
 		return 1
@@ -357,11 +360,11 @@
 	slowness := p.paces.slowness(keyOf(s.engine), now)
 	p.mu.Unlock()
 	if changed {
-		p.options.ReportPace(s.engine, slowness)
+		p.options.ReportPace(s.engine.ID, slowness)
 	}
 }
 
-// SlowCount returns the number of engines that are slow.
+// SlowCount returns the number of engines that have been reported as slow.
 func (p *Placement) SlowCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -395,17 +398,20 @@
 	}
 }
 
-// Sweep removes the state of idle engines.
+// Sweep removes the state of idle engines, and reports those that are no longer slow.
 func (p *Placement) Sweep() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	now := p.options.Now()
-	p.paces.sweep(now)
+	recovered := p.paces.sweep(now)
 	for key, state := range p.engines {
 		if state.idle(now) {
 			delete(p.engines, key)
 		}
 	}
+	p.mu.Unlock()
+	for _, key := range recovered {
+		p.options.ReportPace(key.id, 1)
+	}
 }
 
 // idle reports whether the state holds nothing that a choice depends on.
