Keep a stream that is late by several events beside an unanswered probe

What callers would see: a stream whose target sends events goes on at another target, when the entry handles its events late by more than one and another stream's probe at the target gets no answer.

The latest handled event was then read before the probe was sent, and those after it still wait at the socket; one of them at most was looked at.

Change: waiting events are handled up to the first one that was read after the probe was sent, with a millisecond for the reading goroutine if the stream is late. Streams that are not late leave at once as before.

--- a/generation/relayattempt.go
+++ b/generation/relayattempt.go
@@ -26,7 +26,7 @@
 	eventCount   int
 	startedAt    time.Time
 	lastProgress time.Time
-	// lastReceived is when the reading goroutine received the latest handled event; zero before the first one.
+	// lastReceived is when the reading goroutine read the latest handled event; zero before the first one.
 	lastReceived time.Time
 	messages     chan relayMessage
 	copier       *kvCopier
@@ -37,7 +37,7 @@
 type relayMessage struct {
 	stream RelayStream
 	event  RelayEvent
-	// receivedAt is when the event was received.
+	// receivedAt is when the event was read, which may be later than it arrived.
 	receivedAt time.Time
 	err        error
 }
@@ -256,13 +256,8 @@
 				return ending, err
 			}
 		case <-a.monitor.unreachable:
-			// This goroutine may run late, and the probe's as well: a target that has sent an event since is reachable.
-			select {
-			case message := <-a.messages:
-				if ending, ended, err := a.handleMessage(ctx, message); ended {
-					return ending, err
-				}
-			default:
+			if ending, ended, err := a.handleWaitingEvents(ctx); ended {
+				return ending, err
 			}
 			if !a.lastReceived.After(a.monitor.failedProbeSentAt) {
 				return endingSilent, errProbeFailed
@@ -317,6 +312,38 @@
 	}
 }
 
+// handleWaitingEvents handles the events that wait, up to the first one that was received after the failed probe was sent: this goroutine
+// may run late, and the probe's as well, and a target that has sent an event since is reachable. The reading goroutine can't receive the next
+// event before the one before is handled, so that an event may wait at the socket if that was handled late.
+func (a *activeAttempt) handleWaitingEvents(ctx context.Context) (ending relayEnding, ended bool, err error) {
+	for !a.lastReceived.After(a.monitor.failedProbeSentAt) {
+		var message relayMessage
+		var waits bool
+		if isLate := !a.lastReceived.IsZero() && a.lastProgress.Sub(a.lastReceived) > minTimerDelay; isLate {
+			timer := time.NewTimer(minTimerDelay)
+			select {
+			case message = <-a.messages:
+				waits = true
+			case <-timer.C:
+			}
+			timer.Stop()
+		} else {
+			select {
+			case message = <-a.messages:
+				waits = true
+			default:
+			}
+		}
+		if !waits {
+			return 0, false, nil
+		}
+		if ending, ended, err = a.handleMessage(ctx, message); ended {
+			return ending, true, err
+		}
+	}
+	return 0, false, nil
+}
+
 // silence returns how long the target has been silent. The time in which the entry's own connectivity was lost
 // does not count.
 func (a *activeAttempt) silence(now time.Time) time.Duration {
