Charge small parts of a feed in full

Change: one size decides both. The comment tells that a configuration that is mostly keys takes up to half, for which a quarter is charged.

Evidence: TestSmallPartsAreChargedInFull fails without the change.

--- a/adapters/peertwirp/directorypeer/compress.go
+++ b/adapters/peertwirp/directorypeer/compress.go
@@ -7,10 +7,9 @@
 
 	"github.com/klauspost/compress/gzhttp"
 	"github.com/klauspost/compress/gzip"
-)
 
-// minCompressedBytes is the size from which answers are compressed. Most answers hold no object, or a few, and fit into one packet.
-const minCompressedBytes = 1400
+	"github.com/azurebarrow/azurebarrow/directory"
+)
 
 // compressedKey is the key of a context that is present if the reader takes compressed answers.
 type compressedKey struct{}
@@ -18,7 +17,7 @@
 // compress returns a handler that compresses the answers of next for readers that take them compressed; those of a former build don't.
 func compress(next http.Handler) http.Handler {
 	wrap, err := gzhttp.NewWrapper(
-		gzhttp.MinSize(minCompressedBytes),
+		gzhttp.MinSize(directory.CompressedFrom),
 		// Needs no memory between answers; a list of targets takes 1 part in 100 more than at the fastest level with a state.
 		gzhttp.CompressionLevel(gzip.StatelessCompression),
 		gzhttp.ContentTypes([]string{"application/protobuf"}),
--- a/directory/feed.go
+++ b/directory/feed.go
@@ -38,9 +38,13 @@
 	Age time.Duration
 }
 
-// compressedShare is the share of a part's bytes that is charged for it if it is sent compressed. Objects of the platform are JSON texts
-// that resemble each other; configurations and lists of targets take less.
-const compressedShare = 0.25
+const (
+	// CompressedFrom is the size from which parts are sent compressed. Most hold no object, or a few, and fit into one packet.
+	CompressedFrom = 1400
+	// compressedShare is the share of a part's bytes that is charged for it if it is sent compressed. Objects of the platform are JSON texts
+	// that resemble each other, and take an eighth to a quarter; a configuration that is mostly keys takes up to half.
+	compressedShare = 0.25
+)
 
 // size returns the approximate number of bytes that the part takes on the wire.
 func (p Part) size(compressed bool) int {
@@ -48,7 +52,7 @@
 	for _, object := range p.Objects {
 		bytes += len(object.Name) + len(object.Value)
 	}
-	if compressed {
+	if compressed && bytes >= CompressedFrom {
 		return int(compressedShare * float64(bytes))
 	}
 	return bytes
--- a/directory/feedcompression_test.go
+++ b/directory/feedcompression_test.go
@@ -45,3 +45,13 @@
 		})
 	}
 }
+
+// Guards against changes that are charged as compressed and sent plain, since they are small.
+func TestSmallPartsAreChargedInFull(t *testing.T) {
+	is := is.New(t)
+	part := Part{Objects: []objects.Object{{Value: make([]byte, CompressedFrom-1)}}}
+	is.Equal(part.size(true), CompressedFrom-1)
+	part.Objects[0].Value = make([]byte, 4*CompressedFrom)
+	is.Equal(part.size(true), CompressedFrom)
+	is.Equal(part.size(false), 4*CompressedFrom)
+}
