Charge forwarded requests to the memory for callers

Requests that had been forwarded could take all connections of an entry, and are never evicted: a new connection of any other caller was refused with 503 (caller-refused kind=connection). They also cost more resident memory than their connection was charged.

A stream is charged 64 KiB and a call 48 KiB before it is forwarded. An address that holds little is granted of a reserve of an eighth of the shared memory while another address holds more than half.

--- a/adapters/callerhttp/body.go
+++ b/adapters/callerhttp/body.go
@@ -22,7 +22,7 @@
 	if errors.As(err, &tooLarge) {
 		return nil, badRequest(http.StatusRequestEntityTooLarge, CodeTooLarge, fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit))
 	}
-	if errors.Is(err, callerlimit.ErrNoMemory) || conn.IsEvicted() || err == nil && !conn.BeginForwarding() {
+	if errors.Is(err, callerlimit.ErrNoMemory) || conn.IsEvicted() || err == nil && !conn.BeginForwarding(callerlimit.StreamBytes) {
 		conn.RecordRefusal()
 		w.Header().Set("Connection", "close")
 		return nil, noMemory().withKeyOf(r)
--- a/adapters/callerlimit/callerlimit_test.go
+++ b/adapters/callerlimit/callerlimit_test.go
@@ -166,7 +166,7 @@
 		is := is.New(t)
 		release := make(chan struct{})
 		s := startServer(t, Options{MemoryBytes: minMemoryBytes, Connections: 100, DefersForwarding: true}, func(w http.ResponseWriter, r *http.Request) {
-			if !FromContext(r.Context()).BeginForwarding() {
+			if !FromContext(r.Context()).BeginForwarding(CallBytes) {
 				w.WriteHeader(http.StatusServiceUnavailable)
 				return
 			}
@@ -197,6 +197,58 @@
 	})
 }
 
+// Guards against forwarded requests of one address that take all memory or all connections, so that a small request of another address is
+// refused; and against a charge that is too high for the streams that a load balancer sends to the smallest VM.
+func TestForwardedRequestsOfOneAddressLeaveRoomForOthers(t *testing.T) {
+	for name, cost := range map[string]int64{"streams": StreamBytes, "calls": CallBytes} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const fewest = 250
+				is := is.New(t)
+				release := make(chan struct{})
+				end := sync.OnceFunc(func() { close(release) })
+				defer end()
+				options := Options{MemoryBytes: fallbackMemoryBytes / 4, DefersForwarding: true}
+				s := startServer(t, options, func(w http.ResponseWriter, r *http.Request) {
+					if !FromContext(r.Context()).BeginForwarding(cost) {
+						w.Header().Set("Connection", "close")
+						w.WriteHeader(http.StatusServiceUnavailable)
+						return
+					}
+					if strings.HasPrefix(r.RemoteAddr, "127.0.0.1:") {
+						<-release
+					}
+				})
+				var callers sync.WaitGroup
+				var served, refused atomic.Int64
+				for i := range s.limiter.MaxConnections() {
+					conn := s.dial(1)
+					callers.Go(func() {
+						switch call(conn, smallRequest) {
+						case http.StatusOK:
+							served.Add(1)
+						case http.StatusServiceUnavailable:
+							refused.Add(1)
+							_ = conn.Close() // a pipe
+						}
+					})
+					if i == fewest {
+						synctest.Wait()
+						is.Equal(refused.Load(), int64(0))
+					}
+				}
+				synctest.Wait()
+				is.Equal(call(s.dial(2), smallRequest), http.StatusOK)
+				limit := s.limiter.MemoryBytes() + int64(reserveShare*float64(s.limiter.SharedBytes()))
+				is.True(s.limiter.HeldBytes() <= limit)
+				end()
+				callers.Wait()
+				is.True(served.Load() > fewest && refused.Load() > 0)
+			})
+		})
+	}
+}
+
 // Guards against the handler of a request whose connection was evicted while its head was complete already.
 func TestEvictedRequestDoesNotReachItsHandler(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -210,7 +262,7 @@
 		conn := limiter.accept(inner)
 		conn.beginRequest()
 		is.True(conn.evict())
-		is.True(!conn.BeginForwarding())
+		is.True(!conn.BeginForwarding(CallBytes))
 		request, err := http.NewRequestWithContext(server.ConnContext(t.Context(), conn), http.MethodGet, "/", nil)
 		is.NoErr(err)
 		writer := &recorder{header: http.Header{}}
--- a/adapters/callerlimit/conn.go
+++ b/adapters/callerlimit/conn.go
@@ -127,10 +127,10 @@
 // IsEvicted reports whether the request must be refused. It is false for nil.
 func (c *Conn) IsEvicted() bool { return c != nil && c.phase.Load() == phaseEvicted }
 
-// BeginForwarding marks the request as forwarded, so that it is not evicted, and charges the copy of a large head that a target gets. It
-// reports false if the request must be refused. It is true for nil.
-func (c *Conn) BeginForwarding() bool {
-	return c == nil || c.Charge(max(0, c.head.Load()-prepaidBytes/2)) && c.moveTo(phaseForwarded, phaseRequest)
+// BeginForwarding marks the request as forwarded, so that it is not evicted. It charges cost, which is StreamBytes or CallBytes, and the copy
+// of a large head that a target gets. It reports false if the request must be refused. It is true for nil.
+func (c *Conn) BeginForwarding(cost int64) bool {
+	return c == nil || c.Charge(cost+max(0, c.head.Load()-prepaidBytes/2)) && c.moveTo(phaseForwarded, phaseRequest)
 }
 
 // Charge charges bytes to the request in progress. It reports false if there is no memory for them. It is true for nil. The bytes are
--- a/adapters/callerlimit/limiter.go
+++ b/adapters/callerlimit/limiter.go
@@ -23,6 +23,15 @@
 	prepaidBytes = 16 << 10
 	// fieldBytes is charged for each line of a head, beside its bytes: net/http keeps a map entry, two strings and a slice for a field.
 	fieldBytes = 384
+	// StreamBytes and CallBytes are charged for a stream and for a call while it is forwarded: its connection to the target, goroutines and
+	// buffers of the relay. Each exceeds connectionBytes and prepaidBytes together, so that forwarded requests use up the memory, and others
+	// are refused, before they use up the connections.
+	StreamBytes = 64 << 10
+	CallBytes   = 48 << 10
+	// reserveShare is a share of the shared memory beyond it, for addresses that hold no more than minorShare of it while another one holds
+	// more than half: forwarded requests are not evicted, and could keep all others away.
+	reserveShare = 0.125
+	minorShare   = 0.03125
 	// grantBytes is the step in which a connection takes shared memory, so that few reads take the lock of the Limiter.
 	grantBytes = 4 << 10
 	// maxReleasingShare is the share of the shared memory that evicted connections may still hold while others are granted it already.
@@ -50,7 +59,7 @@
 const (
 	// KindHead: the head of a request found no shared memory.
 	KindHead Kind = iota
-	// KindBody: the body of a request found no shared memory.
+	// KindBody: the body of a request, or a request that was to be forwarded, found no shared memory.
 	KindBody
 	// KindEvicted: the memory of a request that had not been forwarded was needed by others.
 	KindEvicted
@@ -113,6 +122,8 @@
 // address is what the connections of one remote address hold.
 type address struct {
 	connections int
+	// granted is the shared memory that they hold.
+	granted int64
 	// evictable is scratch memory of a search for a connection to evict.
 	evictable int64
 }
@@ -267,6 +278,7 @@
 func (l *Limiter) setGrant(conn *Conn, bytes int64) {
 	change := bytes - conn.granted.Load()
 	l.granted += change
+	l.addresses[conn.address].granted += change
 	if conn.releasing {
 		l.releasing += change
 	}
@@ -306,17 +318,34 @@
 		}
 		now := time.Now()
 		if now.Sub(l.searchedAt) < searchInterval && l.searchedFor == conn.address {
-			return false, false
+			return l.grantFromReserve(conn, bytes, others), false
 		}
 		victim := l.largestHolder(now)
 		if victim == nil || victim == conn || victim.address == conn.address && victim.age(now) < minEvictionAge {
 			l.searchedAt, l.searchedFor = now, conn.address
-			return false, false
+			return l.grantFromReserve(conn, bytes, others), false
 		}
 		l.evict(victim)
 	}
 }
 
+// grantFromReserve is tryGrant for a connection of an address that holds little, while another address holds most of the shared memory and
+// all others hold that many bytes. The caller holds mu.
+func (l *Limiter) grantFromReserve(conn *Conn, bytes, others int64) bool {
+	shared := float64(l.shared)
+	held := l.addresses[conn.address].granted - conn.granted.Load() + bytes
+	if float64(held) > minorShare*shared || float64(others+bytes) > (1+reserveShare)*shared {
+		return false
+	}
+	for address, from := range l.addresses {
+		if address != conn.address && float64(from.granted) > shared/2 {
+			l.setGrant(conn, bytes)
+			return true
+		}
+	}
+	return false
+}
+
 // largestHolder returns the connection to evict for its memory: of the address whose connections hold the most, the one that has held
 // the most for the longest time. It returns nil if no request may be evicted. The caller holds mu.
 func (l *Limiter) largestHolder(now time.Time) *Conn {
--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -145,7 +145,11 @@
 		call.writeError(rejected)
 		return
 	}
-	if !call.conn.BeginForwarding() {
+	cost := int64(callerlimit.CallBytes)
+	if call.route.Class == directory.Stream {
+		cost = callerlimit.StreamBytes
+	}
+	if !call.conn.BeginForwarding(cost) {
 		call.writeError(call.refuseForMemory())
 		return
 	}
