Release bodies of callers when their handler returns

net/http keeps a connection that it closes for half a second, and the body stayed charged for that time.

--- a/adapters/callerlimit/callerlimit_test.go
+++ b/adapters/callerlimit/callerlimit_test.go
@@ -249,6 +249,26 @@
 	}
 }
 
+// Guards against memory that stays charged while net/http closes a connection slowly, so that small requests of others are refused.
+func TestBodyIsReleasedWhenItsHandlerReturns(t *testing.T) {
+	is := is.New(t)
+	limiter := New(Options{DefersForwarding: true})
+	caller, inner := net.Pipe()
+	conn := limiter.accept(inner)
+	conn.beginRequest()
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		is.True(FromContext(r.Context()).Charge(1 << 20))
+		is.True(limiter.HeldBytes() > 1<<20)
+	})}
+	limiter.Configure(server)
+	request, err := http.NewRequestWithContext(server.ConnContext(t.Context(), conn), http.MethodGet, "/", nil)
+	is.NoErr(err)
+	server.Handler.ServeHTTP(&recorder{header: http.Header{}}, request)
+	is.Equal(limiter.HeldBytes(), int64(connectionBytes))
+	is.NoErr(conn.Close())
+	is.NoErr(caller.Close())
+}
+
 // Guards against the handler of a request whose connection was evicted while its head was complete already.
 func TestEvictedRequestDoesNotReachItsHandler(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/adapters/callerlimit/server.go
+++ b/adapters/callerlimit/server.go
@@ -75,6 +75,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if conn != nil {
+			// net/http keeps a connection that it closes for another half second, in which nobody uses the body.
+			defer func() { conn.setUsed(conn.head.Load()) }()
+		}
 		next.ServeHTTP(w, r)
 	})
 }
