--- a/adapters/callerlimit/callerlimit_test.go
+++ b/adapters/callerlimit/callerlimit_test.go
@@ -328,7 +328,7 @@
 	})
 }
 
-// Guards against refusals that nobody can find, and against a log that a crowd fills.
+// Guards against refusals without a trace in the log, and against a log that a crowd fills.
 func TestRefusalsAreLoggedOncePerSecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/adapters/callerlimit/limiter.go
+++ b/adapters/callerlimit/limiter.go
@@ -304,7 +304,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, open := l.connections[conn]; !open || conn.closing {
-		return false, false // nobody would release the grant of a closed connection
+		return false, false // the grant of a closed connection would never be released
 	}
 	for {
 		others := l.granted - l.releasing - conn.granted.Load()
--- a/adapters/callerlimit/server.go
+++ b/adapters/callerlimit/server.go
@@ -76,7 +76,7 @@
 			return
 		}
 		if conn != nil {
-			// net/http keeps a connection that it closes for another half second, in which nobody uses the body.
+			// net/http keeps a connection that it closes for another half second, in which the body is not used.
 			defer func() { conn.setUsed(conn.head.Load()) }()
 		}
 		next.ServeHTTP(w, r)
--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -39,7 +39,7 @@
 	// RequestMemoryBytes is the memory that callerlimit lets all requests share; 0 if nothing limits it.
 	RequestMemoryBytes int64
 	// BeginRequest is called when a request has been admitted; resumed is set for the rest of a stream. It returns the versions of targets
-	// that may get the request, and a function to be called at its end with whether its caller may come back for the rest of a stream.
+	// that may get the request, and a function to be called at its end with whether its caller may reconnect for the rest of a stream.
 	// nil means any.
 	BeginRequest func(service string, resumed bool) (versions VersionChoice, ended func(mayResume bool))
 	// WaitReady waits until a snapshot is ready, up to limit.
--- a/adapters/rolloutpeer/rolloutpeer_test.go
+++ b/adapters/rolloutpeer/rolloutpeer_test.go
@@ -35,7 +35,7 @@
 	return report
 }
 
-// Guards against evidence that changes on its way to the coordinator.
+// Guards against evidence that is changed by its encoding.
 func TestReportsTravelUnchanged(t *testing.T) {
 	for _, requests := range []int{0, 1, 40, 400} {
 		is := is.New(t)
@@ -50,7 +50,7 @@
 	}
 }
 
-// Guards against a report that makes the coordinator panic or count what nobody saw.
+// Guards against a report that makes the coordinator panic or count what was not observed.
 func TestInvalidReportsAreRefused(t *testing.T) {
 	manager := rolloutcontrol.NewManager(rolloutcontrol.Options{Snapshot: func() rolloutcontrol.Directory { return &directory.Snapshot{} }, View: membership.Static{}})
 	mux := http.NewServeMux()
--- a/cmd/azurebarrowctl/command/rollout.go
+++ b/cmd/azurebarrowctl/command/rollout.go
@@ -22,7 +22,7 @@
 	Entry   []string `long:"entry" required:"true" value-name:"IP:PORT" description:"the admin address of an entry; repeat it for others: the coordinator has the evidence"`
 }
 
-// rolloutsOfEntry is what one entry tells of the rollouts.
+// rolloutsOfEntry is what one entry reports of the rollouts.
 type rolloutsOfEntry struct {
 	Entry  string `json:"entry"`
 	Orders []struct {
--- a/directory/rollouts_test.go
+++ b/directory/rollouts_test.go
@@ -96,7 +96,7 @@
 }
 
 // Guards against an entry that starts in the middle of a rollout and sends to both versions until it has read the order, and against one
-// that never serves since nobody answers what the orders are.
+// that never serves since the orders can't be read.
 func TestStartedEntryServesOnceItKnowsTheOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -78,7 +78,7 @@
 	return sent
 }
 
-// callOutcome returns what the end of an attempt tells of the target's version; known is false if it tells nothing.
+// callOutcome returns what the end of an attempt says of the target's version; known is false if it says nothing.
 func callOutcome(ctx context.Context, sent service.SendResult) (outcome rollout.Outcome, known bool) {
 	switch sent.Verdict {
 	case service.SendAnswered:
@@ -100,7 +100,7 @@
 	return lostOutcome(ctx, sent.ConnectionLost)
 }
 
-// lostOutcome returns what an attempt without a response tells. One that was cancelled took at least as long as a response that came then:
+// lostOutcome returns what an attempt without a response says of the version. One that was cancelled took at least as long as a response that came then:
 // a slow version must not be hidden by hedges, which cancel the attempts that they overtake.
 func lostOutcome(ctx context.Context, connectionLost bool) (outcome rollout.Outcome, known bool) {
 	switch {
@@ -228,7 +228,7 @@
 	e.metrics.AddCounter("rollout_reports_received", stats.ReportsReceived.Load)
 }
 
-// rolloutView is what an entry tells of the rollouts.
+// rolloutView is what an entry reports of the rollouts.
 type rolloutView struct {
 	Entry string `json:"entry"`
 	// Orders are the orders that the entry knows.
--- a/entry/rollouts_test.go
+++ b/entry/rollouts_test.go
@@ -147,7 +147,7 @@
 	defer c.mu.Unlock()
 	entries := slices.Sorted(maps.Keys(c.addresses))
 	if len(entries) == 0 {
-		return "127.0.0.1:1" // where nobody answers
+		return "127.0.0.1:1" // where nothing listens
 	}
 	return c.addresses[entries[number%len(entries)]]
 }
@@ -366,5 +366,5 @@
 	}
 	time.Sleep(2 * time.Second)
 	is.Equal(c.status().State, rollout.StateRolledBack)
-	is.True(c.sentCopy()["v2"] <= before+1) // one may have been on its way
+	is.True(c.sentCopy()["v2"] <= before+1) // one may have been in transit
 }
--- a/generation/relayallowed_test.go
+++ b/generation/relayallowed_test.go
@@ -9,7 +9,7 @@
 	"github.com/azurebarrow/azurebarrow/directory"
 )
 
-// listedVersions allows the versions that it lists; FallBack goes on to the next list.
+// listedVersions allows the versions that it lists; FallBack selects the next list.
 type listedVersions struct{ lists [][]string }
 
 func (l *listedVersions) Allows(version string) bool { return slices.Contains(l.lists[0], version) }
--- a/generation/relaylate_test.go
+++ b/generation/relaylate_test.go
@@ -54,7 +54,7 @@
 	return s.recordingSink.Event(event)
 }
 
-// Guards against a stream that is moved although its target goes on: its goroutine is late by several events, of which those after the
+// Guards against a stream that is moved although its target continues: its goroutine is late by several events, of which those after the
 // first still wait at the socket as another stream's probe gets no answer.
 func TestStreamThatIsLateBySeveralEventsStaysAtItsTarget(t *testing.T) {
 	for range 20 {
--- a/generation/relayversion.go
+++ b/generation/relayversion.go
@@ -115,7 +115,7 @@
 	return fitsNew(available)
 }
 
-// allowedTargets returns the targets that the request may go to by their versions. A stream that has begun stays on its version.
+// allowedTargets returns the targets that the request may go to by their versions. A started stream stays on its version.
 func (run *relayRun) allowedTargets(available []*directory.Target) []*directory.Target {
 	if run.version.known || run.request.Versions == nil {
 		return available
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -114,7 +114,7 @@
 	return evidence
 }
 
-// Guards against a verdict without evidence, which would move all requests to a version that nobody has tried.
+// Guards against a verdict without evidence, which would move all requests to an untried version.
 func TestJudgeWithoutEvidenceIsUndecided(t *testing.T) {
 	is := is.New(t)
 	judge := NewJudge()
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -92,7 +92,7 @@
 
 // Resume continues a rollout from the status that the store holds: a final one stays, a running one continues with
 // the stage Canary, or waits for a target. A status of another version is that of an earlier order and starts the
-// order anew. It is called by an entry that becomes the coordinator, or that finds its write refused.
+// order again. It is called by an entry that becomes the coordinator, or that finds its write refused.
 func (p *Plan) Resume(now time.Time, order Order, status Status) {
 	p.begin(now, order)
 	if status.To != order.To {
--- a/rollout/plan_test.go
+++ b/rollout/plan_test.go
@@ -225,7 +225,7 @@
 	p.is.True(p.plan.Step(p.now, p.in).Write == nil)
 }
 
-// Guards against orders that are mixed up: a second order must not go on with the evidence and the stage of the
+// Guards against orders that are mixed up: a second order must not continue with the evidence and the stage of the
 // first, a withdrawn one must leave nothing, not even a status, and an invalid one must be ignored.
 func TestOrdersFollowEachOther(t *testing.T) {
 	p := newPlanTest(t, time.Minute)
@@ -273,7 +273,7 @@
 	good.is.Equal(bad.out.Stage, RolledBack)
 }
 
-// Guards against an entry that becomes coordinator and changes what is written, or goes on where it has no evidence
+// Guards against an entry that becomes coordinator and changes what is written, or continues without evidence
 // for.
 func TestNewCoordinatorContinuesFromTheStatus(t *testing.T) {
 	for state, want := range map[State]Stage{StateSucceeded: Succeeded, StateRolledBack: RolledBack, StateRunning: Canary} {
--- a/rollout/traffic_test.go
+++ b/rollout/traffic_test.go
@@ -277,7 +277,7 @@
 				all.all += int(m.rate * max(m.duration-since, 0).Seconds())
 				return all
 			}
-			// After a rollback the model goes on until the entries know.
+			// After a rollback the model continues until the entries know.
 			if since > all.decided+3*time.Second {
 				all.all += int(m.rate * max(m.duration-since, 0).Seconds())
 				return all
--- a/rolloutcontrol/coordinator.go
+++ b/rolloutcontrol/coordinator.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// coordinationOf returns this entry's coordination of an order, which goes on from the status that the store holds. The caller holds mu.
+// coordinationOf returns this entry's coordination of an order, which continues from the status that the store holds. The caller holds mu.
 func (m *Manager) coordinationOf(service string, known *directory.Rollout) *coordination {
 	c := m.coordinated[service]
 	if c == nil || c.order.To != known.Order.To || c.order.Duration != known.Order.Duration {
@@ -198,7 +198,7 @@
 	return count, unconfirmed
 }
 
-// writeStatus writes a status to the store. What the store holds already is final: on a conflict the plan goes on from it.
+// writeStatus writes a status to the store. What the store holds already is final: on a conflict the plan continues from it.
 func (m *Manager) writeStatus(ctx context.Context, c *coordination, object *directory.Rollout, status rollout.Status) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
--- a/rolloutcontrol/manager.go
+++ b/rolloutcontrol/manager.go
@@ -176,7 +176,7 @@
 	// answeredAt is when the report was sent to which share is the answer.
 	answeredAt time.Time
 	reportedAt time.Time
-	// reporting is set while a report is on its way, lost while the coordinator does not answer.
+	// reporting is set while a report is in flight, lost while the coordinator does not answer.
 	reporting, lost bool
 }
 
@@ -356,7 +356,7 @@
 	return min(maxReportInterval, max(reportInterval, time.Duration(live)*reportIntervalPerEntry))
 }
 
-// sweepRequests drops the streams whose callers did not come back. The caller holds mu.
+// sweepRequests drops the streams whose callers did not reconnect. The caller holds mu.
 func (m *Manager) sweepRequests() {
 	now := m.options.Now()
 	for _, requests := range m.requests {
@@ -373,7 +373,7 @@
 	return membership.Rank(live, RankKey(service))[0]
 }
 
-// report sends a report of a service if it is due and none is on its way.
+// report sends a report of a service if it is due and none is in flight.
 func (m *Manager) report(ctx context.Context, service string, live []membership.Peer, interval time.Duration) {
 	now := m.options.Now()
 	m.mu.Lock()
--- a/rolloutcontrol/manager_test.go
+++ b/rolloutcontrol/manager_test.go
@@ -113,7 +113,7 @@
 	})
 }
 
-// Guards against a rollout that goes on after its order was withdrawn, or that a new order finds ended.
+// Guards against a rollout that continues after its order was withdrawn, or that a new order finds ended.
 func TestOrderIsWithdrawnAndReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -194,7 +194,7 @@
 }
 
 // Guards against a success that is written while a stream needs the old version: one that runs there, one between two attempts, and one
-// whose caller may come back.
+// whose caller may reconnect.
 func TestRequestsAtTheOldVersionAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -212,7 +212,7 @@
 		}
 		is.Equal(count(), 1)
 		first.End()
-		is.Equal(count(), 1) // it may go on at another target
+		is.Equal(count(), 1) // it may continue at another target
 		hedged := begun.BeginAttempt("route", "v1")
 		second := begun.BeginAttempt("route", "v2")
 		is.Equal(count(), 1) // the first attempt still runs
--- a/rolloutcontrol/request.go
+++ b/rolloutcontrol/request.go
@@ -7,7 +7,7 @@
 	"github.com/azurebarrow/azurebarrow/rollout"
 )
 
-// reconnectGrace is the time for which a stream that broke counts as needing its version: its caller may come back for the rest.
+// reconnectGrace is the time for which a stream that broke counts as needing its version: its caller may reconnect for the rest.
 const reconnectGrace = 3 * time.Second
 
 // Request is a request of a caller in progress: it chooses the versions that may get it, and counts at which version it is.
--- a/routing/pace.go
+++ b/routing/pace.go
@@ -19,7 +19,7 @@
 	// minReferenceCount is the number of observations from which the reference is used.
 	minReferenceCount = 20
 	// paceHalfLife is the time after which half of an engine's deviation is forgotten if it sends nothing: an engine that was slow gets
-	// streams again and is observed anew.
+	// streams again and new observations.
 	paceHalfLife = 6 * time.Second
 	// minSlowness and maxSlowness limit the slowness of an engine.
 	minSlowness, maxSlowness = 0.5, 8
--- a/test/crowds/crowd_test.go
+++ b/test/crowds/crowd_test.go
@@ -67,7 +67,7 @@
 	return true
 }
 
-// sleep waits, and reports whether the crowd is still to go on.
+// sleep waits, and reports whether the crowd continues.
 func (c *caller) sleep(pause time.Duration) bool {
 	select {
 	case <-c.crowd.ctx.Done():
@@ -77,15 +77,15 @@
 	}
 }
 
-// comeBack waits until the entry closes the connection and opens another one. It reports whether there is one and the crowd is still to
-// go on.
-func (c *caller) comeBack() bool {
+// reconnect waits until the entry closes the connection and opens another one. It reports whether there is one and the crowd
+// continues.
+func (c *caller) reconnect() bool {
 	_, _ = io.Copy(io.Discard, c.conn) // returns when the connection is closed
 	_ = c.conn.Close()
 	return c.connect()
 }
 
-// connect opens a connection. It reports whether there is one and the crowd is still to go on.
+// connect opens a connection. It reports whether there is one and the crowd continues.
 func (c *caller) connect() bool {
 	c.crowd.dials <- struct{}{}
 	conn, err := c.crowd.dialer.DialContext(c.crowd.ctx, "tcp", c.crowd.address)
@@ -134,7 +134,7 @@
 const concurrentDials = 100
 
 // shrinkBuffers gives a connection, before it is opened, small buffers and the segments of a network, in which the kernel keeps a few
-// dozen KB that nobody reads. With the buffers and segments of loopback it keeps more than 1 MB.
+// dozen KB that are never read. With the buffers and segments of loopback it keeps more than 1 MB.
 func shrinkBuffers(_, _ string, conn syscall.RawConn) error {
 	const receiveBytes, sendBytes, segmentBytes = 4 << 10, 64 << 10, 1400
 	var failure error
@@ -195,7 +195,7 @@
 // settle waits until the crowd has done its worst.
 func (c *crowd) settle(e *entryProcess, size int) {
 	progress := func() int64 {
-		read, _ := e.procValue("io", "rchar") // an error means that the process has ended, which isAlive tells
+		read, _ := e.procValue("io", "rchar") // an error means that the process has ended, which isAlive reports
 		return read + c.sent.Load()
 	}
 	last, since := progress(), time.Now()
--- a/test/crowds/crowds_test.go
+++ b/test/crowds/crowds_test.go
@@ -86,7 +86,7 @@
 	})
 }
 
-// Guards against memory that is not released with the connection for which it was counted: callers that are refused come back several
+// Guards against memory that is not released with the connection for which it was counted: callers that are refused reconnect several
 // times.
 func TestCallersThatComeBack(t *testing.T) {
 	const (
@@ -97,7 +97,7 @@
 		request := append(at.head(append(manyFields(), "Content-Length: 16")...), "fifteen bytes, "...)
 		withstand(t, at, size, func(c *caller) {
 			c.send(request)
-			for visit := 1; visit < visits && c.comeBack(); visit++ {
+			for visit := 1; visit < visits && c.reconnect(); visit++ {
 				c.send(request)
 			}
 		})
--- a/test/crowds/entry_test.go
+++ b/test/crowds/entry_test.go
@@ -254,7 +254,7 @@
 	var watch sync.WaitGroup
 	watch.Go(func() {
 		for ctx.Err() == nil {
-			// An error means that the process has ended, which isAlive tells.
+			// An error means that the process has ended, which isAlive reports.
 			descriptors, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", e.pid))
 			e.mostDescriptors = max(e.mostDescriptors, len(descriptors))
 			time.Sleep(interval)
