End the wait for body room of evicted requests

What callers saw (found in review, shown by its trials): two large bodies in progress and 60 connections that send a legal head of 2,500 short fields and the length of a large body, and nothing else. Each body of 40 KB from another address got 503 for 6.6 s, 9 of 9; with 900 connections that send only a length, 902 were open under a limit of 20.

Cause: eviction ended the read of a request, but one that waits for room among large bodies doesn't read. It kept its grant as one that is being released, and above a quarter of the shared memory no other grant is made; its connection didn't count for the limit.

Change: eviction ends the wait for room, and no more than a quarter of the connections are left out of the count while they close.

Why it works: an evicted request now returns at once, which releases its memory and its connection.

--- a/adapters/callerlimit/conn.go
+++ b/adapters/callerlimit/conn.go
@@ -78,6 +78,8 @@
 	// deadlines counts the read deadlines that net/http has set since the last request: the first when it starts to wait for the next
 	// request, the second when it has seen the beginning of that.
 	deadlines atomic.Int32
+	// onEviction is called when the connection is evicted; nil for nothing.
+	onEviction atomic.Pointer[func()]
 }
 
 // enter sets the phase and its start.
@@ -119,11 +121,28 @@
 			} else {
 				_ = c.Conn.SetReadDeadline(past)
 			}
+			if call := c.onEviction.Load(); call != nil {
+				(*call)()
+			}
 			return true
 		}
 	}
 }
 
+// OnEviction has call called when the connection is evicted, at once if it is already, until the returned function is called. A handler
+// that waits for something else than its body would hold the memory of an evicted request until the end of that wait. call must
+// not block, and may be called twice. There is one call at a time; for nil there is none.
+func (c *Conn) OnEviction(call func()) (stop func()) {
+	if c == nil {
+		return func() {}
+	}
+	c.onEviction.Store(&call)
+	if c.IsEvicted() {
+		call()
+	}
+	return func() { c.onEviction.Store(nil) }
+}
+
 // IsEvicted reports whether the request must be refused. It is false for nil.
 func (c *Conn) IsEvicted() bool { return c != nil && c.phase.Load() == phaseEvicted }
 
--- a/adapters/callerlimit/limiter.go
+++ b/adapters/callerlimit/limiter.go
@@ -100,6 +100,9 @@
 	Log func(event string, fields ...generation.Field)
 }
 
+// maxClosingShare is the share of the connections that don't count while they close: net/http takes up to half a second for one.
+const maxClosingShare = 0.25
+
 // Limiter limits the callers of one server. It is safe for concurrent use.
 type Limiter struct {
 	options Options
@@ -204,7 +207,7 @@
 
 // makeRoom reports whether there is room for another connection. At the limit it closes one. The caller holds mu.
 func (l *Limiter) makeRoom(now time.Time) bool {
-	open := len(l.connections) - l.closing
+	open := len(l.connections) - min(l.closing, int(maxClosingShare*float64(l.options.Connections)))
 	if open < l.options.Connections {
 		return true
 	}
--- a/adapters/passthrough/bodies.go
+++ b/adapters/passthrough/bodies.go
@@ -52,6 +52,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	defer callerlimit.FromContext(ctx).OnEviction(cancel)()
 	if m.room.Acquire(ctx, size) != nil {
 		return nil, errNoBodyRoom
 	}
