--- a/adapters/passthrough/handler.go
+++ b/adapters/passthrough/handler.go
@@ -14,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/adapters/callerlimit"
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
@@ -35,6 +36,12 @@
 	Stopped context.Context
 	// StreamBegan is called when a stream has been admitted, and the returned function at its end, with whether it is complete.
 	StreamBegan func(StreamStart) (ended func(complete bool))
+	// RequestMemoryBytes is the memory that callerlimit lets all requests share; 0 if nothing limits it.
+	RequestMemoryBytes int64
+	// BeginRequest is called when a request has been admitted; resumed is set for the rest of a stream. It returns the versions of targets
+	// that may get the request, and a function to be called at its end with whether its caller may reconnect for the rest of a stream.
+	// nil means any.
+	BeginRequest func(service string, resumed bool) (versions VersionChoice, ended func(mayResume bool))
 	// WaitReady waits until a snapshot is ready, up to limit.
 	WaitReady func(ctx context.Context, limit time.Duration)
 	// Log receives one event for each decision about a request.
@@ -43,6 +50,20 @@
 	Observe func(Observation)
 }
 
+// VersionChoice is the choice of the software version that may run a request.
+type VersionChoice interface {
+	service.VersionChoice
+	generation.VersionChoice
+}
+
+// beginRequest calls Options.BeginRequest.
+func (h *Handler) beginRequest(name string, resumed bool) (versions VersionChoice, ended func(mayResume bool)) {
+	if h.options.BeginRequest == nil {
+		return nil, func(bool) {}
+	}
+	return h.options.BeginRequest(name, resumed)
+}
+
 // Observation is the outcome of one request. Status is 0 if the caller's connection was aborted.
 type Observation struct {
 	Class directory.Class
@@ -72,7 +93,11 @@
 
 // NewHandler returns a Handler.
 func NewHandler(options Options) *Handler {
-	return &Handler{options: options, bodies: newBodyMemory()}
+	bodies := int64(maxBodiesBytes)
+	if options.RequestMemoryBytes > 0 {
+		bodies = min(bodies, int64(maxBodiesShare*float64(options.RequestMemoryBytes)))
+	}
+	return &Handler{options: options, bodies: newBodyMemory(bodies)}
 }
 
 const (
@@ -96,10 +121,12 @@
 
 // request is one request of a caller while it is served.
 type request struct {
-	handler  *Handler
-	header   platform.CallerHeader
-	http     *http.Request
-	writer   http.ResponseWriter
+	handler *Handler
+	header  platform.CallerHeader
+	http    *http.Request
+	writer  http.ResponseWriter
+	// conn is the caller's connection; nil if its server doesn't limit what callers make the process hold.
+	conn     *callerlimit.Conn
 	arrived  time.Time
 	deadline time.Time
 	route    *directory.Route
@@ -121,7 +148,7 @@
 	defer cancel(nil)
 	defer context.AfterFunc(h.options.Stopped, func() { cancel(errEntryStops) })()
 	call := &request{
-		handler: h, http: r.WithContext(ctx), writer: w, arrived: time.Now(),
+		handler: h, http: r.WithContext(ctx), writer: w, conn: callerlimit.FromContext(ctx), arrived: time.Now(),
 		header: platform.DecodeCallerHeader(r.Header), snapshot: h.options.Snapshot(),
 	}
 	// Prevents net/http from adding fields that the target did not send.
@@ -136,6 +163,14 @@
 		call.writeError(rejected)
 		return
 	}
+	cost := int64(callerlimit.CallBytes)
+	if call.route.Class == directory.Stream {
+		cost = callerlimit.StreamBytes
+	}
+	if !call.conn.BeginForwarding(cost) {
+		call.writeError(call.refuseForMemory())
+		return
+	}
 	call.dispatched = true
 	if call.route.Class == directory.Stream {
 		call.relay()
@@ -265,10 +300,14 @@
 
 // forward serves a plain call.
 func (c *request) forward() {
+	versions, ended := c.handler.beginRequest(c.service, false)
+	defer ended(false)
 	result, err := c.handler.options.Forwarder.Do(c.http.Context(), &service.ForwardedCall{
 		ID:          c.header.RequestID,
 		Fingerprint: c.fingerprint(),
 		Service:     c.service,
+		Route:       c.route.Name,
+		Versions:    versions,
 		Repeatable:  c.route.Repeatable(),
 		MaxAttempts: c.route.MaxAttempts,
 		Deadline:    c.deadline,
@@ -295,84 +334,6 @@
 	}
 }
 
-// relay serves a stream.
-func (c *request) relay() {
-	lastEvent := int64(-1)
-	if id, err := strconv.ParseInt(c.header.LastEvent, 10, 64); err == nil {
-		lastEvent = id
-	}
-	affinity := ""
-	if parts := c.header.Prompt; len(parts) > 0 {
-		affinity = parts[len(parts)-1].ID
-	}
-	complete := false
-	ended := c.handler.options.StreamBegan(StreamStart{
-		Route: c.route.Name, OutputTokens: c.header.OutputTokens, Arrived: c.arrived, Remainder: lastEvent >= 0,
-	})
-	defer func() { ended(complete) }()
-	sink := &sink{call: c, control: http.NewResponseController(c.writer)}
-	err := c.handler.options.Relay.Run(c.http.Context(), &generation.RelayRequest{
-		ID:                  c.header.RequestID,
-		Fingerprint:         c.fingerprint(),
-		Customer:            c.customer,
-		SharedParts:         sharedParts(c.header.Prompt),
-		Service:             c.service,
-		Spec:                c.snapshot.Configuration.Services[c.service].Engine,
-		PromptTokens:        c.header.PromptTokens,
-		OutputTokens:        c.header.OutputTokens,
-		Affinity:            affinity,
-		LastEvent:           lastEvent,
-		Resumes:             c.header.Resumes,
-		Deadline:            c.deadline,
-		FirstEventObjective: c.route.LatencyObjective,
-		GapObjective:        c.route.GapObjective,
-		MaxAttempts:         c.route.MaxAttempts,
-		Resumable:           c.route.Resumable,
-		Payload:             &targetPayload{call: c},
-	}, sink)
-	if err == nil {
-		complete = sink.status == http.StatusOK
-		c.recordEnd(sink.status, "stream complete")
-		return
-	}
-	if sink.status == 0 && c.isCutOff() {
-		c.writeError(&errorAnswer{status: http.StatusBadGateway, reason: "outcome unknown: " + errEntryStops.Error()})
-		return
-	}
-	if sink.status != 0 || errors.Is(err, generation.ErrCallerDisconnected) {
-		c.abort(err.Error())
-	}
-	c.writeStreamError(err)
-}
-
-// sharedParts returns the IDs of all parts of a prompt but the last, which belongs to the request or its session.
-func sharedParts(prompt []platform.PromptPart) []string {
-	var ids []string
-	for i := 0; i+1 < len(prompt); i++ {
-		ids = append(ids, prompt[i].ID)
-	}
-	return ids
-}
-
-// writeStreamError answers a failed stream of which the caller has received nothing.
-func (c *request) writeStreamError(err error) {
-	var answered *generation.RelayTargetError
-	var givenUp *generation.GivenUpError
-	var poison *generation.PoisonError
-	switch {
-	case errors.As(err, &answered):
-		c.write(answered.Answer.(*answer))
-	case errors.As(err, &givenUp) && !givenUp.MayHaveRun:
-		c.writeError(&errorAnswer{status: http.StatusServiceUnavailable, reason: givenUp.Cause.Error(), retryAfter: givenUp.RetryAfter})
-	case errors.As(err, &poison):
-		c.writePoison(poison)
-	case errors.Is(err, generation.ErrRelayDeadline):
-		c.writeError(&errorAnswer{status: http.StatusGatewayTimeout, reason: err.Error()})
-	default:
-		c.writeError(&errorAnswer{status: http.StatusBadGateway, reason: err.Error()})
-	}
-}
-
 // writePoison answers a request that is refused because it crashes targets. The status is none that asks callers to
 // come back.
 func (c *request) writePoison(poison *generation.PoisonError) {
@@ -399,30 +360,3 @@
 	_, _ = sum.Write(c.body)
 	return hex.EncodeToString(sum.Sum(nil)[:fingerprintBytes])
 }
-
-// sink writes a stream to its caller. It implements generation.RelaySink.
-type sink struct {
-	call    *request
-	control *http.ResponseController
-	status  int
-}
-
-// Begin implements generation.RelaySink.
-func (s *sink) Begin(head any) error {
-	first := head.(*answer)
-	s.call.copyHeader(first.header)
-	s.status = first.status
-	if err := s.control.SetWriteDeadline(s.call.deadline); err != nil {
-		return err
-	}
-	s.call.writer.WriteHeader(first.status)
-	return nil
-}
-
-// Event implements generation.RelaySink.
-func (s *sink) Event(event generation.RelayEvent) error {
-	if _, err := s.call.writer.Write(event.Bytes); err != nil {
-		return err
-	}
-	return s.control.Flush()
-}
--- a/cmd/azurebarrow/commands.go
+++ b/cmd/azurebarrow/commands.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/signal"
@@ -15,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/azurebarrow/azurebarrow"
+	"github.com/azurebarrow/azurebarrow/adapters/callerlimit"
 	"github.com/azurebarrow/azurebarrow/adapters/eventlog"
 	"github.com/azurebarrow/azurebarrow/entry"
 	"github.com/azurebarrow/azurebarrow/generation"
@@ -55,6 +57,7 @@
 	PlatformURL      string        `long:"platform-url" value-name:"URL" description:"overrides platform.url"`
 	LogLevel         string        `long:"log-level" choice:"debug" choice:"info" choice:"warning" choice:"error" description:"overrides log.level"`
 	DrainNotice      time.Duration `long:"drain-notice" default:"2s" description:"how long to show not-ready before no more is accepted"`
+	rolloutOptions
 }
 
 // Execute implements flags.Commander. It runs an entry until a signal stops it.
@@ -63,8 +66,10 @@
 	if err != nil {
 		return err
 	}
+	limitMemory()
 	c.override(&loaded)
-	if findings := settings.Check("flags", loaded); len(findings) > 0 {
+	findings := c.rolloutOptions.override(&loaded.Passthrough.Rollouts)
+	if findings = append(findings, settings.Check("flags", loaded)...); len(findings) > 0 {
 		for _, finding := range findings {
 			fmt.Fprintln(os.Stderr, finding)
 		}
@@ -88,6 +93,17 @@
 	return nativeEntry.Run(ctx)
 }
 
+// memoryLimitShare is the share of the memory that the process sees from which on the garbage collector works harder. What callers hold is
+// limited by less; see docs/design/caller-limits.md.
+const memoryLimitShare = 0.8
+
+// limitMemory sets the memory limit of the Go runtime, unless GOMEMLIMIT has set one.
+func limitMemory() {
+	if debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(callerlimit.MemoryOfProcess())))
+	}
+}
+
 // dialTarget opens the connections to targets; nil except in builds with the tag "linkfault".
 var dialTarget func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -124,6 +140,7 @@
 		return
 	}
 	c.override(&loaded)
+	_ = c.rolloutOptions.override(&loaded.Passthrough.Rollouts) // Execute has reported the findings
 	log("settings-reloaded", generation.Field{Key: "changed", Value: !reflect.DeepEqual(inUse, loaded)})
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/oklog/run"
 
+	"github.com/azurebarrow/azurebarrow/adapters/callerlimit"
 	"github.com/azurebarrow/azurebarrow/adapters/crashprobe"
 	"github.com/azurebarrow/azurebarrow/adapters/metrics"
 	"github.com/azurebarrow/azurebarrow/adapters/passthrough"
@@ -22,6 +24,7 @@
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/peermembership"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/retrypeer"
 	"github.com/azurebarrow/azurebarrow/adapters/promptpeer"
+	"github.com/azurebarrow/azurebarrow/adapters/rolloutpeer"
 	"github.com/azurebarrow/azurebarrow/adapters/streamversionpeer"
 	"github.com/azurebarrow/azurebarrow/adapters/targethttp"
 	"github.com/azurebarrow/azurebarrow/admission"
@@ -31,6 +34,7 @@
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/platform"
 	"github.com/azurebarrow/azurebarrow/promptindex"
+	"github.com/azurebarrow/azurebarrow/rolloutcontrol"
 	"github.com/azurebarrow/azurebarrow/routing"
 	"github.com/azurebarrow/azurebarrow/service"
 	"github.com/azurebarrow/azurebarrow/settings"
@@ -71,7 +75,11 @@
 	limits       *sendLimits
 	versions     *streamversion.Manager
 	prompts      *promptindex.Manager
-	callers      *callerListener
+	// rollouts is nil if the entry carries out none.
+	rollouts *rolloutcontrol.Manager
+	callers  *callerListener
+	// callerLimits limits what callers make the entry hold.
+	callerLimits *callerlimit.Limiter
 	ready        boundServer
 	peers        boundServer
 	admin        boundServer
@@ -90,6 +98,7 @@
 type boundServer struct {
 	listener net.Listener
 	server   *http.Server
+	limiter  *callerlimit.Limiter
 }
 
 // minExpectedEntries is the number of entries among which the constant part of the retry budget is
@@ -105,6 +114,10 @@
 	e := &Entry{settings: s.WithDefaults(), options: options, log: options.Log, metrics: metrics.New(), retryTotals: admission.NewRetryTotals(), crashRecords: newSharedCrashRecords(options.Log)}
 	e.shutdown = newShutdown(e.settings.Passthrough.StopGrace)
 	e.stopped, e.stop = context.WithCancel(context.Background())
+	e.callerLimits = callerlimit.New(callerlimit.Options{
+		MemoryBytes: e.settings.Limits.CallerMemoryBytes, Connections: e.settings.Limits.CallerConnections,
+		DefersForwarding: true, Listener: "callers", Log: e.log,
+	})
 	e.buildMembership()
 	e.buildLimits()
 	e.buildDirectory()
@@ -176,11 +189,13 @@
 	e.versions = streamversion.NewManager(streamversion.Options{
 		View: e.members, Transport: streamversionpeer.NewClient(e.peerClient), Store: store, Observe: e.logStreamVersions,
 	})
+	e.buildRollouts(store)
 	e.transfers = &directorypeer.Transfers{Report: e.logTransfer}
 	e.directory = directory.NewManager(directory.Options{
 		Store:      store,
 		StoreEra:   store.Era,
 		Decoder:    platform.Decoder{},
+		Rollouts:   e.rolloutDecoder(),
 		Peers:      directorypeer.NewClient(&http.Client{Transport: feedTransport}),
 		View:       e.members,
 		Identifier: platform.NewEngineReports(),
@@ -202,6 +217,9 @@
 	mux.Handle(retrypeer.NewHandler(e.retryTotals))
 	mux.Handle(streamversionpeer.NewHandler(e.versions))
 	mux.Handle(promptpeer.NewHandler(e.prompts))
+	if e.rollouts != nil {
+		mux.Handle(rolloutpeer.NewHandler(e.rollouts))
+	}
 	e.exchangeHandler().Register(mux, e.countRunning)
 	return mux
 }
@@ -211,6 +229,13 @@
 	e.buildPaths()
 	e.crashRecords.isDown = crashprobe.New(e.pool, e.router).IsDown
 	targets := passthrough.NewTargets(e.pool, e.paths, e.directory, e.limits, e.log)
+	var engine generation.RelayEngine = targets
+	var sender service.Sender = targets
+	available := func(name string) []*directory.Target { return e.directory.Snapshot().AvailableTargets(name) }
+	if e.rollouts != nil {
+		engine, sender, available = observedEngine{targets}, observedSender{targets}, e.availableTargets
+		targets.LimitAvailable(e.rollouts.Available)
+	}
 	limits := e.settings.Passthrough
 	e.retries = admission.NewSharedRetryBudget(admission.SharedRetryLimits{
 		Ratio: limits.RetryRatio, Slack: limits.RetrySlack, Window: limits.RetryWindow,
@@ -220,18 +245,17 @@
 		Entries: func() (membership.Peer, []membership.Peer) {
 			return e.members.Self(), e.members.Live()
 		},
-		ReportPace: func(engine *directory.Target, slowness float64) {
-			e.log("target-pace", generation.Field{Key: "target", Value: engine.ID}, generation.Field{Key: "service", Value: engine.Service},
-				generation.Field{Key: "slowness", Value: slowness})
+		ReportPace: func(engine string, slowness float64) {
+			e.log("target-pace", generation.Field{Key: "target", Value: engine}, generation.Field{Key: "slowness", Value: math.Round(10*slowness) / 10})
 		},
 		Seed: rand.Uint64(),
 	})
 	e.relay = generation.NewRelay(generation.RelayOptions{
-		Engine:          targets,
+		Engine:          engine,
 		Placer:          e.placement,
 		Budget:          e.retries,
 		Limits:          e.limits,
-		Targets:         func(name string) []*directory.Target { return e.directory.Snapshot().AvailableTargets(name) },
+		Targets:         available,
 		AddressMismatch: e.directory.ReportAddressMismatch,
 		Connectivity:    e.connectivity,
 		Detour:          relayDetour{e.router},
@@ -242,7 +266,7 @@
 		Log:             e.log,
 	})
 	e.forwarder = service.NewForwarder(service.ForwarderOptions{
-		Sender:    targets,
+		Sender:    sender,
 		Directory: targets,
 		Budget:    e.retries,
 		Limits:    e.limits,
@@ -256,14 +280,17 @@
 		Relay:     e.relay,
 		Forwarder: e.forwarder,
 		WaitReady: e.directory.WaitReady,
-		Draining:  e.shutdown.stopping,
+
+		RequestMemoryBytes: e.callerLimits.SharedBytes(),
+		Draining:           e.shutdown.stopping,
 		Accepts: func(route *directory.Route, outputTokens int, deadline time.Time) bool {
 			return e.shutdown.accepts(route, outputTokens, deadline, time.Now())
 		},
-		StreamBegan: e.streamBegan,
-		Stopped:     e.stopped,
-		Log:         e.log,
-		Observe:     e.observeRequest,
+		StreamBegan:  e.streamBegan,
+		BeginRequest: e.beginRequest(),
+		Stopped:      e.stopped,
+		Log:          e.log,
+		Observe:      e.observeRequest,
 	})
 	return e.countRunning(handler)
 }
@@ -271,28 +298,31 @@
 // listen opens the listeners of all servers.
 func (e *Entry) listen(callers http.Handler) error {
 	var err error
-	if e.callers, err = newCallerListener(e.settings.CallerAddress, callers, e.log); err != nil {
+	if e.callers, err = newCallerListener(e.settings.CallerAddress, callers, e.callerLimits, e.log); err != nil {
 		return merry.Prepend(err, "callerAddress")
 	}
-	if err := e.ready.open(e.settings.Passthrough.ReadyAddress, e.readyHandler()); err != nil {
+	if err := e.ready.open(e.settings.Passthrough.ReadyAddress, e.readyHandler(), callerlimit.New(callerlimit.ForOperators("ready", e.log))); err != nil {
 		return merry.Prepend(err, "passthrough.readyAddress")
 	}
-	if err := e.peers.open(e.settings.PeerAddress, e.peerHandler()); err != nil {
+	if err := e.peers.open(e.settings.PeerAddress, e.peerHandler(), callerlimit.New(callerlimit.ForPeers(e.log))); err != nil {
 		return merry.Prepend(err, "peerAddress")
 	}
-	if err := e.admin.open(e.settings.AdminAddress, e.adminHandler()); err != nil {
+	if err := e.admin.open(e.settings.AdminAddress, e.adminHandler(), callerlimit.New(callerlimit.ForOperators("admin", e.log))); err != nil {
 		return merry.Prepend(err, "adminAddress")
 	}
+	callerlimit.RegisterMetrics(e.metrics, e.callerLimits, e.ready.limiter, e.peers.limiter, e.admin.limiter)
 	return nil
 }
 
-func (b *boundServer) open(address string, handler http.Handler) error {
+func (b *boundServer) open(address string, handler http.Handler, limiter *callerlimit.Limiter) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
-	b.listener = listener
-	b.server = &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	b.listener = limiter.NewListener(listener)
+	b.server = &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultHeaderBytes}
+	limiter.Configure(b.server)
+	b.limiter = limiter
 	return nil
 }
 
@@ -312,6 +342,9 @@
 	addActor(&group, e.directory.Run)
 	addActor(&group, e.prompts.Run)
 	addActor(&group, e.versions.Run)
+	if e.rollouts != nil {
+		addActor(&group, e.rollouts.Run)
+	}
 	addActor(&group, e.maintain)
 	addActor(&group, e.router.Run)
 	addActor(&group, func(ctx context.Context) error {
@@ -324,7 +357,9 @@
 		generation.Field{Key: "callers", Value: e.settings.CallerAddress},
 		generation.Field{Key: "peers", Value: e.settings.PeerAddress},
 		generation.Field{Key: "admin", Value: e.settings.AdminAddress},
-		generation.Field{Key: "store", Value: e.settings.Platform.URL})
+		generation.Field{Key: "store", Value: e.settings.Platform.URL},
+		generation.Field{Key: "caller_memory", Value: e.callerLimits.MemoryBytes()},
+		generation.Field{Key: "caller_connections", Value: e.callerLimits.MaxConnections()})
 	err := group.Run()
 	e.log("entry-stopped", generation.Field{Key: "error", Value: err}, generation.Field{Key: "running", Value: e.running.Load()})
 	return err
@@ -372,6 +407,9 @@
 			http.Error(w, "no such parts are refused: "+r.FormValue("parts"), http.StatusNotFound)
 		}
 	})
+	if e.rollouts != nil {
+		mux.HandleFunc("GET /rollouts", e.serveRollouts)
+	}
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	return mux
 }
--- a/generation/relayattempt.go
+++ b/generation/relayattempt.go
@@ -26,7 +26,7 @@
 	eventCount   int
 	startedAt    time.Time
 	lastProgress time.Time
-	// lastReceived is when the reading goroutine received the latest handled event; zero before the first one.
+	// lastReceived is when the reading goroutine read the latest handled event; zero before the first one.
 	lastReceived time.Time
 	messages     chan relayMessage
 	copier       *kvCopier
@@ -37,7 +37,7 @@
 type relayMessage struct {
 	stream RelayStream
 	event  RelayEvent
-	// receivedAt is when the event was received.
+	// receivedAt is when the event was read, which may be later than it arrived.
 	receivedAt time.Time
 	err        error
 }
@@ -256,13 +256,8 @@
 				return ending, err
 			}
 		case <-a.monitor.unreachable:
-			// This goroutine may run late, and the probe's as well: a target that has sent an event since is reachable.
-			select {
-			case message := <-a.messages:
-				if ending, ended, err := a.handleMessage(ctx, message); ended {
-					return ending, err
-				}
-			default:
+			if ending, ended, err := a.handleWaitingEvents(ctx); ended {
+				return ending, err
 			}
 			if !a.lastReceived.After(a.monitor.failedProbeSentAt) {
 				return endingSilent, errProbeFailed
@@ -317,16 +312,6 @@
 	}
 }
 
-// silence returns how long the target has been silent. The time in which the entry's own connectivity was lost
-// does not count.
-func (a *activeAttempt) silence(now time.Time) time.Duration {
-	since := a.lastProgress
-	if regained := a.run.relay.connectivity.lastRegained(); regained.After(since) {
-		since = regained
-	}
-	return now.Sub(since)
-}
-
 // errProbeFailed and errStalled are the causes of an attempt that ended as silent or stalled.
 var (
 	errProbeFailed = errors.New("target accepts no connection")
@@ -334,15 +319,6 @@
 	errStalled     = errors.New("target answers but the stream does not go on")
 )
 
-// isSilent reports whether the target has been silent for so long that it is probed.
-func (a *activeAttempt) isSilent(now time.Time) bool {
-	return a.silence(now) >= silenceLimitsFor(a.run.request, a.eventCount > 0, &a.gaps, a.run.moves).probeAfter
-}
-
-func (a *activeAttempt) probe() <-chan struct{} {
-	return a.run.relay.monitors.probe(a.monitor, a.run.request.Service)
-}
-
 // contextEnding returns the ending for a request whose context is done.
 func contextEnding(ctx context.Context) relayEnding {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -41,9 +41,9 @@
 	// it is the only one.
 	Entries func() (self membership.Peer, live []membership.Peer)
 	Model   PlacementModel
-	// ReportPace is called when an engine has become slow, or is no longer, with how many times as long as others of its service it
-	// takes; nil reports nothing.
-	ReportPace func(engine *directory.Target, slowness float64)
+	// ReportPace is called when the engine with the ID has become slow, or is no longer, with how many times as long as is usual for its
+	// service it takes; nil reports nothing.
+	ReportPace func(engine string, slowness float64)
 	// Seed makes the random choices reproducible.
 	Seed uint64
 	// Now is the clock; nil means time.Now.
@@ -125,24 +125,13 @@
 	lost                                      bool
 }
 
-// placedStream implements generation.PlacedStream.
-type placedStream struct {
-	placement      *Placement
-	engine         *directory.Target
-	prefillTokens  float64
-	residentTokens float64
-	prefilled      bool
-	// window is only used by EventArrived, which one goroutine calls.
-	window gapWindow
-}
-
 // NewPlacement returns a Placement without streams.
 func NewPlacement(options PlacementOptions) *Placement {
 	if options.Now == nil {
 		options.Now = time.Now
 	}
 	if options.ReportPace == nil {
-		options.ReportPace = func(*directory.Target, float64) {}
+		options.ReportPace = func(string, float64) {}
 	}
 	if options.Model == (PlacementModel{}) {
 		options.Model = DefaultPlacementModel
@@ -233,7 +222,10 @@
 	state := p.engines[keyOf(engine)]
 	now := p.options.Now()
 	slowness := p.slowness(engine, now)
-	cost := time.Duration((slowness - 1) * float64(model.Slowness))
+	var cost time.Duration
+	if slowness > slownessTolerance || slowness < 1/slownessTolerance {
+		cost = time.Duration((slowness - 1) * float64(model.Slowness))
+	}
 	if p.zoneSuspected(engine.AvailabilityZone, now) {
 		cost += model.RecentFailure / 2
 	}
@@ -255,7 +247,7 @@
 	return cost
 }
 
-// slowness returns how many times as long as others of its service the engine takes.
+// slowness returns how many times as long as is usual for its service the engine takes.
 func (p *Placement) slowness(engine *directory.Target, now time.Time) float64 {
 	if p.options.Model.Slowness == 0 {
 		return 1
@@ -328,66 +320,13 @@
 	return state
 }
 
-// AddStream counts a stream at its engine. prefillTokens is the number of prompt tokens that the engine must
-// still prefill.
-func (p *Placement) AddStream(engine *directory.Target, size generation.StreamSize, prefillTokens int) generation.PlacedStream {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	stream := &placedStream{
-		placement: p, engine: engine, prefillTokens: float64(prefillTokens), residentTokens: size.KVCacheTokens(),
-	}
-	state := p.ensureState(engine)
-	state.streams++
-	state.prefillTokens += stream.prefillTokens
-	state.residentTokens += stream.residentTokens
-	return stream
-}
-
-// EventArrived records that an event of the stream has arrived: with the first one, its prompt has been prefilled.
-func (s *placedStream) EventArrived() {
-	p := s.placement
-	now := p.options.Now()
-	gap, observed := s.window.add(now)
-	if s.prefilled && !observed {
-		return
-	}
-	p.mu.Lock()
-	s.recordPrefilled()
-	changed := observed && p.paces.observe(keyOf(s.engine), s.engine.Service, gap, now)
-	slowness := p.paces.slowness(keyOf(s.engine), now)
-	p.mu.Unlock()
-	if changed {
-		p.options.ReportPace(s.engine, slowness)
-	}
-}
-
-// SlowCount returns the number of engines that are slow.
+// SlowCount returns the number of engines that have been reported as slow.
 func (p *Placement) SlowCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.paces.slowCount()
 }
 
-// recordPrefilled records that the engine has no more of the prompt to prefill.
-func (s *placedStream) recordPrefilled() {
-	if !s.prefilled {
-		s.prefilled = true
-		s.placement.ensureState(s.engine).prefillTokens -= s.prefillTokens
-	}
-}
-
-// Ended records that the stream is no longer at the engine.
-func (s *placedStream) Ended() {
-	p := s.placement
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s.recordPrefilled()
-	state := p.ensureState(s.engine)
-	state.streams--
-	state.residentTokens -= s.residentTokens
-	p.dropIfIdle(s.engine, state)
-}
-
 // dropIfIdle removes the state of an engine that is idle.
 func (p *Placement) dropIfIdle(engine *directory.Target, state *engineState) {
 	if state.idle(p.options.Now()) {
@@ -395,17 +334,20 @@
 	}
 }
 
-// Sweep removes the state of idle engines.
+// Sweep removes the state of idle engines, and reports those that are no longer slow.
 func (p *Placement) Sweep() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	now := p.options.Now()
-	p.paces.sweep(now)
+	recovered := p.paces.sweep(now)
 	for key, state := range p.engines {
 		if state.idle(now) {
 			delete(p.engines, key)
 		}
 	}
+	p.mu.Unlock()
+	for _, key := range recovered {
+		p.options.ReportPace(key.id, 1)
+	}
 }
 
 // idle reports whether the state holds nothing that a choice depends on.
@@ -413,20 +355,6 @@
 	return s.streams == 0 && s.copyTokens < 1 && !now.Before(s.avoidUntil)
 }
 
-// AddCopy counts a copy of a stream's KV cache at its holder until release is called.
-func (p *Placement) AddCopy(holder *directory.Target, size generation.StreamSize) (release func()) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.ensureState(holder).copyTokens += size.KVCacheTokens()
-	return sync.OnceFunc(func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		state := p.ensureState(holder)
-		state.copyTokens -= size.KVCacheTokens()
-		p.dropIfIdle(holder, state)
-	})
-}
-
 // ReportLost records that an engine crashed or fell silent.
 func (p *Placement) ReportLost(engine *directory.Target) {
 	p.mu.Lock()
