Test refusals for body memory without a race against the eviction age

Cause: the test, not the limiter. A request that finds no memory is refused while its body arrives only if no other one of its address is older than minEvictionAge (200 ms). Where the 240 callers take longer than that to connect, each newcomer has an older one evicted instead, so that no refusal of the kind "body" occurs. Ruled out: refused requests that ran; that check never failed.

Change: the check of that kind has a test of its own, which doesn't depend on time: calls in progress, which are never evicted, hold all of a lowered memory, and five further ones must be refused with the kind "body" and not run. The test of the crowd keeps its other checks.

--- a/entry/crowd_test.go
+++ b/entry/crowd_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/azurebarrow/azurebarrow/adapters/callerlimit"
 	"github.com/azurebarrow/azurebarrow/platform"
+	"github.com/azurebarrow/azurebarrow/settings"
 )
 
 // Guards against callers whose unfinished heads at one listener take the memory of the entry, and against a listener that stops
@@ -131,8 +132,57 @@
 		}
 	}
 	t.Log(counts)
-	limiter := c.entries[0].callerLimits
 	is.True(counts[http.StatusOK] > 0)
-	is.True(limiter.RefusalCount(callerlimit.KindBody) > 0)
-	is.True(limiter.RefusalCount(callerlimit.KindEvicted) > 0)
+	is.True(c.entries[0].callerLimits.RefusalCount(callerlimit.KindEvicted) > 0)
+}
+
+// Guards against requests that run although they were refused with 503 while their body arrived: calls in progress, which are never evicted,
+// hold all of the memory.
+func TestRequestsRefusedBesideForwardedCallsHaveNotRun(t *testing.T) {
+	const (
+		most   = 64 // of which the memory is enough for a few
+		wanted = 5
+		size   = 120 << 10
+	)
+	is := is.NewRelaxed(t)
+	c := startPreparedCluster(t, 1, &testCluster{callerMemory: 2 * settings.MinCallerMemoryBytes})
+	desks := c.startDesks(t, most, time.Minute)
+	isRunning := func(id string) bool {
+		for _, desk := range desks {
+			if _, running := desk.runs(t)[id]; running {
+				return true
+			}
+		}
+		return false
+	}
+	ended := make(chan struct{}, most)
+	send := func(id string) {
+		conn, err := net.Dial("tcp", c.entries[0].settings.CallerAddress)
+		is.NoErr(err)
+		t.Cleanup(func() { _ = conn.Close() })
+		go func() {
+			_, _ = fmt.Fprintf(conn, "POST /search/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 9000\r\nAuthorization: Bearer k1\r\nContent-Length: %d\r\n\r\n%s",
+				id, size, strings.Repeat("x", size)) // it may be refused before it has sent all
+			_, _ = io.Copy(io.Discard, conn) // calls in progress end with the test
+			ended <- struct{}{}
+		}()
+	}
+	refused := map[string]bool{}
+	for i := 0; i < most && len(refused) < wanted; i++ {
+		id := fmt.Sprint("r", i)
+		for send(id); !isRunning(id) && !refused[id]; {
+			select {
+			case <-ended:
+				refused[id] = true
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}
+	is.Equal(len(refused), wanted)
+	is.True(c.entries[0].callerLimits.RefusalCount(callerlimit.KindBody) >= int64(wanted))
+	for id := range refused {
+		if isRunning(id) {
+			t.Error(id, " was refused and has run")
+		}
+	}
 }
--- a/entry/loopback_test.go
+++ b/entry/loopback_test.go
@@ -97,7 +97,9 @@
 	ended sync.WaitGroup
 	// rollouts are the bounds of rollouts in the settings of the entries.
 	rollouts settings.Rollouts
-	storeURL string
+	// callerMemory is what callers may make an entry hold, in bytes; 0 is the default.
+	callerMemory int64
+	storeURL     string
 	// storeHandler is the store's interface.
 	storeHandler http.Handler
 
@@ -229,7 +231,7 @@
 		s := settings.Settings{
 			Name: fmt.Sprintf("e%d", index), AvailabilityZone: "a", Interface: settings.InterfacePassthrough,
 			CallerAddress: freeAddress(t), PeerAddress: freeAddress(t), AdminAddress: freeAddress(t),
-			Platform: settings.Platform{URL: store},
+			Platform: settings.Platform{URL: store}, Limits: settings.Limits{CallerMemoryBytes: c.callerMemory},
 			Passthrough: settings.Passthrough{
 				ReadyAddress: freeAddress(t), Seeds: seeds, RetryRatio: 0.8, RetrySlack: 150, StopGrace: 2 * time.Second,
 				Rollouts: c.rollouts,
