Let the choice of an engine wait, or refuse a stream for lack of room

Cause: RelayPlacer.Place had neither a context nor an error, so that nothing but this entry's own state could decide, at once.

Change: RelayPlacer.PlaceStream takes the request's context and may return a NoRoomError, which ends a request that hasn't run as given up with its Retry-After. The query names service, request, customer, priority, objective and deadline. Placement decides as before.

Evidence: tests of generation and routing pass; placements are the same.

--- a/adapters/passthrough/stream.go
+++ b/adapters/passthrough/stream.go
@@ -36,6 +36,7 @@
 		Route:               c.route.Name,
 		Versions:            versions,
 		Spec:                c.snapshot.Configuration.Services[c.service].Engine,
+		Priority:            *c.enginePriority(),
 		PromptTokens:        c.header.PromptTokens,
 		OutputTokens:        c.header.OutputTokens,
 		Affinity:            affinity,
--- a/entry/crashfleet_test.go
+++ b/entry/crashfleet_test.go
@@ -390,14 +390,14 @@
 // modelPlacer chooses engines at random. It implements generation.RelayPlacer.
 type modelPlacer struct{ fleet *crashFleet }
 
-func (p modelPlacer) Place(query generation.RelayQuery) *directory.Target {
+func (p modelPlacer) PlaceStream(_ context.Context, query generation.RelayQuery) (*directory.Target, error) {
 	fitting := slices.DeleteFunc(slices.Clone(query.Engines), func(engine *directory.Target) bool { return query.Fits != nil && !query.Fits(engine) })
 	if len(fitting) == 0 {
-		return nil
+		return nil, nil
 	}
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	return fitting[p.fleet.random.IntN(len(fitting))]
+	return fitting[p.fleet.random.IntN(len(fitting))], nil
 }
 func (modelPlacer) Backup(generation.RelayQuery, *directory.Target) *directory.Target { return nil }
 func (modelPlacer) AddStream(*directory.Target, generation.StreamSize, int) generation.PlacedStream {
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -181,7 +181,10 @@
 		if err := run.awaitBudget(ctx); err != nil {
 			return run.finalError(contextEnding(ctx), err)
 		}
-		target := run.chooseTarget()
+		target, err := run.chooseTarget(ctx)
+		if ctx.Err() == nil && err != nil {
+			return run.failureError(err)
+		}
 		if target == nil {
 			if run.awaitTarget(ctx) {
 				continue
@@ -321,7 +324,11 @@
 		return run.lastAnswer
 	}
 	after := retryAfter
-	if errors.Is(cause, ErrNoTarget) {
+	var noRoom *NoRoomError
+	switch {
+	case errors.As(cause, &noRoom):
+		after = noRoom.RetryAfter
+	case errors.Is(cause, ErrNoTarget):
 		after = run.relay.options.Limits.RetryAfter(run.request.Service)
 	}
 	return &GivenUpError{MayHaveRun: run.mayHaveRun, RetryAfter: after, Cause: cause}
@@ -334,13 +341,20 @@
 func (run *relayRun) placementQuery() RelayQuery {
 	available := run.allowedTargets(run.relay.options.Targets(run.request.Service))
 	return RelayQuery{
-		Engines:  available,
-		Spec:     run.request.Spec,
-		Size:     run.streamSize(),
-		Affinity: run.request.Affinity,
-		CachedAt: run.cachedAt,
-		Exclude:  run.exclude,
-		Fits:     run.placementFits(available),
+		Service:   run.request.Service,
+		Request:   run.request.ID,
+		Customer:  run.request.Customer,
+		Priority:  run.request.Priority,
+		Objective: run.request.FirstEventObjective,
+		Deadline:  run.request.Deadline,
+		Begun:     run.headSent || run.request.LastEvent >= 0 || run.mayHaveRun,
+		Engines:   available,
+		Spec:      run.request.Spec,
+		Size:      run.streamSize(),
+		Affinity:  run.request.Affinity,
+		CachedAt:  run.cachedAt,
+		Exclude:   run.exclude,
+		Fits:      run.placementFits(available),
 	}
 }
 
@@ -352,44 +366,47 @@
 }
 
 // chooseTarget returns the target of the next attempt: the copy holder, or else the cheapest
-// target.
-func (run *relayRun) chooseTarget() *directory.Target {
+// target. It returns nil if there is none.
+func (run *relayRun) chooseTarget(ctx context.Context) (*directory.Target, error) {
 	query := run.placementQuery()
 	if run.kvCopy != nil {
 		if target := run.copyHolderCandidate(run.kvCopy); target != nil && run.relay.options.Limits.Take(target.ID) {
-			return target
+			return target, nil
 		}
 		run.discardCopy()
 	}
-	target := run.placeWithinLimits(query)
-	if target == nil && !run.version.known {
+	target, err := run.placeWithinLimits(ctx, query)
+	if target == nil && err == nil && !run.version.known {
 		query.Fits = nil // any version is better than none
-		target = run.placeWithinLimits(query)
+		target, err = run.placeWithinLimits(ctx, query)
+	}
+	if err != nil || target != nil {
+		return target, err
 	}
-	if target == nil && run.fallBack() {
-		return run.chooseTarget()
+	if run.fallBack() {
+		return run.chooseTarget(ctx)
 	}
-	if target == nil && len(run.exclude) > len(run.failed) {
+	if len(run.exclude) > len(run.failed) {
 		run.exclude = slices.Clone(run.failed) // one that refused, since a copy was not there, say, may take the stream now
-		target = run.placeWithinLimits(run.placementQuery())
+		target, err = run.placeWithinLimits(ctx, run.placementQuery())
 	}
-	if target == nil && len(run.exclude) > 0 {
+	if target == nil && err == nil && len(run.exclude) > 0 {
 		exclude, failed := run.exclude, run.failed
 		run.exclude, run.failed = nil, nil
-		if target = run.placeWithinLimits(run.placementQuery()); target == nil {
+		if target, err = run.placeWithinLimits(ctx, run.placementQuery()); target == nil {
 			run.exclude, run.failed = exclude, failed // a later look prefers the others again
 		}
 	}
-	return target
+	return target, err
 }
 
 // placeWithinLimits returns the cheapest target whose limit allows a request, and takes it from the limit.
-func (run *relayRun) placeWithinLimits(query RelayQuery) *directory.Target {
+func (run *relayRun) placeWithinLimits(ctx context.Context, query RelayQuery) (*directory.Target, error) {
 	query.Exclude = slices.Clone(query.Exclude)
 	for {
-		target := run.relay.options.Placer.Place(query)
-		if target == nil || run.relay.options.Limits.Take(target.ID) {
-			return target
+		target, err := run.relay.options.Placer.PlaceStream(ctx, query)
+		if err != nil || target == nil || run.relay.options.Limits.Take(target.ID) {
+			return target, err
 		}
 		query.Exclude = append(query.Exclude, target.ID)
 	}
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -212,13 +212,13 @@
 // firstPlacer chooses the first engine that is not excluded, and the last one as backup.
 type firstPlacer struct{ lost, refused []string }
 
-func (p *firstPlacer) Place(query RelayQuery) *directory.Target {
+func (p *firstPlacer) PlaceStream(_ context.Context, query RelayQuery) (*directory.Target, error) {
 	for _, engine := range query.Engines {
 		if query.Allows(engine) {
-			return engine
+			return engine, nil
 		}
 	}
-	return nil
+	return nil, nil
 }
 
 func (p *firstPlacer) Backup(query RelayQuery, engine *directory.Target) *directory.Target {
@@ -635,13 +635,13 @@
 // cachedPlacer is a firstPlacer that prefers the engine with the cached prompt.
 type cachedPlacer struct{ firstPlacer }
 
-func (p *cachedPlacer) Place(query RelayQuery) *directory.Target {
+func (p *cachedPlacer) PlaceStream(ctx context.Context, query RelayQuery) (*directory.Target, error) {
 	for _, engine := range query.Engines {
 		if engine.ID == query.CachedAt {
-			return engine
+			return engine, nil
 		}
 	}
-	return p.firstPlacer.Place(query)
+	return p.firstPlacer.PlaceStream(ctx, query)
 }
 
 func TestResumedStreamIsPlacedAtItsCachedPrompt(t *testing.T) {
--- a/generation/relayconnectivity_test.go
+++ b/generation/relayconnectivity_test.go
@@ -339,11 +339,11 @@
 	placed int
 }
 
-func (p *spreadingPlacer) Place(query RelayQuery) *directory.Target {
+func (p *spreadingPlacer) PlaceStream(_ context.Context, query RelayQuery) (*directory.Target, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placed++
-	return query.Engines[p.placed%len(query.Engines)]
+	return query.Engines[p.placed%len(query.Engines)], nil
 }
 
 func TestJudgeTarget(t *testing.T) {
--- a/generation/relaymove_test.go
+++ b/generation/relaymove_test.go
@@ -130,7 +130,7 @@
 	streams map[string]int
 }
 
-func (p *spreadPlacer) Place(query RelayQuery) *directory.Target {
+func (p *spreadPlacer) PlaceStream(_ context.Context, query RelayQuery) (*directory.Target, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *directory.Target
@@ -139,7 +139,7 @@
 			best = target
 		}
 	}
-	return best
+	return best, nil
 }
 
 func (p *spreadPlacer) AddStream(target *directory.Target, _ StreamSize, _ int) PlacedStream {
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -20,6 +20,8 @@
 	Fingerprint string
 	// Customer is the name of the caller's customer; empty on public routes.
 	Customer string
+	// Priority is the priority of the request; 0 is the highest.
+	Priority int
 	// SharedParts are the IDs of the parts of the prompt that other requests may share, in order.
 	SharedParts []string
 	Service     string
@@ -239,6 +241,15 @@
 
 // RelayQuery describes a stream for which an engine is chosen.
 type RelayQuery struct {
+	// Service, Request and Customer name the service, the caller's request and its customer; Customer is empty on public routes.
+	Service, Request, Customer string
+	// Priority is the priority of the request; 0 is the highest.
+	Priority int
+	// Objective is the time after which the first event is late, Deadline when the request times out.
+	Objective time.Duration
+	Deadline  time.Time
+	// Begun is set if the caller has a part of the stream, or if a target may have run the request before.
+	Begun   bool
 	Engines []*directory.Target
 	Spec    *directory.EngineSpec
 	Size    StreamSize
@@ -266,10 +277,19 @@
 	Ended()
 }
 
+// NoRoomError reports that a stream is refused before it ran, since no engine is expected to have room for it in time.
+type NoRoomError struct {
+	// RetryAfter is the time after which room is likely.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *NoRoomError) Error() string { return "generation: no engine has room" }
+
 // RelayPlacer is the port to the choice of engines for relayed streams.
 type RelayPlacer interface {
-	// Place returns the engine for an attempt, nil if there is none.
-	Place(query RelayQuery) *directory.Target
+	// PlaceStream returns the engine for an attempt, nil if there is none. Its error is a *NoRoomError, or ctx has ended.
+	PlaceStream(ctx context.Context, query RelayQuery) (*directory.Target, error)
 	// Backup returns the engine to which a stream's KV cache is copied from engine, nil for none.
 	Backup(query RelayQuery, engine *directory.Target) *directory.Target
 	// AddStream counts a stream whose engine must prefill read more tokens of the prompt.
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -145,6 +146,11 @@
 	}
 }
 
+// PlaceStream implements generation.RelayPlacer. It doesn't wait.
+func (p *Placement) PlaceStream(_ context.Context, query generation.RelayQuery) (*directory.Target, error) {
+	return p.Place(query), nil
+}
+
 // Place returns the engine with the lowest cost for the stream, nil if there is none.
 func (p *Placement) Place(query generation.RelayQuery) *directory.Target {
 	p.mu.Lock()
