Add azurebarrowctl check-config for configurations of the passthrough interface

Cause: an operator learned of a faulty configuration only once it was in force: a route that another one hides, a service that isn't there, fewer connections than slots, or a version that entries don't follow.

--- a/cmd/azurebarrowctl/command/command.go
+++ b/cmd/azurebarrowctl/command/command.go
@@ -102,6 +102,7 @@
 		{"watch", "Show changes as they come", "Shows each change of the given kinds, or of all.", &watchCommand{globals: options}},
 		{"status", "Show what is not as declared", "Shows the conditions of every resource.", &statusCommand{globals: options}},
 		{"in-force", "Compare entries with the users' store", "Shows the version of the configuration that entries of the passthrough interface have in force, beside the stored one.", &inForceCommand{globals: options}},
+		{"check-config", "Check a configuration before it is sent", "Reports errors of a configuration of the passthrough interface, entries that can never match, limits that contradict each other, and what differs from the version in force.", &checkConfigurationCommand{globals: options}},
 		{"rollout", "Show rollouts", "Asks entries of the passthrough interface for the rollouts that they know, and the coordinator among them for the verdict and the evidence.", &rolloutCommand{globals: options}},
 		{"burn", "Show how fast error budgets are spent", "Asks an entry for the service-level objectives of every availability zone and of the whole.", &burnCommand{globals: options}},
 	}
