--- a/routing/pace_test.go
+++ b/routing/pace_test.go
@@ -213,7 +213,7 @@
 			}
 			query := draftQuery(engines)
 			query.Affinity = fmt.Sprint("prompt-", i)
-			if p.Place(query).ID == p.affinityEngine(query) {
+			if p.Place(query).ID == affinityEngine(&query, "a") {
 				count++
 			}
 		}
--- a/routing/placedstream.go
+++ b/routing/placedstream.go
@@ -44,6 +44,9 @@
 	p.mu.Lock()
 	s.recordPrefilled()
 	changed := observed && p.paces.observe(keyOf(s.engine), s.engine.Service, gap, now)
+	if observed {
+		p.recordPaceSample(s.engine, gap, now)
+	}
 	slowness := p.paces.slowness(keyOf(s.engine), now)
 	p.mu.Unlock()
 	if changed {
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/membership"
@@ -32,6 +30,9 @@
 	assignments assignmentCache
 	// recentLosses holds the times of recent engine losses by availability zone.
 	recentLosses map[string][]time.Time
+	// refusals holds the engines that rejected a request, for Load; paceSamples holds the latest samples by service.
+	refusals    map[engineKey]refusal
+	paceSamples map[string][]timedPaceSample
 }
 
 // PlacementOptions configures a Placement.
@@ -118,12 +119,10 @@
 
 // engineState is this entry's state for one engine.
 type engineState struct {
-	// streams counts this entry's streams. prefillTokens are the prompt tokens of those that are still
-	// being prefilled; residentTokens and copyTokens are the tokens that streams and KV cache copies hold.
-	streams                                   int
-	prefillTokens, residentTokens, copyTokens float64
-	avoidUntil                                time.Time
-	lost                                      bool
+	engineUsage
+	service    string
+	avoidUntil time.Time
+	lost       bool
 }
 
 // NewPlacement returns a Placement without streams.
@@ -143,6 +142,8 @@
 		engines:      map[engineKey]*engineState{},
 		paces:        newPaceTable(),
 		recentLosses: map[string][]time.Time{},
+		refusals:     map[engineKey]refusal{},
+		paceSamples:  map[string][]timedPaceSample{},
 	}
 }
 
@@ -155,23 +156,14 @@
 func (p *Placement) Place(query generation.RelayQuery) *directory.Target {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	affinity := p.affinityEngine(query)
+	affinity := affinityEngine(&query, p.options.AvailabilityZone)
 	assigned := p.assignedEngines(query)
 	return p.cheapestEngine(query, func(engine *directory.Target) time.Duration {
-		cost := p.engineCost(engine, query)
+		cost := p.options.Model.streamCost(engine, p.condition(engine), &query, p.options.AvailabilityZone, affinity)
 		if !assigned.contains(engine) {
 			cost += p.options.Model.Unassigned
 		}
-		if engine.AvailabilityZone != p.options.AvailabilityZone {
-			cost += p.options.Model.CrossZone
-		}
-		if engine.ID == query.CachedAt {
-			return cost - p.cachedPromptGain(query)
-		}
-		if engine.ID == affinity {
-			cost -= p.options.Model.Affinity
-		}
-		return cost + p.neighbourDelay(engine, query)
+		return cost
 	})
 }
 
@@ -183,7 +175,7 @@
 	query.Exclude = append(slices.Clone(query.Exclude), engine.ID)
 	assigned := p.assignedEngines(query)
 	return p.cheapestEngine(query, func(candidate *directory.Target) time.Duration {
-		cost := p.engineCost(candidate, query)
+		cost := p.options.Model.engineCost(p.condition(candidate), &query)
 		if !assigned.contains(candidate) {
 			cost += p.options.Model.Unassigned
 		}
@@ -222,67 +214,18 @@
 	return best
 }
 
-// engineCost returns the part of a stream's cost that depends on the engine's own state.
-func (p *Placement) engineCost(engine *directory.Target, query generation.RelayQuery) time.Duration {
-	model := p.options.Model
-	state := p.engines[keyOf(engine)]
+// condition returns what is known of the engine.
+func (p *Placement) condition(engine *directory.Target) engineCondition {
 	now := p.options.Now()
-	slowness := p.slowness(engine, now)
-	var cost time.Duration
-	if slowness > slownessTolerance || slowness < 1/slownessTolerance {
-		cost = time.Duration((slowness - 1) * float64(model.Slowness))
-	}
-	if p.zoneSuspected(engine.AvailabilityZone, now) {
-		cost += model.RecentFailure / 2
-	}
-	if state == nil {
-		return cost
-	}
-	if now.Before(state.avoidUntil) {
-		cost += model.RecentFailure
-	}
-	cost += time.Duration(slowness * float64(p.prefillTime(state.prefillTokens)+time.Duration(state.streams)*model.Neighbour))
-	capacity := float64(defaultMemoryTokens)
-	if query.Spec != nil && query.Spec.MemoryTokens > 0 {
-		capacity = float64(query.Spec.MemoryTokens)
-	}
-	usedShare := (state.residentTokens + state.copyTokens + query.Size.KVCacheTokens()) / capacity
-	if usedShare > memoryCostThreshold {
-		cost += time.Duration((usedShare - memoryCostThreshold) / (1 - memoryCostThreshold) * float64(model.FullKVCache))
+	condition := engineCondition{slowness: 1, zoneSuspected: p.zoneSuspected(engine.AvailabilityZone, now)}
+	if p.options.Model.Slowness != 0 {
+		condition.slowness = p.paces.slowness(keyOf(engine), now)
 	}
-	return cost
-}
-
-// slowness returns how many times as long as is usual for its service the engine takes.
-func (p *Placement) slowness(engine *directory.Target, now time.Time) float64 {
-	if p.options.Model.Slowness == 0 {
-		return 1
-	}
-	return p.paces.slowness(keyOf(engine), now)
-}
-
-// neighbourDelay returns the time that this entry's streams at the engine lose together while it prefills the
-// prompt.
-func (p *Placement) neighbourDelay(engine *directory.Target, query generation.RelayQuery) time.Duration {
-	state := p.engines[keyOf(engine)]
-	if state == nil {
-		return 0
+	if state := p.engines[keyOf(engine)]; state != nil {
+		condition.usage = &state.engineUsage
+		condition.avoided = now.Before(state.avoidUntil)
 	}
-	prefill := p.prefillTime(float64(query.Size.Prompt))
-	slowness := p.slowness(engine, p.options.Now())
-	return time.Duration(slowness * float64(state.streams) * p.options.Model.PrefillDelay * float64(prefill))
-}
-
-// cachedPromptGain returns the time that is lost where a cached prompt is prefilled again: by the stream, and by one other
-// beside it, of which this entry doesn't know. It outweighs the wait for one prompt at the engine that has it cached.
-func (p *Placement) cachedPromptGain(query generation.RelayQuery) time.Duration {
-	prefill := p.prefillTime(float64(query.Size.Prompt))
-	return time.Duration((1 + p.options.Model.PrefillDelay) * float64(prefill))
-}
-
-// prefillTime returns how long an engine takes to prefill that many tokens.
-func (p *Placement) prefillTime(tokens float64) time.Duration {
-	return time.Duration(tokens / p.options.Model.PrefillTokensPerSecond * float64(time.Second))
+	return condition
 }
 
 // zoneSuspected reports whether several engines of an availability zone were lost within zoneLossWindow.
@@ -296,26 +239,6 @@
 	return len(recent) >= zoneLossEngines
 }
 
-// affinityEngine returns the ID of the engine that rendezvous hashing of the prompt selects among those of
-// this availability zone: a caller that reconnects reaches an entry of the same zone.
-func (p *Placement) affinityEngine(query generation.RelayQuery) string {
-	if query.Affinity == "" {
-		return ""
-	}
-	var best string
-	var highest uint64
-	for _, engine := range query.Engines {
-		if engine.AvailabilityZone != p.options.AvailabilityZone {
-			continue
-		}
-		weight := xxhash.Sum64String(query.Affinity + "/" + engine.ID)
-		if best == "" || weight > highest {
-			best, highest = engine.ID, weight
-		}
-	}
-	return best
-}
-
 func (p *Placement) ensureState(engine *directory.Target) *engineState {
 	key := keyOf(engine)
 	state := p.engines[key]
@@ -323,6 +246,7 @@
 		state = &engineState{}
 		p.engines[key] = state
 	}
+	state.service = engine.Service
 	return state
 }
 
@@ -350,6 +274,7 @@
 			delete(p.engines, key)
 		}
 	}
+	p.sweepLoadReports(now)
 	p.mu.Unlock()
 	for _, key := range recovered {
 		p.options.ReportPace(key.id, 1)
@@ -379,7 +304,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state := p.ensureState(engine)
-	until := p.options.Now().Add(refusalAvoidance)
+	now := p.options.Now()
+	p.refusals[keyOf(engine)] = refusal{engine.Service, now.Add(lossAvoidance)}
+	until := now.Add(refusalAvoidance)
 	if until.After(state.avoidUntil) {
 		state.avoidUntil = until
 	}
