--- a/routing/neighbours_test.go
+++ b/routing/neighbours_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/membership"
 )
@@ -15,6 +16,7 @@
 // batchedStream is a stream at an engine of simulateStreamTimes.
 type batchedStream struct {
 	begin           time.Time
+	entry           int
 	prefill, decode float64 // tokens left
 	// sinceEvent is the number of tokens since the last event.
 	sinceEvent float64
@@ -57,59 +59,184 @@
 	return left
 }
 
-// simulateStreamTimes plays streams of 5,200 prompt tokens and about 1,100 more through entries with unevenly many callers, on
-// engines that prefill prompts between the steps of their batch; one availability zone is lost for a third of the time, unless the engines
-// differ in speed. speedOf returns the speed of an engine at a time; nil if all have the speed 1. It returns the sorted times that
-// streams take.
+// streamLoad describes a load of streams of 5,200 prompt tokens and about 1,100 more, through entries with unevenly many callers, on
+// engines that prefill prompts between the steps of their batch.
+type streamLoad struct {
+	seed             uint64
+	entries, engines int
+	perSecond        float64
+	model            PlacementModel
+	// speedOf returns the speed of an engine at a time. If it is nil, all have the speed 1, and one availability zone is lost for a third of
+	// the time.
+	speedOf func(engine int, at time.Duration) float64
+	// crashes is set if the lost zone takes its streams with it and is only noticed by them; its engines stay listed for unlistAfter.
+	crashes bool
+	// newPlacer returns what chooses the engines; nil if each entry chooses by itself.
+	newPlacer func(*streamRun) streamPlacer
+}
+
+// streamPlacer chooses the engines of a streamRun.
+type streamPlacer interface {
+	// place calls start with the engine of a stream, now or at a later tick.
+	place(entry int, query generation.RelayQuery, start func(*directory.Target))
+	// tick is called before the streams of a tick begin.
+	tick()
+	// track returns what accounts for a stream of the entry.
+	track(entry int, placed generation.PlacedStream) generation.PlacedStream
+	// engineLost is called after the entry has noticed the loss of an engine.
+	engineLost(entry int)
+}
+
+// localPlacer has each entry choose by itself.
+type localPlacer struct{ choosers []*Placement }
+
+func (p localPlacer) place(entry int, query generation.RelayQuery, start func(*directory.Target)) {
+	start(p.choosers[entry].Place(query))
+}
+func (localPlacer) tick() {}
+func (localPlacer) track(_ int, placed generation.PlacedStream) generation.PlacedStream {
+	return placed
+}
+func (localPlacer) engineLost(int) {}
+
+const (
+	modelTick   = 5 * time.Millisecond
+	modelLength = 30 * time.Second
+	// unlistAfter is how long the directory lists an engine that has crashed.
+	unlistAfter = 2 * time.Second
+)
+
+// streamRun is the state of a load that is simulated.
+type streamRun struct {
+	streamLoad
+	begin, now time.Time
+	// random draws the load, faults the times at which losses are noticed.
+	random, faults *rand.Rand
+	live           []membership.Peer
+	choosers       []*Placement
+	placer         streamPlacer
+	running        map[string][]*batchedStream
+	noticed        []noticedLoss
+	times          []time.Duration
+	// wasted counts the attempts at engines that had crashed.
+	wasted int
+}
+
+// noticedLoss is when the entry of a stream notices that its engine has crashed.
+type noticedLoss struct {
+	at     time.Time
+	stream *batchedStream
+	engine *directory.Target
+}
+
+// simulateStreamTimes returns the sorted times that the streams of a load take through entries that choose by themselves.
 func simulateStreamTimes(
 	seed uint64, entries, engineCount int, perSecond float64, model PlacementModel, speedOf func(engine int, at time.Duration) float64,
 ) []time.Duration {
-	const tick = 5 * time.Millisecond
-	const length = 30 * time.Second
-	begin := time.Unix(1000, 0)
-	now := begin
-	engines, live := engineFleet(engineCount), entryFleet(entries)
-	random := rand.New(rand.NewPCG(seed, 7))
-	var choosers, callers []*Placement
-	for i, self := range live {
-		choosers = append(choosers, NewPlacement(PlacementOptions{
-			AvailabilityZone: self.AvailabilityZone, Seed: seed + uint64(i), Model: model, Now: func() time.Time { return now },
-			Entries: func() (membership.Peer, []membership.Peer) { return self, live },
+	load := streamLoad{seed: seed, entries: entries, engines: engineCount, perSecond: perSecond, model: model, speedOf: speedOf}
+	return load.simulate().times
+}
+
+// simulate plays the load. The times of the result are sorted.
+func (l streamLoad) simulate() *streamRun {
+	run := &streamRun{
+		streamLoad: l, begin: time.Unix(1000, 0), now: time.Unix(1000, 0), live: entryFleet(l.entries), running: map[string][]*batchedStream{},
+		random: rand.New(rand.NewPCG(l.seed, 7)), faults: rand.New(rand.NewPCG(l.seed, 8)),
+	}
+	engines := engineFleet(l.engines)
+	var callers []int
+	for i, self := range run.live {
+		run.choosers = append(run.choosers, NewPlacement(PlacementOptions{
+			AvailabilityZone: self.AvailabilityZone, Seed: l.seed + uint64(i), Model: l.model, Now: func() time.Time { return run.now },
+			Entries: func() (membership.Peer, []membership.Peer) { return self, run.live },
 		}))
-		for range 1 + random.IntN(8) {
-			callers = append(callers, choosers[i])
+		for range 1 + run.random.IntN(8) {
+			callers = append(callers, i)
 		}
 	}
+	run.placer = localPlacer{run.choosers}
+	if l.newPlacer != nil {
+		run.placer = l.newPlacer(run)
+	}
 	remaining := slices.DeleteFunc(slices.Clone(engines), inZone("a"))
-	running := make(map[string][]*batchedStream)
-	var times []time.Duration
-	next := begin
-	for ; now.Before(begin.Add(length)); now = now.Add(tick) {
+	next := run.begin
+	for ; run.now.Before(run.begin.Add(modelLength)); run.now = run.now.Add(modelTick) {
 		available := engines
-		if at := now.Sub(begin); speedOf == nil && at > length/3 && at < 2*length/3 {
+		if run.zoneLost() && !(l.crashes && run.now.Sub(run.begin) <= modelLength/3+unlistAfter) {
 			available = remaining
 		}
-		for ; !next.After(now); next = next.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))) {
-			chooser := callers[random.IntN(len(callers))]
-			engine := chooser.Place(draftQuery(available))
-			running[engine.ID] = append(running[engine.ID], &batchedStream{
-				begin: now, prefill: 5200, decode: 1120 * (0.6 + 0.8*random.Float64()),
-				placed: chooser.AddStream(engine, draftSize, draftSize.Prompt),
-			})
+		run.noticeLosses(available)
+		run.placer.tick()
+		for ; !next.After(run.now); next = next.Add(time.Duration(run.random.ExpFloat64() / l.perSecond * float64(time.Second))) {
+			entry := callers[run.random.IntN(len(callers))]
+			run.start(&batchedStream{begin: run.now, decode: 1120 * (0.6 + 0.8*run.random.Float64()), entry: entry}, draftQuery(available))
 		}
 		for i, engine := range engines {
 			speed := 1.0
-			if speedOf != nil {
-				speed = speedOf(i, now.Sub(begin))
+			if l.speedOf != nil {
+				speed = l.speedOf(i, run.now.Sub(run.begin))
 			}
-			running[engine.ID] = advance(running[engine.ID], time.Duration(speed*float64(tick)), func(s *batchedStream) {
+			if l.crashes && run.zoneLost() && inZone("a")(engine) {
+				run.crash(engine)
+				continue
+			}
+			run.running[engine.ID] = advance(run.running[engine.ID], time.Duration(speed*float64(modelTick)), func(s *batchedStream) {
 				s.placed.Ended()
-				times = append(times, now.Sub(s.begin))
+				run.times = append(run.times, run.now.Sub(s.begin))
 			})
 		}
 	}
-	slices.Sort(times)
-	return times
+	slices.Sort(run.times)
+	return run
+}
+
+// zoneLost reports whether the availability zone is lost.
+func (r *streamRun) zoneLost() bool {
+	at := r.now.Sub(r.begin)
+	return r.speedOf == nil && at > modelLength/3 && at < 2*modelLength/3
+}
+
+// start begins the stream at the engine that the placer chooses.
+func (r *streamRun) start(stream *batchedStream, query generation.RelayQuery) {
+	r.placer.place(stream.entry, query, func(engine *directory.Target) {
+		if r.crashes && r.zoneLost() && inZone("a")(engine) {
+			r.wasted++
+		}
+		stream.prefill = float64(draftSize.Prompt)
+		stream.placed = r.placer.track(stream.entry, r.choosers[stream.entry].AddStream(engine, draftSize, draftSize.Prompt))
+		r.running[engine.ID] = append(r.running[engine.ID], stream)
+	})
+}
+
+// crash stops the streams of an engine, which their entries notice after a while.
+func (r *streamRun) crash(engine *directory.Target) {
+	for _, stream := range r.running[engine.ID] {
+		notice := 300*time.Millisecond + time.Duration(r.faults.Int64N(int64(500*time.Millisecond)))
+		r.noticed = append(r.noticed, noticedLoss{r.now.Add(notice), stream, engine})
+	}
+	r.running[engine.ID] = nil
+}
+
+// noticeLosses places the streams again whose entries notice a crash.
+func (r *streamRun) noticeLosses(available []*directory.Target) {
+	r.noticed = slices.DeleteFunc(r.noticed, func(loss noticedLoss) bool {
+		if loss.at.After(r.now) {
+			return false
+		}
+		loss.stream.placed.Ended()
+		r.choosers[loss.stream.entry].ReportLost(loss.engine)
+		r.placer.engineLost(loss.stream.entry)
+		query := draftQuery(available)
+		query.Begun, query.Exclude = true, []string{loss.engine.ID}
+		r.start(loss.stream, query)
+		return true
+	})
+}
+
+// shareOver returns the share of the sorted times that are longer than limit.
+func shareOver(times []time.Duration, limit time.Duration) float64 {
+	over, _ := slices.BinarySearch(times, limit+1)
+	return float64(len(times)-over) / float64(len(times))
 }
 
 // Guards against entries that keep to engines with streams of their own while others are idle: each prompt that an engine
