--- a/routing/neighbours_test.go
+++ b/routing/neighbours_test.go
@@ -118,9 +118,11 @@
 	all, live []membership.Peer
 	choosers  []*Placement
 	placer    streamPlacer
-	running   map[string][]*batchedStream
-	noticed   []noticedLoss
-	times     []time.Duration
+	// running holds the streams at each engine, indices the engines by their IDs.
+	running [][]*batchedStream
+	indices map[string]int
+	noticed []noticedLoss
+	times   []time.Duration
 	// wasted counts the attempts at engines that had crashed.
 	wasted int
 }
@@ -143,10 +145,14 @@
 // simulate plays the load. The times of the result are sorted.
 func (l streamLoad) simulate() *streamRun {
 	run := &streamRun{
-		streamLoad: l, begin: time.Unix(1000, 0), now: time.Unix(1000, 0), all: entryFleet(l.entries), running: map[string][]*batchedStream{},
+		streamLoad: l, begin: time.Unix(1000, 0), now: time.Unix(1000, 0), all: entryFleet(l.entries), indices: map[string]int{},
 		random: rand.New(rand.NewPCG(l.seed, 7)), faults: rand.New(rand.NewPCG(l.seed, 8)),
 	}
 	engines := engineFleet(l.engines)
+	run.running = make([][]*batchedStream, len(engines))
+	for i, engine := range engines {
+		run.indices[engine.ID] = i
+	}
 	var callers []int
 	run.live = run.all
 	for i, self := range run.all {
@@ -182,6 +188,9 @@
 			run.start(&batchedStream{begin: run.now, decode: 1120 * (0.6 + 0.8*run.random.Float64()), entry: entry}, draftQuery(available))
 		}
 		for i, engine := range engines {
+			if len(run.running[i]) == 0 {
+				continue
+			}
 			speed := 1.0
 			if l.speedOf != nil {
 				speed = l.speedOf(i, run.now.Sub(run.begin))
@@ -190,7 +199,7 @@
 				run.crash(engine)
 				continue
 			}
-			run.running[engine.ID] = advance(run.running[engine.ID], time.Duration(speed*float64(modelTick)), func(s *batchedStream) {
+			run.running[i] = advance(run.running[i], time.Duration(speed*float64(modelTick)), func(s *batchedStream) {
 				s.placed.Ended()
 				run.times = append(run.times, run.now.Sub(s.begin))
 			})
@@ -213,8 +222,8 @@
 
 // loseEntries ends the streams of the entries that are lost at their engines. The placer isn't told of it.
 func (r *streamRun) loseEntries() {
-	for id, streams := range r.running {
-		r.running[id] = slices.DeleteFunc(streams, func(s *batchedStream) bool {
+	for i, streams := range r.running {
+		r.running[i] = slices.DeleteFunc(streams, func(s *batchedStream) bool {
 			if r.entryLost(s.entry) {
 				s.placed.Ended()
 			}
@@ -232,17 +241,19 @@
 		}
 		stream.prefill = float64(draftSize.Prompt)
 		stream.placed = r.placer.track(stream.entry, r.choosers[stream.entry].AddStream(engine, draftSize, draftSize.Prompt))
-		r.running[engine.ID] = append(r.running[engine.ID], stream)
+		at := r.indices[engine.ID]
+		r.running[at] = append(r.running[at], stream)
 	})
 }
 
 // crash stops the streams of an engine, which their entries notice after a while.
 func (r *streamRun) crash(engine *directory.Target) {
-	for _, stream := range r.running[engine.ID] {
+	at := r.indices[engine.ID]
+	for _, stream := range r.running[at] {
 		notice := 300*time.Millisecond + time.Duration(r.faults.Int64N(int64(500*time.Millisecond)))
 		r.noticed = append(r.noticed, noticedLoss{r.now.Add(notice), stream, engine})
 	}
-	r.running[engine.ID] = nil
+	r.running[at] = nil
 }
 
 // noticeLosses places the streams again whose entries notice a crash.
--- a/routing/sharedmodel_test.go
+++ b/routing/sharedmodel_test.go
@@ -178,11 +178,11 @@
 		first.run(first.at)
 	}
 	for i, entry := range p.entries {
-		if p.run.entryLost(i) {
+		if !entry.dirty && entry.streams == 0 || p.run.entryLost(i) {
 			continue
 		}
 		since := p.run.now.Sub(entry.lastReport)
-		if entry.dirty && since >= modelReportInterval || entry.streams > 0 && since >= modelIdleInterval {
+		if since >= modelReportInterval && entry.dirty || since >= modelIdleInterval && entry.streams > 0 {
 			update := p.report(i)
 			p.send(p.run.now, func(time.Time) { update() })
 		}
@@ -266,6 +266,29 @@
 	return played
 }
 
+// references plays the load with today's placement and with one Placement for all entries. Results are kept: several tests use them.
+func (f sharedFleet) references(load streamLoad, rateShare float64) (local, single playedLoad) {
+	key := referenceKey{f, rateShare, load.crashes, load.lostEntries}
+	kept, known := keptReferences[key]
+	if !known || load.speedOf != nil {
+		kept = [2]playedLoad{f.play(load, rateShare, nil), f.play(load, rateShare, newSinglePlacer)}
+	}
+	if load.speedOf == nil {
+		keptReferences[key] = kept
+	}
+	return kept[0], kept[1]
+}
+
+// referenceKey identifies a load without speeds on a fleet.
+type referenceKey struct {
+	fleet       sharedFleet
+	rateShare   float64
+	crashes     bool
+	lostEntries int
+}
+
+var keptReferences = map[referenceKey][2]playedLoad{}
+
 // checkSharedGain checks that entries that ask a coordinator have at most as large a share of streams over each limit as allows for a quarter
 // of what knowing all streams at once gains over entries that choose by themselves, and for the share of the streams that entries placed by
 // themselves since no answer came in time.
@@ -303,8 +326,8 @@
 	for _, each := range loads {
 		for _, fleet := range sharedFleets {
 			t.Run(fmt.Sprintf("%s/%d entries", each.name, fleet.entries), func(t *testing.T) {
-				checkSharedGain(t, fleet.play(each.load, each.rateShare, nil), fleet.play(each.load, each.rateShare, coordinated(messageFaults{})),
-					fleet.play(each.load, each.rateShare, newSinglePlacer), 0)
+				local, single := fleet.references(each.load, each.rateShare)
+				checkSharedGain(t, local, fleet.play(each.load, each.rateShare, coordinated(messageFaults{})), single, 0)
 			})
 		}
 	}
@@ -317,8 +340,9 @@
 		t.Run(fmt.Sprintf("%d entries", fleet.entries), func(t *testing.T) {
 			is := is.New(t)
 			load := streamLoad{crashes: true}
-			local, shared := fleet.play(load, 1, nil), fleet.play(load, 1, coordinated(messageFaults{}))
-			checkSharedGain(t, local, shared, fleet.play(load, 1, newSinglePlacer), 0)
+			local, single := fleet.references(load, 1)
+			shared := fleet.play(load, 1, coordinated(messageFaults{}))
+			checkSharedGain(t, local, shared, single, 0)
 			t.Logf("%d attempts at engines that had crashed, %d by today's placement", shared.wasted, local.wasted)
 			is.True(shared.wasted < local.wasted)
 		})
@@ -345,14 +369,15 @@
 				placers = append(placers, newCoordinatedPlacer(run, each.faults, coordinators{}))
 				return placers[len(placers)-1]
 			}
-			local, shared := fleet.play(each.load, 1, nil), fleet.play(each.load, 1, newPlacer)
+			local, single := fleet.references(each.load, 1)
+			shared := fleet.play(each.load, 1, newPlacer)
 			placed, fallbacks := 0, 0
 			for _, p := range placers {
 				placed += p.placed
 				fallbacks += p.fallbacks
 			}
 			t.Logf("%d placed by the coordinator, %d by entries since the answer was late", placed, fallbacks)
-			checkSharedGain(t, local, shared, fleet.play(each.load, 1, newSinglePlacer), float64(fallbacks)/float64(placed+fallbacks))
+			checkSharedGain(t, local, shared, single, float64(fallbacks)/float64(placed+fallbacks))
 			for _, p := range placers {
 				is.True(p.placed > 0)
 				is.Equal(p.fallbacks > 0, each.faults.late > 0)
@@ -376,14 +401,15 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			newPlacer := func(run *streamRun) streamPlacer { return newCoordinatedPlacer(run, messageFaults{}, by) }
-			local, shared := fleet.play(streamLoad{}, 1, nil), fleet.play(streamLoad{}, 1, newPlacer)
+			local, single := fleet.references(streamLoad{}, 1)
+			shared := fleet.play(streamLoad{}, 1, newPlacer)
 			for _, limit := range []time.Duration{8 * time.Second, 10 * time.Second} {
 				byLocal, byShared := shareOver(local.times, limit), shareOver(shared.times, limit)
 				t.Logf("of %d streams %.3f take over %v, %.3f by today's placement", len(shared.times), byShared, limit, byLocal)
 				is.True(byShared < byLocal)
 			}
 			if !by.two {
-				checkSharedGain(t, local, shared, fleet.play(streamLoad{}, 1, newSinglePlacer), 0)
+				checkSharedGain(t, local, shared, single, 0)
 			}
 		})
 	}
--- a/routing/sharedview.go
+++ b/routing/sharedview.go
@@ -71,6 +71,7 @@
 	lastTicket uint64
 	updates    uint64
 
+	// losses holds the recent losses, the oldest first.
 	losses        []engineLoss
 	paces         *paceTable
 	nextPaceSweep time.Time
@@ -327,7 +328,11 @@
 		}
 		v.release(front)
 	}
-	v.losses = slices.DeleteFunc(v.losses, func(loss engineLoss) bool { return now.Sub(loss.at) > zoneLossWindow })
+	old := 0
+	for old < len(v.losses) && now.Sub(v.losses[old].at) > zoneLossWindow {
+		old++
+	}
+	v.losses = slices.Delete(v.losses, 0, old)
 	if !now.Before(v.nextPaceSweep) {
 		v.nextPaceSweep = now.Add(paceSweepInterval)
 		v.paces.sweep(now)
