Queue of streams: refuse early, serve those that can be on time first

Cause: a queue ordered by the time left serves the streams first that are late already.

Change: StreamQueue keeps streams that can't be on time behind the others, refuses by the expected wait, raises less urgent streams for one admission in 16, and spreads Retry-After. NextFitting and RetryAfter(priority) are additions to the interface.

--- a/admission/streamqueue.go
+++ b/admission/streamqueue.go
@@ -1,19 +1,45 @@
 package admission
 
 import (
+	"cmp"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
-	// maxQueuedStreams bounds the queue's memory.
+	// maxQueuedStreams bounds the queue's memory: with the longest names, 4 MB.
 	maxQueuedStreams = 4096
+	// maxExpiredStreams is the number of streams that Expired has not returned yet above which the queue takes no further ones.
+	maxExpiredStreams = 512
 	// maxStreamNameBytes bounds the request ID and the customer name of a queued stream.
 	maxStreamNameBytes = 512
+	// streamPriorities is the number of priorities that are told apart; lower ones count as the lowest.
+	streamPriorities = 10
+	// maxFirstEventWait is the longest time from admission to the first event: an engine that needs more has no room.
+	maxFirstEventWait = 2500 * time.Millisecond
+	// maxFirstEventRatio is the part of its objective that a stream keeps for the time from admission to its first event.
+	maxFirstEventRatio = 0.625
+	// defaultStreamObjective is the objective of streams that have none.
+	defaultStreamObjective = 10 * time.Second
+	// lateObjectives is how many times its objective a stream may take to its first event; it is not admitted after.
+	lateObjectives = 3
+	// maxWaitRatio is the part of the time to its deadline that a stream may wait. The rest is for its output: a stream that is admitted
+	// 2 s before its deadline has its prompt prefilled and is cut off.
+	maxWaitRatio = 0.5
+	// raisedInterval is the number of admissions of which one goes to a less urgent stream that has waited for long, so that urgent
+	// streams alone can't use all room however many there are.
+	raisedInterval = 16
+	// minSharedStreams is the number of streams in progress up to which customers count as equal.
+	minSharedStreams = 4
 	// Retry-After is kept within these bounds.
 	minStreamRetryAfter = 200 * time.Millisecond
 	maxStreamRetryAfter = 8 * time.Second
+	// maxRememberedRefusals bounds the memory of refused requests: 500 refusals a second for as long as they may be told to wait.
+	maxRememberedRefusals = 4096
 )
 
 // StreamQueueOptions configures a StreamQueue.
@@ -37,11 +63,48 @@
 	Deadline time.Time
 }
 
-// StreamQueue orders the streams of one service that wait for room. It is not safe for concurrent use.
+// StreamQueue orders the streams of one service that wait for room. Streams that can still be on time go first: by priority, then by
+// their customer's streams in progress, then by the time left. One admission in raisedInterval goes to a less urgent stream that has
+// waited for half of its time. Streams that are late anyway get the room that no other stream needs. It is not safe for
+// concurrent use.
 type StreamQueue struct {
-	options StreamQueueOptions
-	random  *rand.Rand
-	streams []QueuedStream
+	options   StreamQueueOptions
+	random    *rand.Rand
+	byRequest map[string]*waitingStream
+	levels    [streamPriorities]streamLevel
+	// late are the streams that can't be on time any more, by priority, then by waitUntil.
+	late []*waitingStream
+	// expired are the streams that Expired returns next.
+	expired []QueuedStream
+	// nextChange is the earliest time at which a stream becomes late or may not wait any longer.
+	nextChange time.Time
+	// admittedSinceRaised counts the admissions for which a raised stream has been passed over.
+	admittedSinceRaised int
+	rates               roomRates
+	refusals            refusedRequests
+	// nextReturns are the times until which the returns of refused streams are spread, by priority.
+	nextReturns [streamPriorities]time.Time
+}
+
+// waitingStream is a stream in a StreamQueue.
+type waitingStream struct {
+	QueuedStream
+	level int
+	late  bool
+	// raisedAt is when the stream may get room ahead of more urgent ones, onTimeUntil when it must be admitted to be on time.
+	raisedAt, onTimeUntil, waitUntil time.Time
+}
+
+// streamLevel holds the streams of one priority that can be on time.
+type streamLevel struct {
+	count     int
+	customers []*customerStreams
+}
+
+// customerStreams are the streams of one customer and priority, by onTimeUntil.
+type customerStreams struct {
+	customer string
+	streams  []*waitingStream
 }
 
 // NewStreamQueue returns an empty StreamQueue.
@@ -49,70 +112,518 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	return &StreamQueue{options: options, random: rand.New(rand.NewPCG(options.Seed, 2))}
+	return &StreamQueue{
+		options: options, random: rand.New(rand.NewPCG(options.Seed, 2)), byRequest: map[string]*waitingStream{},
+		refusals: refusedRequests{notBefore: map[uint64]time.Time{}},
+	}
 }
 
+// newWaitingStream returns the stream with the times that limit its wait.
+func newWaitingStream(stream QueuedStream) *waitingStream {
+	objective := stream.Objective
+	if objective <= 0 {
+		objective = defaultStreamObjective
+	}
+	firstEvent := min(maxFirstEventWait, time.Duration(maxFirstEventRatio*float64(objective)))
+	w := &waitingStream{
+		QueuedStream: stream,
+		level:        min(max(stream.Priority, 0), streamPriorities-1),
+		onTimeUntil:  stream.Arrived.Add(objective - firstEvent),
+		waitUntil:    stream.Arrived.Add(lateObjectives*objective - firstEvent),
+	}
+	if !stream.Deadline.IsZero() {
+		latest := stream.Arrived.Add(time.Duration(maxWaitRatio * float64(stream.Deadline.Sub(stream.Arrived))))
+		if latest.Before(w.waitUntil) {
+			w.waitUntil = latest
+		}
+		if latest.Before(w.onTimeUntil) {
+			w.onTimeUntil = latest
+		}
+	}
+	w.raisedAt = stream.Arrived.Add(w.onTimeUntil.Sub(stream.Arrived) / 2)
+	return w
+}
+
+// shareClass groups customers by their streams in progress, in powers of two, so that small differences don't outweigh the time left.
+func shareClass(streams int) int { return bits.Len(uint(max(streams, 0) / minSharedStreams)) }
+
 // Add adds a stream to the queue, or refuses it at once with the time after which room is likely. A stream that is queued already
 // keeps its place.
-func (q *StreamQueue) Add(stream QueuedStream, _ func(customer string) int) (refused bool, retryAfter time.Duration) {
-	if q.indexOf(stream.Request) >= 0 {
+func (q *StreamQueue) Add(stream QueuedStream, streamsOf func(customer string) int) (refused bool, retryAfter time.Duration) {
+	now := q.advance()
+	if _, queued := q.byRequest[stream.Request]; queued {
 		return false, 0
 	}
-	if len(q.streams) >= maxQueuedStreams || len(stream.Request) > maxStreamNameBytes || len(stream.Customer) > maxStreamNameBytes {
-		return true, q.retryAfter(time.Second)
+	w := newWaitingStream(stream)
+	if len(stream.Request) > maxStreamNameBytes || len(stream.Customer) > maxStreamNameBytes {
+		return true, q.nextRetryAfter(w.level, now, minStreamRetryAfter)
+	}
+	ahead := q.streamsAhead(w, streamsOf)
+	if ahead.urgent+ahead.equal > 0 {
+		if left, early := q.refusals.timeLeft(stream.Request, now); early {
+			return true, min(max(left, minStreamRetryAfter), maxStreamRetryAfter)
+		}
+	}
+	wait := q.expectedWait(ahead, w.level)
+	if now.Add(wait).After(w.onTimeUntil) && ahead.urgent+ahead.equal > 0 || now.After(w.waitUntil) || !q.makeRoomFor(w) {
+		retryAfter = q.nextRetryAfter(w.level, now, wait)
+		q.refusals.add(stream.Request, now.Add(retryAfter))
+		return true, retryAfter
+	}
+	q.byRequest[stream.Request] = w
+	if now.After(w.onTimeUntil) {
+		q.addLate(w)
+	} else {
+		q.addOnTime(w)
 	}
-	q.streams = append(q.streams, stream)
 	return false, 0
 }
 
+// makeRoomFor reports whether the queue can hold one stream more, for which a full queue gives up a late or less urgent one.
+func (q *StreamQueue) makeRoomFor(stream *waitingStream) bool {
+	if len(q.expired) >= maxExpiredStreams {
+		return false
+	}
+	if len(q.byRequest) < maxQueuedStreams {
+		return true
+	}
+	var last *waitingStream
+	if len(q.late) > 0 {
+		last = q.late[len(q.late)-1]
+	} else {
+		for level := streamPriorities - 1; level > stream.level && last == nil; level-- {
+			for _, customer := range q.levels[level].customers {
+				if s := customer.streams[len(customer.streams)-1]; last == nil || s.onTimeUntil.After(last.onTimeUntil) {
+					last = s
+				}
+			}
+		}
+	}
+	if last == nil {
+		return false
+	}
+	q.remove(last)
+	q.expired = append(q.expired, last.QueuedStream)
+	return true
+}
+
+func (q *StreamQueue) addOnTime(stream *waitingStream) {
+	level := &q.levels[stream.level]
+	i := slices.IndexFunc(level.customers, func(c *customerStreams) bool { return c.customer == stream.Customer })
+	if i < 0 {
+		i = len(level.customers)
+		level.customers = append(level.customers, &customerStreams{customer: stream.Customer})
+	}
+	customer := level.customers[i]
+	at, _ := slices.BinarySearchFunc(customer.streams, stream.onTimeUntil, func(s *waitingStream, until time.Time) int {
+		if s.onTimeUntil.After(until) {
+			return 1
+		}
+		return -1
+	})
+	customer.streams = slices.Insert(customer.streams, at, stream)
+	level.count++
+	q.noteChange(stream.onTimeUntil)
+}
+
+func (q *StreamQueue) addLate(stream *waitingStream) {
+	stream.late = true
+	at, _ := slices.BinarySearchFunc(q.late, stream, func(s, added *waitingStream) int {
+		if order := cmp.Or(cmp.Compare(s.level, added.level), s.waitUntil.Compare(added.waitUntil)); order != 0 {
+			return order
+		}
+		return -1
+	})
+	q.late = slices.Insert(q.late, at, stream)
+	q.noteChange(stream.waitUntil)
+}
+
+func (q *StreamQueue) noteChange(at time.Time) {
+	if q.nextChange.IsZero() || at.Before(q.nextChange) {
+		q.nextChange = at
+	}
+}
+
+// remove takes the stream out of the queue.
+func (q *StreamQueue) remove(stream *waitingStream) {
+	delete(q.byRequest, stream.Request)
+	if stream.late {
+		i := slices.Index(q.late, stream)
+		q.late = slices.Delete(q.late, i, i+1)
+		return
+	}
+	q.removeOnTime(stream)
+}
+
+func (q *StreamQueue) removeOnTime(stream *waitingStream) {
+	level := &q.levels[stream.level]
+	i := slices.IndexFunc(level.customers, func(c *customerStreams) bool { return c.customer == stream.Customer })
+	customer := level.customers[i]
+	at := slices.Index(customer.streams, stream)
+	customer.streams = slices.Delete(customer.streams, at, at+1)
+	level.count--
+	if len(customer.streams) == 0 {
+		level.customers = slices.Delete(level.customers, i, i+1)
+	}
+}
+
+// streamCounts are numbers of waiting streams: more urgent ones, and those of one priority.
+type streamCounts struct{ urgent, equal int }
+
+// streamsAhead counts the streams that are admitted before the stream.
+func (q *StreamQueue) streamsAhead(stream *waitingStream, streamsOf func(customer string) int) streamCounts {
+	var ahead streamCounts
+	for level := range stream.level {
+		ahead.urgent += q.levels[level].count
+	}
+	class := shareClass(streamsOf(stream.Customer))
+	for _, customer := range q.levels[stream.level].customers {
+		switch other := shareClass(streamsOf(customer.customer)); {
+		case other < class:
+			ahead.equal += len(customer.streams)
+		case other == class:
+			earlier, _ := slices.BinarySearchFunc(customer.streams, stream.onTimeUntil, func(s *waitingStream, until time.Time) int {
+				if s.onTimeUntil.After(until) {
+					return 1
+				}
+				return -1
+			})
+			ahead.equal += earlier
+		}
+	}
+	return ahead
+}
+
+// expectedWait returns the time until a stream behind the others gets room, by the rate at which room became free.
+func (q *StreamQueue) expectedWait(ahead streamCounts, level int) time.Duration {
+	rate, left := q.rates.perSecond(level)
+	if rate == 0 || ahead.urgent+ahead.equal == 0 {
+		return 0
+	}
+	left = max(left, rate/raisedInterval)
+	seconds := float64(ahead.urgent)/rate + float64(ahead.equal)/left
+	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
+}
+
+// RetryAfter returns the time after which a stream of the priority that Expired returned may find room. It differs from call to call, so
+// that the callers of several expired streams don't return at once.
+func (q *StreamQueue) RetryAfter(priority int) time.Duration {
+	now := q.advance()
+	level := min(max(priority, 0), streamPriorities-1)
+	var ahead streamCounts
+	for i := range level {
+		ahead.urgent += q.levels[i].count
+	}
+	ahead.equal = q.levels[level].count
+	return q.nextRetryAfter(level, now, q.expectedWait(ahead, level))
+}
+
+// nextRetryAfter spreads the returns of refused streams: they follow each other at the rate at which streams of the priority get room.
+func (q *StreamQueue) nextRetryAfter(level int, now time.Time, wait time.Duration) time.Duration {
+	next := now.Add(wait)
+	if q.nextReturns[level].After(next) {
+		next = q.nextReturns[level]
+	}
+	if rate, left := q.rates.perSecond(level); rate > 0 {
+		interval := time.Duration(float64(time.Second) / max(left, rate/raisedInterval))
+		q.nextReturns[level] = next.Add(interval)
+	}
+	after := time.Duration((0.75 + 0.5*q.random.Float64()) * float64(next.Sub(now)))
+	if after > maxStreamRetryAfter {
+		// More callers than can be served until then: their returns are spread over all of the time.
+		q.nextReturns[level] = now.Add(maxStreamRetryAfter)
+		after = min(wait, maxStreamRetryAfter/2)
+		after += time.Duration(q.random.Float64() * float64(maxStreamRetryAfter-after))
+	}
+	return min(max(after, minStreamRetryAfter), maxStreamRetryAfter)
+}
+
 // Next returns the stream that gets the free room, without removing it; ok is false if no stream is waiting.
 func (q *StreamQueue) Next(streamsOf func(customer string) int) (stream QueuedStream, ok bool) {
-	if len(q.streams) == 0 {
-		return QueuedStream{}, false
+	return q.NextFitting(streamsOf, nil)
+}
+
+// maxNextTries bounds the streams that NextFitting tries.
+const maxNextTries = 8
+
+// NextFitting returns the first stream in order, out of a few, for which fits is true; nil accepts all. A prompt that is too long for the
+// free room doesn't hold up shorter ones.
+func (q *StreamQueue) NextFitting(
+	streamsOf func(customer string) int, fits func(stream QueuedStream) bool,
+) (stream QueuedStream, ok bool) {
+	now := q.advance()
+	var tried []*waitingStream
+	for len(tried) < maxNextTries {
+		next := q.next(now, streamsOf, tried)
+		if next == nil {
+			break
+		}
+		if fits == nil || fits(next.QueuedStream) {
+			return next.QueuedStream, true
+		}
+		tried = append(tried, next)
 	}
-	return slices.MinFunc(q.streams, func(a, b QueuedStream) int {
-		if a.Priority != b.Priority {
-			return a.Priority - b.Priority
+	return QueuedStream{}, false
+}
+
+// next returns the first stream in order that isn't excluded, nil for none.
+func (q *StreamQueue) next(now time.Time, streamsOf func(customer string) int, exclude []*waitingStream) *waitingStream {
+	if q.admittedSinceRaised >= raisedInterval-1 {
+		if raised := q.raisedStream(now, streamsOf, exclude); raised != nil {
+			return raised
 		}
-		if byTime := a.Arrived.Add(a.Objective).Compare(b.Arrived.Add(b.Objective)); byTime != 0 {
-			return byTime
+	}
+	for level := range q.levels {
+		if first := q.levels[level].first(streamsOf, exclude); first != nil {
+			return first
+		}
+	}
+	for _, stream := range q.late {
+		if !slices.Contains(exclude, stream) {
+			return stream
+		}
+	}
+	return nil
+}
+
+// first returns the stream of the level that is admitted first, nil for none.
+func (l *streamLevel) first(streamsOf func(customer string) int, exclude []*waitingStream) *waitingStream {
+	var best *waitingStream
+	bestClass := 0
+	for _, customer := range l.customers {
+		class := shareClass(streamsOf(customer.customer))
+		if best != nil && class > bestClass {
+			continue
 		}
-		return streamsOf(a.Customer) - streamsOf(b.Customer)
-	}), true
+		for _, stream := range customer.streams {
+			if slices.Contains(exclude, stream) {
+				continue
+			}
+			if best == nil || class < bestClass || stream.onTimeUntil.Before(best.onTimeUntil) {
+				best, bestClass = stream, class
+			}
+			break
+		}
+	}
+	return best
+}
+
+// raisedStream returns the raised stream with the least time left; nil if the most urgent streams are all that wait.
+func (q *StreamQueue) raisedStream(now time.Time, streamsOf func(customer string) int, exclude []*waitingStream) *waitingStream {
+	var best *waitingStream
+	urgent := true
+	for level := range q.levels {
+		if q.levels[level].count == 0 {
+			continue
+		}
+		if urgent {
+			urgent = false
+			continue
+		}
+		first := q.levels[level].first(streamsOf, exclude)
+		if first != nil && !now.Before(first.raisedAt) && (best == nil || first.onTimeUntil.Before(best.onTimeUntil)) {
+			best = first
+		}
+	}
+	return best
 }
 
 // Remove removes a stream: admitted if it got room, otherwise its caller is gone.
-func (q *StreamQueue) Remove(request string, _ bool) {
-	if i := q.indexOf(request); i >= 0 {
-		q.streams = slices.Delete(q.streams, i, i+1)
+func (q *StreamQueue) Remove(request string, admitted bool) {
+	now := q.advance()
+	stream, queued := q.byRequest[request]
+	if !queued {
+		return
 	}
+	if admitted {
+		q.rates.add(stream.level)
+		q.countAdmission(stream, now)
+	}
+	q.remove(stream)
+}
+
+// countAdmission counts the admissions for which a raised stream is passed over.
+func (q *StreamQueue) countAdmission(admitted *waitingStream, now time.Time) {
+	none := func(string) int { return 0 }
+	switch raised := q.raisedStream(now, none, nil); {
+	case raised == nil:
+	case !admitted.late && admitted.level == q.mostUrgent():
+		q.admittedSinceRaised++
+	default:
+		q.admittedSinceRaised = 0
+	}
+}
+
+// mostUrgent returns the highest priority of the streams that can be on time.
+func (q *StreamQueue) mostUrgent() int {
+	for level := range q.levels {
+		if q.levels[level].count > 0 {
+			return level
+		}
+	}
+	return streamPriorities
 }
 
 // Expired removes and returns the streams that can no longer be served.
 func (q *StreamQueue) Expired() (expired []QueuedStream, retryAfter time.Duration) {
-	now := q.options.Now()
-	q.streams = slices.DeleteFunc(q.streams, func(s QueuedStream) bool {
-		late := now.Sub(s.Arrived) > 3*s.Objective || !s.Deadline.IsZero() && s.Deadline.Sub(now) < 2*time.Second
-		if late {
-			expired = append(expired, s)
+	q.advance()
+	if len(q.expired) == 0 {
+		return nil, 0
+	}
+	expired, q.expired = q.expired, nil
+	return expired, q.RetryAfter(expired[0].Priority)
+}
+
+// moveLate moves the streams that can no longer be on time behind the others, and those that may not wait any longer out of the queue.
+func (q *StreamQueue) moveLate(now time.Time) {
+	if q.nextChange.IsZero() || !now.After(q.nextChange) {
+		return
+	}
+	for level := range q.levels {
+		var moved []*waitingStream
+		for _, customer := range q.levels[level].customers {
+			for _, stream := range customer.streams {
+				if !now.After(stream.onTimeUntil) {
+					break
+				}
+				moved = append(moved, stream)
+			}
+		}
+		for _, stream := range moved {
+			q.removeOnTime(stream)
+			q.addLate(stream)
+		}
+	}
+	q.late = slices.DeleteFunc(q.late, func(stream *waitingStream) bool {
+		ended := now.After(stream.waitUntil)
+		if ended {
+			q.expired = append(q.expired, stream.QueuedStream)
+			delete(q.byRequest, stream.Request)
 		}
-		return late
+		return ended
 	})
-	if len(expired) == 0 {
-		return nil, 0
+	q.findNextChange()
+}
+
+func (q *StreamQueue) findNextChange() {
+	q.nextChange = time.Time{}
+	for level := range q.levels {
+		for _, customer := range q.levels[level].customers {
+			q.noteChange(customer.streams[0].onTimeUntil)
+		}
+	}
+	for _, stream := range q.late {
+		q.noteChange(stream.waitUntil)
 	}
-	return expired, q.retryAfter(time.Second)
+}
+
+// advance moves the clock of the estimates and returns the time.
+func (q *StreamQueue) advance() time.Time {
+	now := q.options.Now()
+	q.rates.advance(now, len(q.byRequest) > 0)
+	q.moveLate(now)
+	return now
 }
 
 // Len returns the number of streams that wait.
-func (q *StreamQueue) Len() int { return len(q.streams) }
+func (q *StreamQueue) Len() int { return len(q.byRequest) }
 
-func (q *StreamQueue) indexOf(request string) int {
-	return slices.IndexFunc(q.streams, func(s QueuedStream) bool { return s.Request == request })
+const (
+	// rateWindow is the time over which the rate of room is measured, in rateBuckets parts.
+	rateWindow  = 5 * time.Second
+	rateBuckets = 50
+)
+
+// roomRates measures the rate at which room becomes free while streams wait. Room that nobody waits for isn't seen.
+type roomRates struct {
+	buckets [rateBuckets]rateBucket
+	current int
+	updated time.Time
+	total   rateBucket
+}
+
+type rateBucket struct {
+	// busy is the time for which streams waited.
+	busy     time.Duration
+	admitted [streamPriorities]int
+}
+
+// advance moves the window to now; busy is set if streams have been waiting since the last call.
+func (r *roomRates) advance(now time.Time, busy bool) {
+	const width = rateWindow / rateBuckets
+	if r.updated.IsZero() || now.Sub(r.updated) > rateWindow {
+		*r = roomRates{updated: now}
+		return
+	}
+	for r.updated.Before(now) {
+		end := r.updated.Truncate(width).Add(width)
+		until := end
+		if now.Before(end) {
+			until = now
+		}
+		if busy {
+			r.buckets[r.current].busy += until.Sub(r.updated)
+			r.total.busy += until.Sub(r.updated)
+		}
+		r.updated = until
+		if !until.Before(end) {
+			r.current = (r.current + 1) % rateBuckets
+			old := &r.buckets[r.current]
+			r.total.busy -= old.busy
+			for level, count := range old.admitted {
+				r.total.admitted[level] -= count
+			}
+			*old = rateBucket{}
+		}
+	}
+}
+
+func (r *roomRates) add(level int) {
+	r.buckets[r.current].admitted[level]++
+	r.total.admitted[level]++
+}
+
+// perSecond returns the rate at which room became free, and the part of it that more urgent streams left; 0 if it isn't known. One
+// admission more is assumed than was seen, so that the rate isn't 0 after a short time without room.
+func (r *roomRates) perSecond(level int) (rate, left float64) {
+	if r.total.busy <= 0 {
+		return 0, 0
+	}
+	admitted, urgent := 1, 0
+	for l, count := range r.total.admitted {
+		admitted += count
+		if l < level {
+			urgent += count
+		}
+	}
+	busy := r.total.busy.Seconds()
+	return float64(admitted) / busy, float64(admitted-urgent) / busy
+}
+
+// refusedRequests remembers until when refused requests were told to wait, so that a request that returns before gains nothing.
+type refusedRequests struct {
+	notBefore map[uint64]time.Time
+	// order are the keys of notBefore, the oldest at position next.
+	order []uint64
+	next  int
+}
+
+func (r *refusedRequests) add(request string, notBefore time.Time) {
+	key := xxhash.Sum64String(request)
+	if _, known := r.notBefore[key]; !known {
+		if len(r.order) < maxRememberedRefusals {
+			r.order = append(r.order, key)
+		} else {
+			delete(r.notBefore, r.order[r.next])
+			r.order[r.next] = key
+			r.next = (r.next + 1) % maxRememberedRefusals
+		}
+	}
+	r.notBefore[key] = notBefore
 }
 
-// retryAfter spreads the returns of refused callers around the expected wait.
-func (q *StreamQueue) retryAfter(wait time.Duration) time.Duration {
-	wait = time.Duration((0.75 + 0.5*q.random.Float64()) * float64(wait))
-	return min(max(wait, minStreamRetryAfter), maxStreamRetryAfter)
+// timeLeft returns for how much longer the request was told to wait; early is false if it may return.
+func (r *refusedRequests) timeLeft(request string, now time.Time) (left time.Duration, early bool) {
+	notBefore, known := r.notBefore[xxhash.Sum64String(request)]
+	return notBefore.Sub(now), known && now.Before(notBefore)
 }
