Queue of streams: tests on modelled engines

Cause: the decisions had no tests of demand above room.

The rate of room counts streams placed without waiting (RecordPlaced), late streams are kept only while room for them is expected, and customers take turns by their recent admissions of a priority. Retry-After spreads the returns at the rate of room.

--- a/admission/streamqueue.go
+++ b/admission/streamqueue.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"math/bits"
 	"math/rand/v2"
 	"slices"
@@ -38,6 +40,8 @@
 	// Retry-After is kept within these bounds.
 	minStreamRetryAfter = 200 * time.Millisecond
 	maxStreamRetryAfter = 8 * time.Second
+	// unknownRateWait is the expected wait while the rate of room isn't known.
+	unknownRateWait = time.Second
 	// maxRememberedRefusals bounds the memory of refused requests: 500 refusals a second for as long as they may be told to wait.
 	maxRememberedRefusals = 4096
 )
@@ -82,6 +86,8 @@
 	admittedSinceRaised int
 	rates               roomRates
 	refusals            refusedRequests
+	uses                customerUses
+	usesPruned          time.Time
 	// nextReturns are the times until which the returns of refused streams are spread, by priority.
 	nextReturns [streamPriorities]time.Time
 }
@@ -89,8 +95,9 @@
 // waitingStream is a stream in a StreamQueue.
 type waitingStream struct {
 	QueuedStream
-	level int
-	late  bool
+	level   int
+	late    bool
+	addedAt time.Time
 	// raisedAt is when the stream may get room ahead of more urgent ones, onTimeUntil when it must be admitted to be on time.
 	raisedAt, onTimeUntil, waitUntil time.Time
 }
@@ -104,6 +111,7 @@
 // customerStreams are the streams of one customer and priority, by onTimeUntil.
 type customerStreams struct {
 	customer string
+	use      *customerUse
 	streams  []*waitingStream
 }
 
@@ -114,7 +122,7 @@
 	}
 	return &StreamQueue{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, 2)), byRequest: map[string]*waitingStream{},
-		refusals: refusedRequests{notBefore: map[uint64]time.Time{}},
+		refusals: refusedRequests{notBefore: map[uint64]time.Time{}}, uses: customerUses{},
 	}
 }
 
@@ -127,7 +135,7 @@
 	firstEvent := min(maxFirstEventWait, time.Duration(maxFirstEventRatio*float64(objective)))
 	w := &waitingStream{
 		QueuedStream: stream,
-		level:        min(max(stream.Priority, 0), streamPriorities-1),
+		level:        streamLevelOf(stream.Priority),
 		onTimeUntil:  stream.Arrived.Add(objective - firstEvent),
 		waitUntil:    stream.Arrived.Add(lateObjectives*objective - firstEvent),
 	}
@@ -144,8 +152,7 @@
 	return w
 }
 
-// shareClass groups customers by their streams in progress, in powers of two, so that small differences don't outweigh the time left.
-func shareClass(streams int) int { return bits.Len(uint(max(streams, 0) / minSharedStreams)) }
+func streamLevelOf(priority int) int { return min(max(priority, 0), streamPriorities-1) }
 
 // Add adds a stream to the queue, or refuses it at once with the time after which room is likely. A stream that is queued already
 // keeps its place.
@@ -158,8 +165,8 @@
 	if len(stream.Request) > maxStreamNameBytes || len(stream.Customer) > maxStreamNameBytes {
 		return true, q.nextRetryAfter(w.level, now, minStreamRetryAfter)
 	}
-	ahead := q.streamsAhead(w, streamsOf)
-	if ahead.urgent+ahead.equal > 0 {
+	ahead := q.streamsAhead(w, now, streamsOf)
+	if len(q.byRequest) > 0 {
 		if left, early := q.refusals.timeLeft(stream.Request, now); early {
 			return true, min(max(left, minStreamRetryAfter), maxStreamRetryAfter)
 		}
@@ -170,6 +177,7 @@
 		q.refusals.add(stream.Request, now.Add(retryAfter))
 		return true, retryAfter
 	}
+	w.addedAt = now
 	q.byRequest[stream.Request] = w
 	if now.After(w.onTimeUntil) {
 		q.addLate(w)
@@ -212,7 +220,9 @@
 	i := slices.IndexFunc(level.customers, func(c *customerStreams) bool { return c.customer == stream.Customer })
 	if i < 0 {
 		i = len(level.customers)
-		level.customers = append(level.customers, &customerStreams{customer: stream.Customer})
+		level.customers = append(level.customers, &customerStreams{
+			customer: stream.Customer, use: q.useOf(stream.level, stream.Customer, stream.addedAt),
+		})
 	}
 	customer := level.customers[i]
 	at, _ := slices.BinarySearchFunc(customer.streams, stream.onTimeUntil, func(s *waitingStream, until time.Time) int {
@@ -271,17 +281,17 @@
 type streamCounts struct{ urgent, equal int }
 
 // streamsAhead counts the streams that are admitted before the stream.
-func (q *StreamQueue) streamsAhead(stream *waitingStream, streamsOf func(customer string) int) streamCounts {
+func (q *StreamQueue) streamsAhead(stream *waitingStream, now time.Time, streamsOf func(customer string) int) streamCounts {
 	var ahead streamCounts
 	for level := range stream.level {
 		ahead.urgent += q.levels[level].count
 	}
-	class := shareClass(streamsOf(stream.Customer))
+	own := share(q.useOf(stream.level, stream.Customer, now), streamsOf(stream.Customer), now)
 	for _, customer := range q.levels[stream.level].customers {
-		switch other := shareClass(streamsOf(customer.customer)); {
-		case other < class:
+		switch other := share(customer.use, streamsOf(customer.customer), now); {
+		case other < own:
 			ahead.equal += len(customer.streams)
-		case other == class:
+		case other == own:
 			earlier, _ := slices.BinarySearchFunc(customer.streams, stream.onTimeUntil, func(s *waitingStream, until time.Time) int {
 				if s.onTimeUntil.After(until) {
 					return 1
@@ -300,42 +310,49 @@
 	if rate == 0 || ahead.urgent+ahead.equal == 0 {
 		return 0
 	}
-	left = max(left, rate/raisedInterval)
+	if level < lateLevel {
+		left = max(left, rate/raisedInterval)
+	}
 	seconds := float64(ahead.urgent)/rate + float64(ahead.equal)/left
 	return time.Duration(min(seconds, time.Hour.Seconds()) * float64(time.Second))
 }
 
-// RetryAfter returns the time after which a stream of the priority that Expired returned may find room. It differs from call to call, so
-// that the callers of several expired streams don't return at once.
-func (q *StreamQueue) RetryAfter(priority int) time.Duration {
+// RetryAfter returns the time after which a stream that Expired returned may find room. It differs from call to call, so that the
+// callers of several expired streams don't return at once.
+func (q *StreamQueue) RetryAfter(stream QueuedStream) time.Duration {
 	now := q.advance()
-	level := min(max(priority, 0), streamPriorities-1)
+	level := streamLevelOf(stream.Priority)
 	var ahead streamCounts
 	for i := range level {
 		ahead.urgent += q.levels[i].count
 	}
 	ahead.equal = q.levels[level].count
-	return q.nextRetryAfter(level, now, q.expectedWait(ahead, level))
+	after := q.nextRetryAfter(level, now, q.expectedWait(ahead, level))
+	q.refusals.add(stream.Request, now.Add(after))
+	return after
 }
 
-// nextRetryAfter spreads the returns of refused streams: they follow each other at the rate at which streams of the priority get room.
+// nextRetryAfter spreads the returns of refused streams: they follow each other at the rate at which streams of the priority get room,
+// and those that would return after maxStreamRetryAfter are spread over all of it.
 func (q *StreamQueue) nextRetryAfter(level int, now time.Time, wait time.Duration) time.Duration {
+	const jitter = 0.25
+	rate, left := q.rates.perSecond(level)
+	if rate == 0 {
+		wait = max(wait, unknownRateWait)
+	}
 	next := now.Add(wait)
 	if q.nextReturns[level].After(next) {
 		next = q.nextReturns[level]
 	}
-	if rate, left := q.rates.perSecond(level); rate > 0 {
-		interval := time.Duration(float64(time.Second) / max(left, rate/raisedInterval))
-		q.nextReturns[level] = next.Add(interval)
-	}
-	after := time.Duration((0.75 + 0.5*q.random.Float64()) * float64(next.Sub(now)))
-	if after > maxStreamRetryAfter {
-		// More callers than can be served until then: their returns are spread over all of the time.
-		q.nextReturns[level] = now.Add(maxStreamRetryAfter)
+	after := next.Sub(now)
+	if (1+jitter)*after.Seconds() > maxStreamRetryAfter.Seconds() {
 		after = min(wait, maxStreamRetryAfter/2)
-		after += time.Duration(q.random.Float64() * float64(maxStreamRetryAfter-after))
+		return max(after+time.Duration(q.random.Float64()*float64(maxStreamRetryAfter-after)), minStreamRetryAfter)
+	}
+	if rate > 0 {
+		q.nextReturns[level] = next.Add(time.Duration(float64(time.Second) / max(left, rate/raisedInterval)))
 	}
-	return min(max(after, minStreamRetryAfter), maxStreamRetryAfter)
+	return max(time.Duration((1-jitter+2*jitter*q.random.Float64())*float64(after)), minStreamRetryAfter)
 }
 
 // Next returns the stream that gets the free room, without removing it; ok is false if no stream is waiting.
@@ -374,7 +391,7 @@
 		}
 	}
 	for level := range q.levels {
-		if first := q.levels[level].first(streamsOf, exclude); first != nil {
+		if first := q.first(level, now, streamsOf, exclude, false); first != nil {
 			return first
 		}
 	}
@@ -386,21 +403,23 @@
 	return nil
 }
 
-// first returns the stream of the level that is admitted first, nil for none.
-func (l *streamLevel) first(streamsOf func(customer string) int, exclude []*waitingStream) *waitingStream {
+// first returns the stream of the level, or of its raised streams, that is admitted first; nil for none.
+func (q *StreamQueue) first(
+	level int, now time.Time, streamsOf func(customer string) int, exclude []*waitingStream, onlyRaised bool,
+) *waitingStream {
 	var best *waitingStream
-	bestClass := 0
-	for _, customer := range l.customers {
-		class := shareClass(streamsOf(customer.customer))
-		if best != nil && class > bestClass {
+	lowest := 0
+	for _, customer := range q.levels[level].customers {
+		taken := share(customer.use, streamsOf(customer.customer), now)
+		if best != nil && taken > lowest {
 			continue
 		}
 		for _, stream := range customer.streams {
-			if slices.Contains(exclude, stream) {
+			if slices.Contains(exclude, stream) || onlyRaised && now.Before(stream.raisedAt) {
 				continue
 			}
-			if best == nil || class < bestClass || stream.onTimeUntil.Before(best.onTimeUntil) {
-				best, bestClass = stream, class
+			if best == nil || taken < lowest || stream.onTimeUntil.Before(best.onTimeUntil) {
+				best, lowest = stream, taken
 			}
 			break
 		}
@@ -420,14 +439,23 @@
 			urgent = false
 			continue
 		}
-		first := q.levels[level].first(streamsOf, exclude)
-		if first != nil && !now.Before(first.raisedAt) && (best == nil || first.onTimeUntil.Before(best.onTimeUntil)) {
+		first := q.first(level, now, streamsOf, exclude, true)
+		if first != nil && (best == nil || first.onTimeUntil.Before(best.onTimeUntil)) {
 			best = first
 		}
 	}
 	return best
 }
 
+// RecordPlaced counts a stream that got room without being added to the queue, so that the rate of room is known when streams begin to
+// wait.
+func (q *StreamQueue) RecordPlaced(priority int, customer string) {
+	now := q.advance()
+	level := streamLevelOf(priority)
+	q.rates.add(level, false)
+	q.useOf(level, customer, now).count(now)
+}
+
 // Remove removes a stream: admitted if it got room, otherwise its caller is gone.
 func (q *StreamQueue) Remove(request string, admitted bool) {
 	now := q.advance()
@@ -436,7 +464,12 @@
 		return
 	}
 	if admitted {
-		q.rates.add(stream.level)
+		level := stream.level
+		if stream.late {
+			level = lateLevel
+		}
+		q.rates.add(level, now.After(stream.addedAt))
+		q.useOf(stream.level, stream.Customer, now).count(now)
 		q.countAdmission(stream, now)
 	}
 	q.remove(stream)
@@ -471,7 +504,11 @@
 		return nil, 0
 	}
 	expired, q.expired = q.expired, nil
-	return expired, q.RetryAfter(expired[0].Priority)
+	retryAfter = q.RetryAfter(expired[0])
+	for _, stream := range expired[1:] {
+		q.refusals.add(stream.Request, q.options.Now().Add(retryAfter))
+	}
+	return expired, retryAfter
 }
 
 // moveLate moves the streams that can no longer be on time behind the others, and those that may not wait any longer out of the queue.
@@ -491,20 +528,38 @@
 		}
 		for _, stream := range moved {
 			q.removeOnTime(stream)
-			q.addLate(stream)
+			if now.Add(q.expectedLateWait()).After(stream.waitUntil) {
+				q.expire(stream)
+			} else {
+				q.addLate(stream)
+			}
 		}
 	}
 	q.late = slices.DeleteFunc(q.late, func(stream *waitingStream) bool {
 		ended := now.After(stream.waitUntil)
 		if ended {
-			q.expired = append(q.expired, stream.QueuedStream)
-			delete(q.byRequest, stream.Request)
+			q.expire(stream)
 		}
 		return ended
 	})
 	q.findNextChange()
 }
 
+// expire makes Expired return the stream.
+func (q *StreamQueue) expire(stream *waitingStream) {
+	q.expired = append(q.expired, stream.QueuedStream)
+	delete(q.byRequest, stream.Request)
+}
+
+// expectedLateWait returns the time until a stream behind all others gets room.
+func (q *StreamQueue) expectedLateWait() time.Duration {
+	ahead := streamCounts{equal: len(q.late)}
+	for level := range q.levels {
+		ahead.urgent += q.levels[level].count
+	}
+	return q.expectedWait(ahead, lateLevel)
+}
+
 func (q *StreamQueue) findNextChange() {
 	q.nextChange = time.Time{}
 	for level := range q.levels {
@@ -542,18 +597,27 @@
 	total   rateBucket
 }
 
+// lateLevel is the place of late streams, behind those of all priorities.
+const lateLevel = streamPriorities
+
 type rateBucket struct {
 	// busy is the time for which streams waited.
-	busy     time.Duration
-	admitted [streamPriorities]int
+	busy time.Duration
+	// admitted are all streams that got room, by priority, with late streams at lateLevel; contested are those of them that had waited.
+	admitted  [streamPriorities + 1]int
+	contested int
 }
 
 // advance moves the window to now; busy is set if streams have been waiting since the last call.
 func (r *roomRates) advance(now time.Time, busy bool) {
 	const width = rateWindow / rateBuckets
 	if r.updated.IsZero() || now.Sub(r.updated) > rateWindow {
+		known := !r.updated.IsZero()
 		*r = roomRates{updated: now}
-		return
+		if !known || !busy {
+			return
+		}
+		r.updated = now.Add(-rateWindow + rateWindow/rateBuckets)
 	}
 	for r.updated.Before(now) {
 		end := r.updated.Truncate(width).Add(width)
@@ -570,6 +634,7 @@
 			r.current = (r.current + 1) % rateBuckets
 			old := &r.buckets[r.current]
 			r.total.busy -= old.busy
+			r.total.contested -= old.contested
 			for level, count := range old.admitted {
 				r.total.admitted[level] -= count
 			}
@@ -578,26 +643,31 @@
 	}
 }
 
-func (r *roomRates) add(level int) {
-	r.buckets[r.current].admitted[level]++
-	r.total.admitted[level]++
+func (r *roomRates) add(level int, waited bool) {
+	for _, bucket := range []*rateBucket{&r.buckets[r.current], &r.total} {
+		bucket.admitted[level]++
+		if waited {
+			bucket.contested++
+		}
+	}
 }
 
-// perSecond returns the rate at which room became free, and the part of it that more urgent streams left; 0 if it isn't known. One
-// admission more is assumed than was seen, so that the rate isn't 0 after a short time without room.
+// perSecond returns the rate at which room becomes free, and the part of it that more urgent streams leave; 0 if it isn't known. Streams
+// that got room without waiting show that there was at least so much of it. One admission more is assumed than was seen, so that
+// the rate isn't 0 after a short time without room.
 func (r *roomRates) perSecond(level int) (rate, left float64) {
 	if r.total.busy <= 0 {
 		return 0, 0
 	}
-	admitted, urgent := 1, 0
+	admitted, urgent := 0, 0
 	for l, count := range r.total.admitted {
 		admitted += count
 		if l < level {
 			urgent += count
 		}
 	}
-	busy := r.total.busy.Seconds()
-	return float64(admitted) / busy, float64(admitted-urgent) / busy
+	rate = max(float64(r.total.contested+1)/r.total.busy.Seconds(), float64(admitted)/rateWindow.Seconds())
+	return rate, rate * float64(admitted-urgent+1) / float64(admitted+1)
 }
 
 // refusedRequests remembers until when refused requests were told to wait, so that a request that returns before gains nothing.
@@ -627,3 +697,70 @@
 	notBefore, known := r.notBefore[xxhash.Sum64String(request)]
 	return notBefore.Sub(now), known && now.Before(notBefore)
 }
+
+const (
+	// useDecay is the time in which admissions of a customer lose their weight, about as long as a stream takes.
+	useDecay = 30 * time.Second
+	// maxCustomerUses bounds the customers and priorities whose admissions are counted.
+	maxCustomerUses = 4096
+	// A customer's streams in progress count in steps of powers of two, its admissions in steps of a quarter, so that small
+	// differences don't outweigh the time left.
+	useStep = 1.05
+)
+
+// customerUses counts the recent admissions of customers by priority. A customer's streams in progress don't tell how many of them are
+// of the priority for which customers compete.
+type customerUses map[customerLevel]*customerUse
+
+type customerLevel struct {
+	customer string
+	level    int
+}
+
+type customerUse struct {
+	admitted float64
+	at       time.Time
+	// step is the use in steps, as of steppedAt.
+	step      int
+	steppedAt time.Time
+}
+
+// decayed returns the weight of the admissions at now.
+func (u *customerUse) decayed(now time.Time) float64 {
+	return u.admitted * math.Exp(-now.Sub(u.at).Seconds()/useDecay.Seconds())
+}
+
+func (u *customerUse) count(now time.Time) {
+	u.admitted, u.at = u.decayed(now)+1, now
+	u.steppedAt = time.Time{}
+}
+
+// steps returns the use in steps of useStep. It is calculated again after an admission, or when it may have changed by decay.
+func (u *customerUse) steps(now time.Time) int {
+	if now.Sub(u.steppedAt) > useDecay/100 {
+		u.step, u.steppedAt = int(math.Log1p(u.decayed(now)/minSharedStreams)/math.Log(useStep)), now
+	}
+	return u.step
+}
+
+// useOf returns the use of the customer and priority.
+func (q *StreamQueue) useOf(level int, customer string, now time.Time) *customerUse {
+	key := customerLevel{customer, level}
+	if use, known := q.uses[key]; known {
+		return use
+	}
+	if len(q.uses) >= maxCustomerUses && now.Sub(q.usesPruned) >= time.Second {
+		q.usesPruned = now
+		maps.DeleteFunc(q.uses, func(_ customerLevel, use *customerUse) bool { return use.decayed(now) < 0.1 })
+	}
+	use := &customerUse{at: now}
+	if len(q.uses) < maxCustomerUses && len(customer) <= maxStreamNameBytes {
+		q.uses[key] = use
+	}
+	return use
+}
+
+// share returns the customer's share of the room: the customer with less of it goes first.
+func share(use *customerUse, streams int, now time.Time) int {
+	return bits.Len(uint(max(streams, 0)/minSharedStreams))<<16 + use.steps(now)
+}
--- /dev/null
+++ b/admission/streamqueue_load_test.go
@@ -0,0 +1,263 @@
+package admission
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func newTestedQueue(options StreamQueueOptions) streamPolicy { return NewStreamQueue(options) }
+
+// fittingRate returns the streams a second that the modelled engines take by the rule of room when there is always one waiting.
+var fittingRate = sync.OnceValue(func() float64 {
+	const length = 60 * time.Second
+	m := newStreamModel(nil, nil)
+	admitted := 0
+	m.atTick = func(m *streamModel) {
+		for m.now < length {
+			engine := m.engineWithRoom(urgentKind.objective)
+			if engine == nil {
+				return
+			}
+			m.send(&modelCall{offered: &offeredStream{kind: urgentKind, output: meanOutput}, arrived: m.now, prefillLeft: streamPrompt}, engine)
+			if m.now > length/3 {
+				admitted++
+			}
+		}
+	}
+	m.run(length)
+	return float64(admitted) / (length * 2 / 3).Seconds()
+})
+
+// loadLength is how long streams are offered.
+const loadLength = 60 * time.Second
+
+func playStreams(offered []*offeredStream, policy func(StreamQueueOptions) streamPolicy) *streamModel {
+	m := newStreamModel(offered, policy)
+	m.run(loadLength)
+	return m
+}
+
+func newLoadRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 9)) }
+
+func setPatience(offered []*offeredStream, patience time.Duration) []*offeredStream {
+	for _, stream := range offered {
+		stream.patience = patience
+	}
+	return offered
+}
+
+// Guards against streams of all kinds that are sent at once when demand exceeds room: all become late, and prompts are prefilled for
+// nothing. The rules that were first specified (raising by half objectives, then the time left) are played in the same run: they serve
+// the streams first that are late anyway.
+func TestStreamQueueKeepsUrgentStreamsOnTime(t *testing.T) {
+	for _, load := range []struct {
+		factor   float64
+		patience time.Duration
+	}{{1.5, 0}, {2, 0}, {1.5, 20 * time.Second}, {2, 20 * time.Second}} {
+		t.Run(fmt.Sprintf("%.1f-patience-%v", load.factor, load.patience), func(t *testing.T) {
+			for seed := range uint64(2) {
+				is := is.NewRelaxed(t)
+				draw := func() []*offeredStream {
+					return setPatience(drawMix(newLoadRandom(seed), load.factor*fittingRate(), loadLength), load.patience)
+				}
+				results := map[string]*streamModel{}
+				for name, policy := range map[string]func(StreamQueueOptions) streamPolicy{
+					"baseline": nil, "specified": newSpecifiedQueue, "queue": newTestedQueue,
+				} {
+					results[name] = playStreams(draw(), policy)
+				}
+				for _, name := range []string{"baseline", "specified", "queue"} {
+					m := results[name]
+					t.Logf("seed %d, %s: worth %.0f, %.0f k tokens wasted; urgent %v; less urgent %v", seed, name, m.worth(),
+						m.wastedTokens()/1000, m.result(ofKind(urgentKind)), m.result(ofKind(bulkKind)))
+				}
+				queue, baseline := results["queue"], results["baseline"]
+				urgent, bulk := queue.result(ofKind(urgentKind)), queue.result(ofKind(bulkKind))
+				is.True(urgent.share() >= bulk.share())
+				is.True(urgent.share() >= baseline.result(ofKind(urgentKind)).share())
+				is.True(queue.worth() > baseline.worth())
+				is.True(queue.worth() > results["specified"].worth())
+				is.True(queue.wastedTokens() < baseline.wastedTokens())
+				is.True(bulk.maxWait <= streamDeadline/2+2*modelTick)          // the bound on waiting
+				is.True(urgent.maxWait <= 3*urgentKind.objective)              // the bound on waiting
+				is.True(bulk.onTime >= int(fittingRate()*60/raisedInterval/2)) // half of the part that raised streams get
+			}
+		})
+	}
+}
+
+// Guards against streams that wait or are refused although they fit.
+func TestStreamQueueLeavesFittingDemandAlone(t *testing.T) {
+	for seed := range uint64(3) {
+		is := is.NewRelaxed(t)
+		m := playStreams(drawMix(newLoadRandom(seed), 0.7*fittingRate(), loadLength), newTestedQueue)
+		all := m.result(func(*offeredStream) bool { return true })
+		t.Logf("seed %d: %v", seed, all)
+		is.Equal(all.queued, 0)
+		is.Equal(all.refused, 0)
+		is.Equal(all.maxWait, time.Duration(0))
+	}
+}
+
+// Guards against a burst of the less urgent kind that makes urgent streams late.
+func TestStreamQueueShieldsUrgentStreamsFromBurst(t *testing.T) {
+	for seed := range uint64(3) {
+		is := is.NewRelaxed(t)
+		draw := func(burst float64) []*offeredStream {
+			random := newLoadRandom(seed)
+			steady := drawMix(random, 0.7*fittingRate(), loadLength)
+			return append(steady, drawStreams(random, bulkKind, burst*fittingRate(), 20*time.Second, 30*time.Second)...)
+		}
+		for _, burst := range []float64{1, 3, 10} {
+			without := playStreams(draw(0.0001), newTestedQueue).result(ofKind(urgentKind))
+			with := playStreams(draw(burst), newTestedQueue).result(ofKind(urgentKind))
+			baseline := playStreams(draw(burst), nil).result(ofKind(urgentKind))
+			t.Logf("seed %d, burst of %.0f: urgent without %v; with %v; baseline %v", seed, burst, without, with, baseline)
+			is.True(with.share() >= without.share()-0.01)
+			is.True(with.share() >= baseline.share())
+		}
+	}
+}
+
+// Guards against urgent streams that use all room: the less urgent kind would not be served at all, however long the burst.
+func TestStreamQueueServesLessUrgentStreamsInUrgentBurst(t *testing.T) {
+	const begin, end = 20 * time.Second, 40 * time.Second
+	for seed := range uint64(3) {
+		is := is.NewRelaxed(t)
+		draw := func(burst float64) []*offeredStream {
+			random := newLoadRandom(seed)
+			steady := drawMix(random, 0.7*fittingRate(), loadLength)
+			return append(steady, drawStreams(random, urgentKind, burst*fittingRate(), begin, end)...)
+		}
+		for _, burst := range []float64{1, 3} {
+			m := playStreams(draw(burst), newTestedQueue)
+			during := m.result(func(o *offeredStream) bool { return o.kind == bulkKind && o.at >= begin && o.at < end })
+			after := m.result(func(o *offeredStream) bool { return o.kind == bulkKind && o.at >= end+rateWindow })
+			baseline := playStreams(draw(burst), nil)
+			t.Logf("seed %d, burst of %.0f: less urgent during %v; 5 s after %v; worth %.0f, baseline %.0f", seed, burst, during, after,
+				m.worth(), baseline.worth())
+			is.True(float64(during.onTime) >= fittingRate()*(end-begin).Seconds()/raisedInterval/2) // half of the part that raised streams get
+			is.True(after.share() >= 0.9)
+			is.True(m.worth() > baseline.worth())
+		}
+	}
+}
+
+// standardError is the standard error of the difference of two shares on time.
+func standardError(a, b streamResult) float64 {
+	variance := func(r streamResult) float64 { return r.share() * (1 - r.share()) / float64(r.offered) }
+	return math.Sqrt(variance(a) + variance(b))
+}
+
+// Guards against callers that gain by retrying at once: those that keep to Retry-After would be displaced by them. Streams of the
+// first and last part are left out, since engines fill up at first, and at the end the room goes to those that are still there.
+func TestStreamQueueGivesEarlyRetriesNoAdvantage(t *testing.T) {
+	const patience, begin, end = 20 * time.Second, 20 * time.Second, 70 * time.Second
+	for _, test := range []struct {
+		name              string
+		customers, sameID bool
+	}{{"customers", true, false}, {"request-ids", false, true}} {
+		for _, factor := range []float64{1.5, 2} {
+			t.Run(fmt.Sprintf("%s-%.1f", test.name, factor), func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				early, told := map[streamKind]streamResult{}, map[streamKind]streamResult{}
+				for seed := range uint64(3) {
+					random := newLoadRandom(seed)
+					offered := setPatience(drawMix(random, factor*fittingRate(), end+patience), patience)
+					for i, stream := range offered {
+						if random.IntN(2) == 0 {
+							stream.retryEvery = 100 * time.Millisecond
+						}
+						stream.sameID = test.sameID
+						if test.customers {
+							stream.customer = fmt.Sprintf("customer-%d-%v", i%5, stream.retryEvery)
+						}
+					}
+					m := playStreams(offered, newTestedQueue)
+					for _, kind := range []streamKind{urgentKind, bulkKind} {
+						early[kind] = early[kind].plus(m.result(func(o *offeredStream) bool {
+							return o.kind == kind && o.at >= begin && o.at < end && o.retryEvery > 0
+						}))
+						told[kind] = told[kind].plus(m.result(func(o *offeredStream) bool {
+							return o.kind == kind && o.at >= begin && o.at < end && o.retryEvery == 0
+						}))
+					}
+				}
+				for _, kind := range []streamKind{urgentKind, bulkKind} {
+					t.Logf("priority %d: early %v; told %v", kind.priority, early[kind], told[kind])
+					is.True(early[kind].share() <= told[kind].share()+2*standardError(early[kind], told[kind]))
+				}
+			})
+		}
+	}
+}
+
+// Guards against one customer whose streams push those of the others out.
+func TestStreamQueueKeepsCustomersApart(t *testing.T) {
+	const begin = 20 * time.Second
+	for seed := range uint64(3) {
+		is := is.NewRelaxed(t)
+		heavy := func(o *offeredStream) bool { return o.customer == "customer-0" }
+		// Ten customers, one of which sends ten times as much as each of the others: 1.5 times what fits.
+		draw := func(withHeavy bool) []*offeredStream {
+			random := newLoadRandom(seed)
+			offered := drawMix(random, 1.5*fittingRate()*10/19, loadLength)
+			if withHeavy {
+				more := drawMix(random, 1.5*fittingRate()*9/19, loadLength)
+				for _, stream := range more {
+					stream.customer = "customer-0"
+				}
+				offered = append(offered, more...)
+			}
+			return offered
+		}
+		for _, kind := range []streamKind{urgentKind, bulkKind} {
+			others := func(o *offeredStream) bool { return o.kind == kind && !heavy(o) && o.at >= begin }
+			alone := playStreams(draw(false), newTestedQueue).result(others)
+			m := playStreams(draw(true), newTestedQueue)
+			beside, own := m.result(others), m.result(func(o *offeredStream) bool { return o.kind == kind && heavy(o) && o.at >= begin })
+			baseline := playStreams(draw(true), nil).result(others)
+			t.Logf("seed %d, priority %d: others alone %v; beside %v; baseline %v; heavy %v", seed, kind.priority, alone, beside, baseline, own)
+			is.True(beside.share() > own.share())
+			is.True(beside.share() > baseline.share())
+			if kind == urgentKind {
+				is.True(beside.share() >= alone.share()-0.01)
+			}
+		}
+	}
+}
+
+// Guards against room that stays unused, and streams that are refused by an outdated rate, when a whole availability zone returns.
+func TestStreamQueueUsesReturningZoneAtOnce(t *testing.T) {
+	const back = 20 * time.Second
+	for seed := range uint64(3) {
+		is := is.NewRelaxed(t)
+		m := newStreamModel(drawMix(newLoadRandom(seed), 0.9*fittingRate(), loadLength), newTestedQueue)
+		waited, left := 0, 0
+		m.atTick = func(m *streamModel) {
+			for i, engine := range m.engines {
+				engine.available = i >= modelEngines/3 || m.now >= back
+			}
+			switch m.now {
+			case back:
+				waited = m.policy.Len()
+			case back + modelTick:
+				left = m.policy.Len()
+			}
+		}
+		m.run(loadLength)
+		before := m.result(func(o *offeredStream) bool { return o.at < back })
+		after := m.result(func(o *offeredStream) bool { return o.at >= back+modelTick })
+		t.Logf("seed %d: %d waited, %d a tick later; before %v; after %v", seed, waited, left, before, after)
+		is.True(waited > 0)
+		// Each of the engines takes two prompts at once.
+		is.True(left <= max(0, waited-2*(modelEngines/3)))
+		is.Equal(after.refused, 0)
+	}
+}
