Queue of streams: recognize a refused caller by its prompt

Change: QueuedStream.Prompt, optional. A call whose prompt was refused is refused again until its Retry-After has passed, while streams wait.

Evidence: TestStreamQueueGivesEarlyRetriesNoAdvantage/prompts passes.

--- a/admission/streamqueue.go
+++ b/admission/streamqueue.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// maxQueuedStreams bounds the queue's memory: with the longest names, 4 MB.
+	// maxQueuedStreams bounds the queue's memory: with the longest names, 6 MB.
 	maxQueuedStreams = 4096
 	// maxExpiredStreams is the number of streams that Expired has not returned yet above which the queue takes no further ones.
 	maxExpiredStreams = 512
-	// maxStreamNameBytes bounds the request ID and the customer name of a queued stream.
+	// maxStreamNameBytes bounds the request ID, the customer name and the prompt ID of a queued stream.
 	maxStreamNameBytes = 512
 	// streamPriorities is the number of priorities that are told apart; lower ones count as the lowest.
 	streamPriorities = 10
@@ -58,6 +58,8 @@
 type QueuedStream struct {
 	// Request identifies the stream. Customer may be empty.
 	Request, Customer string
+	// Prompt identifies the prompt, so that a further call of a refused caller is recognized under another request ID; empty when unknown.
+	Prompt string
 	// Priority is the priority of the stream; 0 is the highest.
 	Priority int
 	Arrived  time.Time
@@ -162,19 +164,20 @@
 		return false, 0
 	}
 	w := newWaitingStream(stream)
-	if len(stream.Request) > maxStreamNameBytes || len(stream.Customer) > maxStreamNameBytes {
+	if max(len(stream.Request), len(stream.Customer), len(stream.Prompt)) > maxStreamNameBytes {
 		return true, q.nextRetryAfter(w.level, now, minStreamRetryAfter)
 	}
 	ahead := q.streamsAhead(w, now, streamsOf)
 	if len(q.byRequest) > 0 {
-		if left, early := q.refusals.timeLeft(stream.Request, now); early {
+		if left, early := q.refusals.timeLeft(stream, now); early {
 			return true, min(max(left, minStreamRetryAfter), maxStreamRetryAfter)
 		}
 	}
 	wait := q.expectedWait(ahead, w.level)
-	if now.Add(wait).After(w.onTimeUntil) && ahead.urgent+ahead.equal > 0 || now.After(w.waitUntil) || !q.makeRoomFor(w) {
+	tooLong := now.Add(wait).After(w.onTimeUntil) && ahead.urgent+ahead.equal > 0
+	if tooLong || now.After(w.waitUntil) || !q.makeRoomFor(w) {
 		retryAfter = q.nextRetryAfter(w.level, now, wait)
-		q.refusals.add(stream.Request, now.Add(retryAfter))
+		q.refusals.add(stream, now.Add(retryAfter))
 		return true, retryAfter
 	}
 	w.addedAt = now
@@ -328,7 +331,7 @@
 	}
 	ahead.equal = q.levels[level].count
 	after := q.nextRetryAfter(level, now, q.expectedWait(ahead, level))
-	q.refusals.add(stream.Request, now.Add(after))
+	q.refusals.add(stream, now.Add(after))
 	return after
 }
 
@@ -506,7 +509,7 @@
 	expired, q.expired = q.expired, nil
 	retryAfter = q.RetryAfter(expired[0])
 	for _, stream := range expired[1:] {
-		q.refusals.add(stream.Request, q.options.Now().Add(retryAfter))
+		q.refusals.add(stream, q.options.Now().Add(retryAfter))
 	}
 	return expired, retryAfter
 }
@@ -678,8 +681,16 @@
 	next  int
 }
 
-func (r *refusedRequests) add(request string, notBefore time.Time) {
-	key := xxhash.Sum64String(request)
+// refusalKey identifies the work of a stream over several calls.
+func refusalKey(stream QueuedStream) uint64 {
+	if stream.Prompt == "" {
+		return xxhash.Sum64String(stream.Request)
+	}
+	return xxhash.Sum64String(stream.Customer + "\x00" + stream.Prompt)
+}
+
+func (r *refusedRequests) add(stream QueuedStream, notBefore time.Time) {
+	key := refusalKey(stream)
 	if _, known := r.notBefore[key]; !known {
 		if len(r.order) < maxRememberedRefusals {
 			r.order = append(r.order, key)
@@ -692,9 +703,9 @@
 	r.notBefore[key] = notBefore
 }
 
-// timeLeft returns for how much longer the request was told to wait; early is false if it may return.
-func (r *refusedRequests) timeLeft(request string, now time.Time) (left time.Duration, early bool) {
-	notBefore, known := r.notBefore[xxhash.Sum64String(request)]
+// timeLeft returns for how much longer the stream's caller was told to wait; early is false if it may return.
+func (r *refusedRequests) timeLeft(stream QueuedStream, now time.Time) (left time.Duration, early bool) {
+	notBefore, known := r.notBefore[refusalKey(stream)]
 	return notBefore.Sub(now), known && now.Before(notBefore)
 }
 
--- a/admission/streamqueue_load_test.go
+++ b/admission/streamqueue_load_test.go
@@ -160,9 +160,9 @@
 func TestStreamQueueGivesEarlyRetriesNoAdvantage(t *testing.T) {
 	const patience, begin, end = 20 * time.Second, 20 * time.Second, 70 * time.Second
 	for _, test := range []struct {
-		name              string
-		customers, sameID bool
-	}{{"customers", true, false}, {"request-ids", false, true}} {
+		name                       string
+		customers, sameID, prompts bool
+	}{{name: "customers", customers: true}, {name: "request-ids", sameID: true}, {name: "prompts", prompts: true}} {
 		for _, factor := range []float64{1.5, 2} {
 			t.Run(fmt.Sprintf("%s-%.1f", test.name, factor), func(t *testing.T) {
 				is := is.NewRelaxed(t)
@@ -175,6 +175,9 @@
 							stream.retryEvery = 100 * time.Millisecond
 						}
 						stream.sameID = test.sameID
+						if test.prompts {
+							stream.prompt = fmt.Sprint(i)
+						}
 						if test.customers {
 							stream.customer = fmt.Sprintf("customer-%d-%v", i%5, stream.retryEvery)
 						}
--- a/admission/streamqueue_model_test.go
+++ b/admission/streamqueue_model_test.go
@@ -47,8 +47,9 @@
 	// patience is the time for which the caller makes further calls after refusals, retryEvery the time between them; 0 keeps to
 	// Retry-After.
 	patience, retryEvery time.Duration
-	// sameID is set if the further calls carry the same request ID.
+	// sameID is set if the further calls carry the same request ID. prompt is the ID of the prompt; empty when unknown.
 	sameID bool
+	prompt string
 
 	calls int
 	call  *modelCall // the last call
@@ -318,7 +319,7 @@
 		return
 	}
 	refused, after := m.policy.Add(QueuedStream{
-		Request: call.id, Customer: stream.customer, Priority: stream.kind.priority, Arrived: modelBegin.Add(m.now),
+		Request: call.id, Customer: stream.customer, Prompt: stream.prompt, Priority: stream.kind.priority, Arrived: modelBegin.Add(m.now),
 		Objective: stream.kind.objective, Deadline: modelBegin.Add(m.now + streamDeadline),
 	}, m.streamsOf)
 	if refused {
