--- a/admission/streamqueue.go
+++ b/admission/streamqueue.go
@@ -62,7 +62,8 @@
 	Prompt string
 	// Priority is the priority of the stream; 0 is the highest.
 	Priority int
-	Arrived  time.Time
+	// Arrived is when the stream arrived, by the clock of the queue.
+	Arrived time.Time
 	// Objective is the time after Arrived at which the first event is late.
 	Objective time.Duration
 	// Deadline is when the caller stops waiting; zero means never.
@@ -70,7 +71,7 @@
 }
 
 // StreamQueue orders the streams of one service that wait for room. Streams that can still be on time go first: by priority, then by
-// their customer's streams in progress, then by the time left. One admission in raisedInterval goes to a less urgent stream that has
+// their customer's share (streams in progress, then recent admissions), then by the time left. One admission in raisedInterval goes to a less urgent stream that has
 // waited for half of its time. Streams that are late anyway get the room that no other stream needs. It is not safe for
 // concurrent use.
 type StreamQueue struct {
@@ -710,12 +711,12 @@
 }
 
 const (
-	// useDecay is the time in which admissions of a customer lose their weight, about as long as a stream takes.
+	// useDecay is the time in which admissions of a customer lose their weight: several times as long as a caller stays away after a
+	// refusal, so that its customer catches up.
 	useDecay = 30 * time.Second
 	// maxCustomerUses bounds the customers and priorities whose admissions are counted.
 	maxCustomerUses = 4096
-	// A customer's streams in progress count in steps of powers of two, its admissions in steps of a quarter, so that small
-	// differences don't outweigh the time left.
+	// useStep is the ratio of admissions between two steps of the order among customers; within a step the time left decides.
 	useStep = 1.05
 )
 
@@ -771,7 +772,8 @@
 	return use
 }
 
-// share returns the customer's share of the room: the customer with less of it goes first.
+// share returns the customer's share of the room: the customer with less of it goes first. The streams in progress count in powers of
+// two, since they are those of all priorities and change while streams wait.
 func share(use *customerUse, streams int, now time.Time) int {
 	return bits.Len(uint(max(streams, 0)/minSharedStreams))<<16 + use.steps(now)
 }
