--- a/admission/streamqueue_test.go
+++ b/admission/streamqueue_test.go
@@ -168,6 +168,19 @@
 	is.Equal(queue.Len(), before+1)
 }
 
+// Guards against late streams that wait in vain for seconds: no late stream got room in the last 5 s, so that of 14 that become late, at
+// most two are expected to get room in the 8 s that they may wait further.
+func TestStreamQueueGivesUpLateStreams(t *testing.T) {
+	is := is.New(t)
+	clock := newQueueClock()
+	queue := busyQueue(is, clock, 100*time.Millisecond, 14)
+	clock.now = clock.now.Add(urgentKind.objective - maxFirstEventWait + time.Millisecond)
+	waiting := queue.Len()
+	expired, _ := queue.Expired()
+	is.True(queue.Len() <= 2)
+	is.Equal(queue.Len()+len(expired), waiting)
+}
+
 // Guards against refused callers that all return at the same moment: with a common Retry-After, 300 streams refused in one instant
 // would do so. Their returns are to be spread over the time that is allowed for them, and earlier where room is expected earlier.
 func TestStreamQueueSpreadsReturns(t *testing.T) {
@@ -416,4 +429,15 @@
 			}
 		})
 	}
+	b.Run("expired-all", func(b *testing.B) {
+		for b.Loop() {
+			b.StopTimer()
+			queue, clock, _ := benchmarkQueue(b, 10)
+			clock.now = clock.now.Add(time.Minute)
+			b.StartTimer()
+			if expired, _ := queue.Expired(); len(expired) != 1000 {
+				b.Fatal(len(expired))
+			}
+		}
+	})
 }
