Shared placement: one entry chooses the engines for all

Change: package placementcontrol has each entry query the coordinator of the service before each attempt, within 60 ms in all, and report its streams on a change; adapters/placementpeer carries the messages. passthrough.sharedPlacement.minEntries (32) and .minLinkMbps (50) say when. Without an answer the entry places the stream as before. The queue of streams without room is still to come.

Engines that the entry knows and may not use for the stream (version, refusals) are excluded in the request, up to 256, so that the coordinator doesn't choose them; a new stream is placed locally because of its versions only beyond that.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/directorypeer"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/peermembership"
 	"github.com/azurebarrow/azurebarrow/adapters/peertwirp/retrypeer"
+	"github.com/azurebarrow/azurebarrow/adapters/placementpeer"
 	"github.com/azurebarrow/azurebarrow/adapters/promptpeer"
 	"github.com/azurebarrow/azurebarrow/adapters/rolloutpeer"
 	"github.com/azurebarrow/azurebarrow/adapters/streamversionpeer"
@@ -32,6 +33,7 @@
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/membership"
+	"github.com/azurebarrow/azurebarrow/placementcontrol"
 	"github.com/azurebarrow/azurebarrow/platform"
 	"github.com/azurebarrow/azurebarrow/promptindex"
 	"github.com/azurebarrow/azurebarrow/rolloutcontrol"
@@ -65,9 +67,11 @@
 	exchanges    *peerexchange.Client
 	paths        *passthrough.Paths
 	placement    *routing.Placement
-	relay        *generation.Relay
-	forwarder    *service.Forwarder
-	retries      *admission.SharedRetryBudget
+	// sharedPlacement places streams with the other entries, on top of placement.
+	sharedPlacement *placementcontrol.Manager
+	relay           *generation.Relay
+	forwarder       *service.Forwarder
+	retries         *admission.SharedRetryBudget
 	// retryTotals sums up the retries of all entries, if the peers choose this entry for it.
 	retryTotals  *admission.RetryTotals
 	peerClient   *http.Client
@@ -220,6 +224,7 @@
 	if e.rollouts != nil {
 		mux.Handle(rolloutpeer.NewHandler(e.rollouts))
 	}
+	placementpeer.Register(mux, e.sharedPlacement)
 	e.exchangeHandler().Register(mux, e.countRunning)
 	return mux
 }
@@ -250,9 +255,10 @@
 		},
 		Seed: rand.Uint64(),
 	})
+	e.buildSharedPlacement(available)
 	e.relay = generation.NewRelay(generation.RelayOptions{
 		Engine:          engine,
-		Placer:          e.placement,
+		Placer:          e.sharedPlacement,
 		Budget:          e.retries,
 		Limits:          e.limits,
 		Targets:         available,
@@ -342,6 +348,7 @@
 	addActor(&group, e.directory.Run)
 	addActor(&group, e.prompts.Run)
 	addActor(&group, e.versions.Run)
+	addActor(&group, e.sharedPlacement.Run)
 	if e.rollouts != nil {
 		addActor(&group, e.rollouts.Run)
 	}
--- a/entry/loopback_test.go
+++ b/entry/loopback_test.go
@@ -97,6 +97,8 @@
 	ended sync.WaitGroup
 	// rollouts are the bounds of rollouts in the settings of the entries.
 	rollouts settings.Rollouts
+	// sharedPlacement is in the settings of the entries; the zero value is the default.
+	sharedPlacement settings.SharedPlacement
 	// callerMemory is what callers may make an entry hold, in bytes; 0 is the default.
 	callerMemory int64
 	storeURL     string
@@ -234,7 +236,7 @@
 			Platform: settings.Platform{URL: store}, Limits: settings.Limits{CallerMemoryBytes: c.callerMemory},
 			Passthrough: settings.Passthrough{
 				ReadyAddress: freeAddress(t), Seeds: seeds, RetryRatio: 0.8, RetrySlack: 150, StopGrace: 2 * time.Second,
-				Rollouts: c.rollouts,
+				Rollouts: c.rollouts, SharedPlacement: c.sharedPlacement,
 			},
 		}
 		if findings := settings.Check("test", s); len(findings) > 0 {
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -119,6 +119,7 @@
 		m.AddCounter("store_calls_"+class, count)
 	}
 	e.registerRolloutMetrics()
+	e.registerPlacementMetrics()
 	m.AddCounter("stream_version_writes", versions.Writes.Load)
 	m.AddCounter("stream_version_reads", versions.Reads.Load)
 	m.AddGauge("stream_versions_stored", func() float64 { return float64(e.versions.StoredCount()) })
--- /dev/null
+++ b/entry/sharedplacement.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+
+	"github.com/azurebarrow/azurebarrow/adapters/placementpeer"
+	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/placementcontrol"
+	"github.com/azurebarrow/azurebarrow/routing"
+)
+
+// placementConnections is the number of idle connections to a coordinator that are kept: an entry seldom has more streams to place at
+// the same time, and each costs the coordinator memory.
+const placementConnections = 3
+
+// buildSharedPlacement creates the component that places streams with the other entries. available returns the targets of a service that
+// may get new work.
+func (e *Entry) buildSharedPlacement(available func(service string) []*directory.Target) {
+	dialer := net.Dialer{Timeout: peerDialTimeout}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: placementConnections, IdleConnTimeout: defaultIdleTimeout / 2,
+	}}
+	e.sharedPlacement = placementcontrol.NewManager(placementcontrol.Options{
+		MinEntries: e.settings.Passthrough.SharedPlacement.MinEntries,
+		NarrowLink: e.settings.Passthrough.IsNarrowForPlacement(),
+		Stopping:   e.shutdown.stopping,
+		Local:      e.placement,
+		NewView: func() placementcontrol.View {
+			return routing.NewSharedView(routing.SharedViewOptions{Seed: rand.Uint64()})
+		},
+		View:      e.members,
+		Transport: placementpeer.NewClient(client),
+		Service: func(name string) (*directory.EngineSpec, []*directory.Target) {
+			configuration := e.directory.Snapshot().Configuration
+			if configuration == nil {
+				return nil, nil
+			}
+			return configuration.Services[name].Engine, available(name)
+		},
+		Observe: e.logPlacement,
+	})
+}
+
+// logPlacement logs a step of the coordination of placement.
+func (e *Entry) logPlacement(event placementcontrol.Event) {
+	fields := []generation.Field{{Key: "service", Value: event.Service}}
+	switch event.Kind {
+	case placementcontrol.EventCoordinator:
+		fields = append(fields, generation.Field{Key: "coordinator", Value: event.Coordinator}, generation.Field{Key: "role", Value: event.Role})
+	case placementcontrol.EventFallback:
+		fields = append(fields, generation.Field{Key: "reason", Value: event.Reason}, generation.Field{Key: "count", Value: event.Count})
+	}
+	e.log(string(event.Kind), fields...)
+}
+
+// registerPlacementMetrics registers the metrics of shared placement.
+func (e *Entry) registerPlacementMetrics() {
+	stats := e.sharedPlacement.Stats()
+	e.metrics.AddCounter("placements_coordinator", stats.PlacedByCoordinator.Load)
+	e.metrics.AddCounter("placements_self", stats.PlacedBySelf.Load)
+	e.metrics.AddCounter("placements_fallback", stats.PlacedByFallback.Load)
+	e.metrics.AddCounter("placements_by_version", stats.PlacedByVersion.Load)
+	e.metrics.AddCounter("placement_reports_sent", stats.ReportsSent.Load)
+	e.metrics.AddCounter("placement_reports_failed", stats.ReportsFailed.Load)
+	e.metrics.AddCounter("placement_reports_received", stats.ReportsReceived.Load)
+	e.metrics.AddCounter("placement_requests_received", stats.RequestsReceived.Load)
+	e.metrics.AddCounter("placement_messages_declined", stats.Declined.Load)
+	e.metrics.AddGauge("placement_services_coordinated", func() float64 { return float64(e.sharedPlacement.CoordinatedCount()) })
+	e.metrics.AddGauge("placement_state_age_seconds", func() float64 { return e.sharedPlacement.StateAge().Seconds() })
+}
--- /dev/null
+++ b/placementcontrol/coordinator.go
@@ -0,0 +1,133 @@
+package placementcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/routing"
+)
+
+const (
+	// stateTTL is how long the state of an entry that sends nothing counts.
+	stateTTL = 3 * time.Second
+	// coordinationTTL is the time without messages after which this entry no longer coordinates a service.
+	coordinationTTL = 10 * time.Second
+)
+
+// coordination is what this entry knows of a service that it coordinates. Manager.coordinatedMu guards it.
+type coordination struct {
+	view   View
+	usedAt time.Time
+	// heard is when each entry sent its last message.
+	heard map[string]time.Time
+}
+
+// accepts reports whether this entry coordinates, among that many live entries.
+func (m *Manager) accepts(live int) bool {
+	return m.isShared(live) && !m.options.NarrowLink && !m.options.Stopping()
+}
+
+// coordinate returns the coordination of a service after the entry's state was taken over. The caller holds coordinatedMu.
+func (m *Manager) coordinate(report *Report) *coordination {
+	c := m.coordinated[report.Service]
+	if c == nil {
+		c = &coordination{view: m.options.NewView(), heard: map[string]time.Time{}}
+		m.coordinated[report.Service] = c
+		m.options.Observe(Event{Kind: EventCoordinator, Service: report.Service, Coordinator: m.options.View.Self().Name, Role: RoleCoordinating})
+	}
+	c.usedAt = m.options.Now()
+	c.heard[report.Entry] = c.usedAt
+	c.view.Update(report.Entry, report.Incarnation, report.Sequence, report.Engines, report.Paces, report.Tickets)
+	return c
+}
+
+// Place answers the placement request of an entry. It returns ErrDeclined if this entry does not coordinate.
+func (m *Manager) Place(_ context.Context, request Request) (Answer, error) {
+	if !m.accepts(len(m.options.View.Live())) {
+		m.stats.Declined.Add(1)
+		return Answer{}, ErrDeclined
+	}
+	m.stats.RequestsReceived.Add(1)
+	spec, engines := m.options.Service(request.Service)
+	if spec == nil || len(engines) == 0 {
+		return Answer{}, nil // this entry does not know of the service or its engines yet
+	}
+	m.coordinatedMu.Lock()
+	defer m.coordinatedMu.Unlock()
+	c := m.coordinate(&request.Report)
+	engine, number, _, ok := c.view.Place(m.sharedQuery(&request, spec, engines))
+	if !ok {
+		return Answer{}, nil
+	}
+	return Answer{Engine: engine.ID, Address: engine.Address, Ticket: number}, nil
+}
+
+// sharedQuery returns the query for an entry's request.
+func (m *Manager) sharedQuery(request *Request, spec *directory.EngineSpec, engines []*directory.Target) routing.SharedQuery {
+	return routing.SharedQuery{
+		RelayQuery: generation.RelayQuery{
+			Service: request.Service, Request: request.ID, Customer: request.Customer, Priority: request.Priority, Objective: request.Objective,
+			Deadline: m.options.Now().Add(request.TimeLeft), Begun: request.Begun, Engines: engines, Spec: spec, Size: request.Size,
+			Affinity: request.Affinity, CachedAt: request.CachedAt, Exclude: request.Exclude,
+		},
+		Entry: request.Entry, AvailabilityZone: request.Zone, Objective: request.Objective,
+	}
+}
+
+// Receive takes the report of an entry over. It returns ErrDeclined if this entry does not coordinate.
+func (m *Manager) Receive(report Report) error {
+	if !m.accepts(len(m.options.View.Live())) {
+		m.stats.Declined.Add(1)
+		return ErrDeclined
+	}
+	m.stats.ReportsReceived.Add(1)
+	if spec, _ := m.options.Service(report.Service); spec == nil {
+		return nil // this entry does not know of the service yet
+	}
+	m.coordinatedMu.Lock()
+	defer m.coordinatedMu.Unlock()
+	m.coordinate(&report)
+	return nil
+}
+
+// endIdleCoordinations ends the coordination of services for which no messages arrive, of all if this entry does not coordinate.
+func (m *Manager) endIdleCoordinations(now time.Time, accepts bool) {
+	m.coordinatedMu.Lock()
+	defer m.coordinatedMu.Unlock()
+	for service, c := range m.coordinated {
+		for entry, at := range c.heard {
+			if now.Sub(at) > stateTTL {
+				delete(c.heard, entry)
+			}
+		}
+		if !accepts || now.Sub(c.usedAt) > coordinationTTL {
+			delete(m.coordinated, service)
+			m.options.Observe(Event{Kind: EventCoordinator, Service: service, Coordinator: m.options.View.Self().Name, Role: RoleStopped})
+		}
+	}
+}
+
+// CoordinatedCount returns the number of services that this entry coordinates.
+func (m *Manager) CoordinatedCount() int {
+	m.coordinatedMu.Lock()
+	defer m.coordinatedMu.Unlock()
+	return len(m.coordinated)
+}
+
+// StateAge returns the age of the oldest state that counts where this entry coordinates.
+func (m *Manager) StateAge() time.Duration {
+	m.coordinatedMu.Lock()
+	defer m.coordinatedMu.Unlock()
+	now := m.options.Now()
+	var oldest time.Duration
+	for _, c := range m.coordinated {
+		for _, at := range c.heard {
+			if age := now.Sub(at); age <= stateTTL {
+				oldest = max(oldest, age)
+			}
+		}
+	}
+	return oldest
+}
--- /dev/null
+++ b/placementcontrol/manager.go
@@ -0,0 +1,431 @@
+// Package placementcontrol coordinates the placement of streams among the entries. One entry, the coordinator of a service, chooses the
+// engines for all new attempts, based on what all entries have in progress. The other entries query it before each attempt, report
+// their streams to it, and place streams themselves if it does not answer in time.
+package placementcontrol
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/membership"
+	"github.com/azurebarrow/azurebarrow/routing"
+)
+
+// Report is the complete state of one entry for a service, so that no message depends on another one.
+type Report struct {
+	Entry string
+	// Incarnation identifies the process of the entry. Sequence increases with each message of a service.
+	Incarnation uint64
+	Sequence    int64
+	Service     string
+	Engines     []routing.EngineLoad
+	// Paces are the observations since the last message that was answered.
+	Paces []routing.PaceSample
+	// Tickets are those of answers whose streams Engines includes, or that were not used.
+	Tickets []uint64
+}
+
+// Request asks the coordinator for the engine of an attempt. It counts as a report.
+type Request struct {
+	Report
+	Zone string
+	// ID and Customer name the caller's request and its customer.
+	ID, Customer       string
+	Priority           int
+	Size               generation.StreamSize
+	CachedAt, Affinity string
+	// Exclude lists the IDs of engines that the entry can't use for the attempt.
+	Exclude []string
+	// Objective is the time after which the first event is late, TimeLeft the time until the request times out.
+	Objective, TimeLeft time.Duration
+	// Begun is set if the caller has a part of the stream, or if a target may have run the request before.
+	Begun bool
+	// Queued is set if the request repeats one that was queued.
+	Queued bool
+}
+
+// Answer is what the coordinator answers to a Request. The entry places the stream itself if it is the zero value.
+type Answer struct {
+	// Engine and Address identify the engine, Ticket the reservation there.
+	Engine, Address string
+	Ticket          uint64
+	// Queued is set if the stream must wait; the entry repeats its request. Position counts from 1.
+	Queued   bool
+	Position int
+	// Refused is set if no engine is expected to have room in time.
+	Refused    bool
+	RetryAfter time.Duration
+}
+
+// ErrDeclined: the peer does not coordinate.
+var ErrDeclined = errors.New("the entry does not coordinate placement")
+
+// Transport sends messages to other entries. Errors of peers that do not coordinate wrap ErrDeclined.
+type Transport interface {
+	Place(ctx context.Context, peer membership.Peer, request Request) (Answer, error)
+	Report(ctx context.Context, peer membership.Peer, report Report) error
+}
+
+// Local is the placement of this entry alone; *routing.Placement is one.
+type Local interface {
+	generation.RelayPlacer
+	// Load returns this entry's streams and copies at the service's engines.
+	Load(service string) []routing.EngineLoad
+	// TakePaceSamples returns the observations since the last call.
+	TakePaceSamples(service string) []routing.PaceSample
+}
+
+// View is the coordinator's view of one service; *routing.SharedView is one.
+type View interface {
+	Update(entry string, incarnation uint64, sequence int64, load []routing.EngineLoad, samples []routing.PaceSample, tickets []uint64)
+	Place(query routing.SharedQuery) (engine *directory.Target, ticket uint64, wait time.Duration, ok bool)
+	HasRoom(query routing.SharedQuery) bool
+}
+
+// Options configure a Manager.
+type Options struct {
+	// MinEntries is the number of live entries from which placement is shared; a negative value disables it.
+	MinEntries int
+	// NarrowLink is set if the link of this entry is too narrow for a coordinator.
+	NarrowLink bool
+	// Stopping reports whether the entry is shutting down; nil means never.
+	Stopping  func() bool
+	Local     Local
+	NewView   func() View
+	View      membership.View
+	Transport Transport
+	// Service returns the engine specification of a service, nil if it has none, and the engines that may get new work.
+	Service func(name string) (*directory.EngineSpec, []*directory.Target)
+	// Observe is called for each event; nil discards them.
+	Observe func(Event)
+	// Now returns the time; nil means time.Now.
+	Now func() time.Time
+}
+
+const (
+	// placeTimeout limits a placement request with all that it takes: the peers that decline, and a second query.
+	placeTimeout = 60 * time.Millisecond
+	// ticketTTL is how long a reservation lasts at the coordinator if no state includes it.
+	ticketTTL = time.Second
+	// maxQueries is the number of queries for one attempt: the second one excludes the engine that the entry can't use.
+	maxQueries = 2
+	// choiceTTL is the time after which further queries for a stream without an engine count anew.
+	choiceTTL = time.Second
+	// maxExcluded limits the engines that a request excludes, since these take a dozen bytes each. A service that moves to another
+	// version has half of its engines excluded at some time.
+	maxExcluded = 256
+	// maxRequestID limits the name of a request, which its caller chooses.
+	maxRequestID = 200
+	// maxPaces is the number of pace observations in a message.
+	maxPaces = 32
+	// maxEngines limits the engines in a message to what fits a body of 64 KB.
+	maxEngines = 400
+)
+
+// Manager shares the placement of streams with the other entries. It implements generation.RelayPlacer on top of Options.Local, and is safe
+// for concurrent use.
+type Manager struct {
+	Local
+	options     Options
+	incarnation uint64
+	stats       Stats
+	// changed has a value after the state of a service has changed.
+	changed chan struct{}
+
+	mu       sync.Mutex
+	services map[string]*serviceState
+	peers    map[string]*peerState
+	ranks    map[string]ranking
+	// choices are the streams that were placed a moment ago and have not begun an attempt, by request.
+	choices   map[string]*choice
+	fallbacks map[string]*fallbackCount
+
+	// coordinatedMu guards what this entry does as the coordinator.
+	coordinatedMu sync.Mutex
+	coordinated   map[string]*coordination
+}
+
+// serviceState is what this entry has told of one service.
+type serviceState struct {
+	sequence int64
+	// paces are the observations that no answered message had.
+	paces []routing.PaceSample
+	// included are the tickets that the next messages list.
+	included []ticket
+	// declinedUntil is the time until which no entry is asked, since too many declined.
+	declinedUntil time.Time
+	// following is the name of the entry that coordinates the service, as far as this entry knows.
+	following string
+	// dirty is set once the state has changed since the last message, busy if that message had any engine. reporting is set while a
+	// report is in flight; notBefore is when the next one may be sent.
+	dirty, busy, reporting bool
+	sentAt, notBefore      time.Time
+}
+
+// ticket is a reservation at the coordinator.
+type ticket struct {
+	number      uint64
+	coordinator string
+	at          time.Time
+}
+
+// choice is the choice of an engine for one attempt of a request.
+type choice struct {
+	at      time.Time
+	queries int
+	// service, engine and ticket are of the last answer; engine is empty without one.
+	service, engine string
+	ticket          ticket
+}
+
+// NewManager returns a Manager. Run sends the reports.
+func NewManager(options Options) *Manager {
+	if options.Observe == nil {
+		options.Observe = func(Event) {}
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Stopping == nil {
+		options.Stopping = func() bool { return false }
+	}
+	return &Manager{
+		Local: options.Local, options: options, incarnation: uint64(options.Now().UnixNano()), changed: make(chan struct{}, 1),
+		services: map[string]*serviceState{}, peers: map[string]*peerState{}, ranks: map[string]ranking{}, choices: map[string]*choice{},
+		fallbacks: map[string]*fallbackCount{}, coordinated: map[string]*coordination{},
+	}
+}
+
+// isShared reports whether placement is shared among that many live entries.
+func (m *Manager) isShared(live int) bool {
+	return m.options.MinEntries >= 0 && live >= m.options.MinEntries
+}
+
+// PlaceStream implements generation.RelayPlacer.
+func (m *Manager) PlaceStream(ctx context.Context, query generation.RelayQuery) (*directory.Target, error) {
+	live := m.options.View.Live()
+	if query.Spec == nil || !m.isShared(len(live)) {
+		return m.Local.PlaceStream(ctx, query)
+	}
+	exclude, ok := m.excluded(query)
+	if !ok || query.Begun && query.Fits != nil {
+		m.stats.PlacedByVersion.Add(1)
+		return m.Local.PlaceStream(ctx, query)
+	}
+	engine, reason, err := m.placeShared(ctx, live, query, exclude)
+	if engine != nil || err != nil {
+		return engine, err
+	}
+	m.countFallback(query.Service, reason)
+	return m.Local.PlaceStream(ctx, query)
+}
+
+// excluded returns the IDs of the service's engines that the query does not allow; ok is false if there are too many. The coordinator knows
+// all engines, and nothing of the versions that the request may go to.
+func (m *Manager) excluded(query generation.RelayQuery) (exclude []string, ok bool) {
+	_, available := m.options.Service(query.Service)
+	exclude = slices.Clone(query.Exclude)
+	isWhole := len(available) == len(query.Engines) && (len(available) == 0 || &available[0] == &query.Engines[0])
+	if isWhole && query.Fits == nil {
+		return exclude, len(exclude) <= maxExcluded
+	}
+	usable := make(map[string]bool, len(query.Engines))
+	for _, engine := range query.Engines {
+		usable[engine.ID] = query.Allows(engine)
+	}
+	for _, engine := range available {
+		if !usable[engine.ID] && !slices.Contains(query.Exclude, engine.ID) {
+			exclude = append(exclude, engine.ID)
+		}
+	}
+	return exclude, len(exclude) <= maxExcluded
+}
+
+// placeShared has the coordinator choose the engine. Without an engine and an error, reason says why this entry must place the stream.
+func (m *Manager) placeShared(ctx context.Context, live []membership.Peer, query generation.RelayQuery, exclude []string) (engine *directory.Target, reason string, err error) {
+	request := Request{
+		Zone: m.options.View.Self().AvailabilityZone, ID: query.Request[:min(len(query.Request), maxRequestID)], Customer: query.Customer, Priority: query.Priority, Size: query.Size,
+		CachedAt: query.CachedAt, Affinity: query.Affinity, Exclude: exclude, Objective: query.Objective, Begun: query.Begun,
+	}
+	request.Service = query.Service
+	limited, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	for {
+		if !m.beginQuery(query) {
+			return nil, ReasonUnusable, nil
+		}
+		request.TimeLeft = query.Deadline.Sub(m.options.Now())
+		answer, coordinator, reason := m.query(limited, live, request)
+		switch {
+		case ctx.Err() != nil:
+			if answer.Engine != "" {
+				m.recordAnswer(query, answer, coordinator, false)
+			}
+			return nil, "", ctx.Err()
+		case reason != "":
+			return nil, reason, nil
+		case answer.Engine == "":
+			return nil, ReasonNoEngine, nil
+		}
+		index := slices.IndexFunc(query.Engines, func(e *directory.Target) bool { return e.ID == answer.Engine && e.Address == answer.Address })
+		isUsable := index >= 0 && query.Allows(query.Engines[index])
+		m.recordAnswer(query, answer, coordinator, isUsable)
+		if isUsable {
+			if coordinator == m.options.View.Self().Name {
+				m.stats.PlacedBySelf.Add(1)
+			} else {
+				m.stats.PlacedByCoordinator.Add(1)
+			}
+			return query.Engines[index], "", nil
+		}
+		request.Exclude = append(request.Exclude, answer.Engine)
+	}
+}
+
+// beginQuery counts a query for an attempt of the request; false if there were enough. An engine that was answered before was not used.
+func (m *Manager) beginQuery(query generation.RelayQuery) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Now()
+	known := m.choices[query.Request]
+	if known == nil || now.Sub(known.at) >= choiceTTL {
+		known = &choice{at: now, service: query.Service}
+		m.choices[query.Request] = known
+	}
+	m.releaseUnused(known)
+	known.queries++
+	return known.queries <= maxQueries
+}
+
+// recordAnswer records the engine that the coordinator reserved for the request.
+func (m *Manager) recordAnswer(query generation.RelayQuery, answer Answer, coordinator string, isUsable bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.choices[query.Request]
+	if known == nil {
+		known = &choice{at: m.options.Now(), service: query.Service}
+		m.choices[query.Request] = known
+	}
+	m.releaseUnused(known)
+	known.engine, known.ticket = answer.Engine, ticket{answer.Ticket, coordinator, m.options.Now()}
+	if !isUsable {
+		m.releaseUnused(known)
+	}
+}
+
+// releaseUnused has the next message release the reservation of an engine that was not used. The caller holds mu.
+func (m *Manager) releaseUnused(known *choice) {
+	if known.engine == "" {
+		return
+	}
+	state := m.service(known.service)
+	state.included = append(state.included, known.ticket)
+	known.engine = ""
+}
+
+// service returns the state of a service. The caller holds mu.
+func (m *Manager) service(name string) *serviceState {
+	state := m.services[name]
+	if state == nil {
+		state = &serviceState{}
+		m.services[name] = state
+	}
+	return state
+}
+
+// AddStream implements generation.RelayPlacer.
+func (m *Manager) AddStream(engine *directory.Target, size generation.StreamSize, read int) generation.PlacedStream {
+	m.mu.Lock()
+	// The load is changed and the ticket listed under the same lock as a message is made, which has both or neither.
+	placed := m.Local.AddStream(engine, size, read)
+	m.includeTicket(engine)
+	m.markChanged(engine.Service)
+	m.mu.Unlock()
+	return &placedStream{PlacedStream: placed, manager: m, service: engine.Service}
+}
+
+// includeTicket lists the oldest ticket of a stream at the engine that has not begun. The caller holds mu.
+func (m *Manager) includeTicket(engine *directory.Target) {
+	var oldest string
+	for request, each := range m.choices {
+		if each.engine == engine.ID && each.service == engine.Service && (oldest == "" || each.ticket.at.Before(m.choices[oldest].ticket.at)) {
+			oldest = request
+		}
+	}
+	if oldest != "" {
+		m.releaseUnused(m.choices[oldest])
+		delete(m.choices, oldest)
+	}
+}
+
+// markChanged has the state of a service be reported. The caller holds mu.
+func (m *Manager) markChanged(service string) {
+	if state := m.service(service); !state.dirty {
+		state.dirty = true
+		m.wake()
+	}
+}
+
+// wake has Run look for reports that are due.
+func (m *Manager) wake() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Manager) recordChange(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.markChanged(service)
+}
+
+// AddCopy implements generation.RelayPlacer.
+func (m *Manager) AddCopy(holder *directory.Target, size generation.StreamSize) (release func()) {
+	releaseLocal := m.Local.AddCopy(holder, size)
+	m.recordChange(holder.Service)
+	return func() {
+		releaseLocal()
+		m.recordChange(holder.Service)
+	}
+}
+
+// ReportLost implements generation.RelayPlacer.
+func (m *Manager) ReportLost(engine *directory.Target) {
+	m.Local.ReportLost(engine)
+	m.recordChange(engine.Service)
+}
+
+// ReportRefused implements generation.RelayPlacer.
+func (m *Manager) ReportRefused(engine *directory.Target) {
+	m.Local.ReportRefused(engine)
+	m.recordChange(engine.Service)
+}
+
+// placedStream records when the load of a stream changes. Only the goroutine that reads the stream uses it.
+type placedStream struct {
+	generation.PlacedStream
+	manager *Manager
+	service string
+	begun   bool
+}
+
+// EventArrived implements generation.PlacedStream.
+func (s *placedStream) EventArrived() {
+	s.PlacedStream.EventArrived()
+	if !s.begun {
+		s.begun = true
+		s.manager.recordChange(s.service)
+	}
+}
+
+// Ended implements generation.PlacedStream.
+func (s *placedStream) Ended() {
+	s.PlacedStream.Ended()
+	s.manager.recordChange(s.service)
+}
--- a/settings/passthrough.go
+++ b/settings/passthrough.go
@@ -36,6 +36,17 @@
 	StopGrace time.Duration `yaml:"stopGrace"`
 	// Rollouts bounds the rollouts of new versions of targets; without a share there are none.
 	Rollouts Rollouts `yaml:"rollouts"`
+	// SharedPlacement configures the placement of streams by one entry for all.
+	SharedPlacement SharedPlacement `yaml:"sharedPlacement"`
+}
+
+// SharedPlacement configures when one entry of a service places the streams of all entries.
+type SharedPlacement struct {
+	// MinEntries is the number of live entries from which placement is shared; a negative value disables it.
+	MinEntries int `yaml:"minEntries"`
+	// MinLinkMbps is the bandwidth of the network link in Mbit/s that an entry must have to place the streams of others. An entry whose
+	// bandwidth is not set has enough.
+	MinLinkMbps float64 `yaml:"minLinkMbps"`
 }
 
 // Rollouts bounds what a bad version gets of the requests of its service, at all entries together.
@@ -60,6 +71,10 @@
 
 	defaultRolloutSlack  = 50
 	defaultRollbackAfter = 5 * time.Second
+
+	// defaultSharedMinEntries is the number of entries from which an entry's own streams are too small a part of the load to place by.
+	defaultSharedMinEntries  = 32
+	defaultSharedMinLinkMbps = 50
 )
 
 func (p Passthrough) withDefaults() Passthrough {
@@ -76,6 +91,12 @@
 		p.StopGrace = defaultStopGrace
 	}
 	p.Rollouts = p.Rollouts.withDefaults()
+	if p.SharedPlacement.MinEntries == 0 {
+		p.SharedPlacement.MinEntries = defaultSharedMinEntries
+	}
+	if p.SharedPlacement.MinLinkMbps == 0 {
+		p.SharedPlacement.MinLinkMbps = defaultSharedMinLinkMbps
+	}
 	return p
 }
 
@@ -93,6 +114,11 @@
 	return r
 }
 
+// IsNarrowForPlacement reports whether the entry's link is too narrow to place the streams of others. A bandwidth of 0 is unknown.
+func (p Passthrough) IsNarrowForPlacement() bool {
+	return p.LinkMbps > 0 && p.LinkMbps < p.SharedPlacement.MinLinkMbps
+}
+
 // LinkBytesPerSecond returns LinkMbps in bytes per second.
 func (p Passthrough) LinkBytesPerSecond() float64 {
 	const bytesPerMegabit = 1e6 / 8
@@ -120,6 +146,9 @@
 		addFault("passthrough.stopGrace", "%v is negative", p.StopGrace)
 	}
 	p.Rollouts.validate(addFault)
+	if bandwidth := p.SharedPlacement.MinLinkMbps; !(bandwidth >= 0) || math.IsInf(bandwidth, 0) {
+		addFault("passthrough.sharedPlacement.minLinkMbps", "%v is not a bandwidth", bandwidth)
+	}
 }
 
 func (r Rollouts) validate(addFault func(field, format string, args ...any)) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -105,3 +105,20 @@
 		is.Equal(faults, each.faults)
 	}
 }
+
+// Guards against shared placement that is disabled by default, or that settings can't disable.
+func TestSharedPlacementSettings(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Passthrough{}.withDefaults().SharedPlacement, SharedPlacement{MinEntries: 32, MinLinkMbps: 50})
+	is.Equal(Passthrough{SharedPlacement: SharedPlacement{MinEntries: -1, MinLinkMbps: 10}}.withDefaults().SharedPlacement, SharedPlacement{MinEntries: -1, MinLinkMbps: 10})
+	is.True(!Passthrough{}.withDefaults().IsNarrowForPlacement()) // an unknown bandwidth
+	is.True(!Passthrough{LinkMbps: 50}.withDefaults().IsNarrowForPlacement())
+	is.True(Passthrough{LinkMbps: 49}.withDefaults().IsNarrowForPlacement())
+	for _, bandwidth := range []float64{-1, math.NaN(), math.Inf(1)} {
+		parsed, findings := Parse("entry.yaml", []byte(valid))
+		is.Equal(len(findings), 0)
+		parsed.Interface, parsed.Passthrough.ReadyAddress = InterfacePassthrough, "127.0.0.1:8380"
+		parsed.Passthrough.SharedPlacement.MinLinkMbps = bandwidth
+		is.Equal(len(Check("test", parsed)), 1)
+	}
+}
