Shared placement: streams wait for room at the coordinator

Change: a stream that has not begun and finds no room is queued by the coordinator (admission.StreamQueue). Its entry repeats the request at once; each is held for up to 250 ms. Streams get room in the queue's order as states, reservations or time free it, and are refused with NoRoomError otherwise. Only streams whose request is held get room, so that the room isn't given to a lost entry. A caller that leaves is removed at once.

Evidence: tests of placementcontrol pass.

--- a/entry/observe.go
+++ b/entry/observe.go
@@ -20,6 +20,7 @@
 	succeeded, refused, failed, aborted atomic.Int64
 	storeLost, unusableObjects          atomic.Int64
 	callLatency, streamDuration         tally.Histogram
+	streamWait                          tally.Histogram
 }
 
 // Histogram buckets: calls without a stream take milliseconds, streams take seconds.
@@ -72,6 +73,7 @@
 	m := e.metrics
 	e.counters.callLatency = m.AddHistogram("call_latency", callBuckets)
 	e.counters.streamDuration = m.AddHistogram("stream_duration", streamBuckets)
+	e.counters.streamWait = m.AddHistogram("stream_wait", streamBuckets)
 	m.AddCounter("requests_succeeded", e.counters.succeeded.Load)
 	m.AddCounter("requests_refused", e.counters.refused.Load)
 	m.AddCounter("requests_failed", e.counters.failed.Load)
--- a/entry/sharedplacement.go
+++ b/entry/sharedplacement.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/azurebarrow/azurebarrow/adapters/placementpeer"
 	"github.com/azurebarrow/azurebarrow/directory"
@@ -16,6 +19,9 @@
 // the same time, and each costs the coordinator memory.
 const placementConnections = 3
 
+// lastQueuePriority is the priority whose metric counts all lower ones too.
+const lastQueuePriority = 3
+
 // buildSharedPlacement creates the component that places streams with the other entries. available returns the targets of a service that
 // may get new work.
 func (e *Entry) buildSharedPlacement(available func(service string) []*directory.Target) {
@@ -41,6 +47,7 @@
 			return configuration.Services[name].Engine, available(name)
 		},
 		Observe: e.logPlacement,
+		Waited:  func(d time.Duration) { e.counters.streamWait.RecordDuration(d) },
 	})
 }
 
@@ -52,6 +59,12 @@
 		fields = append(fields, generation.Field{Key: "coordinator", Value: event.Coordinator}, generation.Field{Key: "role", Value: event.Role})
 	case placementcontrol.EventFallback:
 		fields = append(fields, generation.Field{Key: "reason", Value: event.Reason}, generation.Field{Key: "count", Value: event.Count})
+	case placementcontrol.EventQueued:
+		fields = append(fields, generation.Field{Key: "request", Value: event.Request}, generation.Field{Key: "priority", Value: event.Priority},
+			generation.Field{Key: "position", Value: event.Position})
+	case placementcontrol.EventRefusedEarly:
+		fields = append(fields, generation.Field{Key: "request", Value: event.Request}, generation.Field{Key: "priority", Value: event.Priority},
+			generation.Field{Key: "position", Value: event.Position}, generation.Field{Key: "retry_after", Value: event.RetryAfter})
 	}
 	e.log(string(event.Kind), fields...)
 }
@@ -63,6 +76,14 @@
 	e.metrics.AddCounter("placements_self", stats.PlacedBySelf.Load)
 	e.metrics.AddCounter("placements_fallback", stats.PlacedByFallback.Load)
 	e.metrics.AddCounter("placements_by_version", stats.PlacedByVersion.Load)
+	e.metrics.AddCounter("streams_queued", stats.Queued.Load)
+	e.metrics.AddCounter("streams_refused_early", stats.RefusedEarly.Load)
+	for priority := range lastQueuePriority {
+		e.metrics.AddGauge(fmt.Sprint("stream_queue_priority_", priority), func() float64 { return float64(e.sharedPlacement.QueueLength(priority, priority)) })
+	}
+	e.metrics.AddGauge(fmt.Sprint("stream_queue_priority_", lastQueuePriority), func() float64 {
+		return float64(e.sharedPlacement.QueueLength(lastQueuePriority, math.MaxInt))
+	})
 	e.metrics.AddCounter("placement_reports_sent", stats.ReportsSent.Load)
 	e.metrics.AddCounter("placement_reports_failed", stats.ReportsFailed.Load)
 	e.metrics.AddCounter("placement_reports_received", stats.ReportsReceived.Load)
--- a/placementcontrol/coordinator.go
+++ b/placementcontrol/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/azurebarrow/azurebarrow/admission"
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/routing"
@@ -18,10 +19,15 @@
 
 // coordination is what this entry knows of a service that it coordinates. Manager.coordinatedMu guards it.
 type coordination struct {
-	view   View
-	usedAt time.Time
+	service string
+	view    View
+	usedAt  time.Time
 	// heard is when each entry sent its last message.
 	heard map[string]time.Time
+	// queue orders the streams that wait for room. waiters are their requests by ID.
+	queue     *admission.StreamQueue
+	waiters   map[string]*waiter
+	decidedAt time.Time
 }
 
 // accepts reports whether this entry coordinates, among that many live entries.
@@ -33,7 +39,10 @@
 func (m *Manager) coordinate(report *Report) *coordination {
 	c := m.coordinated[report.Service]
 	if c == nil {
-		c = &coordination{view: m.options.NewView(), heard: map[string]time.Time{}}
+		c = &coordination{
+			service: report.Service, view: m.options.NewView(), heard: map[string]time.Time{}, waiters: map[string]*waiter{},
+			queue: admission.NewStreamQueue(admission.StreamQueueOptions{Now: m.options.Now, Seed: m.incarnation}),
+		}
 		m.coordinated[report.Service] = c
 		m.options.Observe(Event{Kind: EventCoordinator, Service: report.Service, Coordinator: m.options.View.Self().Name, Role: RoleCoordinating})
 	}
@@ -43,8 +52,9 @@
 	return c
 }
 
-// Place answers the placement request of an entry. It returns ErrDeclined if this entry does not coordinate.
-func (m *Manager) Place(_ context.Context, request Request) (Answer, error) {
+// Place answers the placement request of an entry. A request that repeats one that was queued is held for a while. It returns ErrDeclined
+// if this entry does not coordinate.
+func (m *Manager) Place(ctx context.Context, request Request) (Answer, error) {
 	if !m.accepts(len(m.options.View.Live())) {
 		m.stats.Declined.Add(1)
 		return Answer{}, ErrDeclined
@@ -54,14 +64,28 @@
 	if spec == nil || len(engines) == 0 {
 		return Answer{}, nil // this entry does not know of the service or its engines yet
 	}
+	query := m.sharedQuery(&request, spec, engines)
 	m.coordinatedMu.Lock()
-	defer m.coordinatedMu.Unlock()
 	c := m.coordinate(&request.Report)
-	engine, number, _, ok := c.view.Place(m.sharedQuery(&request, spec, engines))
+	if request.Begun || request.ID == "" {
+		defer m.coordinatedMu.Unlock()
+		return c.place(query), nil
+	}
+	w, holds, answer := m.enqueue(c, &request, query)
+	m.coordinatedMu.Unlock()
+	if w == nil {
+		return answer, nil
+	}
+	return m.hold(ctx, c, w, holds, &request)
+}
+
+// place chooses the engine for a stream.
+func (c *coordination) place(query routing.SharedQuery) Answer {
+	engine, number, _, ok := c.view.Place(query)
 	if !ok {
-		return Answer{}, nil
+		return Answer{}
 	}
-	return Answer{Engine: engine.ID, Address: engine.Address, Ticket: number}, nil
+	return Answer{Engine: engine.ID, Address: engine.Address, Ticket: number}
 }
 
 // sharedQuery returns the query for an entry's request.
@@ -88,7 +112,7 @@
 	}
 	m.coordinatedMu.Lock()
 	defer m.coordinatedMu.Unlock()
-	m.coordinate(&report)
+	m.decide(m.coordinate(&report))
 	return nil
 }
 
@@ -104,6 +128,10 @@
 		}
 		if !accepts || now.Sub(c.usedAt) > coordinationTTL {
 			delete(m.coordinated, service)
+			// The entries of waiting streams ask the next coordinator.
+			for _, w := range c.waiters {
+				w.deliver(held{err: ErrDeclined})
+			}
 			m.options.Observe(Event{Kind: EventCoordinator, Service: service, Coordinator: m.options.View.Self().Name, Role: RoleStopped})
 		}
 	}
--- a/placementcontrol/events.go
+++ b/placementcontrol/events.go
@@ -14,6 +14,10 @@
 	EventCoordinator EventKind = "placement-coordinator"
 	// EventFallback: this entry placed streams itself although placement is shared.
 	EventFallback EventKind = "placement-fallback"
+	// EventQueued: a stream of this entry begins to wait for room.
+	EventQueued EventKind = "stream-queued"
+	// EventRefusedEarly: a stream of this entry is refused since no engine is expected to have room in time.
+	EventRefusedEarly EventKind = "stream-refused-early"
 )
 
 // Roles of EventCoordinator.
@@ -47,13 +51,19 @@
 	// Reason and Count are those of an EventFallback: the streams since the event before.
 	Reason string
 	Count  int
+	// Request and Priority are those of a stream. Position counts the streams that wait, with this one.
+	Request            string
+	Priority, Position int
+	// RetryAfter is when the caller may return, by the expected wait for room.
+	RetryAfter time.Duration
 }
 
 // Stats are the counters of a Manager. PlacedByCoordinator, PlacedBySelf and PlacedByFallback count the placements that another entry, this
 // entry as the coordinator, and this entry without a coordinator made; PlacedByVersion those of streams that may only go on at certain
-// versions.
+// versions. Queued counts the streams of this entry that waited for room, RefusedEarly those that were refused for lack of it.
 type Stats struct {
 	PlacedByCoordinator, PlacedBySelf, PlacedByFallback, PlacedByVersion atomic.Int64
+	Queued, RefusedEarly                                                 atomic.Int64
 	ReportsSent, ReportsFailed                                           atomic.Int64
 	RequestsReceived, ReportsReceived, Declined                          atomic.Int64
 }
--- a/placementcontrol/fakes_test.go
+++ b/placementcontrol/fakes_test.go
@@ -38,6 +38,8 @@
 	requests []sentRequest
 	reports  []sentReport
 	events   map[string][]Event
+	// stopping is the name of an entry that shuts down.
+	stopping string
 }
 
 type sentRequest struct {
@@ -151,6 +153,18 @@
 	return manager, injected, injected.err
 }
 
+// giveBack waits until the answer of a peer is at the sender of the message. A peer that has become silent sends none.
+func (f *fleet) giveBack(ctx context.Context, peer membership.Peer, injected fault) error {
+	f.mu.Lock()
+	isSilent := f.faults[peer.Name].silent
+	f.mu.Unlock()
+	if isSilent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return sleep(ctx, latency+injected.late)
+}
+
 func sleep(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
@@ -173,7 +187,7 @@
 	if injected.answer != nil {
 		answer, err = *injected.answer, nil
 	}
-	if waitErr := sleep(ctx, latency+injected.late); waitErr != nil {
+	if waitErr := f.giveBack(ctx, peer, injected); waitErr != nil {
 		return Answer{}, waitErr
 	}
 	return answer, err
@@ -189,7 +203,7 @@
 		return err
 	}
 	err = manager.Receive(report)
-	if waitErr := sleep(ctx, latency+injected.late); waitErr != nil {
+	if waitErr := f.giveBack(ctx, peer, injected); waitErr != nil {
 		return waitErr
 	}
 	return err
--- a/placementcontrol/manager.go
+++ b/placementcontrol/manager.go
@@ -103,6 +103,8 @@
 	Service func(name string) (*directory.EngineSpec, []*directory.Target)
 	// Observe is called for each event; nil discards them.
 	Observe func(Event)
+	// Waited is called with the time that a stream of this entry has waited for room; nil discards it.
+	Waited func(time.Duration)
 	// Now returns the time; nil means time.Now.
 	Now func() time.Time
 }
@@ -136,6 +138,8 @@
 	stats       Stats
 	// changed has a value after the state of a service has changed.
 	changed chan struct{}
+	// waiting has a value after a stream has begun to wait here.
+	waiting chan struct{}
 
 	mu       sync.Mutex
 	services map[string]*serviceState
@@ -188,6 +192,9 @@
 	if options.Observe == nil {
 		options.Observe = func(Event) {}
 	}
+	if options.Waited == nil {
+		options.Waited = func(time.Duration) {}
+	}
 	if options.Now == nil {
 		options.Now = time.Now
 	}
@@ -195,7 +202,7 @@
 		options.Stopping = func() bool { return false }
 	}
 	return &Manager{
-		Local: options.Local, options: options, incarnation: uint64(options.Now().UnixNano()), changed: make(chan struct{}, 1),
+		Local: options.Local, options: options, incarnation: uint64(options.Now().UnixNano()), changed: make(chan struct{}, 1), waiting: make(chan struct{}, 1),
 		services: map[string]*serviceState{}, peers: map[string]*peerState{}, ranks: map[string]ranking{}, choices: map[string]*choice{},
 		fallbacks: map[string]*fallbackCount{}, coordinated: map[string]*coordination{},
 	}
@@ -253,14 +260,22 @@
 		CachedAt: query.CachedAt, Affinity: query.Affinity, Exclude: exclude, Objective: query.Objective, Begun: query.Begun,
 	}
 	request.Service = query.Service
-	limited, cancel := context.WithTimeout(ctx, placeTimeout)
-	defer cancel()
+	timeLeft := placeTimeout
 	for {
 		if !m.beginQuery(query) {
 			return nil, ReasonUnusable, nil
 		}
-		request.TimeLeft = query.Deadline.Sub(m.options.Now())
+		begun := m.options.Now()
+		request.TimeLeft = query.Deadline.Sub(begun)
+		limited, cancel := context.WithTimeout(ctx, timeLeft)
 		answer, coordinator, reason := m.query(limited, live, request)
+		cancel()
+		timeLeft -= m.options.Now().Sub(begun)
+		position := answer.Position
+		if answer.Queued && !query.Begun {
+			answer, coordinator, reason = m.awaitRoom(ctx, query, request, &position)
+			timeLeft = placeTimeout
+		}
 		switch {
 		case ctx.Err() != nil:
 			if answer.Engine != "" {
@@ -269,6 +284,8 @@
 			return nil, "", ctx.Err()
 		case reason != "":
 			return nil, reason, nil
+		case answer.Refused && !query.Begun:
+			return nil, "", m.refuse(query, answer, position)
 		case answer.Engine == "":
 			return nil, ReasonNoEngine, nil
 		}
@@ -312,6 +329,7 @@
 		m.choices[query.Request] = known
 	}
 	m.releaseUnused(known)
+	known.at = m.options.Now()
 	known.engine, known.ticket = answer.Engine, ticket{answer.Ticket, coordinator, m.options.Now()}
 	if !isUsable {
 		m.releaseUnused(known)
--- /dev/null
+++ b/placementcontrol/queue.go
@@ -0,0 +1,220 @@
+package placementcontrol
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/azurebarrow/azurebarrow/admission"
+	"github.com/azurebarrow/azurebarrow/internal/wait"
+	"github.com/azurebarrow/azurebarrow/routing"
+)
+
+const (
+	// holdTime is how long a repeated request is held, unless it is decided before.
+	holdTime = 250 * time.Millisecond
+	// repeatWithin is the time within which a queued stream must be repeated.
+	repeatWithin = 500 * time.Millisecond
+	// decideInterval is the least time between two looks at a queue: each looks at all engines for several streams.
+	decideInterval = 10 * time.Millisecond
+	// maxDecisions is the number of streams that get room at one look, during which all other messages wait.
+	maxDecisions = 16
+	// replacedRetryAfter is the time after which a caller may return whose request ID another request has taken over.
+	replacedRetryAfter = time.Second
+)
+
+// waiter is a stream that waits for room. Manager.coordinatedMu guards it.
+type waiter struct {
+	request Request
+	// seenAt is when the last request arrived, or when it was answered.
+	seenAt time.Time
+	// holds gets the answer to the request that is held; nil while none is.
+	holds chan held
+}
+
+// held is the answer to a request that was held.
+type held struct {
+	answer Answer
+	err    error
+}
+
+// deliver answers the request that is held, if there is one.
+func (w *waiter) deliver(answer held) {
+	if w.holds != nil {
+		w.holds <- answer
+		w.holds = nil
+	}
+}
+
+// noStreams is the number of streams that any customer has in progress. The entries' states don't name customers; the queue counts what
+// was admitted lately.
+func noStreams(string) int { return 0 }
+
+// enqueue answers a request, or holds it: then the answer comes through holds. The caller holds coordinatedMu.
+func (m *Manager) enqueue(c *coordination, request *Request, query routing.SharedQuery) (w *waiter, holds chan held, answer Answer) {
+	now := m.options.Now()
+	w = c.waiters[request.ID]
+	if w == nil {
+		if c.queue.Len() == 0 && c.view.HasRoom(query) {
+			c.queue.RecordPlaced(request.Priority, request.Customer)
+			return nil, nil, c.place(query)
+		}
+		if !slices.ContainsFunc(query.Engines, query.Allows) {
+			return nil, nil, Answer{} // no engine can get room for it
+		}
+		refused, retryAfter := c.queue.Add(admission.QueuedStream{
+			Request: request.ID, Customer: request.Customer, Priority: request.Priority, Arrived: now, Objective: request.Objective, Deadline: query.Deadline,
+		}, noStreams)
+		if refused {
+			return nil, nil, Answer{Refused: true, RetryAfter: retryAfter}
+		}
+		w = &waiter{}
+		c.waiters[request.ID] = w
+	}
+	// The other request with the ID is one whose caller has left and returned.
+	w.deliver(held{answer: Answer{Refused: true, RetryAfter: replacedRetryAfter}})
+	holds = make(chan held, 1)
+	w.request, w.seenAt, w.holds = *request, now, holds
+	m.decide(c)
+	m.wakeQueue()
+	switch {
+	case len(holds) > 0:
+		return nil, nil, (<-holds).answer
+	case !request.Queued:
+		w.holds = nil
+		return nil, nil, Answer{Queued: true, Position: c.queue.Len()}
+	}
+	return w, holds, Answer{}
+}
+
+// hold waits for the answer to a request that is held.
+func (m *Manager) hold(ctx context.Context, c *coordination, w *waiter, holds chan held, request *Request) (Answer, error) {
+	timer := time.NewTimer(holdTime)
+	defer timer.Stop()
+	select {
+	case decided := <-holds:
+		return decided.answer, decided.err
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	m.coordinatedMu.Lock()
+	defer m.coordinatedMu.Unlock()
+	isGone := ctx.Err() != nil
+	if w.holds != holds { // answered just now
+		decided := <-holds
+		if isGone && decided.answer.Engine != "" {
+			c.view.Update(request.Entry, request.Incarnation, 0, nil, nil, []uint64{decided.answer.Ticket}) // releases the reservation
+		}
+		return decided.answer, decided.err
+	}
+	w.holds, w.seenAt = nil, m.options.Now()
+	if isGone {
+		c.removeWaiter(request.ID)
+		return Answer{}, ctx.Err()
+	}
+	return Answer{Queued: true, Position: c.queue.Len()}, nil
+}
+
+// removeWaiter removes a stream that got no room.
+func (c *coordination) removeWaiter(id string) {
+	c.queue.Remove(id, false)
+	delete(c.waiters, id)
+}
+
+// decide gives free room to waiting streams, and refuses those that can no longer be served. The caller holds coordinatedMu.
+func (m *Manager) decide(c *coordination) {
+	now := m.options.Now()
+	if len(c.waiters) == 0 || now.Sub(c.decidedAt) < decideInterval {
+		return
+	}
+	c.decidedAt = now
+	for id, w := range c.waiters {
+		if w.holds == nil && now.Sub(w.seenAt) > repeatWithin {
+			c.removeWaiter(id)
+		}
+	}
+	m.refuseExpired(c)
+	spec, engines := m.options.Service(c.service)
+	if spec == nil {
+		return
+	}
+	// A stream whose request isn't held gets no room: its entry may be lost, and the room with it.
+	fits := func(stream admission.QueuedStream) bool {
+		w := c.waiters[stream.Request]
+		return w != nil && w.holds != nil && c.view.HasRoom(m.sharedQuery(&w.request, spec, engines))
+	}
+	for range maxDecisions {
+		next, ok := c.queue.NextFitting(noStreams, fits)
+		if !ok {
+			return
+		}
+		w := c.waiters[next.Request]
+		c.queue.Remove(next.Request, true)
+		delete(c.waiters, next.Request)
+		w.deliver(held{answer: c.place(m.sharedQuery(&w.request, spec, engines))})
+	}
+}
+
+// refuseExpired refuses the streams that can no longer be served. The caller holds coordinatedMu.
+func (m *Manager) refuseExpired(c *coordination) {
+	expired, retryAfter := c.queue.Expired()
+	for i, stream := range expired {
+		if i > 0 {
+			retryAfter = c.queue.RetryAfter(stream)
+		}
+		if w := c.waiters[stream.Request]; w != nil {
+			delete(c.waiters, stream.Request)
+			w.deliver(held{answer: Answer{Refused: true, RetryAfter: retryAfter}})
+		}
+	}
+}
+
+// wakeQueue has runQueue look at the queues until they are empty.
+func (m *Manager) wakeQueue() {
+	select {
+	case m.waiting <- struct{}{}:
+	default:
+	}
+}
+
+// runQueue looks at the queues while streams wait: room also comes of states and reservations that expire.
+func (m *Manager) runQueue(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.waiting:
+		}
+		for m.decideAll() {
+			if wait.For(ctx, decideInterval) != nil {
+				return
+			}
+		}
+	}
+}
+
+// decideAll looks at all queues, and reports whether any stream waits.
+func (m *Manager) decideAll() (anyWaits bool) {
+	m.coordinatedMu.Lock()
+	defer m.coordinatedMu.Unlock()
+	for _, c := range m.coordinated {
+		m.decide(c)
+		anyWaits = anyWaits || len(c.waiters) > 0
+	}
+	return anyWaits
+}
+
+// QueueLength returns the number of streams with a priority from first to last that wait here.
+func (m *Manager) QueueLength(first, last int) int {
+	m.coordinatedMu.Lock()
+	defer m.coordinatedMu.Unlock()
+	count := 0
+	for _, c := range m.coordinated {
+		for _, w := range c.waiters {
+			if w.request.Priority >= first && w.request.Priority <= last {
+				count++
+			}
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/placementcontrol/queue_test.go
@@ -0,0 +1,347 @@
+package placementcontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/generation"
+)
+
+// newSmallFleet returns entries before engines of one slot each.
+func newSmallFleet(entries, engines int, change func(index int, options *Options)) *fleet {
+	f := newFleet(entries, 2, engines, change)
+	for _, engine := range f.engines {
+		engine.Slots = 1
+	}
+	return f
+}
+
+// placed is the result of PlaceStream.
+type placed struct {
+	request string
+	engine  *directory.Target
+	err     error
+	after   time.Duration
+}
+
+// placeAsync has an entry place a stream. The result comes through the channel.
+func (f *fleet) placeAsync(ctx context.Context, name string, query generation.RelayQuery, results chan<- placed) {
+	begun := time.Now()
+	go func() {
+		engine, err := f.managers[name].PlaceStream(ctx, query)
+		results <- placed{query.Request, engine, err, time.Since(begun)}
+	}()
+}
+
+// Guards against a stream that is sent to a full engine, and against one that doesn't get room once there is some.
+func TestStreamsWaitForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 2, nil)
+		f.run(t)
+		ranked := f.ranked()
+		first, stream := f.start(t, ranked[1], "first")
+		_, second := f.start(t, ranked[2], "second")
+		results := make(chan placed, 1)
+		f.placeAsync(t.Context(), ranked[3], f.query("third"), results)
+		time.Sleep(900 * time.Millisecond)
+		is.Equal(len(results), 0)
+		is.Equal(f.managers[ranked[0]].QueueLength(0, 9), 1)
+		stream.Ended()
+		third := <-results
+		is.NoErr(third.err)
+		is.Equal(third.engine, first)
+		is.True(third.after <= 900*time.Millisecond+changeInterval+2*decideInterval+5*latency)
+		queued := f.eventsOf(ranked[3], EventQueued)
+		is.Equal(len(queued), 1)
+		is.Equal(queued[0].Request, "third")
+		is.Equal(queued[0].Position, 1)
+		is.Equal(f.managers[ranked[0]].QueueLength(0, 9), 0)
+		second.Ended()
+	})
+}
+
+// Guards against a less urgent stream that gets room before a more urgent one that came later.
+func TestUrgentStreamsGetRoomFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		_, running := f.start(t, ranked[1], "running")
+		results := make(chan placed, 4)
+		for i, priority := range []int{2, 2, 0, 1} {
+			query := f.query(fmt.Sprint(priority, "-", i))
+			query.Priority = priority
+			f.placeAsync(t.Context(), ranked[i], query, results)
+			time.Sleep(30 * time.Millisecond)
+		}
+		coordinator := f.managers[ranked[0]]
+		is.Equal([]int{coordinator.QueueLength(0, 0), coordinator.QueueLength(1, 1), coordinator.QueueLength(2, 2)}, []int{1, 1, 2})
+		var order []string
+		for range 4 {
+			running.Ended()
+			next := <-results
+			is.NoErr(next.err)
+			order = append(order, next.request)
+			for i, name := range ranked {
+				if next.request[len(next.request)-1:] == fmt.Sprint(i) {
+					running = f.managers[name].AddStream(next.engine, size, size.Prompt)
+				}
+			}
+		}
+		is.Equal(order, []string{"0-2", "1-3", "2-0", "2-1"})
+	})
+}
+
+// Guards against streams that wait although they can't be served in time, and against ones that are sent then.
+func TestStreamsAreRefusedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		f.start(t, ranked[1], "running") // for ever
+		const streams = 40
+		results := make(chan placed, streams)
+		for i := range streams {
+			f.placeAsync(t.Context(), ranked[i%4], f.query(fmt.Sprint(i)), results)
+			time.Sleep(100 * time.Millisecond)
+		}
+		for range streams {
+			result := <-results
+			var noRoom *generation.NoRoomError
+			is.True(errors.As(result.err, &noRoom))
+			is.Equal(result.engine, nil)
+			is.True(noRoom.RetryAfter >= 200*time.Millisecond && noRoom.RetryAfter <= 8*time.Second)
+			is.True(result.after <= 3*4*time.Second) // three times the objective
+		}
+		refused := 0
+		for _, name := range ranked {
+			refused += len(f.eventsOf(name, EventRefusedEarly))
+			is.Equal(f.managers[name].QueueLength(0, 9), 0)
+		}
+		is.Equal(refused, streams)
+
+		// What has begun neither waits nor is refused.
+		query := f.query("resumed")
+		query.Begun = true
+		engine, took := f.place(t, ranked[3], query)
+		is.Equal(engine, f.engines[0])
+		is.Equal(took, 2*latency)
+	})
+}
+
+// Guards against room for a stream whose caller has left, or whose entry is lost.
+func TestWaitingCallersThatLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		coordinator := f.managers[ranked[0]]
+		_, running := f.start(t, ranked[1], "running")
+		ctx, cancel := context.WithCancel(t.Context())
+		results := make(chan placed, 2)
+		f.placeAsync(ctx, ranked[2], f.query("left"), results)
+		f.placeAsync(ctx, ranked[0], f.query("left the coordinator"), results)
+		time.Sleep(600 * time.Millisecond)
+		is.Equal(coordinator.QueueLength(0, 9), 2)
+		cancel()
+		for range 2 {
+			is.True(errors.Is((<-results).err, context.Canceled))
+		}
+		synctest.Wait()
+		is.Equal(coordinator.QueueLength(0, 9), 0)
+
+		// An entry that is lost repeats nothing.
+		answer, err := coordinator.Place(t.Context(), f.request(ranked[3], "of a lost entry", false))
+		is.NoErr(err)
+		is.True(answer.Queued)
+		is.Equal(coordinator.QueueLength(0, 9), 1)
+		time.Sleep(300 * time.Millisecond)
+		running.Ended()
+		f.place(t, ranked[2], f.query("next")) // gets the room
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(coordinator.QueueLength(0, 9), 0)
+	})
+}
+
+// request returns the message of an entry without streams.
+func (f *fleet) request(entry, id string, queued bool) Request {
+	return Request{
+		Report: Report{Entry: entry, Incarnation: 1, Sequence: time.Now().UnixNano(), Service: service}, Zone: "a", ID: id, Size: size,
+		Objective: 4 * time.Second, TimeLeft: 20 * time.Second, Queued: queued,
+	}
+}
+
+// Guards against a request that takes the answer of another one with the same ID, such as that of a caller that has returned.
+func TestRequestsWithTheSameID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		coordinator := f.managers[ranked[0]]
+		_, running := f.start(t, ranked[1], "running")
+		results := make(chan placed, 2)
+		f.placeAsync(t.Context(), ranked[2], f.query("same"), results)
+		time.Sleep(500 * time.Millisecond)
+		f.placeAsync(t.Context(), ranked[3], f.query("same"), results)
+		former := <-results
+		var noRoom *generation.NoRoomError
+		is.True(errors.As(former.err, &noRoom))
+		is.Equal(coordinator.QueueLength(0, 9), 1)
+		running.Ended()
+		is.NoErr((<-results).err)
+		is.Equal(coordinator.QueueLength(0, 9), 0)
+	})
+}
+
+// Guards against streams that are held by a coordinator which is lost, shuts down, or never decides.
+func TestCoordinatorsThatAreLostWhileStreamsWait(t *testing.T) {
+	for name, each := range map[string]struct {
+		change func(f *fleet, coordinator string)
+		// within limits how long the stream waits after the change.
+		within time.Duration
+		source func(stats *Stats) int64
+	}{
+		"lost": {func(f *fleet, coordinator string) { f.setFault(coordinator, fault{silent: true}) }, repeatTimeout,
+			func(stats *Stats) int64 { return stats.PlacedByFallback.Load() }},
+		"broken": {func(f *fleet, coordinator string) { f.setFault(coordinator, fault{err: errBroken}) }, repeatTimeout,
+			func(stats *Stats) int64 { return stats.PlacedByFallback.Load() }},
+		"never decides": {func(f *fleet, coordinator string) { f.setFault(coordinator, fault{answer: &Answer{Queued: true}}) }, 13 * time.Second,
+			func(stats *Stats) int64 { return stats.PlacedByFallback.Load() }},
+		"no engine": {func(f *fleet, coordinator string) { f.setFault(coordinator, fault{answer: &Answer{}}) }, 2 * repeatTimeout,
+			func(stats *Stats) int64 { return stats.PlacedByFallback.Load() }},
+		"shuts down": {func(f *fleet, coordinator string) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.stopping = coordinator
+		}, repeatTimeout, func(stats *Stats) int64 { return stats.PlacedByCoordinator.Load() }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newSmallFleet(4, 1, nil)
+				for name, manager := range f.managers {
+					manager.options.Stopping = func() bool {
+						f.mu.Lock()
+						defer f.mu.Unlock()
+						return f.stopping == name
+					}
+				}
+				f.run(t)
+				ranked := f.ranked()
+				f.start(t, ranked[2], "running")
+				results := make(chan placed, 1)
+				f.placeAsync(t.Context(), ranked[3], f.query("waits"), results)
+				time.Sleep(600 * time.Millisecond)
+				before := len(f.sentRequests())
+				each.change(f, ranked[0])
+				changed := time.Now()
+				result := <-results
+				is.NoErr(result.err)
+				is.Equal(result.engine, f.engines[0])
+				is.True(time.Since(changed) <= each.within)
+				is.Equal(each.source(f.managers[ranked[3]].Stats()), int64(1))
+				is.True(len(f.sentRequests())-before <= int(each.within/minRepeatInterval)+1)
+			})
+		})
+	}
+}
+
+// Guards against room that nobody is given since no message tells of it: that of an entry that is lost.
+func TestRoomOfALostEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		lost := f.request("lost", "x", false)
+		answer, err := f.managers[ranked[0]].Place(t.Context(), lost)
+		is.NoErr(err)
+		is.Equal(answer.Engine, "i000") // reserved for a second
+		_, took := f.place(t, ranked[2], f.query("waits"))
+		is.True(took >= 900*time.Millisecond && took <= ticketTTL+2*decideInterval+5*latency)
+	})
+}
+
+// Guards against waiting streams that are forgotten on either side, under random load above the room.
+func TestEveryWaitingStreamIsAnswered(t *testing.T) {
+	for seed := range uint64(3) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			const entries, engines, streams = 12, 10, 600
+			f := newSmallFleet(entries, engines, nil)
+			f.run(t)
+			random := rand.New(rand.NewPCG(seed, 3))
+			var running sync.WaitGroup
+			var mu sync.Mutex
+			atEngine, most, ran, refused, left := map[string]int{}, 0, 0, 0, 0
+			for i := range streams {
+				name := peerOf(random.IntN(entries)).Name
+				query := f.query(fmt.Sprint(i))
+				query.Priority = 2 * random.IntN(2)
+				lasts := time.Duration(1000+random.IntN(3000)) * time.Millisecond
+				patience := 25 * time.Second
+				if random.IntN(10) == 0 {
+					patience = time.Duration(random.IntN(3000)) * time.Millisecond
+				}
+				running.Go(func() {
+					ctx, cancel := context.WithTimeout(t.Context(), patience)
+					defer cancel()
+					engine, err := f.managers[name].PlaceStream(ctx, query)
+					var noRoom *generation.NoRoomError
+					mu.Lock()
+					defer mu.Unlock()
+					switch {
+					case errors.As(err, &noRoom):
+						refused++
+						return
+					case ctx.Err() != nil:
+						left++
+						return
+					case err != nil || engine == nil:
+						t.Error(engine, err)
+						return
+					}
+					ran++
+					stream := f.managers[name].AddStream(engine, size, size.Prompt)
+					atEngine[engine.ID]++
+					most = max(most, atEngine[engine.ID])
+					mu.Unlock()
+					time.Sleep(lasts / 2)
+					stream.EventArrived()
+					time.Sleep(lasts / 2)
+					stream.Ended()
+					mu.Lock()
+					atEngine[engine.ID]--
+				})
+				time.Sleep(time.Duration(random.ExpFloat64() * float64(130*time.Millisecond))) // twice what the engines serve
+			}
+			running.Wait()
+			time.Sleep(time.Second)
+			t.Logf("seed %d: %d ran, %d refused, %d left; at most %d streams at an engine", seed, ran, refused, left, most)
+			is.Equal(ran+refused+left, streams)
+			is.Equal(most, 1)
+			is.True(ran > streams/3)
+			for _, manager := range f.managers {
+				is.Equal(manager.QueueLength(0, 9), 0)
+				for _, c := range manager.coordinated {
+					is.Equal(c.queue.Len(), 0)
+				}
+				is.Equal(manager.Stats().PlacedByFallback.Load(), int64(0))
+			}
+		})
+	}
+}
--- a/placementcontrol/report.go
+++ b/placementcontrol/report.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/membership"
@@ -19,8 +20,11 @@
 	failedReportDelay = time.Second
 )
 
-// Run sends the reports until ctx ends.
+// Run sends the reports, and has waiting streams get room, until ctx ends.
 func (m *Manager) Run(ctx context.Context) error {
+	var queue sync.WaitGroup
+	defer queue.Wait()
+	queue.Go(func() { m.runQueue(ctx) })
 	for {
 		timer := time.NewTimer(m.step(ctx))
 		select {
