--- a/entry/sharedplacement.go
+++ b/entry/sharedplacement.go
@@ -27,7 +27,7 @@
 func (e *Entry) buildSharedPlacement(available func(service string) []*directory.Target) {
 	dialer := net.Dialer{Timeout: peerDialTimeout}
 	client := &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: placementConnections, IdleConnTimeout: defaultIdleTimeout / 2,
+		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: placementConnections, IdleConnTimeout: peerIdleTimeout,
 	}}
 	e.sharedPlacement = placementcontrol.NewManager(placementcontrol.Options{
 		MinEntries: e.settings.Passthrough.SharedPlacement.MinEntries,
--- a/entry/sharedplacement_test.go
+++ b/entry/sharedplacement_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -18,14 +19,16 @@
 type placementCluster struct {
 	*testCluster
 	long []*standinTarget
+	// slots are the slots of each engine, events the events of a stream.
+	slots, events int
 }
 
-func startPlacementCluster(t *testing.T, entries, engines int, options settings.SharedPlacement) *placementCluster {
+func startPlacementCluster(t *testing.T, entries, engines int, c *placementCluster, options settings.SharedPlacement) *placementCluster {
 	t.Helper()
-	c := &placementCluster{testCluster: startPreparedCluster(t, entries, &testCluster{sharedPlacement: options})}
+	c.testCluster = startPreparedCluster(t, entries, &testCluster{sharedPlacement: options})
 	for i := range engines {
 		c.long = append(c.long, c.startTarget(t, target.Options{
-			ID: fmt.Sprintf("i-long-%d", i), Service: "long", AvailabilityZone: "a", Slots: 64, Events: 30, EventInterval: 50 * time.Millisecond,
+			ID: fmt.Sprintf("i-long-%d", i), Service: "long", AvailabilityZone: "a", Slots: c.slots, Events: c.events, EventInterval: 50 * time.Millisecond,
 		}))
 	}
 	c.awaitOrFail(t, "engines and entries", func() bool {
@@ -53,7 +56,7 @@
 // stream runs a stream of the service "long" through an entry, and reports whether it is complete.
 func (c *placementCluster) stream(entry int, id string) bool {
 	response, text, err := c.request(entry, "POST", "/long/"+id, id, "k1", "prompt")
-	return err == nil && response.StatusCode == http.StatusOK && strings.HasSuffix(text, target.Event("/long/"+id, 30))
+	return err == nil && response.StatusCode == http.StatusOK && strings.HasSuffix(text, target.Event("/long/"+id, c.events))
 }
 
 // placements returns the number of streams that any entry placed as the coordinator, and by itself without one.
@@ -84,7 +87,7 @@
 func TestEntriesSharePlacementOnLoopback(t *testing.T) {
 	const entries, engines, maxRounds = 4, 8, 10
 	is := is.New(t)
-	c := startPlacementCluster(t, entries, engines, settings.SharedPlacement{MinEntries: entries - 1})
+	c := startPlacementCluster(t, entries, engines, &placementCluster{slots: 64, events: 30}, settings.SharedPlacement{MinEntries: entries - 1})
 	// On a busy machine the coordinator may not answer within 60 ms. Such a round shows nothing.
 	clean := false
 	for round := 0; round < maxRounds && !clean; round++ {
@@ -148,7 +151,7 @@
 // Guards against messages about placement where it is not shared.
 func TestPlacementIsNotSharedByDefaultOnLoopback(t *testing.T) {
 	is := is.New(t)
-	c := startPlacementCluster(t, 2, 2, settings.SharedPlacement{})
+	c := startPlacementCluster(t, 2, 2, &placementCluster{slots: 64, events: 5}, settings.SharedPlacement{})
 	for i := range 4 {
 		is.True(c.stream(i%2, fmt.Sprint("s", i)))
 	}
@@ -159,3 +162,62 @@
 		is.Equal(stats.ReportsSent.Load()+stats.RequestsReceived.Load()+stats.ReportsReceived.Load()+stats.Declined.Load(), int64(0))
 	}
 }
+
+// waiting returns the number of streams that wait for room.
+func (c *placementCluster) waiting() int {
+	count := 0
+	for _, entry := range c.entries {
+		count += entry.sharedPlacement.QueueLength(0, 9)
+	}
+	return count
+}
+
+// Guards against streams that are sent to full engines instead of waiting for room, and against room for a stream whose caller has left.
+func TestStreamsWaitForRoomOnLoopback(t *testing.T) {
+	const entries, engines = 4, 2
+	is := is.New(t)
+	c := startPlacementCluster(t, entries, engines, &placementCluster{slots: 1, events: 24}, settings.SharedPlacement{MinEntries: entries})
+	var streams sync.WaitGroup
+	results := make([]bool, 2*engines)
+	for i := range results {
+		streams.Go(func() { results[i] = c.stream(i%entries, fmt.Sprint("s", i)) })
+		time.Sleep(30 * time.Millisecond)
+	}
+	c.awaitOrFail(t, "waiting streams", func() bool { return c.waiting() > 0 })
+	ctx, cancel := context.WithCancel(t.Context())
+	left := make(chan error, 1)
+	go func() {
+		request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.entries[3].settings.CallerAddress+"/long/left", strings.NewReader("prompt"))
+		request.Host = "h.example"
+		for name, value := range map[string]string{"X-Request-Id": "left", "X-Deadline-Ms": "9000", "X-Token-Usage": "100,60", "Authorization": "Bearer k1"} {
+			request.Header.Set(name, value)
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		left <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	cancel()
+	<-left
+	streams.Wait()
+	c.awaitOrFail(t, "an empty queue", func() bool { return c.waiting() == 0 })
+	shared, fallback := c.placements()
+	queued, refused := int64(0), int64(0)
+	for _, entry := range c.entries {
+		queued += entry.sharedPlacement.Stats().Queued.Load()
+		refused += entry.sharedPlacement.Stats().RefusedEarly.Load()
+	}
+	complete := int64(0)
+	for _, each := range results {
+		if each {
+			complete++
+		}
+	}
+	used := c.streamsByEngine(t, "s")
+	t.Logf("%d placed by the coordinator, %d by their entries, %d queued, %d refused, %d complete; by engine: %v", shared, fallback, queued, refused, complete, used)
+	is.True(queued >= engines)
+	is.True(complete+refused >= int64(len(results)))
+	is.Equal(len(c.streamsByEngine(t, "left")), 0)
+}
