Shared placement: keep count of a coordinator's failures

The test of that didn't run the manager.

Change: a peer is forgotten 20 s after its last use.

Evidence: the test, with the managers running, saw 14 or 15 streams delayed in every second before, and 2, 1, 1, 1 and 1 in 15 s with the change.

--- a/placementcontrol/manager_test.go
+++ b/placementcontrol/manager_test.go
@@ -84,16 +84,19 @@
 				f := newFleet(4, 2, 9, nil)
 				coordinator, entry := f.ranked()[0], f.ranked()[2]
 				f.setFault(coordinator, injected)
+				f.run(t)
 				delayed := map[time.Duration]int{}
 				begun := time.Now()
 				for i := range 1500 { // 15 s and more
 					at := time.Since(begun).Truncate(time.Second)
-					_, took := f.place(t, entry, f.query(fmt.Sprint(i)))
+					engine, took := f.place(t, entry, f.query(fmt.Sprint(i)))
 					is.True(took <= placeTimeout)
 					if took > 0 {
 						delayed[at]++
 					}
+					stream := f.managers[entry].AddStream(engine, size, size.Prompt)
 					time.Sleep(10 * time.Millisecond)
+					stream.Ended()
 				}
 				t.Logf("streams delayed, by second: %v", delayed)
 				is.Equal(delayed, map[time.Duration]int{0: 2, time.Second: 1, 3 * time.Second: 1, 7 * time.Second: 1, 11 * time.Second: 1})
--- a/placementcontrol/query.go
+++ b/placementcontrol/query.go
@@ -14,6 +14,8 @@
 const (
 	// declineTTL is how long an entry that declined is not asked again.
 	declineTTL = 10 * time.Second
+	// peerTTL is how long a peer that is not asked is remembered.
+	peerTTL = 2 * declineTTL
 	// maxDeclines is the number of peers that may decline one request.
 	maxDeclines = 12
 	// declinedPause is the time for which a service's streams are placed locally after maxDeclines peers declined in a row: where all
@@ -36,6 +38,7 @@
 	failures    int
 	pausedUntil time.Time
 	trying      bool
+	usedAt      time.Time
 }
 
 // ranking is the order of the live entries for a service.
@@ -61,6 +64,7 @@
 		state = &peerState{}
 		m.peers[name] = state
 	}
+	state.usedAt = m.options.Now()
 	return state
 }
 
--- a/placementcontrol/report.go
+++ b/placementcontrol/report.go
@@ -87,7 +87,7 @@
 		}
 	}
 	for name, state := range m.peers {
-		if now.Sub(state.declinedUntil) > declineTTL && now.Sub(state.pausedUntil) > declineTTL {
+		if now.Sub(state.usedAt) > peerTTL {
 			delete(m.peers, name)
 		}
 	}
