Shared placement: limit the names that callers choose

Cause: the ID of a request or of its prompt may be as long as a head allows, 64 KB, so that the coordinator refused the message and was taken for lost.

Change: longer ones than 200 bytes are cut and end with their hash. The queue recognizes a refused caller by its prompt.

Evidence: TestMessagesAreLimited.

--- a/placementcontrol/manager.go
+++ b/placementcontrol/manager.go
@@ -6,10 +6,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/membership"
@@ -121,8 +124,8 @@
 	// maxExcluded limits the engines that a request excludes, since these take a dozen bytes each. A service that moves to another
 	// version has half of its engines excluded at some time.
 	maxExcluded = 256
-	// maxRequestID limits the name of a request, which its caller chooses.
-	maxRequestID = 200
+	// maxNameBytes limits the IDs of a request and of its prompt, which callers choose, to what fits a message beside the state.
+	maxNameBytes = 200
 	// maxPaces is the number of pace observations in a message.
 	maxPaces = 32
 	// maxEngines limits the engines in a message to what fits a body of 64 KB.
@@ -256,8 +259,8 @@
 // placeShared has the coordinator choose the engine. Without an engine and an error, reason says why this entry must place the stream.
 func (m *Manager) placeShared(ctx context.Context, live []membership.Peer, query generation.RelayQuery, exclude []string) (engine *directory.Target, reason string, err error) {
 	request := Request{
-		Zone: m.options.View.Self().AvailabilityZone, ID: query.Request[:min(len(query.Request), maxRequestID)], Customer: query.Customer, Priority: query.Priority, Size: query.Size,
-		CachedAt: query.CachedAt, Affinity: query.Affinity, Exclude: exclude, Objective: query.Objective, Begun: query.Begun,
+		Zone: m.options.View.Self().AvailabilityZone, ID: shorten(query.Request), Customer: query.Customer, Priority: query.Priority, Size: query.Size,
+		CachedAt: query.CachedAt, Affinity: shorten(query.Affinity), Exclude: exclude, Objective: query.Objective, Begun: query.Begun,
 	}
 	request.Service = query.Service
 	timeLeft := placeTimeout
@@ -304,6 +307,15 @@
 	}
 }
 
+// shorten returns a name of at most maxNameBytes, which differs for names that differ.
+func shorten(name string) string {
+	if len(name) <= maxNameBytes {
+		return name
+	}
+	const hashBytes = 16
+	return fmt.Sprintf("%s%0*x", name[:maxNameBytes-hashBytes], hashBytes, xxhash.Sum64String(name))
+}
+
 // beginQuery counts a query for an attempt of the request; false if there were enough. An engine that was answered before was not used.
 func (m *Manager) beginQuery(query generation.RelayQuery) bool {
 	m.mu.Lock()
--- a/placementcontrol/manager_test.go
+++ b/placementcontrol/manager_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -523,10 +524,21 @@
 		f.place(t, entry, f.query("s"))
 		sent := f.sentRequests()[0]
 		is.Equal(len(sent.Engines), maxEngines)
+		var names []string
+		for _, end := range []string{"a", "b"} {
+			query := f.query(strings.Repeat("n", 60_000) + end)
+			query.Affinity = query.Request
+			f.place(t, entry, query)
+			sent := f.sentRequests()
+			names = append(names, sent[len(sent)-1].ID, sent[len(sent)-1].Affinity)
+		}
+		is.Equal(len(names[0]), maxNameBytes)
+		is.Equal(names[0], names[1])
+		is.True(names[0] != names[2])
 		query := f.query("narrow")
 		query.Fits = func(engine *directory.Target) bool { return engine.ID == "i999" }
 		engine, _ := f.place(t, entry, query) // too many to exclude
 		is.Equal(engine.ID, "i999")
-		is.Equal(len(f.sentRequests()), 1)
+		is.Equal(len(f.sentRequests()), 3)
 	})
 }
--- a/placementcontrol/queue.go
+++ b/placementcontrol/queue.go
@@ -63,7 +63,8 @@
 			return nil, nil, Answer{} // no engine can get room for it
 		}
 		refused, retryAfter := c.queue.Add(admission.QueuedStream{
-			Request: request.ID, Customer: request.Customer, Priority: request.Priority, Arrived: now, Objective: request.Objective, Deadline: query.Deadline,
+			Request: request.ID, Customer: request.Customer, Prompt: request.Affinity, Priority: request.Priority, Arrived: now,
+			Objective: request.Objective, Deadline: query.Deadline,
 		}, noStreams)
 		if refused {
 			return nil, nil, Answer{Refused: true, RetryAfter: retryAfter}
--- a/placementcontrol/wait.go
+++ b/placementcontrol/wait.go
@@ -27,7 +27,7 @@
 func (m *Manager) awaitRoom(ctx context.Context, query generation.RelayQuery, request Request, position *int) (answer Answer, coordinator, reason string) {
 	begun := m.options.Now()
 	m.stats.Queued.Add(1)
-	m.options.Observe(Event{Kind: EventQueued, Service: request.Service, Request: request.ID, Priority: request.Priority, Position: *position})
+	m.options.Observe(Event{Kind: EventQueued, Service: request.Service, Request: query.Request, Priority: request.Priority, Position: *position})
 	defer func() { m.options.Waited(m.options.Now().Sub(begun)) }()
 	objective := request.Objective
 	if objective <= 0 {
