Shared placement: messages that fit with long names

Change: at most 250 engines in a message, so that 256 excluded ones, 32 observations and IDs of 36 bytes fit 64 KB.

--- a/adapters/placementpeer/placementpeer.go
+++ b/adapters/placementpeer/placementpeer.go
@@ -17,7 +17,7 @@
 const (
 	placementPath = "/placements"
 	reportPath    = "/placement-reports"
-	// maxRequestBytes limits a message: the state of an entry at 400 engines.
+	// maxRequestBytes limits a message: the state of an entry at 250 engines.
 	maxRequestBytes = 64 << 10
 	// maxAnswerBytes limits an answer.
 	maxAnswerBytes = 4 << 10
--- a/adapters/placementpeer/placementpeer_test.go
+++ b/adapters/placementpeer/placementpeer_test.go
@@ -184,6 +184,31 @@
 	is.NoErr(err)
 }
 
+// Guards against a state that is too large for a message, with all that placementcontrol puts into one and long names.
+func TestTheLargestMessageIsTaken(t *testing.T) {
+	const engines, excluded, paces, name = 250, 256, 32, 36
+	is := is.New(t)
+	request := exampleRequest(engines)
+	for i := range request.Engines {
+		load := &request.Engines[i]
+		load.ID = fmt.Sprintf("%0*d", name, i)
+		load.Address, load.Lost, load.Refused, load.Streams = "255.255.255.255:65535", true, true, 100
+		load.PrefillTokens, load.ResidentTokens, load.CopyTokens = 1e6, 1e6, 1e6
+	}
+	request.Exclude, request.Paces = nil, nil
+	for i := range excluded {
+		request.Exclude = append(request.Exclude, fmt.Sprintf("%0*d", name, i))
+	}
+	for i := range paces {
+		request.Paces = append(request.Paces, routing.PaceSample{ID: request.Engines[i].ID, Address: request.Engines[i].Address, Gap: time.Second})
+	}
+	request.ID, request.Affinity = strings.Repeat("r", 200), strings.Repeat("a", 200)
+	text, err := json.Marshal(requestToWire(request))
+	is.NoErr(err)
+	t.Log(len(text), "bytes")
+	is.True(len(text) <= maxRequestBytes)
+}
+
 // FuzzDecode checks that a message of any bytes is refused or has only valid numbers, and that what was decoded travels unchanged.
 func FuzzDecode(f *testing.F) {
 	for _, body := range invalidMessages[:len(invalidMessages)-1] {
--- a/placementcontrol/manager.go
+++ b/placementcontrol/manager.go
@@ -128,8 +128,8 @@
 	maxNameBytes = 200
 	// maxPaces is the number of pace observations in a message.
 	maxPaces = 32
-	// maxEngines limits the engines in a message to what fits a body of 64 KB.
-	maxEngines = 400
+	// maxEngines limits the engines in a message to what fits a body of 64 KB beside maxExcluded and maxPaces IDs of 36 bytes.
+	maxEngines = 250
 )
 
 // Manager shares the placement of streams with the other entries. It implements generation.RelayPlacer on top of Options.Local, and is safe
