Shared placement: lock what a test records

Cause: the race detector reported a map that a test read while the coordinator's goroutines wrote it; the product was not concerned.

--- a/placementcontrol/manager_test.go
+++ b/placementcontrol/manager_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -453,13 +454,16 @@
 // recordedView records what the coordinator knows.
 type recordedView struct {
 	View
+	mu      *sync.Mutex
 	updates map[string]Report
 }
 
 func (v recordedView) Update(entry string, incarnation uint64, sequence int64, load []routing.EngineLoad, samples []routing.PaceSample, tickets []uint64) {
+	v.mu.Lock()
 	if sequence > v.updates[entry].Sequence {
 		v.updates[entry] = Report{Entry: entry, Incarnation: incarnation, Sequence: sequence, Engines: load, Tickets: tickets}
 	}
+	v.mu.Unlock()
 	v.View.Update(entry, incarnation, sequence, load, samples, tickets)
 }
 
@@ -467,10 +471,16 @@
 func TestLateAndRepeatedMessages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
+		var mu sync.Mutex
 		updates := map[string]Report{}
+		enginesOf := func(entry string) []routing.EngineLoad {
+			mu.Lock()
+			defer mu.Unlock()
+			return updates[entry].Engines
+		}
 		f := newFleet(4, 2, 9, func(index int, options *Options) {
 			newView := options.NewView
-			options.NewView = func() View { return recordedView{newView(), updates} }
+			options.NewView = func() View { return recordedView{newView(), &mu, updates} }
 		})
 		f.run(t)
 		coordinator, entry := f.ranked()[0], f.ranked()[1]
@@ -492,7 +502,7 @@
 			is.NoErr(err)
 		}
 		known := 0
-		for _, engine := range updates[entry].Engines {
+		for _, engine := range enginesOf(entry) {
 			known += engine.Streams
 		}
 		is.Equal(known, 6)
@@ -500,7 +510,7 @@
 			end()
 		}
 		time.Sleep(2 * time.Second)
-		is.Equal(len(updates[entry].Engines), 0)
+		is.Equal(len(enginesOf(entry)), 0)
 
 		// An engine that is not used is released by the next message.
 		f.place(t, entry, f.query("unused"))
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -337,9 +337,11 @@
 			is.True(ran > streams/3)
 			for _, manager := range f.managers {
 				is.Equal(manager.QueueLength(0, 9), 0)
+				manager.coordinatedMu.Lock()
 				for _, c := range manager.coordinated {
 					is.Equal(c.queue.Len(), 0)
 				}
+				manager.coordinatedMu.Unlock()
 				is.Equal(manager.Stats().PlacedByFallback.Load(), int64(0))
 			}
 		})
