Shared placement: reserve nothing for requests that were given up

Cause: a coordinator that goes on after a pause answers the requests that wait in its sockets; each would reserve an engine for a second.

Change: a request whose entry has closed the connection is not placed.

Evidence: TestRequestsThatWereGivenUpReserveNothing.

--- a/placementcontrol/coordinator.go
+++ b/placementcontrol/coordinator.go
@@ -67,6 +67,10 @@
 	query := m.sharedQuery(&request, spec, engines)
 	m.coordinatedMu.Lock()
 	c := m.coordinate(&request.Report)
+	if ctx.Err() != nil { // after a pause, many wait that their entries have given up: each would reserve an engine
+		m.coordinatedMu.Unlock()
+		return Answer{}, ctx.Err()
+	}
 	if request.Begun || request.ID == "" {
 		defer m.coordinatedMu.Unlock()
 		return c.place(query), nil
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -176,6 +176,22 @@
 	})
 }
 
+// Guards against engines that are reserved for requests which were given up while the coordinator was paused.
+func TestRequestsThatWereGivenUpReserveNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		ranked := f.ranked()
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := f.managers[ranked[0]].Place(ctx, f.request(ranked[1], "given up", false))
+		is.True(errors.Is(err, context.Canceled))
+		answer, err := f.managers[ranked[0]].Place(t.Context(), f.request(ranked[2], "next", false))
+		is.NoErr(err)
+		is.Equal(answer.Engine, "i000")
+	})
+}
+
 // request returns the message of an entry without streams.
 func (f *fleet) request(entry, id string, queued bool) Request {
 	return Request{
