Let the target of a forwarded call be chosen for all entries together

Change: the port service.SharedChoice is asked for the target of each attempt of a forwarded call, once an attempt, unless the call is on trial, a breaker is due for a probe, or only one target is left. The entry's own exclusions hold, and it chooses as before without an answer. The answer of an attempt in progress doesn't wait for the choice of a hedge's target, and a call whose caller left meanwhile is not sent.

--- a/service/forward.go
+++ b/service/forward.go
@@ -97,6 +97,8 @@
 	Limits Limits
 	// CrashRecords hold the crashes of targets under calls; nil for none.
 	CrashRecords CrashRecords
+	// SharedChoice chooses the targets of attempts for all entries together; nil for none.
+	SharedChoice SharedChoice
 	// Seed initializes the random generator, so that random choices can be reproduced.
 	Seed uint64
 	// Log is called at the end of each attempt; nil discards the events.
@@ -363,7 +365,7 @@
 	if w.poison = w.checkPoison(); w.poison != nil {
 		return false
 	}
-	lease, ok := w.chooseTarget()
+	lease, ok := w.chooseTarget(ctx)
 	if !ok {
 		return false
 	}
@@ -373,16 +375,20 @@
 	start := time.Now()
 	go func() {
 		sent := w.forwarder.options.Sender.Send(ctx, lease.target, w.call)
+		lease.reportEnd(sent.Verdict, time.Since(start))
 		w.results <- forwardResult{lease: lease, start: start, sent: sent}
 	}()
 	return true
 }
 
 // chooseTarget returns a lease on a target that has not received the call yet and whose limit allows it.
-func (w *forwardRun) chooseTarget() (*lease, bool) {
-	for {
-		lease, ok := w.pool.chooseForward(w.tried, w.call.Versions)
-		if !ok {
+func (w *forwardRun) chooseTarget(ctx context.Context) (*lease, bool) {
+	for isAsked := false; ; isAsked = true {
+		lease, isObsolete := w.chooseForward(ctx, isAsked)
+		if isObsolete {
+			return nil, false
+		}
+		if lease == nil {
 			if w.call.Versions != nil && w.call.Versions.FallBack() {
 				continue
 			}
@@ -392,6 +398,7 @@
 		if w.forwarder.options.Limits.Take(lease.target.Name) {
 			return lease, true
 		}
+		lease.reportEnd(SendNotRun, 0)
 		lease.abandon()
 	}
 }
@@ -478,23 +485,26 @@
 	return existing
 }
 
-// chooseForward returns a lease on the target with the fewest calls in progress. A target whose
-// breaker is half-open receives a call as its probe.
-func (p *pool) chooseForward(tried []string, versions VersionChoice) (*lease, bool) {
+// allowedTargets returns the targets whose version the call may go to.
+func (p *pool) allowedTargets(versions VersionChoice) []Target {
 	targets := p.directory.Targets(p.deployment)
 	if versions != nil {
 		targets = slices.DeleteFunc(slices.Clone(targets), func(target Target) bool { return !versions.Allows(target.Version) })
 	}
+	return targets
+}
+
+// leaseDueProbe returns a lease on a target whose breaker is half-open: it receives a call as its probe.
+func (p *pool) leaseDueProbe(targets []Target, tried []string) (*lease, bool) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := time.Now()
 	for _, target := range targets {
 		if !contains(tried, target.Name) && p.stateOf(target.Name).breaker.TryProbe(now) {
-			defer p.mu.Unlock()
 			return p.newLease(target, false, true), true
 		}
 	}
-	p.mu.Unlock()
-	return p.chooseAmong(targets, tried, false)
+	return nil, false
 }
 
 // abandon releases a lease whose call was cancelled. A probe that was not answered in time counts as
--- a/service/pool.go
+++ b/service/pool.go
@@ -66,6 +66,8 @@
 	target         Target
 	nonInteractive bool
 	probe          bool
+	// ended is called when the attempt has ended, if the target was chosen for all entries together; otherwise nil.
+	ended func(took time.Duration)
 }
 
 // chooseTarget returns a lease on the target with the fewest calls in progress, except those already
--- a/service/versions_test.go
+++ b/service/versions_test.go
@@ -39,7 +39,7 @@
 			run := &forwardRun{forwarder: forwarder, pool: forwarder.pool("s"), call: &ForwardedCall{Versions: &listedVersions{each.lists}}}
 			for range 20 {
 				run.tried = nil
-				lease, found := run.chooseTarget()
+				lease, found := run.chooseTarget(t.Context())
 				is.Equal(found, each.want != "")
 				if found {
 					is.Equal(lease.target.Name, each.want)
