--- a/placementcontrol/query.go
+++ b/placementcontrol/query.go
@@ -149,14 +149,18 @@
 func (m *Manager) beginQueryOf(peer membership.Peer, now time.Time) (isTrial, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	state := m.peer(peer.Name)
-	if state.failures < failuresToPause {
+	return m.peer(peer.Name).beginQuery(now)
+}
+
+// beginQuery is Manager.beginQueryOf.
+func (p *peerState) beginQuery(now time.Time) (isTrial, ok bool) {
+	if p.failures < failuresToPause {
 		return false, true
 	}
-	if state.trying || now.Before(state.pausedUntil) {
+	if p.trying || now.Before(p.pausedUntil) {
 		return false, false
 	}
-	state.trying = true
+	p.trying = true
 	return true, true
 }
 
@@ -164,25 +168,28 @@
 func (m *Manager) endQueryOf(ctx context.Context, peer membership.Peer, begun time.Time, isTrial bool, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.options.Now()
-	state := m.peer(peer.Name)
+	m.peer(peer.Name).endQuery(ctx, m.options.Now(), begun, placeTimeout, isTrial, err)
+}
+
+// endQuery records how a query with a timeout has ended, which began at the time.
+func (p *peerState) endQuery(ctx context.Context, now, begun time.Time, timeout time.Duration, isTrial bool, err error) {
 	if isTrial {
-		state.trying = false
+		p.trying = false
 	}
 	switch {
 	case err == nil || errors.Is(err, ErrDeclined):
-		state.failures = 0
+		p.failures = 0
 		return
 	case errors.Is(ctx.Err(), context.Canceled):
 		return // the caller has left, which says nothing of the coordinator
-	case ctx.Err() != nil && now.Sub(begun) < placeTimeout/2:
+	case ctx.Err() != nil && now.Sub(begun) < timeout/2:
 		return // other peers took the time
-	case !isTrial && state.failures >= failuresToPause:
+	case !isTrial && p.failures >= failuresToPause:
 		return // the query began before the pause
 	}
-	state.failures++
-	if state.failures >= failuresToPause {
-		state.pausedUntil = now.Add(min(maxPause, minPause<<min(state.failures-failuresToPause, 8)))
+	p.failures++
+	if p.failures >= failuresToPause {
+		p.pausedUntil = now.Add(min(maxPause, minPause<<min(p.failures-failuresToPause, 8)))
 	}
 }
 
