Choose the targets of calls to services with few targets for all entries

Change: entries use placementcontrol.Calls for forwarded calls; targethttp.Pool.HasIdle says to which targets a connection is open, and removes those that the target closed.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,9 +69,11 @@
 	placement    *routing.Placement
 	// sharedPlacement places streams with the other entries, on top of placement.
 	sharedPlacement *placementcontrol.Manager
-	relay           *generation.Relay
-	forwarder       *service.Forwarder
-	retries         *admission.SharedRetryBudget
+	// callChoice chooses the targets of calls with the other entries.
+	callChoice *callChoice
+	relay      *generation.Relay
+	forwarder  *service.Forwarder
+	retries    *admission.SharedRetryBudget
 	// retryTotals sums up the retries of all entries, if the peers choose this entry for it.
 	retryTotals  *admission.RetryTotals
 	peerClient   *http.Client
@@ -225,6 +227,7 @@
 		mux.Handle(rolloutpeer.NewHandler(e.rollouts))
 	}
 	placementpeer.Register(mux, e.sharedPlacement)
+	placementpeer.RegisterCalls(mux, e.callChoice)
 	e.exchangeHandler().Register(mux, e.countRunning)
 	return mux
 }
@@ -256,6 +259,7 @@
 		Seed: rand.Uint64(),
 	})
 	e.buildSharedPlacement(available)
+	e.buildCallChoice()
 	e.relay = generation.NewRelay(generation.RelayOptions{
 		Engine:          engine,
 		Placer:          e.sharedPlacement,
@@ -280,6 +284,7 @@
 		Log:       e.logAttempt,
 
 		CrashRecords: e.crashRecords,
+		SharedChoice: e.callChoice,
 	})
 	handler := passthrough.NewHandler(passthrough.Options{
 		Snapshot:  e.directory.Snapshot,
@@ -349,6 +354,7 @@
 	addActor(&group, e.prompts.Run)
 	addActor(&group, e.versions.Run)
 	addActor(&group, e.sharedPlacement.Run)
+	addActor(&group, e.callChoice.Run)
 	if e.rollouts != nil {
 		addActor(&group, e.rollouts.Run)
 	}
