--- a/routing/sharedview.go
+++ b/routing/sharedview.go
@@ -30,6 +30,9 @@
 	zoneLossEntries = 2
 	// paceSweepInterval is the time between two removals of old paces.
 	paceSweepInterval = 5 * time.Second
+	// slownessTTL is how long the slowness of an engine without new observations is not computed again, which takes most of the time of a
+	// choice. It changes by about 1% in that time at most.
+	slownessTTL = 50 * time.Millisecond
 	// maxPaceGap limits the gap of a pace sample.
 	maxPaceGap = 10 * time.Second
 	// maxLoadTokens and maxLoadStreams limit the load of one entry at one engine, so that an invalid message can't make sums inexact.
@@ -122,6 +125,9 @@
 	lostEntries             int
 	lostUntil, refusedUntil time.Time
 	latestUpdate            uint64
+	// slowness is that of the engine until slownessUntil.
+	slowness      float64
+	slownessUntil time.Time
 }
 
 // engineLoss is the loss of an engine as an entry has seen it.
@@ -138,7 +144,9 @@
 	ticket  uint64
 	request requestKey
 	engine  *sharedEngine
+	target  *directory.Target
 	usage   engineUsage
+	wait    time.Duration
 	until   time.Time
 }
 
@@ -295,6 +303,9 @@
 			continue
 		}
 		v.paces.observe(key, "", min(sample.Gap, maxPaceGap), now)
+		if engine := v.engines[key]; engine != nil {
+			engine.slownessUntil = time.Time{}
+		}
 	}
 }
 
@@ -324,13 +335,16 @@
 }
 
 // Place chooses an engine and reserves it until the entry's state includes the ticket; ok is false if no engine is allowed. Engines
-// with room are preferred. wait is the expected time until the first event. The list of engines must not be changed afterwards.
+// with room are preferred. wait is the expected time until the first event. A request that is repeated while it has a reservation gets the
+// same answer, unless it excludes the engine. The list of engines must not be changed afterwards.
 func (v *SharedView) Place(query SharedQuery) (engine *directory.Target, ticket uint64, wait time.Duration, ok bool) {
 	now := v.options.Now()
 	v.expire(now)
-	v.releaseRequest(requestKey{query.Entry, query.Request})
 	v.listEngines(query.Engines)
 	suspected := v.suspectedZones(query.Entry)
+	if reserved := v.repeatedReservation(&query, suspected, now); reserved != nil {
+		return reserved.target, reserved.ticket, reserved.wait, true
+	}
 	affinity := affinityEngine(&query.RelayQuery, query.AvailabilityZone)
 	var best *sharedEngine
 	var lowest time.Duration
@@ -350,7 +364,25 @@
 	if best == nil {
 		return nil, 0, 0, false
 	}
-	return engine, v.reserve(best, engine, &query, now), wait, true
+	return engine, v.reserve(best, engine, wait, &query, now), wait, true
+}
+
+// repeatedReservation returns the reservation of a request that is repeated, so that a request which arrives twice gets the same answer. If
+// its engine can't be chosen any more, the reservation is released instead.
+func (v *SharedView) repeatedReservation(query *SharedQuery, suspected map[string]bool, now time.Time) *reservation {
+	element, known := v.byRequest[requestKey{query.Entry, query.Request}]
+	if !known {
+		return nil
+	}
+	reserved := element.Value.(*reservation)
+	condition := v.condition(reserved.engine, suspected, now)
+	at := slices.Index(v.records, reserved.engine)
+	if at >= 0 && query.Allows(query.Engines[at]) && !condition.avoided && !condition.zoneSuspected {
+		reserved.target = query.Engines[at]
+		return reserved
+	}
+	v.release(element)
+	return nil
 }
 
 // HasRoom reports whether an engine of the query has room: it would begin the stream within the smaller of its objective and
@@ -378,7 +410,10 @@
 		avoided: engine.lostEntries > 0 && now.Before(engine.lostUntil) || now.Before(engine.refusedUntil),
 	}
 	if v.options.Model.Slowness != 0 {
-		condition.slowness = v.paces.slowness(engine.key, now)
+		if !now.Before(engine.slownessUntil) {
+			engine.slowness, engine.slownessUntil = v.paces.slowness(engine.key, now), now.Add(slownessTTL)
+		}
+		condition.slowness = engine.slowness
 	}
 	return condition
 }
@@ -491,13 +526,16 @@
 }
 
 // reserve counts the stream at the engine until the entry's state includes it.
-func (v *SharedView) reserve(record *sharedEngine, engine *directory.Target, query *SharedQuery, now time.Time) uint64 {
+func (v *SharedView) reserve(
+	record *sharedEngine, engine *directory.Target, wait time.Duration, query *SharedQuery, now time.Time,
+) uint64 {
 	if v.byAge.Len() >= maxSharedReservations {
 		v.release(v.byAge.Front())
 	}
 	v.lastTicket++
 	reserved := &reservation{
-		ticket: v.lastTicket, request: requestKey{query.Entry, query.Request}, engine: record, until: now.Add(reservationTTL),
+		ticket: v.lastTicket, request: requestKey{query.Entry, query.Request}, engine: record, target: engine, wait: wait,
+		until: now.Add(reservationTTL),
 		usage: usageOf(&EngineLoad{Streams: 1, PrefillTokens: promptTokens(engine, query), ResidentTokens: query.Size.KVCacheTokens()}),
 	}
 	element := v.byAge.PushBack(reserved)
@@ -518,13 +556,6 @@
 	}
 }
 
-// releaseRequest releases the reservation of a request that is placed again: it doesn't run at the engine.
-func (v *SharedView) releaseRequest(request requestKey) {
-	if element, known := v.byRequest[request]; known {
-		v.release(element)
-	}
-}
-
 func (v *SharedView) release(element *list.Element) {
 	reserved := v.byAge.Remove(element).(*reservation)
 	delete(v.reservations, reserved.ticket)
