Test the events, pauses and allocations of the choice of call targets

Cause: with a deliberate change each of the tests of the view, the forwarder and the messages was checked; two changes were not found: an event for every answer of a coordinator, and failures that are forgotten every second.

Change: TestCoordinatorOfCallsChanges makes two calls a round, TestLostCoordinatorOfCalls runs the maintenance.

Evidence: the tests pass, and fail with either change.

--- a/placementcontrol/calls_test.go
+++ b/placementcontrol/calls_test.go
@@ -191,6 +191,9 @@
 				f := newCallFleet(5, 2)
 				coordinator, entry := f.rankedForCalls()[0], f.rankedForCalls()[2]
 				f.setFault(coordinator, injected)
+				ctx, cancel := context.WithCancel(t.Context())
+				var group sync.WaitGroup
+				group.Go(func() { _ = f.calls[entry].Run(ctx) })
 				begun := time.Now()
 				delayed := 0
 				for time.Since(begun) < 15*time.Second {
@@ -219,6 +222,8 @@
 				// Placement requests have more time, so that its failures are not theirs.
 				_, took := f.place(t, entry, f.query("s"))
 				is.Equal(took > 0, entry != f.ranked()[0])
+				cancel()
+				group.Wait()
 			})
 		})
 	}
@@ -351,7 +356,7 @@
 		}
 		all := f.live
 		for round := range 4 {
-			for _, entry := range ranked[3:] {
+			for _, entry := range slices.Concat(ranked[3:], ranked[3:]) {
 				target, ended, _ := f.choose(t.Context(), entry)
 				is.True(target != "")
 				ended(30 * time.Millisecond)
@@ -389,3 +394,32 @@
 	is.True(errors.Is(err, ErrDeclined))
 	is.Equal(f.calls["e001"].Stats().Declined.Load(), int64(1))
 }
+
+// answeringTransport answers each request at once.
+type answeringTransport struct{}
+
+func (answeringTransport) ChooseTarget(context.Context, membership.Peer, CallRequest) (CallAnswer, error) {
+	return CallAnswer{Target: "t1", Ticket: 7}, nil
+}
+
+// Guards against garbage for each call of an entry, most of all where the choice isn't shared. Beside the message, which takes several
+// dozen allocations, an attempt needs its context and timer, the lists of tickets, times and targets, and the function that reports its end.
+func TestChoiceOfATargetAllocatesLittle(t *testing.T) {
+	is := is.New(t)
+	few := newCallFleet(5, 6).calls["e001"]
+	is.Equal(testing.AllocsPerRun(100, func() { few.IsShared(plainService) }), 0.0)
+	f := newCallFleet(5, 2)
+	entry := f.calls[f.rankedForCalls()[2]]
+	entry.options.Transport = answeringTransport{}
+	query := callservice.ChoiceQuery{Service: plainService, Request: "r", Connected: func(target string) bool { return target == "t1" }}
+	for _, target := range f.targets {
+		query.Targets = append(query.Targets, callservice.Target{Name: target.ID})
+	}
+	allocations := testing.AllocsPerRun(1000, func() {
+		_, ended := entry.Choose(t.Context(), query)
+		ended(30 * time.Millisecond)
+	})
+	t.Logf("%v allocations", allocations)
+	is.True(allocations <= 20)
+	is.Equal(testing.AllocsPerRun(100, func() { entry.IsShared(plainService) }), 0.0)
+}
--- a/service/sharedchoice_test.go
+++ b/service/sharedchoice_test.go
@@ -57,7 +57,7 @@
 }
 
 // forward forwards a call through a forwarder with the choice and returns the targets it was sent to.
-func (f *fakeChoice) forward(ctx context.Context, options ForwarderOptions, call ForwardedCall, replies ...reply) (answer any, err error, sends []string) {
+func (f *fakeChoice) forward(ctx context.Context, options ForwarderOptions, call ForwardedCall, replies ...reply) (answer any, sends []string, err error) {
 	sender := &fakeSender{replies: replies, sends: make(chan string, 8)}
 	options.Sender, options.SharedChoice = sender, f
 	if options.Directory == nil {
@@ -73,7 +73,7 @@
 	for len(sender.sends) > 0 {
 		sends = append(sends, <-sender.sends)
 	}
-	return answer, err, sends
+	return answer, sends, err
 }
 
 // Guards against answers of the coordinator that are not followed, and against ends that are not reported to it.
@@ -81,7 +81,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		shared := &fakeChoice{targets: []string{"b", "c"}, after: 3 * time.Millisecond}
-		_, err, sends := shared.forward(t.Context(), ForwarderOptions{}, ForwardedCall{Repeatable: true, MaxAttempts: 2}, reply{failed, 20 * time.Millisecond}, reply{good, quick})
+		_, sends, err := shared.forward(t.Context(), ForwarderOptions{}, ForwardedCall{Repeatable: true, MaxAttempts: 2}, reply{failed, 20 * time.Millisecond}, reply{good, quick})
 		is.NoErr(err)
 		is.Equal(sends, []string{"b", "c"})
 		is.Equal(shared.asked, [][]string{{"a", "b", "c"}, {"a", "c"}})
@@ -103,7 +103,7 @@
 					left /= len(verdicts)
 				}
 				shared := &fakeChoice{targets: targets, after: time.Millisecond}
-				_, err, sends := shared.forward(t.Context(), ForwarderOptions{}, ForwardedCall{MaxAttempts: 3}, replies...)
+				_, sends, err := shared.forward(t.Context(), ForwarderOptions{}, ForwardedCall{MaxAttempts: 3}, replies...)
 				mayHaveRun := 0
 				for _, sent := range replies[:len(sends)] {
 					if sent.sent.Verdict != SendNotRun && sent.sent.Verdict != SendAddressMismatch {
@@ -133,7 +133,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		shared := &fakeChoice{targets: []string{"a"}}
-		_, err, sends := shared.forward(t.Context(), ForwarderOptions{Limits: onlyLimit{target: "c"}}, ForwardedCall{MaxAttempts: 1}, reply{good, quick})
+		_, sends, err := shared.forward(t.Context(), ForwarderOptions{Limits: onlyLimit{target: "c"}}, ForwardedCall{MaxAttempts: 1}, reply{good, quick})
 		is.NoErr(err)
 		is.Equal(sends, []string{"c"})
 		is.Equal(len(shared.asked), 1)
@@ -142,7 +142,7 @@
 		shared = &fakeChoice{targets: []string{"a"}}
 		versions := &listedVersions{[][]string{{"v2"}}}
 		directory := versionedTargets{{Name: "a", Version: "v1"}, {Name: "b", Version: "v2"}, {Name: "c", Version: "v2"}}
-		_, err, sends = shared.forward(t.Context(), ForwarderOptions{Directory: directory}, ForwardedCall{MaxAttempts: 1, Versions: versions}, reply{good, quick})
+		_, sends, err = shared.forward(t.Context(), ForwarderOptions{Directory: directory}, ForwardedCall{MaxAttempts: 1, Versions: versions}, reply{good, quick})
 		is.NoErr(err)
 		is.True(sends[0] != "a")
 		is.Equal(shared.asked, [][]string{{"b", "c"}})
@@ -169,7 +169,7 @@
 			{&fakeChoice{targets: []string{"a"}}, ForwarderOptions{CrashRecords: trialRecords{}}},
 			{&fakeChoice{targets: []string{"a"}}, ForwarderOptions{Directory: fakeDirectory{{Name: "a"}}}},
 		} {
-			_, err, sends := each.shared.forward(t.Context(), each.options, ForwardedCall{MaxAttempts: 1}, reply{good, quick})
+			_, sends, err := each.shared.forward(t.Context(), each.options, ForwardedCall{MaxAttempts: 1}, reply{good, quick})
 			is.NoErr(err)
 			is.Equal(len(sends), 1)
 			is.Equal(len(each.shared.asked), 0)
@@ -202,7 +202,7 @@
 		budget := &limitedRetries{left: 1}
 		begun := time.Now()
 		// The hedge is due after 50 ms, its choice takes until 80 ms, and the answer arrives at 75 ms.
-		answer, err, sends := shared.forward(t.Context(), ForwarderOptions{Budget: budget}, ForwardedCall{Repeatable: true, MaxAttempts: 2}, reply{good, 60 * time.Millisecond}, reply{good, quick})
+		answer, sends, err := shared.forward(t.Context(), ForwarderOptions{Budget: budget}, ForwardedCall{Repeatable: true, MaxAttempts: 2}, reply{good, 60 * time.Millisecond}, reply{good, quick})
 		is.NoErr(err)
 		is.Equal(answer, "good")
 		is.Equal(time.Since(begun), 75*time.Millisecond)
@@ -213,7 +213,7 @@
 
 		// A failure meanwhile keeps the hedge.
 		shared = &fakeChoice{targets: []string{"a", "b"}, after: 15 * time.Millisecond}
-		answer, err, sends = shared.forward(t.Context(), ForwarderOptions{}, ForwardedCall{Repeatable: true, MaxAttempts: 2}, reply{failed, 60 * time.Millisecond}, reply{good, quick})
+		answer, sends, err = shared.forward(t.Context(), ForwarderOptions{}, ForwardedCall{Repeatable: true, MaxAttempts: 2}, reply{failed, 60 * time.Millisecond}, reply{good, quick})
 		is.NoErr(err)
 		is.Equal(answer, "good")
 		is.Equal(sends, []string{"a", "b"})
@@ -227,7 +227,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
 		defer cancel()
 		shared := &fakeChoice{targets: []string{"a"}, after: 10 * time.Millisecond}
-		_, err, sends := shared.forward(ctx, ForwarderOptions{}, ForwardedCall{MaxAttempts: 1})
+		_, sends, err := shared.forward(ctx, ForwarderOptions{}, ForwardedCall{MaxAttempts: 1})
 		var refused *NotRunError
 		is.True(errors.As(err, &refused))
 		is.Equal(len(sends), 0)
