Test the choice of call targets in the quiet and with a target that hangs

Cause: where few calls are in progress, connections are what the choice decides; and a target that hangs is what today's choice avoids by itself.

--- a/service/calltargets_test.go
+++ b/service/calltargets_test.go
@@ -26,6 +26,10 @@
 	coordinators []*CallTargets
 	// lostAnswers is the fraction of queries that are not answered within the timeout.
 	lostAnswers float64
+	// minRate and maxRate are the calls per second in the waves.
+	minRate, maxRate float64
+	// Target 0 ends no calls from hangFrom until hangUntil.
+	hangFrom, hangUntil time.Time
 
 	calls, late, connections, scheduled int
 }
@@ -80,7 +84,7 @@
 }
 
 func newCallModel(seed uint64, coordinators int) *callModel {
-	m := &callModel{random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_796_595_000, 0)}
+	m := &callModel{random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_796_595_000, 0), minRate: 180, maxRate: 470}
 	for i := range modelTargets {
 		target := &modelCallTarget{slowness: 1}
 		if i == 1 {
@@ -105,7 +109,7 @@
 	heap.Push(&m.events, modelEvent{m.now.Add(d), m.scheduled, run})
 }
 
-// run has calls arrive for a time, in waves of 180 to 470 a second.
+// run has calls arrive for a time, in waves of 8 s.
 func (m *callModel) run(length time.Duration) {
 	begun := m.now
 	var arrive func()
@@ -115,7 +119,7 @@
 			return
 		}
 		m.startCall(m.random.IntN(len(m.entries)))
-		rate := 325 + 145*math.Sin(2*math.Pi*elapsed/8)
+		rate := (m.minRate+m.maxRate)/2 + (m.maxRate-m.minRate)/2*math.Sin(2*math.Pi*elapsed/8)
 		m.after(time.Duration(m.random.ExpFloat64()/rate*float64(time.Second)), arrive)
 	}
 	arrive()
@@ -200,7 +204,11 @@
 	run := func() {
 		at.running++
 		took := modelMinCall + time.Duration(m.random.ExpFloat64()*float64(modelMeanCall-modelMinCall))
-		m.after(time.Duration(float64(took)*at.slowness), func() {
+		took = time.Duration(float64(took) * at.slowness)
+		if end := m.now.Add(took); target == 0 && end.After(m.hangFrom) && end.Before(m.hangUntil) {
+			took = m.hangUntil.Sub(m.now)
+		}
+		m.after(took, func() {
 			at.running--
 			entry.running[target]--
 			entry.idleSince[target] = append(entry.idleSince[target], m.now)
@@ -255,6 +263,38 @@
 	}
 }
 
+// Guards against connections that are opened, while few calls are in progress, although another target as good has an idle one.
+func TestSharedChoiceOfTargetsInTheQuiet(t *testing.T) {
+	for seed := range uint64(3) {
+		is := is.New(t)
+		alone, shared := newCallModel(seed, 0), newCallModel(seed, 1)
+		for _, m := range []*callModel{alone, shared} {
+			m.minRate, m.maxRate = 60, 140
+			m.run(60 * time.Second)
+			t.Logf("seed %d: %d of %d calls late (%.4f), %d connections", seed, m.late, m.calls, m.lateShare(), m.connections)
+		}
+		is.True(shared.lateShare() <= alone.lateShare())
+		is.True(shared.connections < alone.connections)
+	}
+}
+
+// Guards against a target that stops answering and gets more calls than by today's choice, which avoids it as soon as each entry has a call
+// there: to the coordinator it looks idle if it counts calls only for their usual time. There are no breakers in the model.
+func TestSharedChoiceAvoidsATargetThatHangs(t *testing.T) {
+	for seed := range uint64(3) {
+		is := is.New(t)
+		alone, shared := newCallModel(seed, 0), newCallModel(seed, 1)
+		for _, m := range []*callModel{alone, shared} {
+			m.minRate, m.maxRate = 180, 180
+			m.hangFrom = m.now.Add(10 * time.Second)
+			m.hangUntil = m.hangFrom.Add(3 * time.Second)
+			m.run(20 * time.Second)
+			t.Logf("seed %d: %d of %d calls late (%.4f)", seed, m.late, m.calls, m.lateShare())
+		}
+		is.True(shared.lateShare() <= alone.lateShare())
+	}
+}
+
 // callFixture is a view of three targets with six slots each, in the zones a, b and c, and a clock.
 type callFixture struct {
 	*CallTargets
