Place streams at engines that were lost only if there are no others

Cause: the streams of a crashed engine end, so that it has no load in the coordinator's view. The cost of a recent loss (3 s) is less than that of a busy engine (5 s and more with nine streams), and only lost engines were not full. An entry's own placement knows few streams at each engine, where 3 s was always more.

Change: engines with room come first, then full ones, then those that were lost or refused a moment ago or whose zone is being lost; cost decides within each. Ruled out: late reports; each entry's request names the engines that it has lost.

Evidence: TestSharedViewPrefersBusyEnginesToLostOnes fails without the change and passes with it.

--- a/routing/sharedview.go
+++ b/routing/sharedview.go
@@ -353,7 +353,7 @@
 	affinity := affinityEngine(&query.RelayQuery, query.AvailabilityZone)
 	var best *sharedEngine
 	var lowest time.Duration
-	var bestHasRoom bool
+	var rank engineRank
 	for i, candidate := range query.Engines {
 		if !query.Allows(candidate) {
 			continue
@@ -362,8 +362,9 @@
 		candidateWait, hasRoom := v.room(candidate, condition, &query)
 		cost := v.options.Model.streamCost(candidate, condition, &query.RelayQuery, query.AvailabilityZone, affinity) +
 			time.Duration(v.random.Float64()*float64(v.options.Model.RandomSpread))
-		if best == nil || hasRoom && !bestHasRoom || hasRoom == bestHasRoom && cost < lowest {
-			engine, best, lowest, wait, bestHasRoom = candidate, v.records[i], cost, candidateWait, hasRoom
+		candidateRank := rankOf(condition, hasRoom)
+		if best == nil || candidateRank < rank || candidateRank == rank && cost < lowest {
+			engine, best, lowest, wait, rank = candidate, v.records[i], cost, candidateWait, candidateRank
 		}
 	}
 	if best == nil {
@@ -372,6 +373,27 @@
 	return engine, v.reserve(best, engine, wait, &query, now), wait, true
 }
 
+// engineRank orders engines before their cost does.
+type engineRank int
+
+// Ranks, the best first. An engine that was lost a moment ago, and one in a zone that is being lost, has no load any more, since its streams
+// have ended: by cost it would attract all of them again while the others are busy.
+const (
+	rankRoom engineRank = iota
+	rankFull
+	rankAvoided
+)
+
+func rankOf(condition engineCondition, hasRoom bool) engineRank {
+	switch {
+	case condition.avoided || condition.zoneSuspected:
+		return rankAvoided
+	case !hasRoom:
+		return rankFull
+	}
+	return rankRoom
+}
+
 // repeatedReservation returns the reservation of a request that is repeated, so that a request which arrives twice gets the same answer. If
 // its engine can't be chosen any more, the reservation is released instead.
 func (v *SharedView) repeatedReservation(query *SharedQuery, suspected map[string]bool, now time.Time) *reservation {
--- a/routing/sharedview_test.go
+++ b/routing/sharedview_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -552,3 +553,31 @@
 		})
 	}
 }
+
+// Guards against broken streams that are all placed at engines which were lost with them, since these have no load, while the others are
+// busy: each would be refused a dozen times and cut off.
+func TestSharedViewPrefersBusyEnginesToLostOnes(t *testing.T) {
+	is := is.New(t)
+	f := newViewFixture(30)
+	var busy []EngineLoad
+	for _, engine := range f.engines[10:] {
+		busy = append(busy, loadOf(engine, 9, 10_000, 54_000))
+	}
+	f.report("entry-1", busy...)
+	var lost []EngineLoad
+	for _, engine := range f.engines[:10] {
+		load := loadOf(engine, 0, 0, 0)
+		load.Lost = true
+		lost = append(lost, load)
+	}
+	f.report("entry-2", lost...)
+	for i := range 40 {
+		query := f.query(fmt.Sprint("entry-", 3+i%20))
+		query.Request = fmt.Sprint("r", i)
+		is.True(slices.Index(f.engines, f.place(t, query)) >= 10)
+	}
+	// Where all are lost, one of them may be back.
+	query := f.query("entry-3")
+	query.Engines = f.engines[:10]
+	f.place(t, query)
+}
