Keep to the limit of an engine's wait for prompts that fit into it

Cause: the exception for long prompts, 1.5 times what the prompt takes, also raised the limit for prompts that fit into it: a prompt of 2 s found room where its first event would come after 3 s, above maxEngineWait.

Change: the exception holds only if the prompt alone exceeds the limit, at an engine that prefills nothing.

--- a/routing/sharedview.go
+++ b/routing/sharedview.go
@@ -20,8 +20,8 @@
 	maxEngineWait = 2500 * time.Millisecond
 	// maxRoomMemoryShare is the share of the KV cache up to which an engine has room.
 	maxRoomMemoryShare = 0.9
-	// longPromptSlowness is the slowness up to which an idle engine has room for a prompt that no engine prefills within maxEngineWait: such
-	// a prompt would otherwise never find room.
+	// longPromptSlowness is the slowness up to which an engine that prefills nothing has room for a prompt that takes longer than the limit at
+	// any engine: such a prompt would otherwise never find room.
 	longPromptSlowness = slowFrom
 	// A zone is suspected by all entries if one in zoneLossShare of its engines, and at least zoneLossEngines, were lost within
 	// zoneLossWindow, as seen by zoneLossEntries entries: all entries together see single crashes often, and one entry alone may have lost
@@ -435,7 +435,11 @@
 	if objective := query.objective(); objective > 0 {
 		limit = min(limit, objective)
 	}
-	if wait > max(limit, time.Duration(longPromptSlowness*float64(prompt))) {
+	if prompt > limit {
+		if usage.prefillTokens > 0 || condition.slowness > longPromptSlowness {
+			return wait, false
+		}
+	} else if wait > limit {
 		return wait, false
 	}
 	if slots := slotsOf(engine, query.Spec); slots > 0 && usage.streams >= slots {
--- a/routing/sharedview_test.go
+++ b/routing/sharedview_test.go
@@ -363,6 +363,18 @@
 		{name: "long prompt, another in progress", load: EngineLoad{Streams: 1, PrefillTokens: 40_000}, change: func(_ *viewFixture, query *SharedQuery) {
 			query.Size.Prompt = 20_000
 		}},
+		{name: "long prompt, a little in progress", load: EngineLoad{Streams: 1, PrefillTokens: 500}, change: func(_ *viewFixture, query *SharedQuery) {
+			query.Size.Prompt = 20_000
+		}},
+		{name: "prompt of 2 s, above the limit of the wait", load: EngineLoad{Streams: 1, PrefillTokens: 2501}, change: func(_ *viewFixture, query *SharedQuery) {
+			query.Size.Prompt = 10_000
+		}},
+		{name: "prompt of 2 s, within the limit of the wait", load: EngineLoad{Streams: 1, PrefillTokens: 2500}, change: func(_ *viewFixture, query *SharedQuery) {
+			query.Size.Prompt = 10_000
+		}, room: true},
+		{name: "prompt near the objective", load: EngineLoad{Streams: 1, PrefillTokens: 801}, change: func(_ *viewFixture, query *SharedQuery) {
+			query.Objective = 1200 * time.Millisecond
+		}},
 		{name: "slow", load: EngineLoad{Streams: 1, PrefillTokens: 5200}, change: func(f *viewFixture, _ *SharedQuery) {
 			for range 50 {
 				f.paces.observe(engineKey{id: "other"}, "", 30*time.Millisecond, f.now)
