Shared placement: use the engines of now after a wait

Cause: an engine that had come or restarted while a stream waited was not in the list with which it had begun to wait, so that the stream was asked for again, or went to the former incarnation.

Change: the engine of an answer is looked up in what the entry knows now. A stream that may not go to all engines keeps to those of its query, by ID, address and version.

--- a/placementcontrol/fakes_test.go
+++ b/placementcontrol/fakes_test.go
@@ -106,7 +106,7 @@
 				if name != service {
 					return nil, nil
 				}
-				return spec, f.engines
+				return spec, f.knownEngines()
 			},
 			Observe: func(event Event) {
 				f.mu.Lock()
@@ -122,6 +122,13 @@
 	return f
 }
 
+// knownEngines returns the engines that all entries know. The slice is never changed.
+func (f *fleet) knownEngines() []*directory.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.engines
+}
+
 // run runs the managers until the test ends.
 func (f *fleet) run(t *testing.T) {
 	for _, manager := range f.managers {
@@ -254,7 +261,7 @@
 func (f *fleet) query(request string) generation.RelayQuery {
 	return generation.RelayQuery{
 		Service: service, Request: request, Objective: 4 * time.Second, Deadline: time.Now().Add(25 * time.Second),
-		Engines: f.engines, Spec: spec, Size: size,
+		Engines: f.knownEngines(), Spec: spec, Size: size,
 	}
 }
 
--- a/placementcontrol/manager.go
+++ b/placementcontrol/manager.go
@@ -235,19 +235,27 @@
 	return m.Local.PlaceStream(ctx, query)
 }
 
+// takesAll reports whether the stream may go to all engines of its service that this entry knows, but for the excluded ones.
+func (m *Manager) takesAll(query generation.RelayQuery) bool {
+	_, available := m.options.Service(query.Service)
+	if query.Fits != nil || len(available) != len(query.Engines) {
+		return false
+	}
+	return len(available) == 0 || &available[0] == &query.Engines[0]
+}
+
 // excluded returns the IDs of the service's engines that the query does not allow; ok is false if there are too many. The coordinator knows
 // all engines, and nothing of the versions that the request may go to.
 func (m *Manager) excluded(query generation.RelayQuery) (exclude []string, ok bool) {
-	_, available := m.options.Service(query.Service)
 	exclude = slices.Clone(query.Exclude)
-	isWhole := len(available) == len(query.Engines) && (len(available) == 0 || &available[0] == &query.Engines[0])
-	if isWhole && query.Fits == nil {
+	if m.takesAll(query) {
 		return exclude, len(exclude) <= maxExcluded
 	}
 	usable := make(map[string]bool, len(query.Engines))
 	for _, engine := range query.Engines {
 		usable[engine.ID] = query.Allows(engine)
 	}
+	_, available := m.options.Service(query.Service)
 	for _, engine := range available {
 		if !usable[engine.ID] && !slices.Contains(query.Exclude, engine.ID) {
 			exclude = append(exclude, engine.ID)
@@ -256,6 +264,23 @@
 	return exclude, len(exclude) <= maxExcluded
 }
 
+// usableEngine returns the engine of an answer as this entry knows it now, nil if the stream can't go there. Engines may have come, gone or
+// restarted while the stream waited.
+func (m *Manager) usableEngine(query generation.RelayQuery, takesAll bool, answer Answer) *directory.Target {
+	isAnswer := func(engine *directory.Target) bool { return engine.ID == answer.Engine && engine.Address == answer.Address }
+	_, available := m.options.Service(query.Service)
+	index := slices.IndexFunc(available, isAnswer)
+	if index < 0 || !query.Allows(available[index]) {
+		return nil
+	}
+	engine := available[index]
+	isQueried := func(queried *directory.Target) bool { return isAnswer(queried) && queried.Version == engine.Version }
+	if !takesAll && !slices.ContainsFunc(query.Engines, isQueried) {
+		return nil
+	}
+	return engine
+}
+
 // placeShared has the coordinator choose the engine. Without an engine and an error, reason says why this entry must place the stream.
 func (m *Manager) placeShared(ctx context.Context, live []membership.Peer, query generation.RelayQuery, exclude []string) (engine *directory.Target, reason string, err error) {
 	request := Request{
@@ -263,6 +288,7 @@
 		CachedAt: query.CachedAt, Affinity: shorten(query.Affinity), Exclude: exclude, Objective: query.Objective, Begun: query.Begun,
 	}
 	request.Service = query.Service
+	takesAll := m.takesAll(query)
 	timeLeft := placeTimeout
 	for {
 		if !m.beginQuery(query) {
@@ -292,16 +318,15 @@
 		case answer.Engine == "":
 			return nil, ReasonNoEngine, nil
 		}
-		index := slices.IndexFunc(query.Engines, func(e *directory.Target) bool { return e.ID == answer.Engine && e.Address == answer.Address })
-		isUsable := index >= 0 && query.Allows(query.Engines[index])
-		m.recordAnswer(query, answer, coordinator, isUsable)
-		if isUsable {
+		engine := m.usableEngine(query, takesAll, answer)
+		m.recordAnswer(query, answer, coordinator, engine != nil)
+		if engine != nil {
 			if coordinator == m.options.View.Self().Name {
 				m.stats.PlacedBySelf.Add(1)
 			} else {
 				m.stats.PlacedByCoordinator.Add(1)
 			}
-			return query.Engines[index], "", nil
+			return engine, "", nil
 		}
 		request.Exclude = append(request.Exclude, answer.Engine)
 	}
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -276,6 +276,49 @@
 	}
 }
 
+// Guards against a stream that is placed by the engines that its entry knew when it began to wait.
+func TestEnginesThatChangeWhileStreamsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 2, nil)
+		f.run(t)
+		ranked := f.ranked()
+		f.start(t, ranked[1], "first")
+		f.start(t, ranked[2], "second")
+		results := make(chan placed, 1)
+		f.placeAsync(t.Context(), ranked[3], f.query("waits"), results)
+		time.Sleep(600 * time.Millisecond)
+		restarted := *f.engines[1]
+		restarted.StartedMs = 7
+		appeared := *f.engines[1]
+		appeared.ID, appeared.Address = "i-new", "10.0.0.9:80"
+		f.mu.Lock()
+		f.engines = []*directory.Target{f.engines[0], &restarted, &appeared}
+		f.mu.Unlock()
+		result := <-results
+		is.NoErr(result.err)
+		is.Equal(result.engine, &appeared)
+		is.Equal(f.managers[ranked[3]].Stats().PlacedByFallback.Load(), int64(0))
+
+		// A stream that may not go to all engines keeps to those that its query has, as they are now.
+		query := f.query("certain")
+		query.Engines = []*directory.Target{f.engines[0], &appeared}
+		f.placeAsync(t.Context(), ranked[3], query, results)
+		f.managers[ranked[3]].AddStream(&appeared, size, 0)
+		time.Sleep(600 * time.Millisecond)
+		newVersion := appeared
+		newVersion.ID, newVersion.Version = "i-v2", "v2"
+		again := *f.engines[0]
+		again.Slots, again.StartedMs = 2, 8
+		f.mu.Lock()
+		f.engines = []*directory.Target{&again, &restarted, &appeared, &newVersion}
+		f.mu.Unlock()
+		result = <-results
+		is.NoErr(result.err)
+		is.Equal(result.engine, &again)
+	})
+}
+
 // Guards against room that nobody is given since no message tells of it: that of an entry that is lost.
 func TestRoomOfALostEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
