Shared placement: a stream keeps its turn between two of its requests

Cause: a queued stream repeats its request every 250 ms, and got no room that came in the milliseconds between two requests; one behind it got the room. Seen as TestUrgentStreamsGetRoomFirst with -race, once in two runs: of two streams of one priority the later one went first.

Change: a stream whose request was answered up to 50 ms ago gets its turn, and the answer is kept for its next request. A refusal is kept likewise, so that the stream isn't queued anew.

--- a/placementcontrol/coordinator.go
+++ b/placementcontrol/coordinator.go
@@ -134,7 +134,7 @@
 			delete(m.coordinated, service)
 			// The entries of waiting streams ask the next coordinator.
 			for _, w := range c.waiters {
-				w.deliver(held{err: ErrDeclined})
+				w.answerHeld(held{err: ErrDeclined})
 			}
 			m.options.Observe(Event{Kind: EventCoordinator, Service: service, Coordinator: m.options.View.Self().Name, Role: RoleStopped})
 		}
--- a/placementcontrol/manager.go
+++ b/placementcontrol/manager.go
@@ -267,7 +267,9 @@
 // usableEngine returns the engine of an answer as this entry knows it now, nil if the stream can't go there. Engines may have come, gone or
 // restarted while the stream waited.
 func (m *Manager) usableEngine(query generation.RelayQuery, takesAll bool, answer Answer) *directory.Target {
-	isAnswer := func(engine *directory.Target) bool { return engine.ID == answer.Engine && engine.Address == answer.Address }
+	isAnswer := func(engine *directory.Target) bool {
+		return engine.ID == answer.Engine && engine.Address == answer.Address
+	}
 	_, available := m.options.Service(query.Service)
 	index := slices.IndexFunc(available, isAnswer)
 	if index < 0 || !query.Allows(available[index]) {
--- a/placementcontrol/queue.go
+++ b/placementcontrol/queue.go
@@ -15,6 +15,8 @@
 	holdTime = 250 * time.Millisecond
 	// repeatWithin is the time within which a queued stream must be repeated.
 	repeatWithin = 500 * time.Millisecond
+	// repeatGrace is the time after the answer to a request in which the next one is certain to come, unless the entry or its caller is lost.
+	repeatGrace = 50 * time.Millisecond
 	// decideInterval is the least time between two looks at a queue: each looks at all engines for several streams.
 	decideInterval = 10 * time.Millisecond
 	// maxDecisions is the number of streams that get room at one look, during which all other messages wait.
@@ -30,6 +32,8 @@
 	seenAt time.Time
 	// holds gets the answer to the request that is held; nil while none is.
 	holds chan held
+	// decided is the answer to the next request; nil while the stream is in the queue.
+	decided *Answer
 }
 
 // held is the answer to a request that was held.
@@ -38,12 +42,23 @@
 	err    error
 }
 
-// deliver answers the request that is held, if there is one.
-func (w *waiter) deliver(answer held) {
-	if w.holds != nil {
-		w.holds <- answer
-		w.holds = nil
+// answerHeld answers the request that is held, and reports whether there is one.
+func (w *waiter) answerHeld(answer held) bool {
+	if w.holds == nil {
+		return false
+	}
+	w.holds <- answer
+	w.holds = nil
+	return true
+}
+
+// deliver ends the wait of a stream, which is no longer in the queue. The answer is kept for the next request if none is held.
+func (c *coordination) deliver(id string, w *waiter, answer Answer) {
+	if w.answerHeld(held{answer: answer}) {
+		delete(c.waiters, id)
+		return
 	}
+	w.decided = &answer
 }
 
 // noStreams is the number of streams that any customer has in progress. The entries' states don't name customers; the queue counts what
@@ -72,8 +87,12 @@
 		w = &waiter{}
 		c.waiters[request.ID] = w
 	}
+	if w.decided != nil {
+		delete(c.waiters, request.ID)
+		return nil, nil, *w.decided
+	}
 	// The other request with the ID is one whose caller has left and returned.
-	w.deliver(held{answer: Answer{Refused: true, RetryAfter: replacedRetryAfter}})
+	w.answerHeld(held{answer: Answer{Refused: true, RetryAfter: replacedRetryAfter}})
 	holds = make(chan held, 1)
 	w.request, w.seenAt, w.holds = *request, now, holds
 	m.decide(c)
@@ -139,10 +158,10 @@
 	if spec == nil {
 		return
 	}
-	// A stream whose request isn't held gets no room: its entry may be lost, and the room with it.
+	// A stream that hasn't repeated its request gets no room: its entry may be lost, and the room with it.
 	fits := func(stream admission.QueuedStream) bool {
 		w := c.waiters[stream.Request]
-		return w != nil && w.holds != nil && c.view.HasRoom(m.sharedQuery(&w.request, spec, engines))
+		return w != nil && (w.holds != nil || now.Sub(w.seenAt) <= repeatGrace) && c.view.HasRoom(m.sharedQuery(&w.request, spec, engines))
 	}
 	for range maxDecisions {
 		next, ok := c.queue.NextFitting(noStreams, fits)
@@ -151,8 +170,7 @@
 		}
 		w := c.waiters[next.Request]
 		c.queue.Remove(next.Request, true)
-		delete(c.waiters, next.Request)
-		w.deliver(held{answer: c.place(m.sharedQuery(&w.request, spec, engines))})
+		c.deliver(next.Request, w, c.place(m.sharedQuery(&w.request, spec, engines)))
 	}
 }
 
@@ -164,8 +182,7 @@
 			retryAfter = c.queue.RetryAfter(stream)
 		}
 		if w := c.waiters[stream.Request]; w != nil {
-			delete(c.waiters, stream.Request)
-			w.deliver(held{answer: Answer{Refused: true, RetryAfter: retryAfter}})
+			c.deliver(stream.Request, w, Answer{Refused: true, RetryAfter: retryAfter})
 		}
 	}
 }
@@ -212,7 +229,7 @@
 	count := 0
 	for _, c := range m.coordinated {
 		for _, w := range c.waiters {
-			if w.request.Priority >= first && w.request.Priority <= last {
+			if w.decided == nil && w.request.Priority >= first && w.request.Priority <= last {
 				count++
 			}
 		}
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -103,6 +103,42 @@
 	})
 }
 
+// Guards against a stream that loses its turn since room comes just between two of its requests, and against room that is kept for one that
+// does not come again.
+func TestRoomBetweenTwoRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		coordinator := f.managers[ranked[0]]
+		place := func(entry, id string) Answer {
+			answer, err := coordinator.Place(t.Context(), f.request(entry, id, true))
+			is.NoErr(err)
+			return answer
+		}
+		first, err := coordinator.Place(t.Context(), f.request("other", "first", false))
+		is.NoErr(err)
+		is.True(place(ranked[1], "early").Queued)
+		late := make(chan Answer, 1)
+		go func() { late <- place(ranked[2], "late") }()
+		time.Sleep(20 * time.Millisecond)
+		released := f.request("other", "", false).Report
+		released.Tickets = []uint64{first.Ticket}
+		is.NoErr(coordinator.Receive(released))
+		time.Sleep(2 * decideInterval)
+		is.Equal(len(late), 0) // the earlier one has its turn
+		is.Equal(place(ranked[1], "early").Engine, "i000")
+		is.True((<-late).Queued)
+
+		// The early one has not begun: its reservation lasts a second. Nobody repeats the late one.
+		time.Sleep(2 * time.Second)
+		is.Equal(coordinator.QueueLength(0, 9), 0)
+		is.Equal(place(ranked[3], "next").Engine, "i000")
+		is.Equal(len(coordinator.coordinated[service].waiters), 0)
+	})
+}
+
 // Guards against streams that wait although they can't be served in time, and against ones that are sent then.
 func TestStreamsAreRefusedEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
