Shared placement: limit the requests that are held

Cause: each waiting stream held a connection of the coordinator, of which the smallest VM has 768 for peers; with that many waiting streams the membership's probes would find none.

Change: 192 requests are held at the same time; further ones are answered at once, and their entries repeat them after 200 ms. Such streams keep their turn.

--- a/placementcontrol/manager.go
+++ b/placementcontrol/manager.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -152,6 +153,8 @@
 	choices   map[string]*choice
 	fallbacks map[string]*fallbackCount
 
+	// held is the number of requests that are held.
+	held atomic.Int64
 	// coordinatedMu guards what this entry does as the coordinator.
 	coordinatedMu sync.Mutex
 	coordinated   map[string]*coordination
--- a/placementcontrol/queue.go
+++ b/placementcontrol/queue.go
@@ -13,6 +13,9 @@
 const (
 	// holdTime is how long a repeated request is held, unless it is decided before.
 	holdTime = 250 * time.Millisecond
+	// maxHeld is the number of requests that are held at the same time. Each takes one of the connections from peers, of which the smallest
+	// VM has 768, and the membership needs some of them. Further requests are answered at once.
+	maxHeld = 192
 	// repeatWithin is the time within which a queued stream must be repeated.
 	repeatWithin = 500 * time.Millisecond
 	// repeatGrace is the time after the answer to a request in which the next one is certain to come, unless the entry or its caller is lost.
@@ -32,6 +35,8 @@
 	seenAt time.Time
 	// holds gets the answer to the request that is held; nil while none is.
 	holds chan held
+	// polls is set if the last request was not held although it repeated another one.
+	polls bool
 	// decided is the answer to the next request; nil while the stream is in the queue.
 	decided *Answer
 }
@@ -42,6 +47,15 @@
 	err    error
 }
 
+// isPresent reports whether the stream's next request is held, or certain to come soon.
+func (w *waiter) isPresent(now time.Time) bool {
+	grace := repeatGrace
+	if w.polls {
+		grace += minRepeatInterval
+	}
+	return w.holds != nil || now.Sub(w.seenAt) <= grace
+}
+
 // answerHeld answers the request that is held, and reports whether there is one.
 func (w *waiter) answerHeld(answer held) bool {
 	if w.holds == nil {
@@ -94,21 +108,23 @@
 	// The other request with the ID is one whose caller has left and returned.
 	w.answerHeld(held{answer: Answer{Refused: true, RetryAfter: replacedRetryAfter}})
 	holds = make(chan held, 1)
-	w.request, w.seenAt, w.holds = *request, now, holds
+	w.request, w.seenAt, w.holds, w.polls = *request, now, holds, false
 	m.decide(c)
 	m.wakeQueue()
 	switch {
 	case len(holds) > 0:
 		return nil, nil, (<-holds).answer
-	case !request.Queued:
-		w.holds = nil
+	case !request.Queued || m.held.Load() >= maxHeld:
+		w.holds, w.polls = nil, request.Queued
 		return nil, nil, Answer{Queued: true, Position: c.queue.Len()}
 	}
+	m.held.Add(1)
 	return w, holds, Answer{}
 }
 
 // hold waits for the answer to a request that is held.
 func (m *Manager) hold(ctx context.Context, c *coordination, w *waiter, holds chan held, request *Request) (Answer, error) {
+	defer m.held.Add(-1)
 	timer := time.NewTimer(holdTime)
 	defer timer.Stop()
 	select {
@@ -161,7 +177,7 @@
 	// A stream that hasn't repeated its request gets no room: its entry may be lost, and the room with it.
 	fits := func(stream admission.QueuedStream) bool {
 		w := c.waiters[stream.Request]
-		return w != nil && (w.holds != nil || now.Sub(w.seenAt) <= repeatGrace) && c.view.HasRoom(m.sharedQuery(&w.request, spec, engines))
+		return w != nil && w.isPresent(now) && c.view.HasRoom(m.sharedQuery(&w.request, spec, engines))
 	}
 	for range maxDecisions {
 		next, ok := c.queue.NextFitting(noStreams, fits)
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -139,6 +139,43 @@
 	})
 }
 
+// Guards against waiting streams that take all connections of the coordinator, or repeat their requests all the time once it holds no more.
+func TestManyWaitingStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams = 500
+		is := is.New(t)
+		f := newSmallFleet(8, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		coordinator := f.managers[ranked[0]]
+		_, running := f.start(t, ranked[1], "running")
+		ctx, cancel := context.WithCancel(t.Context())
+		results := make(chan placed, streams)
+		for i := range streams {
+			query := f.query(fmt.Sprint(i))
+			query.Objective, query.Deadline = 1000*time.Second, time.Now().Add(4000*time.Second)
+			f.placeAsync(ctx, ranked[1+i%7], query, results)
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(coordinator.QueueLength(0, 9), streams)
+		is.Equal(coordinator.held.Load(), int64(maxHeld))
+		before := len(f.sentRequests())
+		time.Sleep(2 * time.Second)
+		perSecond := (len(f.sentRequests()) - before) / 2
+		t.Logf("%d requests a second of %d streams", perSecond, streams)
+		is.True(perSecond <= streams*int(time.Second/minRepeatInterval))
+		running.Ended()
+		is.NoErr((<-results).err)
+		cancel()
+		for range streams - 1 {
+			is.True(errors.Is((<-results).err, context.Canceled))
+		}
+		time.Sleep(repeatWithin + 2*decideInterval)
+		is.Equal(coordinator.QueueLength(0, 9), 0)
+		is.Equal(coordinator.held.Load(), int64(0))
+	})
+}
+
 // Guards against streams that wait although they can't be served in time, and against ones that are sent then.
 func TestStreamsAreRefusedEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/placementcontrol/wait.go
+++ b/placementcontrol/wait.go
@@ -12,7 +12,7 @@
 	// repeatTimeout limits a repeated request, which the coordinator holds for holdTime.
 	repeatTimeout = holdTime + placeTimeout
 	// minRepeatInterval is the least time between two repeated requests, if a coordinator doesn't hold them.
-	minRepeatInterval = 20 * time.Millisecond
+	minRepeatInterval = 200 * time.Millisecond
 	// A stream waits for its first event for waitObjectives times its objective at most, and until deadlineReserve before its deadline.
 	// waitMargin is the further time in which the coordinator, which knows the same limits, refuses it.
 	waitObjectives   = 3
