--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -103,6 +103,79 @@
 	})
 }
 
+// Guards against a stream that loses its turn since room comes just between two of its requests, and against room that is kept for one that
+// does not come again.
+func TestRoomBetweenTwoRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		coordinator := f.managers[ranked[0]]
+		place := func(entry, id string) Answer {
+			answer, err := coordinator.Place(t.Context(), f.request(entry, id, true))
+			is.NoErr(err)
+			return answer
+		}
+		first, err := coordinator.Place(t.Context(), f.request("other", "first", false))
+		is.NoErr(err)
+		is.True(place(ranked[1], "early").Queued)
+		late := make(chan Answer, 1)
+		go func() { late <- place(ranked[2], "late") }()
+		time.Sleep(20 * time.Millisecond)
+		released := f.request("other", "", false).Report
+		released.Tickets = []uint64{first.Ticket}
+		is.NoErr(coordinator.Receive(released))
+		time.Sleep(2 * decideInterval)
+		is.Equal(len(late), 0) // the earlier one has its turn
+		is.Equal(place(ranked[1], "early").Engine, "i000")
+		is.True((<-late).Queued)
+
+		// The early one has not begun: its reservation lasts a second. Nobody repeats the late one.
+		time.Sleep(2 * time.Second)
+		is.Equal(coordinator.QueueLength(0, 9), 0)
+		is.Equal(place(ranked[3], "next").Engine, "i000")
+		is.Equal(len(coordinator.coordinated[service].waiters), 0)
+	})
+}
+
+// Guards against waiting streams that take all connections of the coordinator, or repeat their requests all the time once it holds no more.
+func TestManyWaitingStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams = 500
+		is := is.New(t)
+		f := newSmallFleet(8, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		coordinator := f.managers[ranked[0]]
+		_, running := f.start(t, ranked[1], "running")
+		ctx, cancel := context.WithCancel(t.Context())
+		results := make(chan placed, streams)
+		for i := range streams {
+			query := f.query(fmt.Sprint(i))
+			query.Objective, query.Deadline = 1000*time.Second, time.Now().Add(4000*time.Second)
+			f.placeAsync(ctx, ranked[1+i%7], query, results)
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(coordinator.QueueLength(0, 9), streams)
+		is.Equal(coordinator.held.Load(), int64(maxHeld))
+		before := len(f.sentRequests())
+		time.Sleep(2 * time.Second)
+		perSecond := (len(f.sentRequests()) - before) / 2
+		t.Logf("%d requests a second of %d streams", perSecond, streams)
+		is.True(perSecond <= streams*int(time.Second/minRepeatInterval))
+		running.Ended()
+		is.NoErr((<-results).err)
+		cancel()
+		for range streams - 1 {
+			is.True(errors.Is((<-results).err, context.Canceled))
+		}
+		time.Sleep(repeatWithin + 2*decideInterval)
+		is.Equal(coordinator.QueueLength(0, 9), 0)
+		is.Equal(coordinator.held.Load(), int64(0))
+	})
+}
+
 // Guards against streams that wait although they can't be served in time, and against ones that are sent then.
 func TestStreamsAreRefusedEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -276,6 +349,49 @@
 	}
 }
 
+// Guards against a stream that is placed by the engines that its entry knew when it began to wait.
+func TestEnginesThatChangeWhileStreamsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 2, nil)
+		f.run(t)
+		ranked := f.ranked()
+		f.start(t, ranked[1], "first")
+		f.start(t, ranked[2], "second")
+		results := make(chan placed, 1)
+		f.placeAsync(t.Context(), ranked[3], f.query("waits"), results)
+		time.Sleep(600 * time.Millisecond)
+		restarted := *f.engines[1]
+		restarted.StartedMs = 7
+		appeared := *f.engines[1]
+		appeared.ID, appeared.Address = "i-new", "10.0.0.9:80"
+		f.mu.Lock()
+		f.engines = []*directory.Target{f.engines[0], &restarted, &appeared}
+		f.mu.Unlock()
+		result := <-results
+		is.NoErr(result.err)
+		is.Equal(result.engine, &appeared)
+		is.Equal(f.managers[ranked[3]].Stats().PlacedByFallback.Load(), int64(0))
+
+		// A stream that may not go to all engines keeps to those that its query has, as they are now.
+		query := f.query("certain")
+		query.Engines = []*directory.Target{f.engines[0], &appeared}
+		f.placeAsync(t.Context(), ranked[3], query, results)
+		f.managers[ranked[3]].AddStream(&appeared, size, 0)
+		time.Sleep(600 * time.Millisecond)
+		newVersion := appeared
+		newVersion.ID, newVersion.Version = "i-v2", "v2"
+		again := *f.engines[0]
+		again.Slots, again.StartedMs = 2, 8
+		f.mu.Lock()
+		f.engines = []*directory.Target{&again, &restarted, &appeared, &newVersion}
+		f.mu.Unlock()
+		result = <-results
+		is.NoErr(result.err)
+		is.Equal(result.engine, &again)
+	})
+}
+
 // Guards against room that nobody is given since no message tells of it: that of an entry that is lost.
 func TestRoomOfALostEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
