Shared placement: refuse requests that return as often as new ones

What callers would see: beside full engines, the third call with one request ID within a second at one entry was sent at once, to an engine without room, while others waited or were refused. A caller that keeps to a Retry-After of 0.2 s, or sends one request three times, passed by the queue, and its stream and those at the engine became late.

Cause: the queries for a request counted towards the two of one attempt also if it was refused or waited. After two, the entry places the stream itself.

Change: a query counts once it is answered, unless the answer is a refusal.

Evidence: TestRefusedRequestsThatReturnArePlacedByTheCoordinator failed before and passes; go test ./placementcontrol passes.

--- a/placementcontrol/manager.go
+++ b/placementcontrol/manager.go
@@ -279,6 +279,9 @@
 			answer, coordinator, reason = m.awaitRoom(ctx, query, request, &position)
 			timeLeft = placeTimeout
 		}
+		if query.Begun || !answer.Refused {
+			m.countQuery(query)
+		}
 		switch {
 		case ctx.Err() != nil:
 			if answer.Engine != "" {
@@ -316,7 +319,7 @@
 	return fmt.Sprintf("%s%0*x", name[:maxNameBytes-hashBytes], hashBytes, xxhash.Sum64String(name))
 }
 
-// beginQuery counts a query for an attempt of the request; false if there were enough. An engine that was answered before was not used.
+// beginQuery reports whether there is a further query for an attempt of the request. An engine that was answered before was not used.
 func (m *Manager) beginQuery(query generation.RelayQuery) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -327,8 +330,20 @@
 		m.choices[query.Request] = known
 	}
 	m.releaseUnused(known)
+	return known.queries < maxQueries
+}
+
+// countQuery counts a query for an attempt of the request. Refused ones don't count, nor do those that are not decided yet: a caller that
+// returns with the same request would have its stream placed without room.
+func (m *Manager) countQuery(query generation.RelayQuery) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.choices[query.Request]
+	if known == nil {
+		known = &choice{at: m.options.Now(), service: query.Service}
+		m.choices[query.Request] = known
+	}
 	known.queries++
-	return known.queries <= maxQueries
 }
 
 // recordAnswer records the engine that the coordinator reserved for the request.
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -192,6 +192,31 @@
 	})
 }
 
+// Guards against a stream that is placed without room since its caller returns with the same request ID after a refusal, or sends several
+// requests with it at once.
+func TestRefusedRequestsThatReturnArePlacedByTheCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const requests = 6
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		f.setFault(ranked[0], fault{answer: &Answer{Refused: true, RetryAfter: 200 * time.Millisecond}})
+		results := make(chan placed, requests)
+		for _, pause := range []time.Duration{200 * time.Millisecond, 0} {
+			for range requests {
+				f.placeAsync(t.Context(), ranked[2], f.query("same"), results)
+				time.Sleep(pause)
+			}
+			for range requests {
+				result := <-results
+				var noRoom *generation.NoRoomError
+				is.True(errors.As(result.err, &noRoom))
+			}
+		}
+	})
+}
+
 // request returns the message of an entry without streams.
 func (f *fleet) request(entry, id string, queued bool) Request {
 	return Request{
