Shared placement: streams don't wait at an entry that shuts down

What callers would see: at SIGTERM of an entry while engines are full, its streams that wait for room, and those that it still accepts, went on waiting for up to 9.5 s (objective of 4 s). With 8 s until SIGKILL, their callers got 502 "outcome unknown" after 7.5 s although nothing had run, or a stream that was cut off.

Cause: the wait for room knew nothing of the shutdown, which accepts streams by the time that they usually take.

Change: an entry that shuts down places a stream itself when it would have to wait, with the new reason "stopping".

Evidence: TestNoStreamWaitsAtAnEntryThatShutsDown failed before and passes; go test ./placementcontrol passes.

--- a/placementcontrol/events.go
+++ b/placementcontrol/events.go
@@ -38,6 +38,8 @@
 	ReasonDeclined = "declined"
 	// ReasonNoEngine: the coordinator knows no engine for the stream.
 	ReasonNoEngine = "no_engine"
+	// ReasonStopping: this entry is shutting down, and the stream would have to wait.
+	ReasonStopping = "stopping"
 	// ReasonUnusable: this entry can't use the engines that the coordinator chose.
 	ReasonUnusable = "unusable"
 )
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -301,6 +301,37 @@
 	}
 }
 
+// Guards against streams that wait at an entry which shuts down until it cuts them off: it has 8 s left, and a stream may wait for 9.5 s.
+func TestNoStreamWaitsAtAnEntryThatShutsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		ranked := f.ranked()
+		f.managers[ranked[3]].options.Stopping = func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.stopping == ranked[3]
+		}
+		f.run(t)
+		f.start(t, ranked[1], "running")
+		results := make(chan placed, 1)
+		f.placeAsync(t.Context(), ranked[3], f.query("waits"), results)
+		time.Sleep(600 * time.Millisecond)
+		f.mu.Lock()
+		f.stopping = ranked[3]
+		f.mu.Unlock()
+		result := <-results
+		is.NoErr(result.err)
+		is.Equal(result.engine, f.engines[0])
+		is.True(result.after <= 600*time.Millisecond+repeatTimeout)
+		_, took := f.place(t, ranked[3], f.query("accepted later"))
+		is.Equal(took, 2*latency)
+		is.Equal(f.managers[ranked[3]].Stats().PlacedByFallback.Load(), int64(2))
+		time.Sleep(repeatWithin + 2*decideInterval)
+		is.Equal(f.managers[ranked[0]].QueueLength(0, 9), 0)
+	})
+}
+
 // Guards against room that nobody is given since no message tells of it: that of an entry that is lost.
 func TestRoomOfALostEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/placementcontrol/wait.go
+++ b/placementcontrol/wait.go
@@ -40,6 +40,9 @@
 	limit = limit.Add(waitMargin)
 	request.Queued = true
 	for {
+		if m.options.Stopping() {
+			return Answer{}, "", ReasonStopping
+		}
 		sent := m.options.Now()
 		request.TimeLeft = query.Deadline.Sub(sent)
 		limited, cancel := context.WithTimeout(ctx, repeatTimeout)
