Shared placement: streams stop waiting when too few entries are live

What callers would see: an entry that lost sight of peers until fewer than minEntries were live went on asking the coordinator for its waiting streams, for up to 12 s, and refused them, while new streams were placed locally at once.

Cause: minEntries was checked when a stream arrived, not while it waited. A coordinator that still saw enough entries kept it.

Change: each repeated request checks it; below minEntries the stream is placed locally.

Evidence: TestNoStreamWaitsAmongTooFewEntries failed before ("no engine has room") and passes; go test ./placementcontrol passes.

--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/membership"
 )
 
 // newSmallFleet returns entries before engines of one slot each.
@@ -332,6 +334,30 @@
 	})
 }
 
+// Guards against streams that wait, and messages for them, once their entry sees fewer live entries than share placement.
+func TestNoStreamWaitsAmongTooFewEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		ranked := f.ranked()
+		f.managers[ranked[3]].options.MinEntries = 4
+		f.run(t)
+		f.start(t, ranked[1], "running")
+		results := make(chan placed, 1)
+		f.placeAsync(t.Context(), ranked[3], f.query("waits"), results)
+		time.Sleep(600 * time.Millisecond)
+		f.mu.Lock()
+		f.live = slices.DeleteFunc(slices.Clone(f.live), func(peer membership.Peer) bool { return peer.Name == ranked[2] })
+		f.mu.Unlock()
+		before := len(f.sentRequests())
+		result := <-results
+		is.NoErr(result.err)
+		is.Equal(result.engine, f.engines[0])
+		is.True(result.after <= 600*time.Millisecond+repeatTimeout)
+		is.Equal(len(f.sentRequests()), before)
+	})
+}
+
 // Guards against room that nobody is given since no message tells of it: that of an entry that is lost.
 func TestRoomOfALostEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/placementcontrol/wait.go
+++ b/placementcontrol/wait.go
@@ -40,13 +40,17 @@
 	limit = limit.Add(waitMargin)
 	request.Queued = true
 	for {
-		if m.options.Stopping() {
+		live := m.options.View.Live()
+		switch {
+		case m.options.Stopping():
 			return Answer{}, "", ReasonStopping
+		case !m.isShared(len(live)):
+			return Answer{}, "", ReasonDeclined
 		}
 		sent := m.options.Now()
 		request.TimeLeft = query.Deadline.Sub(sent)
 		limited, cancel := context.WithTimeout(ctx, repeatTimeout)
-		answer, coordinator, reason = m.query(limited, m.options.View.Live(), request)
+		answer, coordinator, reason = m.query(limited, live, request)
 		cancel()
 		switch {
 		case reason != "" || !answer.Queued || ctx.Err() != nil:
