Shared placement: keep streams of two customers with one request ID apart

What callers would see: while streams wait for room, a request was refused with Retry-After 1 s as soon as another customer's request with the same ID came to any entry, which also took over its place and priority. IDs are chosen by callers, and counters give the same ones.

Cause: the coordinator knew a waiting stream by its request ID alone.

Change: it knows it by customer and request ID, as the versions of streams are.

Evidence: TestRequestsOfTwoCustomersWithTheSameID failed before (one stream waited instead of two) and passes; go test ./placementcontrol passes.

--- a/placementcontrol/coordinator.go
+++ b/placementcontrol/coordinator.go
@@ -24,7 +24,7 @@
 	usedAt  time.Time
 	// heard is when each entry sent its last message.
 	heard map[string]time.Time
-	// queue orders the streams that wait for room. waiters are their requests by ID.
+	// queue orders the streams that wait for room. waiters are their requests by queueID.
 	queue     *admission.StreamQueue
 	waiters   map[string]*waiter
 	decidedAt time.Time
--- a/placementcontrol/queue.go
+++ b/placementcontrol/queue.go
@@ -46,6 +46,9 @@
 	}
 }
 
+// queueID identifies the stream among all that wait. Callers choose the IDs of their requests, so that two customers may use the same.
+func (r *Request) queueID() string { return r.Customer + "\x00" + r.ID }
+
 // noStreams is the number of streams that any customer has in progress. The entries' states don't name customers; the queue counts what
 // was admitted lately.
 func noStreams(string) int { return 0 }
@@ -53,7 +56,8 @@
 // enqueue answers a request, or holds it: then the answer comes through holds. The caller holds coordinatedMu.
 func (m *Manager) enqueue(c *coordination, request *Request, query routing.SharedQuery) (w *waiter, holds chan held, answer Answer) {
 	now := m.options.Now()
-	w = c.waiters[request.ID]
+	id := request.queueID()
+	w = c.waiters[id]
 	if w == nil {
 		if c.queue.Len() == 0 && c.view.HasRoom(query) {
 			c.queue.RecordPlaced(request.Priority, request.Customer)
@@ -63,14 +67,14 @@
 			return nil, nil, Answer{} // no engine can get room for it
 		}
 		refused, retryAfter := c.queue.Add(admission.QueuedStream{
-			Request: request.ID, Customer: request.Customer, Prompt: request.Affinity, Priority: request.Priority, Arrived: now,
+			Request: id, Customer: request.Customer, Prompt: request.Affinity, Priority: request.Priority, Arrived: now,
 			Objective: request.Objective, Deadline: query.Deadline,
 		}, noStreams)
 		if refused {
 			return nil, nil, Answer{Refused: true, RetryAfter: retryAfter}
 		}
 		w = &waiter{}
-		c.waiters[request.ID] = w
+		c.waiters[id] = w
 	}
 	// The other request with the ID is one whose caller has left and returned.
 	w.deliver(held{answer: Answer{Refused: true, RetryAfter: replacedRetryAfter}})
@@ -110,7 +114,7 @@
 	}
 	w.holds, w.seenAt = nil, m.options.Now()
 	if isGone {
-		c.removeWaiter(request.ID)
+		c.removeWaiter(request.queueID())
 		return Answer{}, ctx.Err()
 	}
 	return Answer{Queued: true, Position: c.queue.Len()}, nil
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -250,6 +250,32 @@
 	})
 }
 
+// Guards against a stream that is refused, or loses its place, because another customer uses the same request ID.
+func TestRequestsOfTwoCustomersWithTheSameID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		_, running := f.start(t, ranked[1], "running")
+		results := make(chan placed, 2)
+		for i, customer := range []string{"north", "south"} {
+			query := f.query("1")
+			query.Customer = customer
+			f.placeAsync(t.Context(), ranked[2+i], query, results)
+			time.Sleep(400 * time.Millisecond)
+		}
+		is.Equal(f.managers[ranked[0]].QueueLength(0, 9), 2)
+		for i := range 2 {
+			running.Ended()
+			result := <-results
+			is.NoErr(result.err)
+			running = f.managers[ranked[2+i]].AddStream(result.engine, size, size.Prompt)
+		}
+		is.Equal(f.managers[ranked[0]].QueueLength(0, 9), 0)
+	})
+}
+
 // Guards against streams that are held by a coordinator which is lost, shuts down, or never decides.
 func TestCoordinatorsThatAreLostWhileStreamsWait(t *testing.T) {
 	for name, each := range map[string]struct {
