Shared choice of call targets: limit the times in a message

What callers would see: nothing; an entry with more than 1,000 calls in progress at a service of more than 60 targets would choose their targets alone for ever after the loss of a coordinator.

Cause: a message has up to 16 times of each target, which the entry keeps until a message is answered. With 300 targets they exceed the 64 KB that coordinators accept, and each refusal (400) has the entry send them again.

Change: at most 512 times in a message, the latest.

--- a/adapters/placementpeer/calls_test.go
+++ b/adapters/placementpeer/calls_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -112,6 +113,28 @@
 	`{"entry":"e","service":"s","exclude":"i"}`, `{"entry":"` + strings.Repeat("e", maxRequestBytes) + `","service":"s"}`,
 }
 
+// Guards against a message of calls that is too large, with all that placementcontrol puts into one and long names.
+func TestTheLargestCallMessageIsTaken(t *testing.T) {
+	const targets, times, tickets, name = 300, 512, 256, 36
+	is := is.New(t)
+	request := exampleCallRequest()
+	request.ID, request.Exclude, request.Connected, request.Times, request.Ended, request.Running = strings.Repeat("r", 200), nil, nil, nil, nil, nil
+	for i := range targets {
+		request.Exclude = append(request.Exclude, fmt.Sprintf("%0*d", name, i))
+	}
+	for i := range times {
+		request.Times = append(request.Times, service.CallTime{Target: request.Exclude[i%targets], Took: time.Minute})
+	}
+	for i := range uint64(tickets) {
+		request.Ended = append(request.Ended, 1<<53-1-i)
+	}
+	request.Running = request.Ended
+	text, err := json.Marshal(callRequestToWire(request))
+	is.NoErr(err)
+	t.Log(len(text), "bytes")
+	is.True(len(text) <= maxRequestBytes)
+}
+
 // Guards against invalid messages that make the coordinator panic or count what no entry has.
 func TestInvalidCallMessagesAreRefused(t *testing.T) {
 	is := is.New(t)
--- a/placementcontrol/calls.go
+++ b/placementcontrol/calls.go
@@ -50,6 +50,9 @@
 	callTimeout = 15 * time.Millisecond
 	// maxCallTimes is the number of values of a target in a message.
 	maxCallTimes = 16
+	// maxAllCallTimes is the number of values in a message, which the limit of 64 KB for messages allows beside all tickets and the IDs of
+	// 300 targets: those that many calls in progress leave to the first message after the loss of a coordinator.
+	maxAllCallTimes = 512
 	// maxCallTickets is the number of ended calls, and of those in progress, in a message.
 	maxCallTickets = 256
 	// callTicketTTL is how long the end of a call is reported to a coordinator that doesn't answer: it forgets the call by then.
@@ -350,7 +353,7 @@
 	if count >= maxCallTimes {
 		r.times = slices.Delete(r.times, first, first+1)
 	}
-	r.times = append(r.times, value)
+	r.times = latest(append(r.times, value), maxAllCallTimes)
 }
 
 // countFallback counts a target that this entry chooses itself.
--- a/placementcontrol/calls_test.go
+++ b/placementcontrol/calls_test.go
@@ -423,3 +423,19 @@
 	is.True(allocations <= 20)
 	is.Equal(testing.AllocsPerRun(100, func() { entry.IsShared(plainService) }), 0.0)
 }
+
+// Guards against a message that every coordinator refuses since it is too large: it would be sent again and again.
+func TestTimesOfManyTargetsAreLimited(t *testing.T) {
+	is := is.New(t)
+	f := newCallFleet(5, 2)
+	calls := f.calls["e001"]
+	const targets = 300
+	for i := range targets * maxCallTimes {
+		calls.recordEnd(plainService, ticket{uint64(i), "e002", time.Now()}, fmt.Sprint("target", i%targets), time.Millisecond)
+	}
+	state := calls.takeState(plainService, "e002")
+	is.Equal(len(state.Times), maxAllCallTimes)
+	is.Equal(state.Times[len(state.Times)-1].Target, fmt.Sprint("target", targets-1))
+	calls.recordSent(&CallRequest{CallState: state, Service: plainService}, "e002", errBroken)
+	is.Equal(len(calls.takeState(plainService, "e002").Times), maxAllCallTimes)
+}
