Shared placement: limit the wait of a stream over all its attempts

Cause: the coordinator took the arrival of the first query for the arrival of the stream.

Change: queries name the time since the caller's request arrived (RelayQuery.Arrived, Request.Waited, "waited_ms"; without it a stream has just arrived, as before). The order in the queue follows it too.

Evidence: TestTheWaitOfAStreamIsLimitedOverItsAttempts failed before (refused after 20.034 s) and passes; go test ./placementcontrol ./adapters/placementpeer ./generation passes.

--- a/adapters/placementpeer/placementpeer_test.go
+++ b/adapters/placementpeer/placementpeer_test.go
@@ -45,7 +45,7 @@
 	return placementcontrol.Request{
 		Report: exampleReport(engines), Zone: "ams-1", ID: "01JEEWC8RZ1H9X2J4K6M8P0Q2S", Customer: "ranch", Priority: 2,
 		Size: generation.StreamSize{Prompt: 5000, Output: 700}, CachedAt: "i-ams-1-0007", Affinity: "d1a41f7e55c0b1a2", Exclude: []string{"i-ams-1-0009"},
-		Objective: 4 * time.Second, TimeLeft: 24_900 * time.Millisecond, Begun: true, Queued: true,
+		Waited: 1500 * time.Millisecond, Objective: 4 * time.Second, TimeLeft: 24_900 * time.Millisecond, Begun: true, Queued: true,
 	}
 }
 
@@ -160,7 +160,7 @@
 		is.Equal(status(reportPath, body), http.StatusBadRequest)
 		is.Equal(status(placementPath, body), http.StatusBadRequest)
 	}
-	for _, field := range []string{`"objective_ms":-1`, `"deadline_ms":9223372036854775807`, `"prompt_tokens":-5`, `"output_tokens":1.5`, `"exclude":"i"`} {
+	for _, field := range []string{`"objective_ms":-1`, `"waited_ms":-1`, `"deadline_ms":9223372036854775807`, `"prompt_tokens":-5`, `"output_tokens":1.5`, `"exclude":"i"`} {
 		is.Equal(status(placementPath, `{"entry":"e","service":"s",`+field+`}`), http.StatusBadRequest)
 	}
 	is.Equal(fake.calls, 0)
--- a/adapters/placementpeer/wire.go
+++ b/adapters/placementpeer/wire.go
@@ -51,6 +51,7 @@
 	CachedAt     string   `json:"cached_at,omitempty"`
 	Affinity     string   `json:"affinity,omitempty"`
 	Exclude      []string `json:"exclude,omitempty"`
+	WaitedMs     int64    `json:"waited_ms,omitempty"`
 	ObjectiveMs  int64    `json:"objective_ms,omitempty"`
 	DeadlineMs   int64    `json:"deadline_ms,omitempty"`
 	Begun        bool     `json:"begun,omitempty"`
@@ -93,7 +94,7 @@
 	return wireRequest{
 		wireReport: reportToWire(request.Report), Zone: request.Zone, Request: request.ID, Customer: request.Customer, Priority: request.Priority,
 		PromptTokens: min(max(0, request.Size.Prompt), maxTokens), OutputTokens: min(max(0, request.Size.Output), maxTokens), CachedAt: request.CachedAt, Affinity: request.Affinity,
-		Exclude: request.Exclude, ObjectiveMs: wholeMs(request.Objective), DeadlineMs: wholeMs(request.TimeLeft),
+		Exclude: request.Exclude, WaitedMs: wholeMs(request.Waited), ObjectiveMs: wholeMs(request.Objective), DeadlineMs: wholeMs(request.TimeLeft),
 		Begun: request.Begun, Queued: request.Queued,
 	}
 }
@@ -152,14 +153,15 @@
 
 func (w wireRequest) decode() (placementcontrol.Request, error) {
 	report, err := w.wireReport.decode()
-	if err == nil && !(isCount(w.PromptTokens) && isCount(w.OutputTokens) && isMs(w.ObjectiveMs) && isMs(w.DeadlineMs)) {
+	if err == nil && !(isCount(w.PromptTokens) && isCount(w.OutputTokens) && isMs(w.WaitedMs) && isMs(w.ObjectiveMs) && isMs(w.DeadlineMs)) {
 		err = errBadStream
 	}
 	return placementcontrol.Request{
 		Report: report, Zone: w.Zone, ID: w.Request, Customer: w.Customer, Priority: w.Priority,
 		Size:     generation.StreamSize{Prompt: w.PromptTokens, Output: w.OutputTokens},
-		CachedAt: w.CachedAt, Affinity: w.Affinity, Exclude: w.Exclude, Objective: time.Duration(w.ObjectiveMs) * time.Millisecond,
-		TimeLeft: time.Duration(w.DeadlineMs) * time.Millisecond, Begun: w.Begun, Queued: w.Queued,
+		CachedAt: w.CachedAt, Affinity: w.Affinity, Exclude: w.Exclude, Waited: time.Duration(w.WaitedMs) * time.Millisecond,
+		Objective: time.Duration(w.ObjectiveMs) * time.Millisecond,
+		TimeLeft:  time.Duration(w.DeadlineMs) * time.Millisecond, Begun: w.Begun, Queued: w.Queued,
 	}, err
 }
 
--- a/generation/relay.go
+++ b/generation/relay.go
@@ -90,6 +90,8 @@
 	relay   *Relay
 	request *RelayRequest
 	sink    RelaySink
+	// arrivedAt is when the request arrived.
+	arrivedAt time.Time
 	// lastEvent is the ID of the last event that the caller has.
 	lastEvent int64
 	// headSent is true once the caller has the head of the answer, which is head.
@@ -142,7 +144,7 @@
 func (r *Relay) Run(ctx context.Context, request *RelayRequest, sink RelaySink) error {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	run := &relayRun{relay: r, request: request, sink: sink, lastEvent: request.LastEvent, releaseCopy: func() {}}
+	run := &relayRun{relay: r, request: request, sink: sink, arrivedAt: time.Now(), lastEvent: request.LastEvent, releaseCopy: func() {}}
 	defer func() { run.releaseCopy() }()
 	r.options.Budget.Earn(request.Service)
 	if err := run.recoverVersion(ctx); err != nil {
@@ -345,6 +347,7 @@
 		Request:   run.request.ID,
 		Customer:  run.request.Customer,
 		Priority:  run.request.Priority,
+		Arrived:   run.arrivedAt,
 		Objective: run.request.FirstEventObjective,
 		Deadline:  run.request.Deadline,
 		Begun:     run.headSent || run.request.LastEvent >= 0 || run.mayHaveRun,
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -245,7 +245,9 @@
 	Service, Request, Customer string
 	// Priority is the priority of the request; 0 is the highest.
 	Priority int
-	// Objective is the time after which the first event is late, Deadline when the request times out.
+	// Arrived is when the request arrived, zero for now; Objective is the time after that at which the first event is late, Deadline when the
+	// request times out.
+	Arrived   time.Time
 	Objective time.Duration
 	Deadline  time.Time
 	// Begun is set if the caller has a part of the stream, or if a target may have run the request before.
--- a/placementcontrol/manager.go
+++ b/placementcontrol/manager.go
@@ -44,8 +44,9 @@
 	CachedAt, Affinity string
 	// Exclude lists the IDs of engines that the entry can't use for the attempt.
 	Exclude []string
-	// Objective is the time after which the first event is late, TimeLeft the time until the request times out.
-	Objective, TimeLeft time.Duration
+	// Waited is the time since the caller's request arrived, Objective that after which the first event is late, TimeLeft the time until the
+	// request times out.
+	Waited, Objective, TimeLeft time.Duration
 	// Begun is set if the caller has a part of the stream, or if a target may have run the request before.
 	Begun bool
 	// Queued is set if the request repeats one that was queued.
@@ -263,13 +264,16 @@
 		CachedAt: query.CachedAt, Affinity: shorten(query.Affinity), Exclude: exclude, Objective: query.Objective, Begun: query.Begun,
 	}
 	request.Service = query.Service
+	if query.Arrived.IsZero() {
+		query.Arrived = m.options.Now()
+	}
 	timeLeft := placeTimeout
 	for {
 		if !m.beginQuery(query) {
 			return nil, ReasonUnusable, nil
 		}
 		begun := m.options.Now()
-		request.TimeLeft = query.Deadline.Sub(begun)
+		request.Waited, request.TimeLeft = begun.Sub(query.Arrived), query.Deadline.Sub(begun)
 		limited, cancel := context.WithTimeout(ctx, timeLeft)
 		answer, coordinator, reason := m.query(limited, live, request)
 		cancel()
--- a/placementcontrol/queue.go
+++ b/placementcontrol/queue.go
@@ -67,7 +67,7 @@
 			return nil, nil, Answer{} // no engine can get room for it
 		}
 		refused, retryAfter := c.queue.Add(admission.QueuedStream{
-			Request: id, Customer: request.Customer, Prompt: request.Affinity, Priority: request.Priority, Arrived: now,
+			Request: id, Customer: request.Customer, Prompt: request.Affinity, Priority: request.Priority, Arrived: now.Add(-max(0, request.Waited)),
 			Objective: request.Objective, Deadline: query.Deadline,
 		}, noStreams)
 		if refused {
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -384,6 +384,35 @@
 	})
 }
 
+// Guards against a stream that waits anew for three times its objective after each engine that refuses it, and after each coordinator.
+func TestTheWaitOfAStreamIsLimitedOverItsAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		_, running := f.start(t, ranked[1], "running")
+		query := f.query("waits")
+		query.Arrived = time.Now()
+		for attempt := 0; ; attempt++ {
+			is.True(attempt < 5)
+			results := make(chan placed, 1)
+			f.placeAsync(t.Context(), ranked[3], query, results)
+			timer := time.AfterFunc(5*time.Second, running.Ended)
+			result := <-results
+			if result.err != nil {
+				var noRoom *generation.NoRoomError
+				is.True(errors.As(result.err, &noRoom))
+				timer.Stop()
+				break
+			}
+			f.managers[ranked[3]].AddStream(result.engine, size, size.Prompt).Ended() // the engine refuses it
+			_, running = f.start(t, ranked[1], fmt.Sprint("running", attempt))
+		}
+		is.True(time.Since(query.Arrived) <= waitObjectives*query.Objective)
+	})
+}
+
 // Guards against room that nobody is given since no message tells of it: that of an entry that is lost.
 func TestRoomOfALostEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/placementcontrol/wait.go
+++ b/placementcontrol/wait.go
@@ -33,7 +33,7 @@
 	if objective <= 0 {
 		objective = defaultObjective
 	}
-	limit := begun.Add(waitObjectives * objective)
+	limit := query.Arrived.Add(waitObjectives * objective)
 	if latest := query.Deadline.Add(-deadlineReserve); latest.Before(limit) {
 		limit = latest
 	}
@@ -48,7 +48,7 @@
 			return Answer{}, "", ReasonDeclined
 		}
 		sent := m.options.Now()
-		request.TimeLeft = query.Deadline.Sub(sent)
+		request.Waited, request.TimeLeft = sent.Sub(query.Arrived), query.Deadline.Sub(sent)
 		limited, cancel := context.WithTimeout(ctx, repeatTimeout)
 		answer, coordinator, reason = m.query(limited, live, request)
 		cancel()
