Shared placement: prompts that fit no engine don't keep others from room

What callers would see: while a single stream with a prompt of 50,000 tokens waited (engines have KV cache for 55,000, and each had a stream), all new streams of the service waited too, or were refused with 503 after 2 ms, although six engines had 11 free slots each. A caller that declares long prompts could close a service in the quiet to all others.

Cause: a new stream got room at once only if nobody waited. Otherwise the queue refused it if its expected wait was too long, and without an admission in the last 5 s any wait is.

Change: a new stream that finds room gets it unless one of the first eight waiting streams has room too.

Evidence: TestLargePromptsDoNotHoldUpOthers failed before with 1 and with 20 long prompts ("no engine has room") and passes; go test ./placementcontrol passes. Not mended: streams that began to wait before, behind eight long prompts, wait until those are late.

--- a/placementcontrol/queue.go
+++ b/placementcontrol/queue.go
@@ -59,7 +59,7 @@
 	id := request.queueID()
 	w = c.waiters[id]
 	if w == nil {
-		if c.queue.Len() == 0 && c.view.HasRoom(query) {
+		if c.view.HasRoom(query) && !m.anyWaitsForRoom(c, query) {
 			c.queue.RecordPlaced(request.Priority, request.Customer)
 			return nil, nil, c.place(query)
 		}
@@ -92,6 +92,16 @@
 	return w, holds, Answer{}
 }
 
+// anyWaitsForRoom reports whether one of the first streams in the queue would get the room that a new stream finds. The others wait for
+// more than there is, such as an engine that can take a long prompt, and don't hold the new one up. The caller holds coordinatedMu.
+func (m *Manager) anyWaitsForRoom(c *coordination, query routing.SharedQuery) bool {
+	_, found := c.queue.NextFitting(noStreams, func(stream admission.QueuedStream) bool {
+		w := c.waiters[stream.Request]
+		return w != nil && c.view.HasRoom(m.sharedQuery(&w.request, query.Spec, query.Engines))
+	})
+	return found
+}
+
 // hold waits for the answer to a request that is held.
 func (m *Manager) hold(ctx context.Context, c *coordination, w *waiter, holds chan held, request *Request) (Answer, error) {
 	timer := time.NewTimer(holdTime)
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -413,6 +413,41 @@
 	})
 }
 
+// Guards against streams that are refused or wait, although engines have room for them, since prompts that fit no engine wait.
+func TestLargePromptsDoNotHoldUpOthers(t *testing.T) {
+	for _, waiting := range []int{1, 20} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			const engines = 6
+			f := newFleet(4, 2, engines, nil)
+			f.run(t)
+			ranked := f.ranked()
+			for i := range engines {
+				_, stream := f.start(t, ranked[1], fmt.Sprint("running", i))
+				stream.EventArrived()
+			}
+			time.Sleep(time.Second)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			large := make(chan placed, waiting)
+			for i := range waiting {
+				query := f.query(fmt.Sprint("large", i))
+				query.Size.Prompt = 50_000
+				query.Objective = 20 * time.Second
+				f.placeAsync(ctx, ranked[2], query, large)
+			}
+			time.Sleep(9500 * time.Millisecond) // so that no room has become free for 5 s
+			is.True(f.managers[ranked[0]].QueueLength(0, 9) > 0)
+			for i := range engines {
+				query := f.query(fmt.Sprint("small", i))
+				query.Priority = i % 2
+				_, took := f.place(t, ranked[3], query)
+				is.Equal(took, 2*latency)
+			}
+		})
+	}
+}
+
 // Guards against room that nobody is given since no message tells of it: that of an entry that is lost.
 func TestRoomOfALostEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
