Shared placement: streams behind many long prompts get room

What callers would see: with eight or more streams waiting whose prompts fit no engine, the streams that waited behind them got no room that became free until the long ones were late: for 17.5 s with an objective of 20 s.

Cause: a look at the queue checked the first eight streams in order against the engines, and nothing else.

Change: a look passes over up to 64 streams. It checks eight that find no room; one that needs at least as much as one of these isn't checked, so that a look costs no more than before.

Evidence: TestStreamsBehindLargePromptsGetRoom, with 30 long prompts, failed before and passes; go test ./placementcontrol ./admission passes (the figures of the queue's model don't use NextFitting).

--- a/admission/streamqueue.go
+++ b/admission/streamqueue.go
@@ -364,8 +364,9 @@
 	return q.NextFitting(streamsOf, nil)
 }
 
-// maxNextTries bounds the streams that NextFitting tries.
-const maxNextTries = 8
+// maxNextTries bounds the streams that NextFitting tries: several times as many prompts as callers of long ones make wait, since all that
+// wait behind them would get no room.
+const maxNextTries = 64
 
 // NextFitting returns the first stream in order, out of a few, for which fits is true; nil accepts all. A prompt that is too long for the
 // free room doesn't hold up shorter ones.
--- a/placementcontrol/queue.go
+++ b/placementcontrol/queue.go
@@ -92,12 +92,41 @@
 	return w, holds, Answer{}
 }
 
+// maxFailedChecks bounds the streams without room that one look at a queue checks against all engines.
+const maxFailedChecks = 8
+
+// roomLook is one look at the streams of a queue, during which no engine gets more room.
+type roomLook struct {
+	// failed are the streams that have found no room.
+	failed []routing.SharedQuery
+}
+
+// hasRoom reports whether an engine has room for the stream. A stream that needs as much as one without room is not checked; that the entry of
+// the former may have lost a zone alone, which lasts for a second, is neglected.
+func (l *roomLook) hasRoom(view View, query routing.SharedQuery) bool {
+	if len(l.failed) >= maxFailedChecks {
+		return false
+	}
+	for _, each := range l.failed {
+		if each.Size.Prompt <= query.Size.Prompt && each.Size.Output <= query.Size.Output && query.CachedAt == "" &&
+			len(each.Exclude) == 0 && each.Objective >= query.Objective && query.Objective > 0 {
+			return false
+		}
+	}
+	if view.HasRoom(query) {
+		return true
+	}
+	l.failed = append(l.failed, query)
+	return false
+}
+
 // anyWaitsForRoom reports whether one of the first streams in the queue would get the room that a new stream finds. The others wait for
 // more than there is, such as an engine that can take a long prompt, and don't hold the new one up. The caller holds coordinatedMu.
 func (m *Manager) anyWaitsForRoom(c *coordination, query routing.SharedQuery) bool {
+	look := roomLook{}
 	_, found := c.queue.NextFitting(noStreams, func(stream admission.QueuedStream) bool {
 		w := c.waiters[stream.Request]
-		return w != nil && c.view.HasRoom(m.sharedQuery(&w.request, query.Spec, query.Engines))
+		return w != nil && look.hasRoom(c.view, m.sharedQuery(&w.request, query.Spec, query.Engines))
 	})
 	return found
 }
@@ -154,9 +183,10 @@
 		return
 	}
 	// A stream whose request isn't held gets no room: its entry may be lost, and the room with it.
+	look := roomLook{}
 	fits := func(stream admission.QueuedStream) bool {
 		w := c.waiters[stream.Request]
-		return w != nil && w.holds != nil && c.view.HasRoom(m.sharedQuery(&w.request, spec, engines))
+		return w != nil && w.holds != nil && look.hasRoom(c.view, m.sharedQuery(&w.request, spec, engines))
 	}
 	for range maxDecisions {
 		next, ok := c.queue.NextFitting(noStreams, fits)
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -448,6 +448,42 @@
 	}
 }
 
+// Guards against streams that get no room since more long prompts than the coordinator looks at wait before them.
+func TestStreamsBehindLargePromptsGetRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const large = 30
+		f := newFleet(4, 2, 1, nil)
+		f.engines[0].Slots = 2
+		f.run(t)
+		ranked := f.ranked()
+		var running generation.PlacedStream
+		for i := range f.engines[0].Slots {
+			_, running = f.start(t, ranked[1], fmt.Sprint("running", i))
+			running.EventArrived()
+			time.Sleep(time.Second)
+		}
+		for i := range large {
+			query := f.query(fmt.Sprint("large", i))
+			query.Size.Prompt = 50_000 + 100*i
+			query.Objective = 20 * time.Second
+			f.placeAsync(t.Context(), ranked[2], query, make(chan placed, 1))
+		}
+		time.Sleep(100 * time.Millisecond)
+		results := make(chan placed, 1)
+		query := f.query("small")
+		query.Priority, query.Objective, query.Size.Prompt = 1, 20*time.Second, 600
+		f.placeAsync(t.Context(), ranked[3], query, results)
+		time.Sleep(400 * time.Millisecond)
+		is.Equal(f.managers[ranked[0]].QueueLength(1, 1), 1)
+		running.Ended()
+		result := <-results
+		is.NoErr(result.err)
+		is.Equal(result.engine, f.engines[0])
+		is.True(result.after <= 600*time.Millisecond+changeInterval+2*decideInterval)
+	})
+}
+
 // Guards against room that nobody is given since no message tells of it: that of an entry that is lost.
 func TestRoomOfALostEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
