Refuse streams whose prompt is refused while they wait for room

Cause: a request was judged before its engine is chosen and when the records change during the attempt. With the queue, seconds pass between both.

Change: it is judged again if the records changed while the engine was chosen.

Evidence: TestStreamIsNotSentWhenItsPromptIsRefusedWhileItWaits failed before (sent once) and passes; go test ./generation passes.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -174,6 +174,7 @@
 func (run *relayRun) runAttempts(ctx context.Context) error {
 	request := run.request
 	for {
+		changed := run.relay.options.CrashRecords.Changed()
 		if err := run.rejectPoison(); err != nil {
 			return err
 		}
@@ -196,6 +197,9 @@
 			}
 			return run.failureError(ErrNoTarget)
 		}
+		if err := run.rejectPoisonSince(changed); err != nil {
+			return err
+		}
 		run.noTargetSince = time.Time{}
 		if run.attempts > 0 && !run.moveClaimed && !run.relay.options.Budget.Spend(request.Service, run.retryUrgency()) {
 			return run.failureError(errBudgetSpent)
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -728,6 +728,39 @@
 	})
 }
 
+// waitingPlacer lets streams wait for their engine.
+type waitingPlacer struct {
+	firstPlacer
+	wait time.Duration
+}
+
+func (p *waitingPlacer) PlaceStream(ctx context.Context, query RelayQuery) (*directory.Target, error) {
+	time.Sleep(p.wait)
+	return p.firstPlacer.PlaceStream(ctx, query)
+}
+
+// Guards against requests that are sent to crash an engine although the verdict fell while they waited for room.
+func TestStreamIsNotSentWhenItsPromptIsRefusedWhileItWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRelayFixture(map[string][]script{"a": {{}}})
+		f.relay.options.Placer = &waitingPlacer{wait: 5 * time.Second}
+		records := &changingRecords{relayLocalRecords: relayLocalRecords{health.NewCrashes()}, changed: make(chan struct{})}
+		f.relay.options.CrashRecords = records
+		request := relayRequest()
+		request.SharedParts = []string{"bad"}
+		time.AfterFunc(time.Second, func() {
+			records.crashes.RefuseParts([]string{"bad"}, 3, time.Now())
+			close(records.changed)
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+		defer cancel()
+		var poison *PoisonError
+		is.True(errors.As(f.relay.Run(ctx, request, &recordingSink{}), &poison))
+		is.Equal(len(f.engine.attempts), 0)
+	})
+}
+
 // Guards against a stream that is moved since its own goroutine ran late, while its next event waited. The goroutine sees the event
 // and the end of a probe at once, in any order.
 func TestOwnDelayIsNotTakenForTheTargetsSilence(t *testing.T) {
--- a/generation/relaycrashes.go
+++ b/generation/relaycrashes.go
@@ -82,6 +82,19 @@
 	return run.poisonError(judgement)
 }
 
+// rejectPoisonSince is rejectPoison once more work is refused: a stream may have waited for its target for seconds.
+func (run *relayRun) rejectPoisonSince(changed <-chan struct{}) error {
+	if run.onTrial {
+		return nil
+	}
+	select {
+	case <-changed:
+		return run.rejectPoison()
+	default:
+		return nil
+	}
+}
+
 // poisonError returns the error of a refused request; nil if it is not refused.
 func (run *relayRun) poisonError(judgement WorkJudgement) error {
 	if !judgement.Refused {
