--- a/generation/relay.go
+++ b/generation/relay.go
@@ -90,6 +90,8 @@
 	relay   *Relay
 	request *RelayRequest
 	sink    RelaySink
+	// arrivedAt is when the request arrived.
+	arrivedAt time.Time
 	// lastEvent is the ID of the last event that the caller has.
 	lastEvent int64
 	// headSent is true once the caller has the head of the answer, which is head.
@@ -142,7 +144,7 @@
 func (r *Relay) Run(ctx context.Context, request *RelayRequest, sink RelaySink) error {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	run := &relayRun{relay: r, request: request, sink: sink, lastEvent: request.LastEvent, releaseCopy: func() {}}
+	run := &relayRun{relay: r, request: request, sink: sink, arrivedAt: time.Now(), lastEvent: request.LastEvent, releaseCopy: func() {}}
 	defer func() { run.releaseCopy() }()
 	r.options.Budget.Earn(request.Service)
 	if err := run.recoverVersion(ctx); err != nil {
@@ -172,6 +174,7 @@
 func (run *relayRun) runAttempts(ctx context.Context) error {
 	request := run.request
 	for {
+		changed := run.relay.options.CrashRecords.Changed()
 		if err := run.rejectPoison(); err != nil {
 			return err
 		}
@@ -194,6 +197,9 @@
 			}
 			return run.failureError(ErrNoTarget)
 		}
+		if err := run.rejectPoisonSince(changed); err != nil {
+			return err
+		}
 		run.noTargetSince = time.Time{}
 		if run.attempts > 0 && !run.moveClaimed && !run.relay.options.Budget.Spend(request.Service, run.retryUrgency()) {
 			return run.failureError(errBudgetSpent)
@@ -345,6 +351,7 @@
 		Request:   run.request.ID,
 		Customer:  run.request.Customer,
 		Priority:  run.request.Priority,
+		Arrived:   run.arrivedAt,
 		Objective: run.request.FirstEventObjective,
 		Deadline:  run.request.Deadline,
 		Begun:     run.headSent || run.request.LastEvent >= 0 || run.mayHaveRun,
--- a/placementcontrol/manager.go
+++ b/placementcontrol/manager.go
@@ -45,8 +45,9 @@
 	CachedAt, Affinity string
 	// Exclude lists the IDs of engines that the entry can't use for the attempt.
 	Exclude []string
-	// Objective is the time after which the first event is late, TimeLeft the time until the request times out.
-	Objective, TimeLeft time.Duration
+	// Waited is the time since the caller's request arrived, Objective that after which the first event is late, TimeLeft the time until the
+	// request times out.
+	Waited, Objective, TimeLeft time.Duration
 	// Begun is set if the caller has a part of the stream, or if a target may have run the request before.
 	Begun bool
 	// Queued is set if the request repeats one that was queued.
@@ -294,13 +295,16 @@
 	}
 	request.Service = query.Service
 	takesAll := m.takesAll(query)
+	if query.Arrived.IsZero() {
+		query.Arrived = m.options.Now()
+	}
 	timeLeft := placeTimeout
 	for {
 		if !m.beginQuery(query) {
 			return nil, ReasonUnusable, nil
 		}
 		begun := m.options.Now()
-		request.TimeLeft = query.Deadline.Sub(begun)
+		request.Waited, request.TimeLeft = begun.Sub(query.Arrived), query.Deadline.Sub(begun)
 		limited, cancel := context.WithTimeout(ctx, timeLeft)
 		answer, coordinator, reason := m.query(limited, live, request)
 		cancel()
@@ -310,6 +314,9 @@
 			answer, coordinator, reason = m.awaitRoom(ctx, query, request, &position)
 			timeLeft = placeTimeout
 		}
+		if query.Begun || !answer.Refused {
+			m.countQuery(query)
+		}
 		switch {
 		case ctx.Err() != nil:
 			if answer.Engine != "" {
@@ -346,7 +353,7 @@
 	return fmt.Sprintf("%s%0*x", name[:maxNameBytes-hashBytes], hashBytes, xxhash.Sum64String(name))
 }
 
-// beginQuery counts a query for an attempt of the request; false if there were enough. An engine that was answered before was not used.
+// beginQuery reports whether there is a further query for an attempt of the request. An engine that was answered before was not used.
 func (m *Manager) beginQuery(query generation.RelayQuery) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -357,8 +364,20 @@
 		m.choices[query.Request] = known
 	}
 	m.releaseUnused(known)
+	return known.queries < maxQueries
+}
+
+// countQuery counts a query for an attempt of the request. Refused ones don't count, nor do those that are not decided yet: a caller that
+// returns with the same request would have its stream placed without room.
+func (m *Manager) countQuery(query generation.RelayQuery) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.choices[query.Request]
+	if known == nil {
+		known = &choice{at: m.options.Now(), service: query.Service}
+		m.choices[query.Request] = known
+	}
 	known.queries++
-	return known.queries <= maxQueries
 }
 
 // recordAnswer records the engine that the coordinator reserved for the request.
--- a/placementcontrol/queue.go
+++ b/placementcontrol/queue.go
@@ -75,6 +75,9 @@
 	w.decided = &answer
 }
 
+// queueID identifies the stream among all that wait. Callers choose the IDs of their requests, so that two customers may use the same.
+func (r *Request) queueID() string { return r.Customer + "\x00" + r.ID }
+
 // noStreams is the number of streams that any customer has in progress. The entries' states don't name customers; the queue counts what
 // was admitted lately.
 func noStreams(string) int { return 0 }
@@ -82,9 +85,10 @@
 // enqueue answers a request, or holds it: then the answer comes through holds. The caller holds coordinatedMu.
 func (m *Manager) enqueue(c *coordination, request *Request, query routing.SharedQuery) (w *waiter, holds chan held, answer Answer) {
 	now := m.options.Now()
-	w = c.waiters[request.ID]
+	id := request.queueID()
+	w = c.waiters[id]
 	if w == nil {
-		if c.queue.Len() == 0 && c.view.HasRoom(query) {
+		if c.view.HasRoom(query) && !m.anyWaitsForRoom(c, query) {
 			c.queue.RecordPlaced(request.Priority, request.Customer)
 			return nil, nil, c.place(query)
 		}
@@ -92,17 +96,17 @@
 			return nil, nil, Answer{} // no engine can get room for it
 		}
 		refused, retryAfter := c.queue.Add(admission.QueuedStream{
-			Request: request.ID, Customer: request.Customer, Prompt: request.Affinity, Priority: request.Priority, Arrived: now,
+			Request: id, Customer: request.Customer, Prompt: request.Affinity, Priority: request.Priority, Arrived: now.Add(-max(0, request.Waited)),
 			Objective: request.Objective, Deadline: query.Deadline,
 		}, noStreams)
 		if refused {
 			return nil, nil, Answer{Refused: true, RetryAfter: retryAfter}
 		}
 		w = &waiter{}
-		c.waiters[request.ID] = w
+		c.waiters[id] = w
 	}
 	if w.decided != nil {
-		delete(c.waiters, request.ID)
+		delete(c.waiters, id)
 		return nil, nil, *w.decided
 	}
 	// The other request with the ID is one whose caller has left and returned.
@@ -122,6 +126,45 @@
 	return w, holds, Answer{}
 }
 
+// maxFailedChecks bounds the streams without room that one look at a queue checks against all engines.
+const maxFailedChecks = 8
+
+// roomLook is one look at the streams of a queue, during which no engine gets more room.
+type roomLook struct {
+	// failed are the streams that have found no room.
+	failed []routing.SharedQuery
+}
+
+// hasRoom reports whether an engine has room for the stream. A stream that needs as much as one without room is not checked; that the entry of
+// the former may have lost a zone alone, which lasts for a second, is neglected.
+func (l *roomLook) hasRoom(view View, query routing.SharedQuery) bool {
+	if len(l.failed) >= maxFailedChecks {
+		return false
+	}
+	for _, each := range l.failed {
+		if each.Size.Prompt <= query.Size.Prompt && each.Size.Output <= query.Size.Output && query.CachedAt == "" &&
+			len(each.Exclude) == 0 && each.Objective >= query.Objective && query.Objective > 0 {
+			return false
+		}
+	}
+	if view.HasRoom(query) {
+		return true
+	}
+	l.failed = append(l.failed, query)
+	return false
+}
+
+// anyWaitsForRoom reports whether one of the first streams in the queue would get the room that a new stream finds. The others wait for
+// more than there is, such as an engine that can take a long prompt, and don't hold the new one up. The caller holds coordinatedMu.
+func (m *Manager) anyWaitsForRoom(c *coordination, query routing.SharedQuery) bool {
+	look := roomLook{}
+	_, found := c.queue.NextFitting(noStreams, func(stream admission.QueuedStream) bool {
+		w := c.waiters[stream.Request]
+		return w != nil && look.hasRoom(c.view, m.sharedQuery(&w.request, query.Spec, query.Engines))
+	})
+	return found
+}
+
 // hold waits for the answer to a request that is held.
 func (m *Manager) hold(ctx context.Context, c *coordination, w *waiter, holds chan held, request *Request) (Answer, error) {
 	defer m.held.Add(-1)
@@ -145,7 +188,7 @@
 	}
 	w.holds, w.seenAt = nil, m.options.Now()
 	if isGone {
-		c.removeWaiter(request.ID)
+		c.removeWaiter(request.queueID())
 		return Answer{}, ctx.Err()
 	}
 	return Answer{Queued: true, Position: c.queue.Len()}, nil
@@ -175,9 +218,10 @@
 		return
 	}
 	// A stream that hasn't repeated its request gets no room: its entry may be lost, and the room with it.
+	look := roomLook{}
 	fits := func(stream admission.QueuedStream) bool {
 		w := c.waiters[stream.Request]
-		return w != nil && w.isPresent(now) && c.view.HasRoom(m.sharedQuery(&w.request, spec, engines))
+		return w != nil && w.isPresent(now) && look.hasRoom(c.view, m.sharedQuery(&w.request, spec, engines))
 	}
 	for range maxDecisions {
 		next, ok := c.queue.NextFitting(noStreams, fits)
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 
 	"github.com/azurebarrow/azurebarrow/directory"
 	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/membership"
 )
 
 // newSmallFleet returns entries before engines of one slot each.
@@ -265,6 +267,31 @@
 	})
 }
 
+// Guards against a stream that is placed without room since its caller returns with the same request ID after a refusal, or sends several
+// requests with it at once.
+func TestRefusedRequestsThatReturnArePlacedByTheCoordinator(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const requests = 6
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		f.setFault(ranked[0], fault{answer: &Answer{Refused: true, RetryAfter: 200 * time.Millisecond}})
+		results := make(chan placed, requests)
+		for _, pause := range []time.Duration{200 * time.Millisecond, 0} {
+			for range requests {
+				f.placeAsync(t.Context(), ranked[2], f.query("same"), results)
+				time.Sleep(pause)
+			}
+			for range requests {
+				result := <-results
+				var noRoom *generation.NoRoomError
+				is.True(errors.As(result.err, &noRoom))
+			}
+		}
+	})
+}
+
 // request returns the message of an entry without streams.
 func (f *fleet) request(entry, id string, queued bool) Request {
 	return Request{
@@ -296,6 +323,32 @@
 	})
 }
 
+// Guards against a stream that is refused, or loses its place, because another customer uses the same request ID.
+func TestRequestsOfTwoCustomersWithTheSameID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		_, running := f.start(t, ranked[1], "running")
+		results := make(chan placed, 2)
+		for i, customer := range []string{"north", "south"} {
+			query := f.query("1")
+			query.Customer = customer
+			f.placeAsync(t.Context(), ranked[2+i], query, results)
+			time.Sleep(400 * time.Millisecond)
+		}
+		is.Equal(f.managers[ranked[0]].QueueLength(0, 9), 2)
+		for i := range 2 {
+			running.Ended()
+			result := <-results
+			is.NoErr(result.err)
+			running = f.managers[ranked[2+i]].AddStream(result.engine, size, size.Prompt)
+		}
+		is.Equal(f.managers[ranked[0]].QueueLength(0, 9), 0)
+	})
+}
+
 // Guards against streams that are held by a coordinator which is lost, shuts down, or never decides.
 func TestCoordinatorsThatAreLostWhileStreamsWait(t *testing.T) {
 	for name, each := range map[string]struct {
@@ -392,6 +445,161 @@
 	})
 }
 
+// Guards against streams that wait at an entry which shuts down until it cuts them off: it has 8 s left, and a stream may wait for 9.5 s.
+func TestNoStreamWaitsAtAnEntryThatShutsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		ranked := f.ranked()
+		f.managers[ranked[3]].options.Stopping = func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.stopping == ranked[3]
+		}
+		f.run(t)
+		f.start(t, ranked[1], "running")
+		results := make(chan placed, 1)
+		f.placeAsync(t.Context(), ranked[3], f.query("waits"), results)
+		time.Sleep(600 * time.Millisecond)
+		f.mu.Lock()
+		f.stopping = ranked[3]
+		f.mu.Unlock()
+		result := <-results
+		is.NoErr(result.err)
+		is.Equal(result.engine, f.engines[0])
+		is.True(result.after <= 600*time.Millisecond+repeatTimeout)
+		_, took := f.place(t, ranked[3], f.query("accepted later"))
+		is.Equal(took, 2*latency)
+		is.Equal(f.managers[ranked[3]].Stats().PlacedByFallback.Load(), int64(2))
+		time.Sleep(repeatWithin + 2*decideInterval)
+		is.Equal(f.managers[ranked[0]].QueueLength(0, 9), 0)
+	})
+}
+
+// Guards against streams that wait, and messages for them, once their entry sees fewer live entries than share placement.
+func TestNoStreamWaitsAmongTooFewEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		ranked := f.ranked()
+		f.managers[ranked[3]].options.MinEntries = 4
+		f.run(t)
+		f.start(t, ranked[1], "running")
+		results := make(chan placed, 1)
+		f.placeAsync(t.Context(), ranked[3], f.query("waits"), results)
+		time.Sleep(600 * time.Millisecond)
+		f.mu.Lock()
+		f.live = slices.DeleteFunc(slices.Clone(f.live), func(peer membership.Peer) bool { return peer.Name == ranked[2] })
+		f.mu.Unlock()
+		before := len(f.sentRequests())
+		result := <-results
+		is.NoErr(result.err)
+		is.Equal(result.engine, f.engines[0])
+		is.True(result.after <= 600*time.Millisecond+repeatTimeout)
+		is.Equal(len(f.sentRequests()), before)
+	})
+}
+
+// Guards against a stream that waits anew for three times its objective after each engine that refuses it, and after each coordinator.
+func TestTheWaitOfAStreamIsLimitedOverItsAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		_, running := f.start(t, ranked[1], "running")
+		query := f.query("waits")
+		query.Arrived = time.Now()
+		for attempt := 0; ; attempt++ {
+			is.True(attempt < 5)
+			results := make(chan placed, 1)
+			f.placeAsync(t.Context(), ranked[3], query, results)
+			timer := time.AfterFunc(5*time.Second, running.Ended)
+			result := <-results
+			if result.err != nil {
+				var noRoom *generation.NoRoomError
+				is.True(errors.As(result.err, &noRoom))
+				timer.Stop()
+				break
+			}
+			f.managers[ranked[3]].AddStream(result.engine, size, size.Prompt).Ended() // the engine refuses it
+			_, running = f.start(t, ranked[1], fmt.Sprint("running", attempt))
+		}
+		is.True(time.Since(query.Arrived) <= waitObjectives*query.Objective)
+	})
+}
+
+// Guards against streams that are refused or wait, although engines have room for them, since prompts that fit no engine wait.
+func TestLargePromptsDoNotHoldUpOthers(t *testing.T) {
+	for _, waiting := range []int{1, 20} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			const engines = 6
+			f := newFleet(4, 2, engines, nil)
+			f.run(t)
+			ranked := f.ranked()
+			for i := range engines {
+				_, stream := f.start(t, ranked[1], fmt.Sprint("running", i))
+				stream.EventArrived()
+			}
+			time.Sleep(time.Second)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			large := make(chan placed, waiting)
+			for i := range waiting {
+				query := f.query(fmt.Sprint("large", i))
+				query.Size.Prompt = 50_000
+				query.Objective = 20 * time.Second
+				f.placeAsync(ctx, ranked[2], query, large)
+			}
+			time.Sleep(9500 * time.Millisecond) // so that no room has become free for 5 s
+			is.True(f.managers[ranked[0]].QueueLength(0, 9) > 0)
+			for i := range engines {
+				query := f.query(fmt.Sprint("small", i))
+				query.Priority = i % 2
+				_, took := f.place(t, ranked[3], query)
+				is.Equal(took, 2*latency)
+			}
+		})
+	}
+}
+
+// Guards against streams that get no room since more long prompts than the coordinator looks at wait before them.
+func TestStreamsBehindLargePromptsGetRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const large = 30
+		f := newFleet(4, 2, 1, nil)
+		f.engines[0].Slots = 2
+		f.run(t)
+		ranked := f.ranked()
+		var running generation.PlacedStream
+		for i := range f.engines[0].Slots {
+			_, running = f.start(t, ranked[1], fmt.Sprint("running", i))
+			running.EventArrived()
+			time.Sleep(time.Second)
+		}
+		for i := range large {
+			query := f.query(fmt.Sprint("large", i))
+			query.Size.Prompt = 50_000 + 100*i
+			query.Objective = 20 * time.Second
+			f.placeAsync(t.Context(), ranked[2], query, make(chan placed, 1))
+		}
+		time.Sleep(100 * time.Millisecond)
+		results := make(chan placed, 1)
+		query := f.query("small")
+		query.Priority, query.Objective, query.Size.Prompt = 1, 20*time.Second, 600
+		f.placeAsync(t.Context(), ranked[3], query, results)
+		time.Sleep(400 * time.Millisecond)
+		is.Equal(f.managers[ranked[0]].QueueLength(1, 1), 1)
+		running.Ended()
+		result := <-results
+		is.NoErr(result.err)
+		is.Equal(result.engine, f.engines[0])
+		is.True(result.after <= 600*time.Millisecond+changeInterval+2*decideInterval)
+	})
+}
+
 // Guards against room that nobody is given since no message tells of it: that of an entry that is lost.
 func TestRoomOfALostEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/placementcontrol/wait.go
+++ b/placementcontrol/wait.go
@@ -33,17 +33,24 @@
 	if objective <= 0 {
 		objective = defaultObjective
 	}
-	limit := begun.Add(waitObjectives * objective)
+	limit := query.Arrived.Add(waitObjectives * objective)
 	if latest := query.Deadline.Add(-deadlineReserve); latest.Before(limit) {
 		limit = latest
 	}
 	limit = limit.Add(waitMargin)
 	request.Queued = true
 	for {
+		live := m.options.View.Live()
+		switch {
+		case m.options.Stopping():
+			return Answer{}, "", ReasonStopping
+		case !m.isShared(len(live)):
+			return Answer{}, "", ReasonDeclined
+		}
 		sent := m.options.Now()
-		request.TimeLeft = query.Deadline.Sub(sent)
+		request.Waited, request.TimeLeft = sent.Sub(query.Arrived), query.Deadline.Sub(sent)
 		limited, cancel := context.WithTimeout(ctx, repeatTimeout)
-		answer, coordinator, reason = m.query(limited, m.options.View.Live(), request)
+		answer, coordinator, reason = m.query(limited, live, request)
 		cancel()
 		switch {
 		case reason != "" || !answer.Queued || ctx.Err() != nil:
