Give an engine another prompt only once half of the one before is prefilled

Cause: room meant up to 2.5 s until the first event by the estimate, 1.5 prompts ahead. Streams beside a prompt slow it down, so that each stream took 3 s and more at an engine, and late ones held the place of those that could be on time. The queue orders streams; an engine's own doesn't.

Change: maxEngineWait 1.6 s. Tests of room name the new limit as strictly; two tests of the queue let prompts end that kept others out.

--- a/placementcontrol/manager_test.go
+++ b/placementcontrol/manager_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/azurebarrow/azurebarrow/directory"
+	"github.com/azurebarrow/azurebarrow/generation"
 	"github.com/azurebarrow/azurebarrow/membership"
 	"github.com/azurebarrow/azurebarrow/routing"
 )
@@ -52,14 +53,20 @@
 		f := newFleet(entries, 2, engines, nil)
 		f.run(t)
 		used := map[string]int{}
+		var running []generation.PlacedStream
 		for i := range engines {
-			engine, _ := f.start(t, peerOf(i%entries).Name, fmt.Sprint(i))
+			engine, stream := f.start(t, peerOf(i%entries).Name, fmt.Sprint(i))
 			used[engine.ID]++
+			running = append(running, stream)
 			if i%5 == 0 {
 				time.Sleep(200 * time.Millisecond) // some reservations become states
 			}
 		}
 		is.Equal(len(used), engines)
+		for _, stream := range running {
+			stream.EventArrived() // an engine has no room for a prompt beside a whole one
+		}
+		time.Sleep(2 * changeInterval)
 		// Streams at the same moment, before any state includes one of them.
 		chosen := make(chan string, entries)
 		for i := range entries {
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -409,8 +409,10 @@
 		f := newSmallFleet(4, 2, nil)
 		f.run(t)
 		ranked := f.ranked()
-		f.start(t, ranked[1], "first")
-		f.start(t, ranked[2], "second")
+		for i, request := range []string{"first", "second"} {
+			_, stream := f.start(t, ranked[1+i], request)
+			stream.EventArrived() // only their slots keep others out
+		}
 		results := make(chan placed, 1)
 		f.placeAsync(t.Context(), ranked[3], f.query("waits"), results)
 		time.Sleep(600 * time.Millisecond)
--- a/routing/sharedview.go
+++ b/routing/sharedview.go
@@ -16,8 +16,9 @@
 	entryStateTTL = 3 * time.Second
 	// reservationTTL is how long a placement counts that no state of its entry includes.
 	reservationTTL = time.Second
-	// maxEngineWait is the longest time to the first event at an engine that has room.
-	maxEngineWait = 2500 * time.Millisecond
+	// maxEngineWait is the longest time to the first event at an engine that has room: a prompt of 5,000 tokens, and half of another one before
+	// it. With 2.5 s, streams that could no longer be on time took room from those that could (docs/design/stream-admission.md).
+	maxEngineWait = 1600 * time.Millisecond
 	// maxRoomMemoryShare is the share of the KV cache up to which an engine has room.
 	maxRoomMemoryShare = 0.9
 	// longPromptSlowness is the slowness up to which an engine that prefills nothing has room for a prompt that takes longer than the limit at
--- a/routing/sharedview_test.go
+++ b/routing/sharedview_test.go
@@ -335,20 +335,20 @@
 		room   bool
 	}{
 		{name: "idle", room: true},
-		{name: "one prompt in progress", load: EngineLoad{Streams: 1, PrefillTokens: 5200}, room: true},
-		{name: "two prompts in progress", load: EngineLoad{Streams: 2, PrefillTokens: 10_400}},
-		{name: "the limit of the wait", load: EngineLoad{Streams: 2, PrefillTokens: 2.5*5000 - 5200}, room: true},
-		{name: "above the limit of the wait", load: EngineLoad{Streams: 2, PrefillTokens: 2.5*5000 - 5199}},
-		{name: "objective below the limit", load: EngineLoad{Streams: 1, PrefillTokens: 5200}, change: func(_ *viewFixture, query *SharedQuery) {
-			query.Objective = 2 * time.Second
+		{name: "half a prompt in progress", load: EngineLoad{Streams: 1, PrefillTokens: 2600}, room: true},
+		{name: "one prompt in progress", load: EngineLoad{Streams: 1, PrefillTokens: 5200}},
+		{name: "the limit of the wait", load: EngineLoad{Streams: 2, PrefillTokens: 1.6*5000 - 5200}, room: true},
+		{name: "above the limit of the wait", load: EngineLoad{Streams: 2, PrefillTokens: 1.6*5000 - 5199}},
+		{name: "objective below the limit", load: EngineLoad{Streams: 1, PrefillTokens: 2600}, change: func(_ *viewFixture, query *SharedQuery) {
+			query.Objective = 1500 * time.Millisecond
 		}},
 		{name: "objective above the limit", load: EngineLoad{Streams: 1, PrefillTokens: 10_000}, change: func(_ *viewFixture, query *SharedQuery) {
 			query.Objective = 10 * time.Second
 		}},
-		{name: "objective of the relay's query", load: EngineLoad{Streams: 1, PrefillTokens: 5200}, change: func(_ *viewFixture, query *SharedQuery) {
-			query.RelayQuery.Objective = 2 * time.Second
+		{name: "objective of the relay's query", load: EngineLoad{Streams: 1, PrefillTokens: 2600}, change: func(_ *viewFixture, query *SharedQuery) {
+			query.RelayQuery.Objective = 1500 * time.Millisecond
 		}},
-		{name: "cached prompt", load: EngineLoad{Streams: 2, PrefillTokens: 10_400}, change: func(f *viewFixture, query *SharedQuery) {
+		{name: "cached prompt", load: EngineLoad{Streams: 2, PrefillTokens: 7800}, change: func(f *viewFixture, query *SharedQuery) {
 			query.CachedAt = f.engines[0].ID
 		}, room: true},
 		{name: "a free slot", load: EngineLoad{Streams: 11, ResidentTokens: 11_000}, room: true},
@@ -367,16 +367,16 @@
 		{name: "long prompt, a little in progress", load: EngineLoad{Streams: 1, PrefillTokens: 500}, change: func(_ *viewFixture, query *SharedQuery) {
 			query.Size.Prompt = 20_000
 		}},
-		{name: "prompt of 2 s, above the limit of the wait", load: EngineLoad{Streams: 1, PrefillTokens: 2501}, change: func(_ *viewFixture, query *SharedQuery) {
-			query.Size.Prompt = 10_000
+		{name: "prompt of 1.4 s, above the limit of the wait", load: EngineLoad{Streams: 1, PrefillTokens: 1001}, change: func(_ *viewFixture, query *SharedQuery) {
+			query.Size.Prompt = 7000
 		}},
-		{name: "prompt of 2 s, within the limit of the wait", load: EngineLoad{Streams: 1, PrefillTokens: 2500}, change: func(_ *viewFixture, query *SharedQuery) {
-			query.Size.Prompt = 10_000
+		{name: "prompt of 1.4 s, within the limit of the wait", load: EngineLoad{Streams: 1, PrefillTokens: 1000}, change: func(_ *viewFixture, query *SharedQuery) {
+			query.Size.Prompt = 7000
 		}, room: true},
 		{name: "prompt near the objective", load: EngineLoad{Streams: 1, PrefillTokens: 801}, change: func(_ *viewFixture, query *SharedQuery) {
 			query.Objective = 1200 * time.Millisecond
 		}},
-		{name: "slow", load: EngineLoad{Streams: 1, PrefillTokens: 5200}, change: func(f *viewFixture, _ *SharedQuery) {
+		{name: "slow", load: EngineLoad{Streams: 1, PrefillTokens: 2600}, change: func(f *viewFixture, _ *SharedQuery) {
 			for range 50 {
 				f.paces.observe(engineKey{id: "other"}, "", 30*time.Millisecond, f.now)
 			}
