Count half of the KV cache copies when an engine is asked for room

Cause: each stream counted twice, at its engine and at the holder of its copy, so that streams waited for room while engines had memory for more; without the copies, engines filled up, took no copies, and lost streams had their prompts prefilled again.

--- a/routing/sharedview.go
+++ b/routing/sharedview.go
@@ -19,6 +19,9 @@
 	// maxEngineWait is the longest time to the first event at an engine that has room: a prompt of 5,000 tokens, and half of another one before
 	// it. With 2.5 s, streams that could no longer be on time took room from those that could (docs/design/stream-admission.md).
 	maxEngineWait = 1600 * time.Millisecond
+	// roomCopyShare is the part of the KV cache copies that counts when an engine is asked for room: an engine takes copies only while it has
+	// memory, so that they don't keep streams out, but streams without copies have their prompts prefilled again when their engine is lost.
+	roomCopyShare = 0.5
 	// maxRoomMemoryShare is the share of the KV cache up to which an engine has room.
 	maxRoomMemoryShare = 0.9
 	// longPromptSlowness is the slowness up to which an engine that prefills nothing has room for a prompt that takes longer than the limit at
@@ -468,7 +471,7 @@
 	if slots := slotsOf(engine, query.Spec); slots > 0 && usage.streams >= slots {
 		return wait, false
 	}
-	held := usage.residentTokens + usage.copyTokens
+	held := usage.residentTokens + roomCopyShare*usage.copyTokens
 	needed := held + float64(query.Size.Prompt) + float64(query.Size.Output)/2
 	return wait, held == 0 || needed <= maxRoomMemoryShare*memoryTokens(query.Spec)
 }
