--- a/placementcontrol/calls.go
+++ b/placementcontrol/calls.go
@@ -132,7 +132,7 @@
 	if !isShared {
 		return "", nil
 	}
-	request := CallRequest{Zone: c.manager.options.View.Self().AvailabilityZone, Service: query.Service, ID: query.Request[:min(len(query.Request), maxRequestID)]}
+	request := CallRequest{Zone: c.manager.options.View.Self().AvailabilityZone, Service: query.Service, ID: shorten(query.Request)}
 	for _, each := range targets {
 		switch {
 		case !isAmong(query.Targets, each.ID):
--- a/placementcontrol/manager_test.go
+++ b/placementcontrol/manager_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,16 +86,19 @@
 				f := newFleet(4, 2, 9, nil)
 				coordinator, entry := f.ranked()[0], f.ranked()[2]
 				f.setFault(coordinator, injected)
+				f.run(t)
 				delayed := map[time.Duration]int{}
 				begun := time.Now()
 				for i := range 1500 { // 15 s and more
 					at := time.Since(begun).Truncate(time.Second)
-					_, took := f.place(t, entry, f.query(fmt.Sprint(i)))
+					engine, took := f.place(t, entry, f.query(fmt.Sprint(i)))
 					is.True(took <= placeTimeout)
 					if took > 0 {
 						delayed[at]++
 					}
+					stream := f.managers[entry].AddStream(engine, size, size.Prompt)
 					time.Sleep(10 * time.Millisecond)
+					stream.Ended()
 				}
 				t.Logf("streams delayed, by second: %v", delayed)
 				is.Equal(delayed, map[time.Duration]int{0: 2, time.Second: 1, 3 * time.Second: 1, 7 * time.Second: 1, 11 * time.Second: 1})
@@ -449,13 +454,16 @@
 // recordedView records what the coordinator knows.
 type recordedView struct {
 	View
+	mu      *sync.Mutex
 	updates map[string]Report
 }
 
 func (v recordedView) Update(entry string, incarnation uint64, sequence int64, load []routing.EngineLoad, samples []routing.PaceSample, tickets []uint64) {
+	v.mu.Lock()
 	if sequence > v.updates[entry].Sequence {
 		v.updates[entry] = Report{Entry: entry, Incarnation: incarnation, Sequence: sequence, Engines: load, Tickets: tickets}
 	}
+	v.mu.Unlock()
 	v.View.Update(entry, incarnation, sequence, load, samples, tickets)
 }
 
@@ -463,10 +471,16 @@
 func TestLateAndRepeatedMessages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
+		var mu sync.Mutex
 		updates := map[string]Report{}
+		enginesOf := func(entry string) []routing.EngineLoad {
+			mu.Lock()
+			defer mu.Unlock()
+			return updates[entry].Engines
+		}
 		f := newFleet(4, 2, 9, func(index int, options *Options) {
 			newView := options.NewView
-			options.NewView = func() View { return recordedView{newView(), updates} }
+			options.NewView = func() View { return recordedView{newView(), &mu, updates} }
 		})
 		f.run(t)
 		coordinator, entry := f.ranked()[0], f.ranked()[1]
@@ -488,7 +502,7 @@
 			is.NoErr(err)
 		}
 		known := 0
-		for _, engine := range updates[entry].Engines {
+		for _, engine := range enginesOf(entry) {
 			known += engine.Streams
 		}
 		is.Equal(known, 6)
@@ -496,7 +510,7 @@
 			end()
 		}
 		time.Sleep(2 * time.Second)
-		is.Equal(len(updates[entry].Engines), 0)
+		is.Equal(len(enginesOf(entry)), 0)
 
 		// An engine that is not used is released by the next message.
 		f.place(t, entry, f.query("unused"))
@@ -520,10 +534,21 @@
 		f.place(t, entry, f.query("s"))
 		sent := f.sentRequests()[0]
 		is.Equal(len(sent.Engines), maxEngines)
+		var names []string
+		for _, end := range []string{"a", "b"} {
+			query := f.query(strings.Repeat("n", 60_000) + end)
+			query.Affinity = query.Request
+			f.place(t, entry, query)
+			sent := f.sentRequests()
+			names = append(names, sent[len(sent)-1].ID, sent[len(sent)-1].Affinity)
+		}
+		is.Equal(len(names[0]), maxNameBytes)
+		is.Equal(names[0], names[1])
+		is.True(names[0] != names[2])
 		query := f.query("narrow")
 		query.Fits = func(engine *directory.Target) bool { return engine.ID == "i999" }
 		engine, _ := f.place(t, entry, query) // too many to exclude
 		is.Equal(engine.ID, "i999")
-		is.Equal(len(f.sentRequests()), 1)
+		is.Equal(len(f.sentRequests()), 3)
 	})
 }
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -176,6 +176,22 @@
 	})
 }
 
+// Guards against engines that are reserved for requests which were given up while the coordinator was paused.
+func TestRequestsThatWereGivenUpReserveNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		ranked := f.ranked()
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := f.managers[ranked[0]].Place(ctx, f.request(ranked[1], "given up", false))
+		is.True(errors.Is(err, context.Canceled))
+		answer, err := f.managers[ranked[0]].Place(t.Context(), f.request(ranked[2], "next", false))
+		is.NoErr(err)
+		is.Equal(answer.Engine, "i000")
+	})
+}
+
 // request returns the message of an entry without streams.
 func (f *fleet) request(entry, id string, queued bool) Request {
 	return Request{
@@ -337,9 +353,11 @@
 			is.True(ran > streams/3)
 			for _, manager := range f.managers {
 				is.Equal(manager.QueueLength(0, 9), 0)
+				manager.coordinatedMu.Lock()
 				for _, c := range manager.coordinated {
 					is.Equal(c.queue.Len(), 0)
 				}
+				manager.coordinatedMu.Unlock()
 				is.Equal(manager.Stats().PlacedByFallback.Load(), int64(0))
 			}
 		})
