Check the share of a rollout just before an attempt is sent

What was seen: an attempt at the new version that waited for a connection, a path through a peer or an earlier attempt was sent however old the share that let it through was, also after a rollback.

Cause: a request is let through as it begins, and nothing was asked again.

Change: the attempt is checked when its connection is there (targethttp.Request.MaySend) and before a peer is asked. An attempt that may not go to the new version any more is not sent; it tells nothing of its target, costs no retry of a stream, is taken back from the exposure, and the request goes on to the old version. The rest of a stream isn't checked. What waits at a peer that sends for this entry isn't either.

--- a/adapters/passthrough/paths.go
+++ b/adapters/passthrough/paths.go
@@ -52,6 +52,21 @@
 // errPaused: the target has asked this entry for a pause.
 var errPaused = errors.New("target asked for a pause")
 
+// sendCheckKey is the key of a context's send check.
+type sendCheckKey struct{}
+
+// WithSendCheck returns a context in which an attempt is sent only if maySend still returns true just before: it may wait for a path to its
+// target, or for a connection, since it was chosen.
+func WithSendCheck(ctx context.Context, maySend func() bool) context.Context {
+	return context.WithValue(ctx, sendCheckKey{}, maySend)
+}
+
+// MaySend reports whether the send check of the context, if there is one, allows the attempt to be sent.
+func MaySend(ctx context.Context) bool {
+	maySend, ok := ctx.Value(sendCheckKey{}).(func() bool)
+	return !ok || maySend()
+}
+
 // SendDirectly sends a request once over this entry's own links, for a caller or a peer. Its error is that of Do.
 func (p *Paths) SendDirectly(ctx context.Context, target detour.Target, request *targethttp.Request) (*targethttp.Answer, error) {
 	if !p.limits.TakePause(target.ID) {
@@ -100,6 +115,11 @@
 			request = build()
 		}
 		fresh = false
+		if !MaySend(ctx) {
+			sendErr = &service.NotSentError{Cause: targethttp.ErrSendWithdrawn}
+			return detour.Result{Outcome: detour.Sent}
+		}
+		request.MaySend = func() bool { return MaySend(ctx) }
 		if peer == nil {
 			answer, sendErr = p.SendDirectly(ctx, target, request)
 			return directResult(sendErr)
@@ -122,7 +142,7 @@
 // directResult returns the result of a send over this entry's own links.
 func directResult(err error) detour.Result {
 	var notSent *service.NotSentError
-	if errors.As(err, &notSent) && !errors.Is(err, errPaused) {
+	if errors.As(err, &notSent) && !errors.Is(err, errPaused) && !errors.Is(err, targethttp.ErrSendWithdrawn) {
 		return detour.Result{Outcome: detour.Unreachable}
 	}
 	return detour.Result{Outcome: detour.Sent}
--- a/adapters/passthrough/targets.go
+++ b/adapters/passthrough/targets.go
@@ -106,7 +106,8 @@
 	if err != nil {
 		var notSent *service.NotSentError
 		if errors.As(err, &notSent) {
-			return nil, &generation.RelayRefusedError{Unreachable: ctx.Err() == nil, Cause: err}
+			withdrawn := errors.Is(err, targethttp.ErrSendWithdrawn)
+			return nil, &generation.RelayRefusedError{Unreachable: ctx.Err() == nil && !withdrawn, Withdrawn: withdrawn, Cause: err}
 		}
 		if errors.Is(err, targethttp.ErrHeldUp) {
 			return nil, fmt.Errorf("%w: %w", generation.ErrRelayHeldUp, err)
@@ -219,7 +220,9 @@
 	if err != nil {
 		var notSent *service.NotSentError
 		if errors.As(err, &notSent) {
-			return service.SendResult{Verdict: service.SendNotRun, Err: err, NoPath: errors.Is(err, detour.ErrNoPath)}
+			return service.SendResult{
+				Verdict: service.SendNotRun, Err: err, NoPath: errors.Is(err, detour.ErrNoPath), Withdrawn: errors.Is(err, targethttp.ErrSendWithdrawn),
+			}
 		}
 		return service.SendResult{Verdict: service.SendUnknown, Err: err, ConnectionLost: targethttp.IsConnectionLost(err)}
 	}
--- a/adapters/targethttp/exchange.go
+++ b/adapters/targethttp/exchange.go
@@ -33,8 +33,14 @@
 	// an ID, or to HEAD: the body's length that it names would be skipped after a second answer.
 	IDHeader string
 	ID       string
+	// MaySend reports whether the request may still be sent. It is asked once a connection is there, which may take a while; nil for
+	// always.
+	MaySend func() bool
 }
 
+// ErrSendWithdrawn: Request.MaySend did not allow the request any more, so that nothing was sent.
+var ErrSendWithdrawn = errors.New("the request may not be sent any more")
+
 // Answer is the head of an answer and its body. Close must be called; if the body has not been read to
 // its end, Close closes the connection, so that the target stops the run.
 type Answer struct {
@@ -96,6 +102,13 @@
 		_ = c.Close()
 		return nil, &service.NotSentError{Cause: ctx.Err()}
 	}
+	if request.MaySend != nil && !request.MaySend() {
+		if c.expires.IsZero() {
+			c.expires = time.Now().Add(p.options.IdleTimeout)
+		}
+		p.putIdle(c)
+		return nil, &service.NotSentError{Cause: ErrSendWithdrawn}
+	}
 	e := &exchange{pool: p, conn: c, requestID: request.ID, writeResult: make(chan error, 1), idleFor: p.options.IdleTimeout}
 	e.stopCloseOnCancel = context.AfterFunc(ctx, e.abandon)
 	untrack := p.track(e)
--- a/adapters/targethttp/exchange_test.go
+++ b/adapters/targethttp/exchange_test.go
@@ -120,6 +120,37 @@
 	is.Equal(target.conns.Load(), int64(1))
 }
 
+// Guards against a request that is sent although it may not be any more once a slow connection is there, and against the loss of
+// that connection.
+func TestRequestIsCheckedOnceItsConnectionIsThere(t *testing.T) {
+	is := is.New(t)
+	received := make(chan string, 2)
+	target := newScriptedTarget(t, func(target *scriptedTarget, conn net.Conn, reader *bufio.Reader) {
+		for {
+			request, ok := target.read(reader)
+			if !ok {
+				return
+			}
+			received <- request.Header.Get("X-Request-Id")
+			_, _ = io.WriteString(conn, answerText(request.Header.Get("X-Request-Id"), "ok"))
+		}
+	})
+	maySend := true
+	p := NewPool(Options{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		maySend = false // the time that a dial takes
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}})
+	withdrawn := newTestRequest("1")
+	withdrawn.MaySend = func() bool { return maySend }
+	_, err := exchangeBody(t, p, target.address(), withdrawn)
+	var notSent *service.NotSentError
+	is.True(errors.As(err, &notSent) && errors.Is(err, ErrSendWithdrawn))
+	_, err = exchangeBody(t, p, target.address(), newTestRequest("2"))
+	is.NoErr(err)
+	is.Equal(<-received, "2")
+	is.Equal(p.DialCount(), int64(1))
+}
+
 // Guards against a new connection for each call whose target answers before it has read the request.
 func TestConnectionIsKeptOnceTheRestOfTheRequestIsSent(t *testing.T) {
 	const largeBody = 8 << 20 // more than the buffers of both ends take
--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -66,9 +66,11 @@
 	request, _ := call.Versions.(*rolloutcontrol.Request)
 	attempt := request.BeginAttempt(call.Route, target.Version)
 	defer attempt.End()
-	sent := s.Sender.Send(ctx, target, call)
+	sent := s.Sender.Send(passthrough.WithSendCheck(ctx, attempt.MaySend), target, call)
 	outcome, known := callOutcome(ctx, sent)
 	switch {
+	case sent.Withdrawn:
+		attempt.Withdraw()
 	case !known:
 	case outcome == rollout.Answered:
 		attempt.Answered()
@@ -119,7 +121,12 @@
 func (o observedEngine) Open(ctx context.Context, attempt generation.RelayAttempt) (generation.RelayStream, error) {
 	request, _ := attempt.Request.Versions.(*rolloutcontrol.Request)
 	observed := request.BeginAttempt(attempt.Request.Route, attempt.Target.Version)
-	stream, err := o.RelayEngine.Open(ctx, attempt)
+	openCtx := ctx
+	if attempt.LastEvent < 0 && attempt.Request.LastEvent < 0 && attempt.BegunHead == nil {
+		// The rest of a stream stays on the version that began it.
+		openCtx = passthrough.WithSendCheck(ctx, observed.MaySend)
+	}
+	stream, err := o.RelayEngine.Open(openCtx, attempt)
 	if err != nil {
 		recordOpenError(ctx, observed, err)
 		observed.End()
@@ -138,6 +145,8 @@
 	case errors.Is(err, generation.ErrRelayHeldUp):
 	case errors.As(err, &refused):
 		switch {
+		case refused.Withdrawn:
+			observed.Withdraw()
 		case refused.AddressMismatch || ctx.Err() != nil:
 		case refused.Unreachable:
 			observed.Fail(rollout.Broken)
--- a/generation/relayattempt.go
+++ b/generation/relayattempt.go
@@ -188,6 +188,10 @@
 	run.exclude = append(run.exclude, target.ID)
 	var refused *RelayRefusedError
 	switch {
+	case errors.As(err, &refused) && refused.Withdrawn:
+		if run.attempts > 1 {
+			run.relay.options.Budget.Refund(run.request.Service)
+		}
 	case errors.As(err, &refused) && refused.Unreachable:
 		if run.attempts > 1 {
 			run.relay.options.Budget.Refund(run.request.Service)
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -120,7 +120,9 @@
 	FoundID         string
 	// Unreachable reports that nothing was sent.
 	Unreachable bool
-	Cause       error
+	// Withdrawn reports that nothing was sent, since the target's version may not get the attempt any more.
+	Withdrawn bool
+	Cause     error
 }
 
 // Error implements error.
--- a/rollout/gate.go
+++ b/rollout/gate.go
@@ -44,7 +44,7 @@
 // as sent there.
 func (g *Gate) Allow(now time.Time) bool {
 	g.seen++
-	if g.share <= 0 || now.Sub(g.asOf) > MaxShareAge {
+	if !g.Open(now) {
 		return false
 	}
 	if g.share < 1 {
@@ -58,6 +58,9 @@
 	return true
 }
 
+// Open reports whether any request may go to the new version: the share known is not 0, and recent enough.
+func (g *Gate) Open(now time.Time) bool { return g.share > 0 && now.Sub(g.asOf) <= MaxShareAge }
+
 // AddSent counts a request that went to the new version without Allow: a retry, hedge, resumed stream or request
 // for a peer. It takes the place of a later one.
 func (g *Gate) AddSent() {
--- a/rolloutcontrol/manager_test.go
+++ b/rolloutcontrol/manager_test.go
@@ -261,3 +261,71 @@
 	f.targets = f.targets[1:2]
 	is.Equal(available(), "a") // no other is left
 }
+
+// Guards against attempts that wait, for a path, a connection or another attempt, and are sent to the new version once the share that let
+// them through has run out, or after a rollback. The rest of such a request goes to the old version.
+func TestAttemptThatWaitedLongerThanTheShareIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(3)
+		f.order("v2", time.Minute)
+		f.run(t)
+		time.Sleep(time.Second)
+		other := f.managers[(f.coordinator()+1)%3]
+		chosen := func() (*Request, *Attempt) {
+			for range 1000 {
+				request := other.Begin(service, false)
+				if request.Allows("v2") {
+					return request, request.BeginAttempt("route", "v2")
+				}
+				request.BeginAttempt("route", "v1").End()
+				request.End(false)
+			}
+			t.Fatal("the gate lets nothing through")
+			return nil, nil
+		}
+		request, attempt := chosen()
+		is.True(attempt.MaySend())
+		time.Sleep(2 * rollout.MaxShareAge)
+		is.True(attempt.MaySend()) // the coordinator has renewed the share
+		_, sent := other.services[service].gate.Counts()
+		f.mu.Lock()
+		f.cutOff = true
+		f.mu.Unlock()
+		time.Sleep(rollout.MaxShareAge + maxReportInterval)
+		is.True(!attempt.MaySend())
+		attempt.Withdraw()
+		attempt.End()
+		_, after := other.services[service].gate.Counts()
+		is.Equal(after, sent-1)
+		is.True(!request.Allows("v2"))
+		is.True(request.Allows("v1"))
+		is.True(request.BeginAttempt("route", "v1").MaySend())
+
+		f.mu.Lock()
+		f.cutOff = false
+		f.mu.Unlock()
+		time.Sleep(time.Second)
+		_, attempt = chosen()
+		f.mu.Lock()
+		f.setStatus(rollout.Status{State: rollout.StateRolledBack, To: "v2", Stage: rollout.RolledBack})
+		f.mu.Unlock()
+		is.True(!attempt.MaySend())
+	})
+}
+
+// Guards against a target of the new version that was chosen before the entry knew of the order, which began to be carried out meanwhile.
+func TestAttemptChosenBeforeTheOrderIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(3)
+		f.run(t)
+		request := f.managers[0].Begin(service, false)
+		is.True(request.Allows("v2"))
+		attempt := request.BeginAttempt("route", "v2")
+		is.True(attempt.MaySend())
+		f.order("v2", time.Minute)
+		time.Sleep(time.Second)
+		is.True(!attempt.MaySend())
+	})
+}
--- a/rolloutcontrol/request.go
+++ b/rolloutcontrol/request.go
@@ -137,6 +137,8 @@
 			state.gate.AddSent()
 		}
 	}
+	a.first = r.attempts == 0
+	a.gated = a.first && r.isNew
 	r.attempts++
 	r.version = version
 	r.running[version]++
@@ -166,10 +168,58 @@
 	begun          time.Time
 	// order is the one that was carried out as the attempt began.
 	order rollout.Order
+	// first reports that the attempt is the first one of its request, gated that the gate let it through.
+	first, gated bool
 	// answered reports that the response, or the first event of a stream, was recorded.
 	answered, ended bool
 }
 
+// MaySend reports whether the attempt, which begins no rest of a stream, may still be sent to its version: since the request chose
+// it, the share may have run out, or the version may have been rolled back.
+func (a *Attempt) MaySend() bool {
+	if a == nil {
+		return true
+	}
+	m := a.request.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Now()
+	state := m.runningState(a.request.service)
+	if state == nil {
+		ended := m.services[a.request.service]
+		return ended == nil || ended.status.State != rollout.StateRolledBack || a.version != ended.order.To || !m.servesOther(a.request.service, ended.order.To)
+	}
+	if a.version != state.order.To || !m.servesOther(a.request.service, state.order.To) {
+		return true
+	}
+	if a.first {
+		return a.gated && a.order == state.order && state.gate.Open(now)
+	}
+	return state.takesAll(now)
+}
+
+// Withdraw takes back an attempt that was not sent. A report may have counted it already, which only makes the exposure look larger;
+// Stats counts it still.
+func (a *Attempt) Withdraw() {
+	if a == nil {
+		return
+	}
+	m := a.request.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	state := m.runningState(a.request.service)
+	if state == nil || state.order != a.order {
+		return
+	}
+	if evidence := state.pending(a.version); evidence.Started > 0 {
+		evidence.Started--
+	}
+	if a.version != state.order.To {
+		return
+	}
+	state.gate.Revoke()
+}
+
 // Answered records the response or the first event of a stream.
 func (a *Attempt) Answered() {
 	if a == nil {
--- a/service/forward.go
+++ b/service/forward.go
@@ -81,6 +81,9 @@
 	NoPath bool
 	// AskedPause is the time for which the target wants no further request of this entry; 0 if it asked for none.
 	AskedPause time.Duration
+	// Withdrawn reports that the attempt was not sent since the target's version may not get it any more, which tells nothing of the
+	// target.
+	Withdrawn bool
 }
 
 // Sender sends a call to a target once, without retries.
@@ -411,8 +414,8 @@
 	case SendNotRun, SendAddressMismatch:
 		w.state.notRun++
 		w.noPath = w.noPath || result.sent.NoPath
-		if result.sent.NoPath || result.sent.AskedPause > 0 {
-			// Neither tells that the target fails; a pause keeps requests away by itself.
+		if result.sent.NoPath || result.sent.AskedPause > 0 || result.sent.Withdrawn {
+			// None of these tells that the target fails; a pause keeps requests away by itself.
 			result.lease.release(noTargetResult)
 			break
 		}
