Test that streams make no KV cache copies at another version

What was looked for: copies of streams of the old version at engines of the new one, which its share of requests doesn't count.

Found: none are ordered. Backups, and copies on command, are placed among the engines of the version of the attempt's target (backupQuery), and holders are looked up among those of the stream's version. No test covered copies on command, or a backup whose address an engine of the new version takes over. So there is no change but the test; copies aren't counted as exposure.

Left: engines copy to an address by themselves, and an entry can't stop that. docs/design/rollouts.md says so.

--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -59,6 +59,7 @@
 	openDuringOutage int
 	probes           int
 	copies           int
+	copyHolders      []*directory.Target
 	closed           int
 }
 
@@ -126,10 +127,11 @@
 	return &scriptedStream{ctx: ctx, engine: e, script: left[0], target: attempt.Target.ID}, nil
 }
 
-func (e *scriptedEngine) CopyKVCache(_ context.Context, _ *directory.Target, _ string, _ *directory.Target) (string, error) {
+func (e *scriptedEngine) CopyKVCache(_ context.Context, _ *directory.Target, _ string, to *directory.Target) (string, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.copies++
+	e.copyHolders = append(e.copyHolders, to)
 	return "ordered", nil
 }
 
--- a/generation/relayversion_test.go
+++ b/generation/relayversion_test.go
@@ -334,3 +334,50 @@
 		})
 	}
 }
+
+// anyVersion is the choice of versions of a request that may go to any.
+type anyVersion struct{}
+
+func (anyVersion) Allows(string) bool { return true }
+func (anyVersion) FallBack() bool     { return false }
+
+// Guards against KV cache copies of streams of the old version at engines of the new one during a rollout, which would get more work than
+// its share allows: at the backup that the attempt is sent with, at an engine that takes a lost backup's place, also under its
+// address, and when an engine of the old version comes back.
+func TestStreamsMakeNoCopiesAtAnotherVersion(t *testing.T) {
+	for _, newEngines := range []int{1, 2, 5} {
+		for _, comesBack := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d new engines, an old one comes back: %v", newEngines, comesBack), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					f := newVersionFixture([]string{"v1", "v1", "v2"}, map[string][]script{"a": {{events: eventsUpTo(80), pause: 50 * time.Millisecond, end: io.EOF}}})
+					for i := range newEngines - 1 {
+						f.openTargets = append(f.openTargets, &directory.Target{ID: fmt.Sprint("new", i), Address: fmt.Sprint("new", i, ":1"), Version: "v2"})
+					}
+					backup := f.openTargets[1]
+					replace := func(with ...*directory.Target) {
+						f.mu.Lock()
+						defer f.mu.Unlock()
+						f.openTargets = append([]*directory.Target{f.openTargets[0]}, append(with, f.openTargets[2:]...)...)
+					}
+					time.AfterFunc(300*time.Millisecond, func() {
+						replace(&directory.Target{ID: "b2", Address: backup.Address, Version: "v2", FirstSeen: time.Now()})
+					})
+					if comesBack {
+						time.AfterFunc(1500*time.Millisecond, func() {
+							replace(&directory.Target{ID: "b3", Address: "b3:1", Version: "v1", FirstSeen: time.Now()})
+						})
+					}
+					request := relayRequest()
+					request.Versions = anyVersion{}
+					is.NoErr(f.relay.Run(t.Context(), request, &recordingSink{}))
+					is.Equal(f.engine.attempts[0].Backup.ID, "b")
+					is.Equal(len(f.engine.copyHolders) > 0, comesBack)
+					for _, holder := range f.engine.copyHolders {
+						is.Equal(holder.Version, "v1")
+					}
+				})
+			})
+		}
+	}
+}
