Decide on all evidence before the exposure of a rollout is used up

At their floor a few good responses undo several bad ones, so that in the last step of Shift the sums often stood below 3 after 5 to 34 bad responses. Only above 3 did a used-up exposure roll back; otherwise the version went on, up to 68 requests beyond the slack, or into Drain when the time or the 60 responses of the step were over. Broken connections were no reason at all. Besides, Canary left room for the shortest steps only, not for the responses that they wait for.

Change: the judge keeps totals without a floor, since the order and since Shift began. The last step ends with an acceptable total only; it is decided, either way, while the bound has room for what is sent until that is known everywhere. The step before it is rolled back likewise if the version is neither good nor acceptable. Canary leaves room for the 84 responses of Shift.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -38,6 +38,10 @@
 	minGoodResponses = 10
 	// suspicionPart is the part of the sum at which a version is bad above which it is not yet good.
 	suspicionPart = 0.5
+	// acceptThreshold is the total over all routes, and routeAcceptThreshold that of one route, at and below which a version
+	// is acceptable.
+	acceptThreshold      = -2.0
+	routeAcceptThreshold = 2.5
 
 	// gainWindow and the gain limits bound what one second can add to a sum: a short fault, as of one target that
 	// pauses, makes no version bad.
@@ -100,6 +104,7 @@
 	begun    bool
 	routes   []*judgedRoute // in the order in which they were seen
 	sums     [aspects]cumulativeSum
+	totals   [periods]totals
 	// compared and uncompared count the new version's responses whose latency could and could not be compared.
 	compared, uncompared float64
 	bad                  string
@@ -108,11 +113,23 @@
 }
 
 type judgedRoute struct {
-	name string
-	old  baseline
-	sums [aspects]cumulativeSum
+	name   string
+	old    baseline
+	sums   [aspects]cumulativeSum
+	totals [periods]totals
 }
 
+// totals are sums without a floor over a whole period. A cumulative sum finds a fault whenever it begins, but a few good
+// responses undo several bad ones at its floor: whether a version is acceptable is decided on all evidence of a period.
+type totals [aspects]cumulativeSum
+
+// The periods of totals: a fault may show from the order on, or only under the load of the stage Shift.
+const (
+	sinceOrder = iota
+	sinceShift
+	periods
+)
+
 // NewJudge returns a judge without evidence.
 func NewJudge() *Judge { return &Judge{} }
 
@@ -215,8 +232,50 @@
 }
 
 func (j *Judge) addGain(now time.Time, route *judgedRoute, aspect aspect, gain, limit float64) {
-	route.sums[aspect].add(now, gain, limit)
-	j.sums[aspect].add(now, gain, limit)
+	route.sums[aspect].add(now, gain, limit, sumFloor)
+	j.sums[aspect].add(now, gain, limit, sumFloor)
+	for period := range periods {
+		route.totals[period][aspect].add(now, gain, limit, math.Inf(-1))
+		j.totals[period][aspect].add(now, gain, limit, math.Inf(-1))
+	}
+}
+
+// beginShift begins the period sinceShift.
+func (j *Judge) beginShift() {
+	j.totals[sinceShift] = totals{}
+	for _, route := range j.routes {
+		route.totals[sinceShift] = totals{}
+	}
+}
+
+// acceptable reports whether all evidence, since the order as well as since the stage Shift began, speaks clearly for the
+// version.
+func (j *Judge) acceptable() bool {
+	for period := range periods {
+		for aspect := range aspects {
+			// Without latencies of the old version there is nothing to compare.
+			if aspect == latency && j.compared == 0 {
+				continue
+			}
+			// A zone that crashes in the stage Shift, in which the old version gets few requests or none, breaks as many
+			// connections as a crashing version; and a target that crashes breaks those of all routes.
+			if aspect == connections {
+				if period == sinceOrder && j.totals[period][aspect].value > acceptThreshold {
+					return false
+				}
+				continue
+			}
+			if j.totals[period][aspect].value > acceptThreshold {
+				return false
+			}
+			for _, route := range j.routes {
+				if route.totals[period][aspect].value > routeAcceptThreshold {
+					return false
+				}
+			}
+		}
+	}
+	return true
 }
 
 func (j *Judge) route(name string) *judgedRoute {
@@ -287,7 +346,7 @@
 	return false
 }
 
-// cumulativeSum is a sum of log-likelihood ratios that never falls below sumFloor.
+// cumulativeSum is a sum of log-likelihood ratios that never falls below a floor.
 type cumulativeSum struct {
 	value float64
 	// windowBegun is the time at which the last gainWindow began, windowValue the value then.
@@ -295,11 +354,11 @@
 	windowValue float64
 }
 
-func (s *cumulativeSum) add(now time.Time, gain, limit float64) {
+func (s *cumulativeSum) add(now time.Time, gain, limit, floor float64) {
 	if now.Sub(s.windowBegun) >= gainWindow {
 		s.windowBegun, s.windowValue = now, s.value
 	}
-	s.value = min(max(s.value+gain, sumFloor), s.windowValue+limit)
+	s.value = min(max(s.value+gain, floor), s.windowValue+limit)
 }
 
 // gain returns the log-likelihood ratio of the requests seen: for a rate that exceeds base by the given part of
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -216,6 +216,7 @@
 	canary := time.Duration(part * float64(available))
 	if decision == Good && (elapsed >= canary || p.answered >= enoughGoodResponses) {
 		p.enter(now, Shift, shiftShares[0])
+		p.judge.beginShift()
 		return
 	}
 	second := secondCanaryPart * p.bounds.Share
@@ -235,6 +236,12 @@
 	canary := min(rate*share*remaining.Seconds(), float64(enoughGoodResponses-p.answered))
 	step := (minStepTime + in.ReportInterval).Seconds()
 	shift := rate * (shiftShares[0]*step + shiftShares[1]*step + (detectionTime + 2*in.ReportInterval).Seconds())
+	// At low rates the steps last longer, since they wait for responses.
+	responses := int64(0)
+	for _, step := range stepResponses {
+		responses += step
+	}
+	shift = max(shift, float64(responses))
 	return canary+shift <= p.exposureLeft(now)
 }
 
@@ -255,35 +262,55 @@
 
 func (p *Plan) advanceShift(now time.Time, in Input, decision Decision) {
 	suspicious := p.judge.suspicious()
+	step := 0
+	for step < len(shiftShares)-1 && p.share > shiftShares[step] {
+		step++
+	}
+	last := step == len(shiftShares)-1
+	acceptable := p.judge.acceptable()
+	elapsed := now.Sub(p.stepBegun)
+	// tested reports whether one of the last two steps gave enough evidence to decide on.
+	tested := step >= len(shiftShares)-2 && elapsed >= minStepTime+2*in.ReportInterval && p.answered-p.answeredBefore >= stepResponses[1]
 	// The requests that the new version gets until a lower share is known everywhere. Going on with a lower share
-	// instead would clear a version whose fault shows under load only. Broken connections alone are no reason: a
-	// zone that crashes breaks as many.
-	suspected := p.judge.suspiciousOf(failures) || p.judge.suspiciousOf(latency)
+	// instead would clear a version whose fault shows under load only. Broken connections alone are no reason before a
+	// step is tested: a zone that crashes breaks as many.
+	suspected := p.judge.suspiciousOf(failures) || p.judge.suspiciousOf(latency) || tested && !acceptable && (last || decision != Good)
 	underway := p.rate(now) * p.share * (minStepTime/2 + 2*in.ReportInterval).Seconds()
 	if suspected && p.exposureLeft(now) < underway {
 		p.end(now, RolledBack, "suspected, and no more requests may go to a bad version")
 		return
 	}
-	step := 0
-	for step < len(shiftShares)-1 && p.share > shiftShares[step] {
-		step++
-	}
-	elapsed := now.Sub(p.stepBegun)
 	drainBegin := p.order.Deadline().Add(-time.Duration(drainTime * float64(p.order.Duration)))
 	// The time that is left is divided among this step and the ones after it.
 	available := drainBegin.Sub(p.stepBegun) / time.Duration(len(shiftShares)-step)
 	shortest := minStepTime + in.ReportInterval
-	if step == len(shiftShares)-1 {
+	if last {
 		shortest = detectionTime + 2*in.ReportInterval
 	}
 	shortest = max(minStepTime, min(shortest, available))
+	// An acceptable version goes on while the bound still leaves room for the requests that it gets until the stage Drain
+	// ends, which takes a further report: a bad version may be acceptable too.
+	draining := underway + p.rate(now)*p.share*in.ReportInterval.Seconds()
+	if last && tested && acceptable && !suspected && p.exposureLeft(now) < draining {
+		p.enter(now, Drain, 1)
+		return
+	}
 	enough := decision == Good && p.answered-p.answeredBefore >= stepResponses[step]
 	if elapsed < shortest || suspicious || !enough && elapsed < available {
 		return
 	}
-	if step == len(shiftShares)-1 {
-		p.enter(now, Drain, 1)
+	if last {
+		if acceptable {
+			p.enter(now, Drain, 1)
+		}
+		return
+	}
+	next := shiftShares[step+1]
+	// A version that is neither good nor acceptable needs the evidence of the last step: it goes there only if the bound
+	// leaves room for that.
+	if step+1 == len(shiftShares)-1 && decision != Good && !acceptable && p.exposureLeft(now) < p.rate(now)*next*(minStepTime+3*in.ReportInterval).Seconds() {
+		p.end(now, RolledBack, "suspected, and no more requests may go to a bad version")
 		return
 	}
-	p.setShare(now, shiftShares[step+1])
+	p.setShare(now, next)
 }
