Keep entries at the new version in Drain while answers are late

What was seen: the new test of streams on loopback, with the race detector at a load of 27 and 400 streams per second, failed in 2 of 3 runs: once 7 streams went to the old engines after the status succeeded was written, once the stage Drain lasted for over 80 s.

Cause: in Drain an entry reports that no request needs the old version, and the rollout may succeed on that report for a second; writing the status takes time too. The same entry goes back to the old version once its share is a second old, that is, if the next answer is late. So requests were sent to engines that the status lets stop, and under load there was always one that went back, so that Drain didn't end. Not the cause: the check just before sending, which asks the same gate.

Change: in Drain a share holds for 3 s: the age of a report that counts and the time-out of the write. In the other stages it stays 1 s. A bad version that is found only in Drain gets requests of an entry that is cut off for 2 s longer.

Evidence: TestEntryStaysAtTheNewVersionInDrainWhileAnswersAreLate (virtual time) fails without the change, with 549 requests at the old version, and passes with it. Package rolloutcontrol passes.

--- a/rolloutcontrol/manager.go
+++ b/rolloutcontrol/manager.go
@@ -169,12 +169,10 @@
 	status rollout.Status
 	gate   *rollout.Gate
 	// old and new are the evidence since the last report, sent that of the report which is not answered yet.
-	old, new rollout.Evidence
-	sent     *Report
-	stage    rollout.Stage
-	share    float64
-	// answeredAt is when the report was sent to which share is the answer.
-	answeredAt time.Time
+	old, new   rollout.Evidence
+	sent       *Report
+	stage      rollout.Stage
+	share      float64
 	reportedAt time.Time
 	// reporting is set while a report is in flight, lost while the coordinator does not answer.
 	reporting, lost bool
@@ -189,7 +187,7 @@
 
 // takesAll reports whether all new requests go to the new version.
 func (s *serviceState) takesAll(now time.Time) bool {
-	return s.share >= 1 && now.Sub(s.answeredAt) <= rollout.MaxShareAge
+	return s.share >= 1 && s.gate.Open(now)
 }
 
 // NewManager returns a Manager. Run carries out the orders of the directory.
@@ -402,6 +400,7 @@
 	if answer.Stage != state.stage {
 		m.observe(Event{Kind: EventStage, Order: state.order, Stage: answer.Stage, Share: answer.Share})
 	}
-	state.stage, state.share, state.answeredAt = answer.Stage, answer.Share, sent
+	state.stage, state.share = answer.Stage, answer.Share
 	state.gate.SetShare(sent, answer.Share)
+	state.gate.SetStage(answer.Stage)
 }
--- a/rolloutcontrol/manager_test.go
+++ b/rolloutcontrol/manager_test.go
@@ -329,3 +329,31 @@
 		is.True(!attempt.MaySend())
 	})
 }
+
+// Guards against an entry that goes back to the old version in the stage Drain as soon as the coordinator's answers are late: it has reported that
+// no request needs the old version, and the rollout may succeed on that report before it sends the next one.
+func TestEntryStaysAtTheNewVersionInDrainWhileAnswersAreLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(3)
+		f.order("v2", time.Minute)
+		f.run(t)
+		held := f.managers[f.coordinator()].Begin(service, false) // needs the old version, so that Drain lasts
+		held.BeginAttempt("route", "v1")
+		for range 60 {
+			f.traffic(time.Second, []int{0, 1, 2}, never)
+			if f.status().Stage == rollout.Drain {
+				break
+			}
+		}
+		f.traffic(time.Second, []int{0, 1, 2}, never)
+		other := (f.coordinator() + 1) % 3
+		is.Equal(f.call(other, never), "v2")
+		f.mu.Lock()
+		f.cutOff = true
+		f.mu.Unlock()
+		is.Equal(f.traffic(2*rollout.MaxShareAge, []int{other}, never)["v1"], 0)
+		time.Sleep(rollout.MaxDrainShareAge)
+		is.Equal(f.call(other, never), "v1") // the version may be known to be bad
+	})
+}
