Soak: misbehaving callers at entries in a last phase

Cause: the soak had no callers that cut bodies short, send many short fields, pipeline without reading or read slowly.

A crowd of 200 misbehaves at one entry, which nothing else stops meanwhile; the process must stay alive and under 100 MB resident (MEMORY, as in test/crowds) and answer an ordinary call afterwards. Entries of the soak have the callers' memory of the smallest VM. Defect caller-memory-unlimited. What test/crowds and the soak both send is in bench/crowd; the tests there are otherwise unchanged.

--- a/adapters/callerlimit/limiter.go
+++ b/adapters/callerlimit/limiter.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/azurebarrow/azurebarrow/generation"
+	"github.com/azurebarrow/azurebarrow/internal/defect"
 )
 
 // The costs are resident memory: two to three times the live bytes, since the heap grows to twice its live size before it is collected,
@@ -312,7 +313,7 @@
 	for {
 		others := l.granted - l.releasing - conn.granted.Load()
 		// A single request that exceeds all of the shared memory is within the limits of the configuration, and is held alone.
-		if others <= 0 || others+bytes <= l.shared {
+		if others <= 0 || others+bytes <= l.shared || defect.Enabled(defect.CallerMemoryUnlimited) {
 			if float64(l.releasing) > maxReleasingShare*float64(l.shared) {
 				return false, true
 			}
--- a/bench/cluster/process.go
+++ b/bench/cluster/process.go
@@ -115,15 +115,28 @@
 	if e.runner == nil {
 		return 0, ErrNotRunning
 	}
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.runner.pid()))
+	kib, err := procValue(e.runner.pid(), "status", "VmRSS")
+	return kib * bytesPerKiB, err
+}
+
+// MaxResidentBytes returns the most resident memory that the process has had.
+func (p *Process) MaxResidentBytes() (int64, error) {
+	kib, err := p.ProcValue("status", "VmHWM")
+	return kib * bytesPerKiB, err
+}
+
+// ProcValue returns the number after a key in a file of the process in /proc.
+func (p *Process) ProcValue(file, key string) (int64, error) { return procValue(p.pid(), file, key) }
+
+func procValue(pid int, file, key string) (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", pid, file))
 	if err != nil {
 		return 0, err
 	}
 	for line := range strings.Lines(string(text)) {
-		var kib int64
-		if n, _ := fmt.Sscanf(line, "VmRSS: %d kB", &kib); n == 1 {
-			return kib * bytesPerKiB, nil
+		if rest, found := strings.CutPrefix(line, key+":"); found {
+			return strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
 		}
 	}
-	return 0, fmt.Errorf("no VmRSS for process %d", e.runner.pid())
+	return 0, fmt.Errorf("no %s in %s of process %d", key, file, pid)
 }
--- a/bench/soak/checks.go
+++ b/bench/soak/checks.go
@@ -44,6 +44,7 @@
 	}
 	for _, check := range []func(map[string][]target.Record) []Violation{
 		e.checkOrigin, e.checkDeadlines, e.checkBudget, e.checkDraining, e.checkAbandoned, e.checkRecovery, e.checkBadParts, e.checkLimits, e.checkVersions, e.checkTakenUp, e.checkAcknowledged, e.checkPartitions, e.checkPauses,
+		e.checkCrowds,
 	} {
 		found = append(found, check(runs)...)
 	}
@@ -145,7 +146,7 @@
 // checkOrigin checks that targets run only what callers sent, for the right customer, and get no API key.
 func (e *Evidence) checkOrigin(map[string][]target.Record) []Violation {
 	sent := map[string]*Attempt{}
-	for _, attempt := range e.Attempts {
+	for _, attempt := range slices.Concat(e.Attempts, e.CrowdAttempts) {
 		sent[attempt.ID] = attempt
 	}
 	var found []Violation
--- a/bench/soak/checks_test.go
+++ b/bench/soak/checks_test.go
@@ -118,6 +118,15 @@
 			ended.What = target.Ended
 			e.Records = append(e.Records, ended)
 		}},
+		{"CRASH", "an entry ends under a crowd", func(e *Evidence) { e.Crowds = []CrowdResult{{Kind: ManyFields, Ended: true, Served: true}} }},
+		{"MEMORY", "an entry holds too much under a crowd", func(e *Evidence) {
+			e.Crowds = []CrowdResult{{Kind: ManyFields, ResidentBytes: maxResidentBytes + 1, Served: true}}
+		}},
+		{"RECOVER", "no ordinary call is answered after a crowd", func(e *Evidence) { e.Crowds = []CrowdResult{{Kind: ManyFields}} }},
+		{"UNASKED", "a target runs what no crowd sent", func(e *Evidence) {
+			e.CrowdAttempts = []*Attempt{{ID: "crowd-1", Path: "/lookup/crowd-1"}}
+			e.Records = append(e.Records, beganRecord("crowd-1", "records-0.1", at(10)))
+		}},
 		{"RECOVER", "nothing is served at the end", func(e *Evidence) { e.Attempts[2].Status = 502; e.Attempts[2].Signature = "" }},
 	}
 	for _, c := range cases {
--- a/bench/soak/defect_test.go
+++ b/bench/soak/defect_test.go
@@ -85,6 +85,11 @@
 			breaks = append(breaks, Step{At: at, Kind: TargetFault, Index: (i + half*options.Engines/2) % options.Engines, Variant: wayResetStream, Duration: stopPause})
 		}
 	}
+	// Crowds of requests with many fields come to all entries, until each process has had one.
+	var crowds []Step
+	for i := range options.Entries {
+		crowds = append(crowds, Step{At: faultAt, Kind: ManyFields, Index: i})
+	}
 	cases := []struct {
 		defect defect.Name
 		rule   string
@@ -107,6 +112,7 @@
 		{defect.SecondAnswerBelieved, "TWICE", refusals, true},
 		{defect.ErrorPassedOn, "ORDER", breaks, true},
 		{defect.OddObjectHides, "DRAIN", drains, true},
+		{defect.CallerMemoryUnlimited, "MEMORY", crowds, false},
 	}
 	for _, c := range cases {
 		t.Run(string(c.defect), func(t *testing.T) {
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -71,6 +71,9 @@
 	disturbances []Disturbance
 	targetStarts int
 	recordFiles  []string
+	// crowds are the results of crowds, crowdAttempts their requests.
+	crowds        []CrowdResult
+	crowdAttempts []*Attempt
 }
 
 // program is a process that can be restarted with the same command.
@@ -130,6 +133,8 @@
 type entry struct {
 	program
 	readyAddress string
+	// callerAddress is where the entry listens for callers.
+	callerAddress string
 	// callers and toStore are the links from callers and to the store.
 	callers, toStore *cluster.Forwarder
 	// links is the file that says how the entry's links to targets are cut.
@@ -267,7 +272,7 @@
 		if e.toStore, err = cluster.NewForwarder(store); err != nil {
 			return err
 		}
-		e.readyAddress = addresses[2]
+		e.callerAddress, e.readyAddress = addresses[0], addresses[2]
 		file := d.file(name + ".yaml")
 		if err := writeSettings(file, settings.Settings{
 			Name: name, AvailabilityZone: zones[i%len(zones)], Interface: settings.InterfacePassthrough,
@@ -277,6 +282,7 @@
 				ReadyAddress: e.readyAddress, Seeds: seeds, RetryRatio: retryRatio, RetrySlack: retrySlack,
 				RetryWindow: budgetWindow, StopGrace: stopGrace, LinkMbps: linkMbps,
 			},
+			Limits: settings.Limits{CallerMemoryBytes: callerMemoryBytes},
 		}); err != nil {
 			return err
 		}
--- a/bench/soak/evidence.go
+++ b/bench/soak/evidence.go
@@ -105,6 +105,9 @@
 	Keys map[string]KeyLifetime
 	// Events is the number of events of a stream.
 	Events int
+	// Crowds are the results of crowds of misbehaving callers, CrowdAttempts their requests.
+	Crowds        []CrowdResult
+	CrowdAttempts []*Attempt
 	// QuietFrom is when the last fault had ended.
 	QuietFrom time.Time
 }
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -28,6 +28,7 @@
 	Partitions Theme = "partitions"
 	Losses     Theme = "losses"
 	Everything Theme = "everything"
+	Crowds     Theme = "crowds"
 )
 
 // Settings of a schedule. Faults overlap, since most last longer than the pause between two.
@@ -56,32 +57,36 @@
 
 // Kinds of faults.
 const (
-	StopEntry    Kind = "stop entry"
-	Reload       Kind = "reload"
-	Configure    Kind = "configure"
-	DrainTarget  Kind = "drain target"
-	KillEntry    Kind = "kill entry"
-	KillEntries  Kind = "kill entries"
-	PauseEntry   Kind = "pause entry"
-	KillTarget   Kind = "kill target"
-	PauseTarget  Kind = "pause target"
-	TargetFault  Kind = "target fault"
-	StoreFault   Kind = "store fault"
-	PauseStore   Kind = "pause store"
-	CutCallers   Kind = "cut callers"
-	CutStore     Kind = "cut store"
-	CutTarget    Kind = "cut target"
-	ResetCallers Kind = "reset callers"
-	ResetTarget  Kind = "reset target"
-	ResetStore   Kind = "reset store"
-	DelayCallers Kind = "delay callers"
-	DelayTarget  Kind = "delay target"
-	BadRequests  Kind = "requests with a part that crashes engines"
-	BadCalls     Kind = "calls that crash targets"
-	LimitTarget  Kind = "limit target"
-	AskPause     Kind = "ask for a pause"
-	CutLinks     Kind = "cut an entry's links to targets"
-	LoseEntries  Kind = "lose all entries beside releases"
+	StopEntry       Kind = "stop entry"
+	Reload          Kind = "reload"
+	Configure       Kind = "configure"
+	DrainTarget     Kind = "drain target"
+	KillEntry       Kind = "kill entry"
+	KillEntries     Kind = "kill entries"
+	PauseEntry      Kind = "pause entry"
+	KillTarget      Kind = "kill target"
+	PauseTarget     Kind = "pause target"
+	TargetFault     Kind = "target fault"
+	StoreFault      Kind = "store fault"
+	PauseStore      Kind = "pause store"
+	CutCallers      Kind = "cut callers"
+	CutStore        Kind = "cut store"
+	CutTarget       Kind = "cut target"
+	ResetCallers    Kind = "reset callers"
+	ResetTarget     Kind = "reset target"
+	ResetStore      Kind = "reset store"
+	DelayCallers    Kind = "delay callers"
+	DelayTarget     Kind = "delay target"
+	BadRequests     Kind = "requests with a part that crashes engines"
+	BadCalls        Kind = "calls that crash targets"
+	LimitTarget     Kind = "limit target"
+	AskPause        Kind = "ask for a pause"
+	CutLinks        Kind = "cut an entry's links to targets"
+	LoseEntries     Kind = "lose all entries beside releases"
+	CutBodies       Kind = "bodies cut short"
+	ManyFields      Kind = "heads of many short fields"
+	UnreadPipelines Kind = "pipelined requests, nothing read"
+	SlowReaders     Kind = "slow readers"
 	// Crash is no step: it is the crash of a target by a request.
 	Crash Kind = "crash"
 )
@@ -109,6 +114,8 @@
 	// Losses have releases and faults of the store beside them.
 	Losses: {LoseEntries, LoseEntries, DrainTarget, StoreFault, PauseStore},
 	Store:  {StoreFault, StoreFault, PauseStore, Configure, DrainTarget},
+	// Crowds misbehave one at a time at each entry, which is neither stopped nor paused meanwhile.
+	Crowds: {CutBodies, ManyFields, ManyFields, UnreadPipelines, SlowReaders},
 }
 
 func init() {
@@ -119,7 +126,11 @@
 
 var themes = []Theme{Planned, Entries, Targets, Links, Store, Everything, Verdicts, Partitions, Losses}
 
-// DrawThemes draws the themes of a run's phases at random. A theme repeats only after all were used.
+// lastThemes are the themes of last phases. They are drawn apart from the others, so that each seed keeps the phases that it had
+// before there were any.
+var lastThemes = []Theme{Crowds}
+
+// DrawThemes draws the themes of a run's phases at random, and that of a last phase. A theme repeats only after all were used.
 func DrawThemes(seed int64, phases int) []Theme {
 	random := rand.New(rand.NewPCG(uint64(seed), 6))
 	order := random.Perm(len(themes))
@@ -127,7 +138,8 @@
 	for i := range drawn {
 		drawn[i] = themes[order[i%len(order)]]
 	}
-	return drawn
+	last := rand.New(rand.NewPCG(uint64(seed), 8))
+	return append(drawn, lastThemes[last.IntN(len(lastThemes))])
 }
 
 // Schedule draws the steps of a run with a phase for each theme. The result depends only on the arguments.
@@ -207,6 +219,8 @@
 		d.askPause(ctx, d.targets[step.Index%len(d.targets)])
 	case CutLinks:
 		d.cutLinks(ctx, e, step)
+	case CutBodies, ManyFields, UnreadPipelines, SlowReaders:
+		d.sendCrowd(ctx, c, e, step)
 	case LoseEntries:
 		d.loseEntries(ctx, c, step)
 	case KillEntry:
--- a/bench/soak/verdicts.go
+++ b/bench/soak/verdicts.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -192,7 +193,7 @@
 
 func (e *Evidence) entriesByRequest() map[string]string {
 	entries := map[string]string{}
-	for _, attempt := range e.Attempts {
+	for _, attempt := range slices.Concat(e.Attempts, e.CrowdAttempts) {
 		entries[attempt.ID] = attempt.Entry
 	}
 	return entries
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -63,4 +63,6 @@
 	OddObjectHides Name = "odd-object-hides"
 	// CutEvidenceBelieved has entries that lost their links to targets record these as crashed.
 	CutEvidenceBelieved Name = "cut-evidence-believed"
+	// CallerMemoryUnlimited grants callers more memory than the limit.
+	CallerMemoryUnlimited Name = "caller-memory-unlimited"
 )
--- a/test/crowds/crowd_test.go
+++ b/test/crowds/crowd_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	crowds "github.com/azurebarrow/azurebarrow/bench/crowd"
 )
 
 // place is where a crowd sends its requests.
@@ -44,9 +46,6 @@
 	return text.Bytes()
 }
 
-// chunk returns a body's bytes as one chunk.
-func chunk(content []byte) []byte { return fmt.Appendf(nil, "%x\r\n%s\r\n", len(content), content) }
-
 // caller is one caller of a crowd, with its connection.
 type caller struct {
 	crowd *crowd
@@ -133,25 +132,11 @@
 // concurrentDials limits the connections that are being opened, to stay below the accept queue of the listener.
 const concurrentDials = 100
 
-// shrinkBuffers gives a connection, before it is opened, small buffers and the segments of a network, in which the kernel keeps a few
-// dozen KB that are never read. With the buffers and segments of loopback it keeps more than 1 MB.
-func shrinkBuffers(_, _ string, conn syscall.RawConn) error {
-	const receiveBytes, sendBytes, segmentBytes = 4 << 10, 64 << 10, 1400
-	var failure error
-	err := conn.Control(func(descriptor uintptr) {
-		failure = errors.Join(
-			syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes),
-			syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBytes),
-			syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes))
-	})
-	return errors.Join(err, failure)
-}
-
 // startCrowd opens a connection for each caller and then runs behave for it. The connections stay open until stop.
 func startCrowd(size int, address string, behave func(*caller)) *crowd {
 	c := &crowd{
 		address: address, dials: make(chan struct{}, concurrentDials),
-		dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(crowdAddress)}, Control: shrinkBuffers},
+		dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(crowdAddress)}, Control: crowds.ShrinkBuffers},
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for range size {
@@ -195,7 +180,7 @@
 // settle waits until the crowd has done its worst.
 func (c *crowd) settle(e *entryProcess, size int) {
 	progress := func() int64 {
-		read, _ := e.procValue("io", "rchar") // an error means that the process has ended, which isAlive reports
+		read, _ := e.process.ProcValue("io", "rchar") // an error means that the process has ended, which isAlive reports
 		return read + c.sent.Load()
 	}
 	last, since := progress(), time.Now()
--- a/test/crowds/crowds_test.go
+++ b/test/crowds/crowds_test.go
@@ -4,11 +4,12 @@
 	"bytes"
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	crowds "github.com/azurebarrow/azurebarrow/bench/crowd"
 )
 
 var everywhere = []place{route, noRoute, readiness}
@@ -21,21 +22,12 @@
 	streamEventInterval = 5 * time.Millisecond
 )
 
-// manyFields returns many short header lines.
-func manyFields() []string {
-	lines := make([]string, fieldCount)
-	for i := range lines {
-		lines[i] = fmt.Sprintf("a%d: 1", i)
-	}
-	return lines
-}
-
 // Guards against heads of many short fields, for each of which net/http holds several times its bytes. The requests stay open since the
 // last byte of each body is missing.
 func TestHeadsOfManyFields(t *testing.T) {
 	const size = 1200
 	at(t, everywhere, func(t *testing.T, at place) {
-		request := append(at.head(append(manyFields(), "Content-Length: 16")...), "fifteen bytes, "...)
+		request := append(at.head(append(crowds.ManyFields(fieldCount), "Content-Length: 16")...), "fifteen bytes, "...)
 		withstand(t, at, size, func(c *caller) { c.send(request) })
 	})
 }
@@ -44,7 +36,7 @@
 func TestUnfinishedHeadsOfManyFields(t *testing.T) {
 	const size = 1200
 	at(t, []place{route, readiness}, func(t *testing.T, at place) {
-		head := at.head(manyFields()...)
+		head := at.head(crowds.ManyFields(fieldCount)...)
 		withstand(t, at, size, func(c *caller) { c.send(head[:len(head)-2]) })
 	})
 }
@@ -55,15 +47,9 @@
 // Guards against a cost for each field that is assumed too low: the head has as many fields as its size allows, all of them without a value,
 // with names that differ or that are the same.
 func TestHeadsOfTheShortestFields(t *testing.T) {
-	const (
-		size = 300
-		// firstName is the first number that has three digits to the base of 36.
-		firstName = 36 * 36
-	)
-	var different, same []string
-	for i := firstName; len(different)*len("xxx:\r\n") < maxHeaderBytes-headMargin; i++ {
-		different = append(different, strconv.FormatInt(int64(i), 36)+":")
-	}
+	const size = 300
+	different := crowds.ShortestFields(maxHeaderBytes - headMargin)
+	var same []string
 	for len(same)*len("x:\r\n") < maxHeaderBytes-headMargin {
 		same = append(same, "x:")
 	}
@@ -94,7 +80,7 @@
 		visits = 6
 	)
 	at(t, []place{route, readiness}, func(t *testing.T, at place) {
-		request := append(at.head(append(manyFields(), "Content-Length: 16")...), "fifteen bytes, "...)
+		request := append(at.head(append(crowds.ManyFields(fieldCount), "Content-Length: 16")...), "fifteen bytes, "...)
 		withstand(t, at, size, func(c *caller) {
 			c.send(request)
 			for visit := 1; visit < visits && c.reconnect(); visit++ {
@@ -112,7 +98,7 @@
 	const size = 800
 	at(t, everywhere, func(t *testing.T, at place) {
 		head := at.head("Transfer-Encoding: chunked")
-		piece := chunk(bytes.Repeat([]byte("x"), 8<<10))
+		piece := crowds.Chunk(bytes.Repeat([]byte("x"), 8<<10))
 		withstand(t, at, size, func(c *caller) {
 			if c.send(head) {
 				c.send(bytes.Repeat(piece, bodyBytes/(8<<10)))
@@ -145,7 +131,7 @@
 		chunks = 66_000
 	)
 	at(t, everywhere, func(t *testing.T, at place) {
-		request := append(at.head("Transfer-Encoding: chunked"), bytes.Repeat(chunk([]byte("x")), chunks)...)
+		request := append(at.head("Transfer-Encoding: chunked"), bytes.Repeat(crowds.Chunk([]byte("x")), chunks)...)
 		withstand(t, at, size, func(c *caller) { c.send(request) })
 	})
 }
@@ -179,7 +165,9 @@
 	t.Run("length", func(t *testing.T) {
 		overflow(t, route, route.head(fmt.Sprintf("Content-Length: %d", int64(declared))), piece)
 	})
-	at(t, everywhere, func(t *testing.T, at place) { overflow(t, at, at.head("Transfer-Encoding: chunked"), chunk(piece)) })
+	at(t, everywhere, func(t *testing.T, at place) {
+		overflow(t, at, at.head("Transfer-Encoding: chunked"), crowds.Chunk(piece))
+	})
 }
 
 const (
@@ -270,17 +258,17 @@
 // Guards against limits that refuse what is within the configured ones although the entry has nothing else to do.
 func TestSingleRequestsWithinTheLimits(t *testing.T) {
 	e := startEntry(t, startStandins(t))
-	withFields := manyFields()
+	withFields := crowds.ManyFields(fieldCount)
 	for i := range withFields {
 		withFields[i] += "234567890123456"
 	}
 	large := bytes.Repeat([]byte("x"), maxBodyBytes)
-	small := bytes.Repeat(chunk([]byte("x")), maxBodyBytes/64)
+	small := bytes.Repeat(crowds.Chunk([]byte("x")), maxBodyBytes/64)
 	// The engine doesn't repeat the body, which would make the response larger than the entry accepts.
 	for name, request := range map[string][]byte{
 		"many fields":          route.head(append(withFields, "Content-Length: 0")...),
 		"body with length":     append(stream.head(fmt.Sprintf("Content-Length: %d", maxBodyBytes)), large...),
-		"body in one chunk":    append(append(stream.head("Transfer-Encoding: chunked"), chunk(large)...), "0\r\n\r\n"...),
+		"body in one chunk":    append(append(stream.head("Transfer-Encoding: chunked"), crowds.Chunk(large)...), "0\r\n\r\n"...),
 		"body in small chunks": append(append(stream.head("Transfer-Encoding: chunked"), small...), "0\r\n\r\n"...),
 	} {
 		t.Logf("%s: %d bytes", name, len(request))
--- a/test/crowds/entry_test.go
+++ b/test/crowds/entry_test.go
@@ -264,26 +264,8 @@
 	t.Cleanup(e.stopWatch)
 }
 
-// procValue returns the number after a key in a file of the process in /proc.
-func (e *entryProcess) procValue(file, key string) (int64, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", e.pid, file))
-	if err != nil {
-		return 0, err
-	}
-	for line := range strings.Lines(string(text)) {
-		if rest, found := strings.CutPrefix(line, key+":"); found {
-			return strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
-		}
-	}
-	return 0, fmt.Errorf("no %s in %s of process %d", key, file, e.pid)
-}
-
 // maxResident returns the most resident memory that the process has had, in bytes.
-func (e *entryProcess) maxResident() (int64, error) {
-	const bytesPerKiB = 1024
-	kib, err := e.procValue("status", "VmHWM")
-	return kib * bytesPerKiB, err
-}
+func (e *entryProcess) maxResident() (int64, error) { return e.process.MaxResidentBytes() }
 
 // callOrdinarily sends a small request on a new connection from ordinaryAddress. It returns an error unless the answer is the target's.
 func (e *entryProcess) callOrdinarily(id string) error {
