Soak: a rollout of the records service in a last phase

Cause: the soak ordered no rollouts, and nothing as processes checked what becomes of one.

Change: theme rollouts. Targets of another version are started beside the old ones, good or bad (slow, refusing, breaking connections after the call ran), beside entries that restart. Rule ROLLOUT: the status must be right in time; a bad version gets the share of the bounds and the slack at most, and nothing later than RollbackAfter after its 50th bad response; no call is in progress at the old version after a success, whose targets then stop at once. Entries have the bounds only in runs with a rollout. Calls take 60 ms there. Defect new-version-unjudged.

Ruled out: calls of 15 ms. In one of two trials without any fault the good version was rolled back ('suspected, and no more requests may go to a bad version'): the machine (load 31) delayed one response in ten by 3 to 7 ms for two seconds as all requests went to the new version, and 23 ms count as slow then. Nothing depends on such delays with 60 ms.

--- a/bench/soak/checks.go
+++ b/bench/soak/checks.go
@@ -44,7 +44,7 @@
 	}
 	for _, check := range []func(map[string][]target.Record) []Violation{
 		e.checkOrigin, e.checkDeadlines, e.checkBudget, e.checkDraining, e.checkAbandoned, e.checkRecovery, e.checkBadParts, e.checkLimits, e.checkVersions, e.checkTakenUp, e.checkAcknowledged, e.checkPartitions, e.checkPauses,
-		e.checkCrowds,
+		e.checkCrowds, e.checkRollouts,
 	} {
 		found = append(found, check(runs)...)
 	}
--- a/bench/soak/checks_test.go
+++ b/bench/soak/checks_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/azurebarrow/azurebarrow/rollout"
+	"github.com/azurebarrow/azurebarrow/standin/fault"
 	"github.com/azurebarrow/azurebarrow/standin/target"
 )
 
@@ -56,6 +58,41 @@
 	}
 }
 
+// rolledBack returns the result of the rollout of a bad version.
+func rolledBack(ordered time.Time) RolloutResult {
+	return RolloutResult{
+		Bad: fault.Overload, Ordered: ordered, Status: rollout.Status{State: rollout.StateRolledBack, To: newVersion}, New: []string{"new-records-0"},
+	}
+}
+
+// exposeNewVersion adds bookings that the new version's target refuses at a time.
+func exposeNewVersion(e *Evidence, count int, when time.Time) {
+	for range count {
+		refused := booking(fmt.Sprintf("b-%d", len(e.Attempts)), when)
+		refused.Status, refused.Signature, refused.ResponseRequestID, refused.Text = 503, "", "", ""
+		record := beganRecord(refused.ID, "new-records-0.9", when)
+		record.What = target.Refused
+		e.Attempts, e.Records = append(e.Attempts, refused), append(e.Records, record)
+	}
+}
+
+// Guards against checks of a rollout that accuse one that went as it should: a bad version that got its share, and a good one whose
+// predecessor had finished its calls.
+func TestSoundRolloutsAreNotAccused(t *testing.T) {
+	is := is.New(t)
+	evidence := validEvidence()
+	evidence.Rollouts = []RolloutResult{rolledBack(at(5))}
+	exposeNewVersion(evidence, minBadResponses, at(6))
+	exposeNewVersion(evidence, 1, at(11))
+	is.Equal(evidence.checkRollouts(nil), nil)
+	evidence = validEvidence()
+	evidence.Rollouts = []RolloutResult{{Ended: at(10.5), Status: rollout.Status{State: rollout.StateSucceeded, To: newVersion}}}
+	ended := beganRecord("b1", "records-0.1", at(10.4))
+	ended.What = target.Ended
+	evidence.Records = append(evidence.Records[:2], ended)
+	is.Equal(evidence.checkRollouts(nil), nil)
+}
+
 // TestEachCheckFindsItsBrokenPromise violates one guarantee at a time and expects a violation of its rule.
 func TestEachCheckFindsItsBrokenPromise(t *testing.T) {
 	is := is.New(t)
@@ -127,6 +164,28 @@
 			e.CrowdAttempts = []*Attempt{{ID: "crowd-1", Path: "/lookup/crowd-1"}}
 			e.Records = append(e.Records, beganRecord("crowd-1", "records-0.1", at(10)))
 		}},
+		{"ROLLOUT", "a good version is rolled back", func(e *Evidence) {
+			e.Rollouts = []RolloutResult{{Status: rollout.Status{State: rollout.StateRolledBack, To: newVersion}}}
+		}},
+		{"ROLLOUT", "a bad version succeeds", func(e *Evidence) {
+			e.Rollouts = []RolloutResult{{Bad: fault.Slow, Status: rollout.Status{State: rollout.StateSucceeded, To: newVersion}}}
+		}},
+		{"ROLLOUT", "the status is another order's", func(e *Evidence) {
+			e.Rollouts = []RolloutResult{{Status: rollout.Status{State: rollout.StateSucceeded, To: oldVersion}}}
+		}},
+		{"ROLLOUT", "a bad version gets more than its share", func(e *Evidence) {
+			e.Rollouts = []RolloutResult{rolledBack(at(5))}
+			exposeNewVersion(e, 60, at(6))
+		}},
+		{"ROLLOUT", "a bad version gets requests long after its bad responses", func(e *Evidence) {
+			e.Rollouts = []RolloutResult{rolledBack(at(5))}
+			exposeNewVersion(e, minBadResponses-1, at(6))
+			exposeNewVersion(e, 1, at(7))
+			exposeNewVersion(e, 1, at(14))
+		}},
+		{"ROLLOUT", "a call is in progress at the old version as the rollout has succeeded", func(e *Evidence) {
+			e.Rollouts = []RolloutResult{{Ended: at(10.5), Status: rollout.Status{State: rollout.StateSucceeded, To: newVersion}}}
+		}},
 		{"RECOVER", "nothing is served at the end", func(e *Evidence) { e.Attempts[2].Status = 502; e.Attempts[2].Signature = "" }},
 	}
 	for _, c := range cases {
--- a/bench/soak/defect_test.go
+++ b/bench/soak/defect_test.go
@@ -90,6 +90,8 @@
 	for i := range options.Entries {
 		crowds = append(crowds, Step{At: faultAt, Kind: ManyFields, Index: i})
 	}
+	// A version that takes several times as long: the variant is an odd number, whose half selects the fault.
+	slowVersion := []Step{{At: faultAt, Kind: Rollout, Variant: 1}}
 	cases := []struct {
 		defect defect.Name
 		rule   string
@@ -113,6 +115,7 @@
 		{defect.ErrorPassedOn, "ORDER", breaks, true},
 		{defect.OddObjectHides, "DRAIN", drains, true},
 		{defect.CallerMemoryUnlimited, "MEMORY", crowds, false},
+		{defect.NewVersionUnjudged, "ROLLOUT", slowVersion, false},
 	}
 	for _, c := range cases {
 		t.Run(string(c.defect), func(t *testing.T) {
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -74,6 +74,10 @@
 	// crowds are the results of crowds, crowdAttempts their requests.
 	crowds        []CrowdResult
 	crowdAttempts []*Attempt
+	// rollouts are the results of rollouts, newTargets the targets of the new version. rolling is held from the first rollout on.
+	rollouts   []RolloutResult
+	newTargets []*soakTarget
+	rolling    sync.Mutex
 }
 
 // program is a process that can be restarted with the same command.
@@ -156,6 +160,8 @@
 	busy    sync.Mutex
 	// releases counts the changes of the target's software version.
 	releases atomic.Int64
+	// callVersion is the version of a target of the records service, which has one in runs with a rollout.
+	callVersion string
 }
 
 // version returns the version of the target's software.
@@ -213,7 +219,7 @@
 		e.callers.Close()
 		e.toStore.Close()
 	}
-	for _, t := range d.targets {
+	for _, t := range slices.Concat(d.targets, d.newTargets) {
 		t.kill()
 		t.link.Close()
 	}
@@ -221,20 +227,32 @@
 }
 
 func (d *deployment) addTarget(service string, index int) error {
-	listen, err := cluster.FreeAddress()
+	t, err := d.newTarget(service, fmt.Sprintf("%s-%d", service, index), index)
 	if err != nil {
 		return err
 	}
+	if service == recordService && d.options.withRollout() {
+		t.callVersion = oldVersion
+	}
+	d.targets = append(d.targets, t)
+	return t.start()
+}
+
+// newTarget returns a target that has not been started.
+func (d *deployment) newTarget(service, name string, index int) (*soakTarget, error) {
+	listen, err := cluster.FreeAddress()
+	if err != nil {
+		return nil, err
+	}
 	link, err := cluster.NewForwarder(listen)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	t := &soakTarget{service: service, link: link, listen: listen}
 	t.releases.Store(int64(index))
-	t.program = program{name: fmt.Sprintf("%s-%d", service, index), binary: d.options.StandIn, logFile: d.file(fmt.Sprintf("%s-%d.log", service, index))}
-	d.targets = append(d.targets, t)
+	t.program = program{name: name, binary: d.options.StandIn, logFile: d.file(name + ".log")}
 	t.args = func() []string { return d.targetArguments(t, zones[index%len(zones)]) }
-	return t.start()
+	return t, nil
 }
 
 // targetArguments returns the arguments of a target process, with a new target ID for each start.
@@ -254,7 +272,14 @@
 		return append(arguments, "--slots", fmt.Sprint(engineSlots), "--events", fmt.Sprint(streamEvents), "--event-interval", eventInterval.String(), "--crash-prefix", badPartPrefix,
 			"--version", t.version())
 	}
-	return append(arguments, "--slots", fmt.Sprint(recordSlots), "--crash-path", badPartPrefix)
+	arguments = append(arguments, "--slots", fmt.Sprint(recordSlots))
+	if t.callVersion != "" {
+		arguments = append(arguments, "--version", t.callVersion, "--work-time", rolloutWorkTime.String())
+	}
+	if t.callVersion == newVersion {
+		return arguments // calls that crash its targets would make a good version bad
+	}
+	return append(arguments, "--crash-path", badPartPrefix)
 }
 
 func (d *deployment) addEntries(store string) error {
@@ -280,7 +305,7 @@
 			Platform: settings.Platform{URL: "http://" + e.toStore.Address()},
 			Passthrough: settings.Passthrough{
 				ReadyAddress: e.readyAddress, Seeds: seeds, RetryRatio: retryRatio, RetrySlack: retrySlack,
-				RetryWindow: budgetWindow, StopGrace: stopGrace, LinkMbps: linkMbps,
+				RetryWindow: budgetWindow, StopGrace: stopGrace, LinkMbps: linkMbps, Rollouts: d.rolloutBounds(),
 			},
 			Limits: settings.Limits{CallerMemoryBytes: callerMemoryBytes},
 		}); err != nil {
--- a/bench/soak/evidence.go
+++ b/bench/soak/evidence.go
@@ -108,6 +108,7 @@
 	// Crowds are the results of crowds of misbehaving callers, CrowdAttempts their requests.
 	Crowds        []CrowdResult
 	CrowdAttempts []*Attempt
+	Rollouts      []RolloutResult
 	// QuietFrom is when the last fault had ended.
 	QuietFrom time.Time
 }
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -29,6 +29,7 @@
 	Losses     Theme = "losses"
 	Everything Theme = "everything"
 	Crowds     Theme = "crowds"
+	Rollouts   Theme = "rollouts"
 )
 
 // Settings of a schedule. Faults overlap, since most last longer than the pause between two.
@@ -87,6 +88,9 @@
 	ManyFields      Kind = "heads of many short fields"
 	UnreadPipelines Kind = "pipelined requests, nothing read"
 	SlowReaders     Kind = "slow readers"
+	Rollout         Kind = "rollout"
+	// StopVersion is no step: it is the stop of the old version's targets after a rollout.
+	StopVersion Kind = "stop old version"
 	// Crash is no step: it is the crash of a target by a request.
 	Crash Kind = "crash"
 )
@@ -116,6 +120,8 @@
 	Store:  {StoreFault, StoreFault, PauseStore, Configure, DrainTarget},
 	// Crowds misbehave one at a time at each entry, which is neither stopped nor paused meanwhile.
 	Crowds: {CutBodies, ManyFields, ManyFields, UnreadPipelines, SlowReaders},
+	// Rollouts hold one rollout, beside entries that restart: the coordinator may be one of them.
+	Rollouts: {Rollout, Rollout, Rollout, StopEntry},
 }
 
 func init() {
@@ -128,7 +134,7 @@
 
 // lastThemes are the themes of last phases. They are drawn apart from the others, so that each seed keeps the phases that it had
 // before there were any.
-var lastThemes = []Theme{Crowds}
+var lastThemes = []Theme{Crowds, Rollouts}
 
 // DrawThemes draws the themes of a run's phases at random, and that of a last phase. A theme repeats only after all were used.
 func DrawThemes(seed int64, phases int) []Theme {
@@ -221,6 +227,8 @@
 		d.cutLinks(ctx, e, step)
 	case CutBodies, ManyFields, UnreadPipelines, SlowReaders:
 		d.sendCrowd(ctx, c, e, step)
+	case Rollout:
+		d.rollOut(ctx, c, step)
 	case LoseEntries:
 		d.loseEntries(ctx, c, step)
 	case KillEntry:
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -74,6 +74,6 @@
 	}
 	return &Evidence{
 		Attempts: callers.attempts, Records: records, Disturbances: d.disturbances, Keys: d.keyLifetimes,
-		Events: streamEvents, QuietFrom: quietFrom, Crowds: d.crowds, CrowdAttempts: d.crowdAttempts,
+		Events: streamEvents, QuietFrom: quietFrom, Crowds: d.crowds, CrowdAttempts: d.crowdAttempts, Rollouts: d.rollouts,
 	}, nil
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -56,6 +56,21 @@
 	}
 }
 
+// TestShortSoakOfLastThemes runs the themes of last phases, with programs that are built without the race detector: its memory would
+// exceed the bound of a crowd.
+func TestShortSoakOfLastThemes(t *testing.T) {
+	options := buildPrograms(t)
+	options.Seed = 2
+	options.Steps = append(Schedule(options.Seed, []Theme{Crowds}), Step{At: 2*phasePause + phaseLength, Kind: Rollout})
+	violations, evidence := runAndCheck(t, options)
+	for _, violation := range violations {
+		t.Error(violation)
+	}
+	is := is.New(t)
+	is.True(len(evidence.Crowds) >= options.Entries)
+	is.Equal(len(evidence.Rollouts), 1)
+}
+
 func TestScheduleIsAFunctionOfItsSeed(t *testing.T) {
 	is := is.New(t)
 	phases := DrawThemes(7, 4)
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -65,4 +65,6 @@
 	CutEvidenceBelieved Name = "cut-evidence-believed"
 	// CallerMemoryUnlimited grants callers more memory than the limit.
 	CallerMemoryUnlimited Name = "caller-memory-unlimited"
+	// NewVersionUnjudged judges the new version of a rollout by the evidence of the old one.
+	NewVersionUnjudged Name = "new-version-unjudged"
 )
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -1,6 +1,10 @@
 package rollout
 
-import "time"
+import (
+	"time"
+
+	"github.com/azurebarrow/azurebarrow/internal/defect"
+)
 
 // Input is what a plan learns at one step.
 type Input struct {
@@ -126,7 +130,7 @@
 		p.begin(now, *in.Order)
 	}
 	if !p.stage.Final() {
-		p.judge.Add(now, in.Old, in.New)
+		p.judge.Add(now, in.Old, in.judged())
 		for i := range in.New.Routes {
 			p.answered += in.New.Routes[i].answered()
 		}
@@ -144,6 +148,14 @@
 // Written records that the store holds the status. Until then each step returns it again.
 func (p *Plan) Written(status Status) { p.written = status }
 
+// judged returns the evidence by which the new version is judged.
+func (in Input) judged() Evidence {
+	if defect.Enabled(defect.NewVersionUnjudged) {
+		return in.Old
+	}
+	return in.New
+}
+
 func (p *Plan) begin(now time.Time, order Order) {
 	*p = Plan{bounds: p.bounds, order: order, ordered: true, judge: NewJudge(), began: now}
 	p.enter(now, Waiting, 0)
