--- a/bench/soak/defect_test.go
+++ b/bench/soak/defect_test.go
@@ -85,6 +85,13 @@
 			breaks = append(breaks, Step{At: at, Kind: TargetFault, Index: (i + half*options.Engines/2) % options.Engines, Variant: wayResetStream, Duration: stopPause})
 		}
 	}
+	// Crowds of requests with many fields come to all entries, until each process has had one.
+	var crowds []Step
+	for i := range options.Entries {
+		crowds = append(crowds, Step{At: faultAt, Kind: ManyFields, Index: i})
+	}
+	// A version that takes several times as long: the variant is an odd number, whose half selects the fault.
+	slowVersion := []Step{{At: faultAt, Kind: Rollout, Variant: 1}}
 	cases := []struct {
 		defect defect.Name
 		rule   string
@@ -107,6 +114,8 @@
 		{defect.SecondAnswerBelieved, "TWICE", refusals, true},
 		{defect.ErrorPassedOn, "ORDER", breaks, true},
 		{defect.OddObjectHides, "DRAIN", drains, true},
+		{defect.CallerMemoryUnlimited, "MEMORY", crowds, false},
+		{defect.NewVersionUnjudged, "ROLLOUT", slowVersion, false},
 	}
 	for _, c := range cases {
 		t.Run(string(c.defect), func(t *testing.T) {
--- a/internal/defect/defect.go
+++ b/internal/defect/defect.go
@@ -63,4 +63,8 @@
 	OddObjectHides Name = "odd-object-hides"
 	// CutEvidenceBelieved has entries that lost their links to targets record these as crashed.
 	CutEvidenceBelieved Name = "cut-evidence-believed"
+	// CallerMemoryUnlimited grants callers more memory than the limit.
+	CallerMemoryUnlimited Name = "caller-memory-unlimited"
+	// NewVersionUnjudged judges the new version of a rollout by the evidence of the old one.
+	NewVersionUnjudged Name = "new-version-unjudged"
 )
