--- a/bench/soak/crowds.go
+++ b/bench/soak/crowds.go
@@ -61,12 +61,12 @@
 	d.disturb(e.name, step.Kind, false, func() {
 		during, cancel := context.WithTimeout(ctx, crowdFor)
 		defer cancel()
-		var crowd sync.WaitGroup
+		var misbehaving sync.WaitGroup
 		for number := range crowdSize {
 			text := d.crowdRequest(e, step, number)
-			crowd.Go(func() { misbehave(during, e.callerAddress, text, step.Kind == SlowReaders) })
+			misbehaving.Go(func() { misbehave(during, e.callerAddress, text, step.Kind == SlowReaders) })
 		}
-		crowd.Wait()
+		misbehaving.Wait()
 		result.Served = c.isServedAt(ctx, e)
 		result.Ended = e.exited()
 		result.ResidentBytes = e.maxResidentBytes()
@@ -176,17 +176,17 @@
 // ordinary caller afterwards.
 func (e *Evidence) checkCrowds(map[string][]target.Record) []Violation {
 	var found []Violation
-	for _, crowd := range e.Crowds {
+	for _, each := range e.Crowds {
 		report := func(rule, text string) {
-			found = append(found, Violation{rule, crowd.Entry, fmt.Sprintf("%s: %s", crowd.Kind, text)})
+			found = append(found, Violation{rule, each.Entry, fmt.Sprintf("%s: %s", each.Kind, text)})
 		}
-		if crowd.Ended {
+		if each.Ended {
 			report("CRASH", "the process has ended")
 		}
-		if crowd.ResidentBytes > maxResidentBytes {
-			report("MEMORY", fmt.Sprintf("%.1f MB resident, want at most %d", float64(crowd.ResidentBytes)/(1<<20), maxResidentBytes>>20))
+		if each.ResidentBytes > maxResidentBytes {
+			report("MEMORY", fmt.Sprintf("%.1f MB resident, want at most %d", float64(each.ResidentBytes)/(1<<20), maxResidentBytes>>20))
 		}
-		if !crowd.Served {
+		if !each.Served {
 			report("RECOVER", fmt.Sprintf("no ordinary call is answered within %v", afterCrowdTimeout))
 		}
 	}
