Queue of streams: urgent streams that may be on time before less urgent ones

Change: until 1.3 s before its objective a stream keeps its place before those of lower priorities, after those of its own that can be on time at any engine.

--- a/admission/streamqueue.go
+++ b/admission/streamqueue.go
@@ -25,6 +25,10 @@
 	maxFirstEventWait = 2500 * time.Millisecond
 	// maxFirstEventRatio is the part of its objective that a stream keeps for the time from admission to its first event.
 	maxFirstEventRatio = 0.625
+	// shortFirstEventWait is the time from admission to the first event of a usual prompt at an idle engine, minFirstEventRatio the part of the
+	// objective if that is less. A stream with so much time left may be on time, though not at every engine that has room.
+	shortFirstEventWait = 1300 * time.Millisecond
+	minFirstEventRatio  = 0.325
 	// defaultStreamObjective is the objective of streams that have none.
 	defaultStreamObjective = 10 * time.Second
 	// lateObjectives is how many times its objective a stream may take to its first event; it is not admitted after.
@@ -79,7 +83,7 @@
 	random    *rand.Rand
 	byRequest map[string]*waitingStream
 	levels    [streamPriorities]streamLevel
-	// late are the streams that can't be on time any more, by priority, then by waitUntil.
+	// late are the streams that may not or can't be on time any more, by priority, then by waitUntil.
 	late []*waitingStream
 	// expired are the streams that Expired returns next.
 	expired []QueuedStream
@@ -102,7 +106,9 @@
 	late    bool
 	addedAt time.Time
 	// raisedAt is when the stream may get room ahead of more urgent ones, onTimeUntil when it must be admitted to be on time.
-	raisedAt, onTimeUntil, waitUntil time.Time
+	// Until maybeUntil it may be on time at an idle engine; lateChecked is set once that has passed.
+	raisedAt, onTimeUntil, maybeUntil, waitUntil time.Time
+	lateChecked                                  bool
 }
 
 // streamLevel holds the streams of one priority that can be on time.
@@ -140,6 +146,7 @@
 		QueuedStream: stream,
 		level:        streamLevelOf(stream.Priority),
 		onTimeUntil:  stream.Arrived.Add(objective - firstEvent),
+		maybeUntil:   stream.Arrived.Add(objective - min(shortFirstEventWait, time.Duration(minFirstEventRatio*float64(objective)))),
 		waitUntil:    stream.Arrived.Add(lateObjectives*objective - firstEvent),
 	}
 	if !stream.Deadline.IsZero() {
@@ -147,6 +154,9 @@
 		if latest.Before(w.waitUntil) {
 			w.waitUntil = latest
 		}
+		if latest.Before(w.maybeUntil) {
+			w.maybeUntil = latest
+		}
 		if latest.Before(w.onTimeUntil) {
 			w.onTimeUntil = latest
 		}
@@ -249,7 +259,15 @@
 		return -1
 	})
 	q.late = slices.Insert(q.late, at, stream)
-	q.noteChange(stream.waitUntil)
+	q.noteChange(stream.nextLateChange())
+}
+
+// nextLateChange returns when a late stream is given up, or may be.
+func (w *waitingStream) nextLateChange() time.Time {
+	if w.lateChecked {
+		return w.waitUntil
+	}
+	return w.maybeUntil
 }
 
 func (q *StreamQueue) noteChange(at time.Time) {
@@ -398,6 +416,9 @@
 		if first := q.first(level, now, streamsOf, exclude, false); first != nil {
 			return first
 		}
+		if maybe := q.maybeOnTime(level, now, exclude); maybe != nil {
+			return maybe
+		}
 	}
 	for _, stream := range q.late {
 		if !slices.Contains(exclude, stream) {
@@ -407,6 +428,16 @@
 	return nil
 }
 
+// maybeOnTime returns the first stream of the level that may be on time at an idle engine, nil for none.
+func (q *StreamQueue) maybeOnTime(level int, now time.Time, exclude []*waitingStream) *waitingStream {
+	for _, stream := range q.late {
+		if stream.level == level && !now.After(stream.maybeUntil) && !slices.Contains(exclude, stream) {
+			return stream
+		}
+	}
+	return nil
+}
+
 // first returns the stream of the level, or of its raised streams, that is admitted first; nil for none.
 func (q *StreamQueue) first(
 	level int, now time.Time, streamsOf func(customer string) int, exclude []*waitingStream, onlyRaised bool,
@@ -434,15 +465,7 @@
 // raisedStream returns the raised stream with the least time left; nil if the most urgent streams are all that wait.
 func (q *StreamQueue) raisedStream(now time.Time, streamsOf func(customer string) int, exclude []*waitingStream) *waitingStream {
 	var best *waitingStream
-	urgent := true
-	for level := range q.levels {
-		if q.levels[level].count == 0 {
-			continue
-		}
-		if urgent {
-			urgent = false
-			continue
-		}
+	for level := q.mostUrgent(now) + 1; level < streamPriorities; level++ {
 		first := q.first(level, now, streamsOf, exclude, true)
 		if first != nil && (best == nil || first.onTimeUntil.Before(best.onTimeUntil)) {
 			best = first
@@ -484,17 +507,17 @@
 	none := func(string) int { return 0 }
 	switch raised := q.raisedStream(now, none, nil); {
 	case raised == nil:
-	case !admitted.late && admitted.level == q.mostUrgent():
+	case admitted.level == q.mostUrgent(now):
 		q.admittedSinceRaised++
 	default:
 		q.admittedSinceRaised = 0
 	}
 }
 
-// mostUrgent returns the highest priority of the streams that can be on time.
-func (q *StreamQueue) mostUrgent() int {
+// mostUrgent returns the highest priority of the streams that can or may be on time.
+func (q *StreamQueue) mostUrgent(now time.Time) int {
 	for level := range q.levels {
-		if q.levels[level].count > 0 {
+		if q.levels[level].count > 0 || q.maybeOnTime(level, now, nil) != nil {
 			return level
 		}
 	}
@@ -532,17 +555,20 @@
 		}
 		for _, stream := range moved {
 			q.removeOnTime(stream)
-			if now.Add(q.expectedLateWait()).After(stream.waitUntil) {
-				q.expire(stream)
-			} else {
-				q.addLate(stream)
-			}
+			q.addLate(stream)
 		}
 	}
+	keptLate := 0
 	q.late = slices.DeleteFunc(q.late, func(stream *waitingStream) bool {
 		ended := now.After(stream.waitUntil)
+		if !stream.lateChecked && now.After(stream.maybeUntil) {
+			stream.lateChecked = true
+			ended = ended || now.Add(q.expectedLateWait(keptLate)).After(stream.waitUntil)
+		}
 		if ended {
 			q.expire(stream)
+		} else {
+			keptLate++
 		}
 		return ended
 	})
@@ -555,9 +581,9 @@
 	delete(q.byRequest, stream.Request)
 }
 
-// expectedLateWait returns the time until a stream behind all others gets room.
-func (q *StreamQueue) expectedLateWait() time.Duration {
-	ahead := streamCounts{equal: len(q.late)}
+// expectedLateWait returns the time until a stream behind all streams on time and so many late ones gets room.
+func (q *StreamQueue) expectedLateWait(late int) time.Duration {
+	ahead := streamCounts{equal: late}
 	for level := range q.levels {
 		ahead.urgent += q.levels[level].count
 	}
@@ -572,7 +598,7 @@
 		}
 	}
 	for _, stream := range q.late {
-		q.noteChange(stream.waitUntil)
+		q.noteChange(stream.nextLateChange())
 	}
 }
 
