--- a/admission/streamqueue.go
+++ b/admission/streamqueue.go
@@ -431,6 +431,9 @@
 // maybeOnTime returns the first stream of the level that may be on time at an idle engine, nil for none.
 func (q *StreamQueue) maybeOnTime(level int, now time.Time, exclude []*waitingStream) *waitingStream {
 	for _, stream := range q.late {
+		if stream.level > level {
+			break
+		}
 		if stream.level == level && !now.After(stream.maybeUntil) && !slices.Contains(exclude, stream) {
 			return stream
 		}
