--- a/admission/streamqueue.go
+++ b/admission/streamqueue.go
@@ -76,8 +76,8 @@
 
 // StreamQueue orders the streams of one service that wait for room. Streams that can still be on time go first: by priority, then by
 // their customer's share (streams in progress, then recent admissions), then by the time left. One admission in raisedInterval goes to a less urgent stream that has
-// waited for half of its time. Streams that are late anyway get the room that no other stream needs. It is not safe for
-// concurrent use.
+// waited for half of its time. Streams that may only be on time at an idle engine come after the others of their
+// priority, and late ones get the room that no other stream needs. It is not safe for concurrent use.
 type StreamQueue struct {
 	options   StreamQueueOptions
 	random    *rand.Rand
--- a/admission/streamqueue_model_test.go
+++ b/admission/streamqueue_model_test.go
@@ -197,7 +197,6 @@
 	waiting map[string]*modelCall
 	due     map[time.Duration][]*offeredStream
 	inUse   map[string]int
-	random  *rand.Rand
 	// unrecorded is set if streams that get room without waiting aren't recorded.
 	unrecorded bool
 	// atTick is called in each tick; nil for nothing.
