Choose targets of calls together only where the settings ask for it

Change: passthrough.sharedPlacement.calls, false by default. Entries answer the questions of others whatever they are set to.

--- a/entry/callchoice.go
+++ b/entry/callchoice.go
@@ -18,6 +18,8 @@
 type callChoice struct {
 	*placementcontrol.Calls
 	pool *targethttp.Pool
+	// isEnabled is set if the settings ask for it; this entry answers others in any case.
+	isEnabled bool
 }
 
 // buildCallChoice creates the component that chooses the targets of calls with the other entries, on top of shared placement.
@@ -33,11 +35,15 @@
 				return service.NewCallTargets(service.CallTargetsOptions{Seed: rand.Uint64()})
 			},
 		}),
-		pool: e.pool,
+		pool:      e.pool,
+		isEnabled: e.settings.Passthrough.SharedPlacement.Calls,
 	}
 	e.registerCallChoiceMetrics()
 }
 
+// IsShared implements service.SharedChoice.
+func (c *callChoice) IsShared(service string) bool { return c.isEnabled && c.Calls.IsShared(service) }
+
 // Choose implements service.SharedChoice.
 func (c *callChoice) Choose(ctx context.Context, query service.ChoiceQuery) (target string, ended func(took time.Duration)) {
 	query.Connected = func(name string) bool {
--- a/settings/passthrough.go
+++ b/settings/passthrough.go
@@ -47,6 +47,9 @@
 	// MinLinkMbps is the bandwidth of the network link in Mbit/s that an entry must have to place the streams of others. An entry whose
 	// bandwidth is not set has enough.
 	MinLinkMbps float64 `yaml:"minLinkMbps"`
+	// Calls has the targets of calls to services with few targets chosen for all entries too. It costs each call a question of some
+	// milliseconds, which pays only where targets are often busy.
+	Calls bool `yaml:"calls"`
 }
 
 // Rollouts bounds what a bad version gets of the requests of its service, at all entries together.
