Streams that waited for room go to the engines of now

What callers would see: after a wait of up to 12 s, a stream was placed among the engines and versions of its arrival. It could be sent to a version that was rolled back meanwhile. When a lost zone returned, the coordinator chose engines that the stream didn't know: after two of them the entry placed it itself at a full engine, or it was refused for lack of room.

Cause: the engines and the versions of a query were those at its beginning, as was right while nothing waited.

Change: RelayQuery.Latest returns the engines and versions of now. An entry uses it with each repeated request and before it takes an answer or places the stream itself. A stream without any engine left stops waiting, so that it can fall back to another version.

Evidence: TestWaitingStreamsFollowTheEngines failed before in both cases (placed at the refused engine; "no engine has room"), as does TestNoStreamWaitsWithoutAnEngine without the last change, and TestPlacementOfAStreamThatWaitedFollowsTheDirectory guards the relay's part; all pass, as go test ./placementcontrol ./generation ./adapters/placementpeer does.

--- a/generation/relay.go
+++ b/generation/relay.go
@@ -345,7 +345,7 @@
 }
 
 func (run *relayRun) placementQuery() RelayQuery {
-	available := run.allowedTargets(run.relay.options.Targets(run.request.Service))
+	engines, fits := run.placementEngines()
 	return RelayQuery{
 		Service:   run.request.Service,
 		Request:   run.request.ID,
@@ -355,16 +355,23 @@
 		Objective: run.request.FirstEventObjective,
 		Deadline:  run.request.Deadline,
 		Begun:     run.headSent || run.request.LastEvent >= 0 || run.mayHaveRun,
-		Engines:   available,
+		Engines:   engines,
 		Spec:      run.request.Spec,
 		Size:      run.streamSize(),
 		Affinity:  run.request.Affinity,
 		CachedAt:  run.cachedAt,
 		Exclude:   run.exclude,
-		Fits:      run.placementFits(available),
+		Fits:      fits,
+		Latest:    run.placementEngines,
 	}
 }
 
+// placementEngines returns the targets that the next attempt may go to now.
+func (run *relayRun) placementEngines() (engines []*directory.Target, fits func(*directory.Target) bool) {
+	engines = run.allowedTargets(run.relay.options.Targets(run.request.Service))
+	return engines, run.placementFits(engines)
+}
+
 // backupQuery is the query for the holder of a KV cache copy of a run at the target.
 func (run *relayRun) backupQuery(target *directory.Target) RelayQuery {
 	query := run.placementQuery()
@@ -385,6 +392,10 @@
 	target, err := run.placeWithinLimits(ctx, query)
 	if target == nil && err == nil && !run.version.known {
 		query.Fits = nil // any version is better than none
+		query.Latest = func() ([]*directory.Target, func(*directory.Target) bool) {
+			engines, _ := run.placementEngines()
+			return engines, nil
+		}
 		target, err = run.placeWithinLimits(ctx, query)
 	}
 	if err != nil || target != nil {
--- a/generation/relay_test.go
+++ b/generation/relay_test.go
@@ -761,6 +761,45 @@
 	})
 }
 
+// latestPlacer chooses the first engine that is allowed after a wait.
+type latestPlacer struct {
+	firstPlacer
+	wait func()
+}
+
+func (p *latestPlacer) PlaceStream(ctx context.Context, query RelayQuery) (*directory.Target, error) {
+	p.wait()
+	query.Engines, query.Fits = query.Latest()
+	return p.firstPlacer.PlaceStream(ctx, query)
+}
+
+// refusedVersions allows the versions that are not refused.
+type refusedVersions map[string]bool
+
+func (v refusedVersions) Allows(version string) bool { return !v[version] }
+func (v refusedVersions) FallBack() bool             { return false }
+
+// Guards against a stream that is sent to a version which was refused, or not to an engine that has registered, while it waited for room.
+func TestPlacementOfAStreamThatWaitedFollowsTheDirectory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newRelayFixture(map[string][]script{"d": {{events: []int64{1}, end: io.EOF}}})
+		for _, target := range f.openTargets {
+			target.Version = "new"
+		}
+		refused := refusedVersions{}
+		f.relay.options.Placer = &latestPlacer{wait: func() {
+			refused["new"] = true
+			f.openTargets = append(slices.Clone(f.openTargets), &directory.Target{ID: "d", Address: "d:1", Version: "old"})
+		}}
+		request := relayRequest()
+		request.Versions = refused
+		is.NoErr(f.relay.Run(t.Context(), request, &recordingSink{}))
+		is.Equal(len(f.engine.attempts), 1)
+		is.Equal(f.engine.attempts[0].Target.ID, "d")
+	})
+}
+
 // Guards against a stream that is moved since its own goroutine ran late, while its next event waited. The goroutine sees the event
 // and the end of a probe at once, in any order.
 func TestOwnDelayIsNotTakenForTheTargetsSilence(t *testing.T) {
--- a/generation/relayports.go
+++ b/generation/relayports.go
@@ -263,6 +263,8 @@
 	Exclude []string
 	// Fits reports whether an engine may take the stream up, by its software version; nil for any.
 	Fits func(engine *directory.Target) bool
+	// Latest returns Engines and Fits as of now, for a stream that has waited; nil if they can't change.
+	Latest func() (engines []*directory.Target, fits func(engine *directory.Target) bool)
 }
 
 // Allows reports whether the engine may be chosen.
--- a/placementcontrol/manager.go
+++ b/placementcontrol/manager.go
@@ -228,7 +228,7 @@
 		m.stats.PlacedByVersion.Add(1)
 		return m.Local.PlaceStream(ctx, query)
 	}
-	engine, reason, err := m.placeShared(ctx, live, query, exclude)
+	engine, reason, err := m.placeShared(ctx, live, &query, exclude)
 	if engine != nil || err != nil {
 		return engine, err
 	}
@@ -257,8 +257,9 @@
 	return exclude, len(exclude) <= maxExcluded
 }
 
-// placeShared has the coordinator choose the engine. Without an engine and an error, reason says why this entry must place the stream.
-func (m *Manager) placeShared(ctx context.Context, live []membership.Peer, query generation.RelayQuery, exclude []string) (engine *directory.Target, reason string, err error) {
+// placeShared has the coordinator choose the engine. Without an engine and an error, reason says why this entry must place the stream. It
+// refreshes the query of a stream that has waited.
+func (m *Manager) placeShared(ctx context.Context, live []membership.Peer, query *generation.RelayQuery, exclude []string) (engine *directory.Target, reason string, err error) {
 	request := Request{
 		Zone: m.options.View.Self().AvailabilityZone, ID: shorten(query.Request), Customer: query.Customer, Priority: query.Priority, Size: query.Size,
 		CachedAt: query.CachedAt, Affinity: shorten(query.Affinity), Exclude: exclude, Objective: query.Objective, Begun: query.Begun,
@@ -269,7 +270,7 @@
 	}
 	timeLeft := placeTimeout
 	for {
-		if !m.beginQuery(query) {
+		if !m.beginQuery(*query) {
 			return nil, ReasonUnusable, nil
 		}
 		begun := m.options.Now()
@@ -280,28 +281,29 @@
 		timeLeft -= m.options.Now().Sub(begun)
 		position := answer.Position
 		if answer.Queued && !query.Begun {
-			answer, coordinator, reason = m.awaitRoom(ctx, query, request, &position)
+			answer, coordinator, reason = m.awaitRoom(ctx, query, &request, &position)
+			refresh(query)
 			timeLeft = placeTimeout
 		}
 		if query.Begun || !answer.Refused {
-			m.countQuery(query)
+			m.countQuery(*query)
 		}
 		switch {
 		case ctx.Err() != nil:
 			if answer.Engine != "" {
-				m.recordAnswer(query, answer, coordinator, false)
+				m.recordAnswer(*query, answer, coordinator, false)
 			}
 			return nil, "", ctx.Err()
 		case reason != "":
 			return nil, reason, nil
 		case answer.Refused && !query.Begun:
-			return nil, "", m.refuse(query, answer, position)
+			return nil, "", m.refuse(*query, answer, position)
 		case answer.Engine == "":
 			return nil, ReasonNoEngine, nil
 		}
 		index := slices.IndexFunc(query.Engines, func(e *directory.Target) bool { return e.ID == answer.Engine && e.Address == answer.Address })
 		isUsable := index >= 0 && query.Allows(query.Engines[index])
-		m.recordAnswer(query, answer, coordinator, isUsable)
+		m.recordAnswer(*query, answer, coordinator, isUsable)
 		if isUsable {
 			if coordinator == m.options.View.Self().Name {
 				m.stats.PlacedBySelf.Add(1)
--- a/placementcontrol/queue.go
+++ b/placementcontrol/queue.go
@@ -58,14 +58,18 @@
 	now := m.options.Now()
 	id := request.queueID()
 	w = c.waiters[id]
+	if !slices.ContainsFunc(query.Engines, query.Allows) { // no engine can get room for it
+		if w != nil {
+			w.deliver(held{})
+			c.removeWaiter(id)
+		}
+		return nil, nil, Answer{}
+	}
 	if w == nil {
 		if c.view.HasRoom(query) && !m.anyWaitsForRoom(c, query) {
 			c.queue.RecordPlaced(request.Priority, request.Customer)
 			return nil, nil, c.place(query)
 		}
-		if !slices.ContainsFunc(query.Engines, query.Allows) {
-			return nil, nil, Answer{} // no engine can get room for it
-		}
 		refused, retryAfter := c.queue.Add(admission.QueuedStream{
 			Request: id, Customer: request.Customer, Prompt: request.Affinity, Priority: request.Priority, Arrived: now.Add(-max(0, request.Waited)),
 			Objective: request.Objective, Deadline: query.Deadline,
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -484,6 +485,98 @@
 	})
 }
 
+// Guards against streams that are placed at a version that may not get them any more, and ones that are placed without room or not at all when
+// engines return, since they have waited for longer than their engines are known.
+func TestWaitingStreamsFollowTheEngines(t *testing.T) {
+	for name, each := range map[string]struct {
+		// available are the engines of the service after a while, allowed those of them that the stream may be placed at then. The streams at the
+		// engines of ends end after that, and the stream gets room at the engine with the number chosen.
+		available, allowed, ends []int
+		chosen                   int
+	}{
+		"engine returns":  {available: []int{0, 1, 2}, allowed: []int{0, 1, 2}, chosen: 2},
+		"version refused": {available: []int{0, 1}, allowed: []int{0}, ends: []int{1, 0}, chosen: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				all := engineFleet(3)
+				enginesOf := func(numbers []int) *[]*directory.Target {
+					var engines []*directory.Target
+					for _, number := range numbers {
+						engines = append(engines, all[number])
+					}
+					return &engines
+				}
+				for _, engine := range all {
+					engine.Slots = 1
+				}
+				var available, allowed atomic.Pointer[[]*directory.Target]
+				available.Store(enginesOf([]int{0, 1}))
+				allowed.Store(available.Load())
+				f := newFleet(4, 2, 0, func(_ int, options *Options) {
+					options.Service = func(string) (*directory.EngineSpec, []*directory.Target) { return spec, *available.Load() }
+				})
+				f.engines = *available.Load()
+				f.run(t)
+				ranked := f.ranked()
+				running := map[string]generation.PlacedStream{}
+				for i := range f.engines {
+					engine, stream := f.start(t, ranked[1], fmt.Sprint("running", i))
+					running[engine.ID] = stream
+				}
+				query := f.query("waits")
+				query.Latest = func() ([]*directory.Target, func(*directory.Target) bool) { return *allowed.Load(), nil }
+				results := make(chan placed, 1)
+				f.placeAsync(t.Context(), ranked[3], query, results)
+				time.Sleep(600 * time.Millisecond)
+				allowed.Store(enginesOf(each.allowed))
+				available.Store(enginesOf(each.available))
+				for _, number := range each.ends {
+					time.Sleep(repeatTimeout)
+					is.Equal(len(results), 0)
+					running[all[number].ID].Ended()
+				}
+				result := <-results
+				is.NoErr(result.err)
+				is.Equal(result.engine, all[each.chosen])
+				is.True(result.after <= 2*time.Second)
+				stats := f.managers[ranked[3]].Stats()
+				is.Equal(stats.PlacedByCoordinator.Load(), int64(1))
+				is.Equal(stats.PlacedByFallback.Load(), int64(0))
+			})
+		})
+	}
+}
+
+// Guards against a stream that waits although none of its engines is left, and keeps its caller from another version.
+func TestNoStreamWaitsWithoutAnEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		f.start(t, ranked[1], "running")
+		var isRefused atomic.Bool
+		query := f.query("waits")
+		query.Latest = func() ([]*directory.Target, func(*directory.Target) bool) {
+			if isRefused.Load() {
+				return nil, nil
+			}
+			return f.engines, nil
+		}
+		results := make(chan placed, 1)
+		f.placeAsync(t.Context(), ranked[3], query, results)
+		time.Sleep(600 * time.Millisecond)
+		isRefused.Store(true)
+		result := <-results
+		is.NoErr(result.err)
+		is.Equal(result.engine, nil)
+		is.True(result.after <= 600*time.Millisecond+repeatTimeout)
+		is.Equal(f.managers[ranked[0]].QueueLength(0, 9), 0)
+	})
+}
+
 // Guards against room that nobody is given since no message tells of it: that of an entry that is lost.
 func TestRoomOfALostEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/placementcontrol/wait.go
+++ b/placementcontrol/wait.go
@@ -23,8 +23,16 @@
 	minRetryAfter, maxRetryAfter = 200 * time.Millisecond, 8 * time.Second
 )
 
-// awaitRoom repeats a request that was queued until it is decided, and updates its position in the queue.
-func (m *Manager) awaitRoom(ctx context.Context, query generation.RelayQuery, request Request, position *int) (answer Answer, coordinator, reason string) {
+// refresh updates the engines of a query.
+func refresh(query *generation.RelayQuery) {
+	if query.Latest != nil {
+		query.Engines, query.Fits = query.Latest()
+	}
+}
+
+// awaitRoom repeats a request that was queued until it is decided, and updates its position in the queue, the query and the engines that the
+// request excludes.
+func (m *Manager) awaitRoom(ctx context.Context, query *generation.RelayQuery, request *Request, position *int) (answer Answer, coordinator, reason string) {
 	begun := m.options.Now()
 	m.stats.Queued.Add(1)
 	m.options.Observe(Event{Kind: EventQueued, Service: request.Service, Request: query.Request, Priority: request.Priority, Position: *position})
@@ -39,6 +47,7 @@
 	}
 	limit = limit.Add(waitMargin)
 	request.Queued = true
+	defer func() { request.Queued = false }()
 	for {
 		live := m.options.View.Live()
 		switch {
@@ -47,10 +56,17 @@
 		case !m.isShared(len(live)):
 			return Answer{}, "", ReasonDeclined
 		}
+		if query.Latest != nil {
+			refresh(query)
+			var ok bool
+			if request.Exclude, ok = m.excluded(*query); !ok {
+				return Answer{}, "", ReasonUnusable
+			}
+		}
 		sent := m.options.Now()
 		request.Waited, request.TimeLeft = sent.Sub(query.Arrived), query.Deadline.Sub(sent)
 		limited, cancel := context.WithTimeout(ctx, repeatTimeout)
-		answer, coordinator, reason = m.query(limited, live, request)
+		answer, coordinator, reason = m.query(limited, live, *request)
 		cancel()
 		switch {
 		case reason != "" || !answer.Queued || ctx.Err() != nil:
