Shared placement: waiting streams keep no states of their entries

What callers would see: nothing; a coordinator's memory grew with the product of waiting streams and streams in progress, up to 4,096 messages of 64 KB, more than the smallest VM has.

Cause: the queue kept each waiting stream's whole message, of which it needs the stream alone.

Change: it drops the engines, paces and tickets, which the view has taken over.

Evidence: TestWaitingStreamsKeepNoStates failed before and passes; go test ./placementcontrol passes.

--- a/placementcontrol/queue.go
+++ b/placementcontrol/queue.go
@@ -84,6 +84,7 @@
 	w.deliver(held{answer: Answer{Refused: true, RetryAfter: replacedRetryAfter}})
 	holds = make(chan held, 1)
 	w.request, w.seenAt, w.holds = *request, now, holds
+	w.request.Engines, w.request.Paces, w.request.Tickets = nil, nil, nil // the view has them, and 4,096 streams may wait
 	m.decide(c)
 	m.wakeQueue()
 	switch {
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -577,6 +577,30 @@
 	})
 }
 
+// Guards against memory that streams take while they wait: a state has up to 64 KB.
+func TestWaitingStreamsKeepNoStates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newSmallFleet(4, 1, nil)
+		f.run(t)
+		ranked := f.ranked()
+		coordinator := f.managers[ranked[0]]
+		f.start(t, ranked[1], "running")
+		results := make(chan placed, 1)
+		f.placeAsync(t.Context(), ranked[1], f.query("waits"), results)
+		time.Sleep(600 * time.Millisecond)
+		coordinator.coordinatedMu.Lock()
+		waiting, kept := 0, 0
+		for _, w := range coordinator.coordinated[service].waiters {
+			waiting++
+			kept += len(w.request.Engines) + len(w.request.Paces) + len(w.request.Tickets)
+		}
+		coordinator.coordinatedMu.Unlock()
+		is.Equal(waiting, 1)
+		is.Equal(kept, 0)
+	})
+}
+
 // Guards against room that nobody is given since no message tells of it: that of an entry that is lost.
 func TestRoomOfALostEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
