--- a/adapters/placementpeer/calls_test.go
+++ b/adapters/placementpeer/calls_test.go
@@ -195,7 +195,7 @@
 }
 
 // Guards against messages that take more of a link than an entry may spend for control, 5 KB/s, and of the coordinator's more than an eighth
-// of the narrowest that is used, 50 Mbit/s. A service has 325 calls a second; each call is one request, which tells of the call before it.
+// of the narrowest that is used, 50 Mbit/s. A service has 325 calls a second; each call is one request, which reports the call before it.
 func TestCostOfCallMessages(t *testing.T) {
 	const (
 		callsPerSecond       = 325.0
--- a/admission/streamqueue.go
+++ b/admission/streamqueue.go
@@ -321,7 +321,7 @@
 	q.useOf(level, customer, now).count(now)
 }
 
-// Remove removes a stream: admitted if it got room, otherwise its caller is gone.
+// Remove removes a stream: admitted if it got room, otherwise its caller has disconnected.
 func (q *StreamQueue) Remove(request string, admitted bool) {
 	now := q.advance()
 	stream, queued := q.byRequest[request]
--- a/admission/streamqueue_load_test.go
+++ b/admission/streamqueue_load_test.go
@@ -65,7 +65,7 @@
 				t.Logf("%.1f, seed %d, %s: worth %.0f, %.0f k tokens wasted; urgent %v; less urgent %v", factor, seed, name, m.worth(),
 					m.wastedTokens()/1000, m.result(ofKind(urgentKind)), m.result(ofKind(bulkKind)))
 			}
-			baseline := playStreams(draw(0), nil) // refuses nobody, so that nobody retries
+			baseline := playStreams(draw(0), nil) // refuses no stream, so that no caller retries
 			describe("baseline", baseline)
 			specifiedWorth := 0.0
 			if seed == 0 {
--- a/admission/streamqueue_test.go
+++ b/admission/streamqueue_test.go
@@ -69,7 +69,7 @@
 	fill(is, queue, clock.stream("bulk", bulkKind))
 	is.Equal(nextRequest(queue), "bulk")
 	queue.Remove("bulk", true)
-	is.Equal(nextRequest(queue), "late") // room that nobody else needs
+	is.Equal(nextRequest(queue), "late") // room that no other stream needs
 }
 
 // Guards against a less urgent stream that takes the room of an urgent one that may still be on time at an idle engine: the urgent one
@@ -162,7 +162,7 @@
 	return queue
 }
 
-// Guards against streams that wait in vain: one whose expected wait is too long is refused at once, while a less urgent one that can
+// Guards against streams that wait without getting room: one whose expected wait is too long is refused at once, while a less urgent one that can
 // wait for longer is not.
 func TestStreamQueueRefusesEarly(t *testing.T) {
 	is := is.New(t)
@@ -181,7 +181,7 @@
 	is.Equal(queue.Len(), before+1)
 }
 
-// Guards against late streams that wait in vain for seconds: no late stream got room in the last 5 s, so that of 14 that become late, at
+// Guards against late streams that wait for seconds without getting room: no late stream got room in the last 5 s, so that of 14 that become late, at
 // most two are expected to get room in the 7 s that they may wait further.
 func TestStreamQueueGivesUpLateStreams(t *testing.T) {
 	is := is.New(t)
--- a/admission/streamqueuerates.go
+++ b/admission/streamqueuerates.go
@@ -13,7 +13,7 @@
 	rateBuckets = 50
 )
 
-// roomRates measures the rate at which room becomes free while streams wait. Room that nobody waits for isn't seen.
+// roomRates measures the rate at which room becomes free while streams wait. Room for which no stream waits isn't seen.
 type roomRates struct {
 	buckets [rateBuckets]rateBucket
 	current int
@@ -132,7 +132,7 @@
 	useStep = 1.05
 )
 
-// customerUses counts the recent admissions of customers by priority. A customer's streams in progress don't tell how many of them are
+// customerUses counts the recent admissions of customers by priority. A customer's streams in progress don't show how many of them are
 // of the priority for which customers compete.
 type customerUses map[customerLevel]*customerUse
 
--- a/bench/soak/rollouts.go
+++ b/bench/soak/rollouts.go
@@ -171,7 +171,7 @@
 	case rollout.StateSucceeded:
 		for _, t := range d.targets {
 			if t.service == recordService {
-				t.busy.Lock() // for the rest of the run: nobody starts it again
+				t.busy.Lock() // for the rest of the run: it isn't restarted
 				d.disturb(t.name, StopVersion, true, t.kill)
 			}
 		}
--- a/configcheck/check.go
+++ b/configcheck/check.go
@@ -33,7 +33,7 @@
 // String returns the finding as a line.
 func (f Finding) String() string { return fmt.Sprintf("%s: %s: %s", f.Place, f.Severity, f.Text) }
 
-// maxPriority is the lowest priority that engines tell apart; larger values count as it.
+// maxPriority is the lowest priority that engines distinguish; larger values count as it.
 const maxPriority = 9
 
 // checker collects findings.
--- a/generation/relayversion_test.go
+++ b/generation/relayversion_test.go
@@ -343,7 +343,7 @@
 
 // Guards against KV cache copies of streams of the old version at engines of the new one during a rollout, which would get more work than
 // its share allows: at the backup that the attempt is sent with, at an engine that takes a lost backup's place, also under its
-// address, and when an engine of the old version comes back.
+// address, and when an engine of the old version restarts.
 func TestStreamsMakeNoCopiesAtAnotherVersion(t *testing.T) {
 	for _, newEngines := range []int{1, 2, 5} {
 		for _, comesBack := range []bool{false, true} {
--- a/placementcontrol/calls.go
+++ b/placementcontrol/calls.go
@@ -261,7 +261,7 @@
 	return state
 }
 
-// takeState returns what a message to the coordinator tells.
+// takeState returns the state for a message to the coordinator.
 func (c *Calls) takeState(service, coordinator string) callservice.CallState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/placementcontrol/events.go
+++ b/placementcontrol/events.go
@@ -61,7 +61,7 @@
 }
 
 // Stats are the counters of a Manager. PlacedByCoordinator, PlacedBySelf and PlacedByFallback count the placements that another entry, this
-// entry as the coordinator, and this entry without a coordinator made; PlacedByVersion those of streams that may only go on at certain
+// entry as the coordinator, and this entry without a coordinator made; PlacedByVersion those of streams that may only continue at certain
 // versions. Queued counts the streams of this entry that waited for room, RefusedEarly those that were refused for lack of it.
 type Stats struct {
 	PlacedByCoordinator, PlacedBySelf, PlacedByFallback, PlacedByVersion atomic.Int64
--- a/placementcontrol/manager_test.go
+++ b/placementcontrol/manager_test.go
@@ -420,7 +420,7 @@
 		time.Sleep(500 * time.Millisecond)
 		reports = f.sentReports()
 		is.Equal(len(reports)-before, 11)
-		is.Equal(len(reports[len(reports)-1].Engines), 0) // the last one tells that nothing is left
+		is.Equal(len(reports[len(reports)-1].Engines), 0) // the last one reports that nothing is left
 		time.Sleep(10 * time.Second)
 		is.Equal(len(f.sentReports()), len(reports))
 		is.Equal(f.managers[coordinator].StateAge(), 0*time.Second)
--- a/placementcontrol/queue_test.go
+++ b/placementcontrol/queue_test.go
@@ -208,7 +208,7 @@
 		}
 		is.Equal(refused, streams)
 
-		// What has begun neither waits nor is refused.
+		// A stream that the caller has in part neither waits nor is refused.
 		query := f.query("resumed")
 		query.Begun = true
 		engine, took := f.place(t, ranked[3], query)
@@ -503,7 +503,7 @@
 	})
 }
 
-// Guards against a stream that waits anew for three times its objective after each engine that refuses it, and after each coordinator.
+// Guards against a stream whose limit of three times its objective starts again after each engine that refuses it, and after each coordinator.
 func TestTheWaitOfAStreamIsLimitedOverItsAttempts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -719,7 +719,7 @@
 	})
 }
 
-// Guards against room that nobody is given since no message tells of it: that of an entry that is lost.
+// Guards against room that no stream gets since no message reports it: that of an entry that is lost.
 func TestRoomOfALostEntry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -300,7 +300,7 @@
 		shortest = detectionTime + 2*in.ReportInterval
 	}
 	shortest = max(minStepTime, min(shortest, available))
-	// An acceptable version goes on while the bound still leaves room for the requests that it gets until the stage Drain
+	// An acceptable version continues while the bound still leaves room for the requests that it gets until the stage Drain
 	// ends, which takes a further report: a bad version may be acceptable too.
 	draining := underway + p.rate(now)*p.share*in.ReportInterval.Seconds()
 	if last && tested && acceptable && !suspected && p.exposureLeft(now) < draining {
--- a/routing/sharedmodel_test.go
+++ b/routing/sharedmodel_test.go
@@ -61,7 +61,7 @@
 	ticketsAt  []time.Time
 }
 
-// delivery is a message on its way.
+// delivery is a message in flight.
 type delivery struct {
 	at  time.Time
 	run func(at time.Time)
--- a/routing/sharedview_test.go
+++ b/routing/sharedview_test.go
@@ -395,7 +395,7 @@
 			}
 			is.Equal(f.HasRoom(query), each.room)
 			_, _, wait, ok := f.Place(query)
-			is.True(ok) // a stream that has begun is placed without room
+			is.True(ok) // a stream in progress is placed without room
 			is.True(wait >= 0)
 		})
 	}
--- a/service/calltargets.go
+++ b/service/calltargets.go
@@ -33,7 +33,7 @@
 	Took   time.Duration
 }
 
-// CallState is what an entry tells with a query.
+// CallState is what an entry reports with a query.
 type CallState struct {
 	Entry string
 	// Times are those of answered calls since the last message that was answered.
@@ -104,7 +104,7 @@
 	}
 }
 
-// Update takes over what an entry tells.
+// Update takes over an entry's report.
 func (c *CallTargets) Update(state CallState) {
 	now := c.now()
 	c.dropOld(now)
--- a/service/calltargets_test.go
+++ b/service/calltargets_test.go
@@ -311,8 +311,8 @@
 	return f
 }
 
-// tell reports calls of a target.
-func (f *callFixture) tell(target string, took time.Duration, calls int) {
+// reportCalls reports calls of a target.
+func (f *callFixture) reportCalls(target string, took time.Duration, calls int) {
 	for range calls {
 		f.Update(CallState{Entry: "e", Times: []CallTime{{target, took}}})
 	}
@@ -344,7 +344,7 @@
 	is.True(!ok)
 	_, _, ok = f.Choose(CallTargetQuery{})
 	is.True(!ok)
-	f.now = f.now.Add(time.Second) // all calls have ended, as far as is known
+	f.now = f.now.Add(time.Second) // all known calls have ended
 	chosen, _ = f.choose(300, CallTargetQuery{})
 	is.True(len(chosen) == 3)
 }
@@ -357,21 +357,21 @@
 	for _, target := range f.listed {
 		f.choose(1, CallTargetQuery{Connected: []string{target.ID}})
 	}
-	f.tell("ta", 30*time.Millisecond, 50)
-	f.tell("tb", 500*time.Millisecond, 50)
-	f.tell("tc", 30*time.Millisecond, 50)
+	f.reportCalls("ta", 30*time.Millisecond, 50)
+	f.reportCalls("tb", 500*time.Millisecond, 50)
+	f.reportCalls("tc", 30*time.Millisecond, 50)
 	f.now = f.now.Add(time.Second)
 	chosen, _ := f.choose(2*modelSlots, CallTargetQuery{Connected: []string{"tb"}})
 	is.Equal(chosen["tb"], 0)
 	for range 7 {
 		f.now = f.now.Add(time.Second)
-		f.tell("ta", 30*time.Millisecond, 50)
-		f.tell("tc", 30*time.Millisecond, 50)
+		f.reportCalls("ta", 30*time.Millisecond, 50)
+		f.reportCalls("tc", 30*time.Millisecond, 50)
 	}
 	chosen, _ = f.choose(1, CallTargetQuery{Connected: []string{"tb"}})
 	is.Equal(chosen["tb"], 1)
-	f.tell("tb", 30*time.Millisecond, 20)
-	f.tell("unknown", time.Hour, 1)
+	f.reportCalls("tb", 30*time.Millisecond, 20)
+	f.reportCalls("unknown", time.Hour, 1)
 	f.now = f.now.Add(time.Second)
 	chosen, _ = f.choose(1, CallTargetQuery{Connected: []string{"tb"}})
 	is.Equal(chosen["tb"], 1)
--- a/service/forward.go
+++ b/service/forward.go
@@ -77,11 +77,11 @@
 	// ConnectionLost reports that the target's connection ended before its answer was whole, as it does when the
 	// target crashes.
 	ConnectionLost bool
-	// NoPath reports that this entry found no path to targets, which tells nothing of the target.
+	// NoPath reports that this entry found no path to targets, which says nothing about the target.
 	NoPath bool
 	// AskedPause is the time for which the target wants no further request of this entry; 0 if it asked for none.
 	AskedPause time.Duration
-	// Withdrawn reports that the attempt was not sent since the target's version may not get it any more, which tells nothing of the
+	// Withdrawn reports that the attempt was not sent since the target's version may not get it any more, which says nothing about the
 	// target.
 	Withdrawn bool
 }
@@ -422,7 +422,7 @@
 		w.state.notRun++
 		w.noPath = w.noPath || result.sent.NoPath
 		if result.sent.NoPath || result.sent.AskedPause > 0 || result.sent.Withdrawn {
-			// None of these tells that the target fails; a pause keeps requests away by itself.
+			// None of these shows that the target fails; a pause keeps requests away by itself.
 			result.lease.release(noTargetResult)
 			break
 		}
