Place streams locally while the list of engines is outdated

The store was down for 8 s while a third of the engines crashed four times and started again under other IDs.

Cause: an engine that starts under another ID while the store is away is known only to entries that have met it at its address. The coordinator chose for all by its own list, in which those that had ended looked idle: 640 attempts in a second were answered 421, a dozen in a row for a stream. Ruled out: repeated tries after the avoidance of 1.5 s (159 engines, most tries within 0.3 s).

Change: an entry whose directory is older than 3 s, and until 2 s after, neither asks nor coordinates.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -98,6 +98,8 @@
 	stop    context.CancelFunc
 	// running is the number of callers' requests in progress.
 	running atomic.Int64
+	// outdatedAt is when the directory was outdated last, in nanoseconds.
+	outdatedAt atomic.Int64
 }
 
 // boundServer is an HTTP server with its listener, which is open before the server runs.
--- a/entry/sharedplacement.go
+++ b/entry/sharedplacement.go
@@ -33,6 +33,7 @@
 		MinEntries: e.settings.Passthrough.SharedPlacement.MinEntries,
 		NarrowLink: e.settings.Passthrough.IsNarrowForPlacement(),
 		Stopping:   e.shutdown.stopping,
+		IsOutdated: e.isDirectoryOutdated,
 		Local:      e.placement,
 		NewView: func() placementcontrol.View {
 			return routing.NewSharedView(routing.SharedViewOptions{Seed: rand.Uint64()})
@@ -51,6 +52,23 @@
 	})
 }
 
+const (
+	// outdatedAge is the age from which the directory counts as outdated. Watches of the store end after 1.2 s.
+	outdatedAge = 3 * time.Second
+	// outdatedGrace is the time for which it counts as outdated after that: engines register again within about two seconds.
+	outdatedGrace = 2 * time.Second
+)
+
+// isDirectoryOutdated reports whether the directory may lack engines that have started a while ago, since the store is or was unavailable.
+func (e *Entry) isDirectoryOutdated() bool {
+	now := time.Now()
+	if e.directory.Feed().Age(now) > outdatedAge {
+		e.outdatedAt.Store(now.UnixNano())
+		return true
+	}
+	return now.UnixNano()-e.outdatedAt.Load() < int64(outdatedGrace)
+}
+
 // logPlacement logs a step of the coordination of placement.
 func (e *Entry) logPlacement(event placementcontrol.Event) {
 	fields := []generation.Field{{Key: "service", Value: event.Service}}
--- a/placementcontrol/manager.go
+++ b/placementcontrol/manager.go
@@ -98,11 +98,13 @@
 	// NarrowLink is set if the link of this entry is too narrow for a coordinator.
 	NarrowLink bool
 	// Stopping reports whether the entry is shutting down; nil means never.
-	Stopping  func() bool
-	Local     Local
-	NewView   func() View
-	View      membership.View
-	Transport Transport
+	Stopping func() bool
+	// IsOutdated reports whether this entry's list of engines may lack those that have started a while ago; nil means never.
+	IsOutdated func() bool
+	Local      Local
+	NewView    func() View
+	View       membership.View
+	Transport  Transport
 	// Service returns the engine specification of a service, nil if it has none, and the engines that may get new work.
 	Service func(name string) (*directory.EngineSpec, []*directory.Target)
 	// Observe is called for each event; nil discards them.
@@ -207,6 +209,9 @@
 	if options.Stopping == nil {
 		options.Stopping = func() bool { return false }
 	}
+	if options.IsOutdated == nil {
+		options.IsOutdated = func() bool { return false }
+	}
 	return &Manager{
 		Local: options.Local, options: options, incarnation: uint64(options.Now().UnixNano()), changed: make(chan struct{}, 1), waiting: make(chan struct{}, 1),
 		services: map[string]*serviceState{}, peers: map[string]*peerState{}, ranks: map[string]ranking{}, choices: map[string]*choice{},
@@ -214,9 +219,10 @@
 	}
 }
 
-// isShared reports whether placement is shared among that many live entries.
+// isShared reports whether placement is shared among that many live entries. It is not while the list of engines is outdated: engines that
+// have started under another ID since are known only to the entries that have met them, and those that have ended look idle.
 func (m *Manager) isShared(live int) bool {
-	return m.options.MinEntries >= 0 && live >= m.options.MinEntries
+	return m.options.MinEntries >= 0 && live >= m.options.MinEntries && !m.options.IsOutdated()
 }
 
 // shorten returns a name of at most maxNameBytes, which differs for names that differ.
--- a/placementcontrol/manager_test.go
+++ b/placementcontrol/manager_test.go
@@ -559,3 +559,28 @@
 		is.Equal(len(f.sentRequests()), 3)
 	})
 }
+
+// Guards against streams that are sent to engines which have ended, by a coordinator that has not heard from the store: they have no load, and
+// each entry that is sent there is refused. Such an entry neither asks nor coordinates.
+func TestEntriesWithAnOutdatedListOfEnginesPlaceLocally(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		outdated := map[int]bool{}
+		f := newFleet(4, 2, 9, func(index int, options *Options) { options.IsOutdated = func() bool { return outdated[index] } })
+		ranked := f.ranked()
+		indexOf := func(name string) int {
+			return slices.IndexFunc(f.live, func(peer membership.Peer) bool { return peer.Name == name })
+		}
+		f.place(t, ranked[2], f.query("shared"))
+		is.Equal(len(f.sentRequests()), 1)
+		outdated[indexOf(ranked[2])] = true
+		f.place(t, ranked[2], f.query("local"))
+		is.Equal(len(f.sentRequests()), 1) // it didn't ask
+		outdated[indexOf(ranked[2])], outdated[indexOf(ranked[0])] = false, true
+		_, err := f.managers[ranked[0]].Place(t.Context(), f.request(ranked[2], "x", false))
+		is.True(errors.Is(err, ErrDeclined))
+		f.place(t, ranked[2], f.query("other coordinator"))
+		requests := f.sentRequests()
+		is.Equal(requests[len(requests)-1].peer, ranked[1])
+	})
+}
