--- a/review/rig-2/engine_test.go
+++ b/review/rig-2/engine_test.go
@@ -15,8 +15,8 @@
 
 // run is one request that an engine began to work on.
 type run struct {
-	id, engine, method, path string
-	began, ended             time.Time
+	id, engine, service, method, path string
+	began, ended                      time.Time
 	// complete is set once the engine had worked to the end.
 	complete bool
 	body     int
@@ -42,6 +42,15 @@
 
 // start starts the engine at an address and registers it.
 func (e *engine) start(address string) error {
+	if err := e.listen(address); err != nil {
+		return err
+	}
+	e.register("ready")
+	return nil
+}
+
+// listen starts the engine at an address.
+func (e *engine) listen(address string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
@@ -52,7 +61,6 @@
 	}
 	e.server = &http.Server{Handler: e}
 	go func() { _ = e.server.Serve(listener) }()
-	e.register("ready")
 	return nil
 }
 
@@ -102,7 +110,7 @@
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
-	begun := &run{id: id, engine: e.id, method: r.Method, path: r.URL.Path, began: time.Now(), body: len(body)}
+	begun := &run{id: id, engine: e.id, service: e.service, method: r.Method, path: r.URL.Path, began: time.Now(), body: len(body)}
 	e.record.addRun(begun)
 	done := func(complete bool) {
 		e.mu.Lock()
