--- a/review/rig-2/main_test.go
+++ b/review/rig-2/main_test.go
@@ -35,6 +35,10 @@
 }
 
 func runCase() int {
+	if len(os.Args) == 4 && os.Args[1] == engineCommand {
+		fmt.Fprintln(os.Stderr, runEngineProcess(os.Args[2], os.Args[3]))
+		return exitNotRun
+	}
 	if len(os.Args) < 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: review-rig-2 CASE RECORD")
 		return exitNotRun
