--- a/review/rig-2/case_limit_test.go
+++ b/review/rig-2/case_limit_test.go
@@ -18,8 +18,8 @@
 	// restartDelay is the time after which the platform starts a process again that has ended.
 	restartDelay = time.Second
 	// draftClients is the number of clients of an entry that have drafts written, draftTime what one takes: a second until its first event.
-	draftClients = 3
-	draftTime    = 3100 * time.Millisecond
+	draftClients = 4
+	draftTime    = 5 * time.Second
 )
 
 // bookingClients are the clients of each entry that book: their share is uneven, since the platform chooses the entry by a hash of the client.
--- a/review/rig-2/case_reuse_test.go
+++ b/review/rig-2/case_reuse_test.go
@@ -62,8 +62,8 @@
 	time.Sleep(addressReuse)
 	for i, e := range gone {
 		other := &engine{
-			id: fmt.Sprintf("i-tra%d", i), service: foreignService, zone: e.zone, version: "v1", slots: 64, events: 100, work: time.Second,
-			interval: 20 * time.Millisecond, store: w.store, record: w.record,
+			id: fmt.Sprintf("i-tra%d", i), service: foreignService, zone: e.zone, version: "v1", slots: 64, events: modelEvents, work: time.Second,
+			interval: modelGap, store: w.store, record: w.record,
 		}
 		if err := other.listen(e.address); err != nil {
 			w.note("the address can't be used: %v", err)
--- a/review/rig-2/world_test.go
+++ b/review/rig-2/world_test.go
@@ -19,6 +19,12 @@
 	apiKey     = "xd9dnn2ctnfzs989anu6"
 )
 
+// A draft has 140 events of 5 tokens on average, each token a step of 5.55 ms; its prompt of 5,000 tokens is read in a second.
+const (
+	modelEvents = 140
+	modelGap    = 28 * time.Millisecond
+)
+
 var zones = []string{"norte-uy-a", "norte-uy-b", "norte-uy-c"}
 
 // configuration is that of balanza-serrana, with one streaming route.
@@ -73,7 +79,7 @@
 	}
 	for i := range models {
 		e := &engine{
-			id: fmt.Sprintf("i-mod%d", i), service: modelName, zone: zones[i%3], version: "v1", slots: 64, events: 100, work: time.Second, interval: 20 * time.Millisecond,
+			id: fmt.Sprintf("i-mod%d", i), service: modelName, zone: zones[i%3], version: "v1", slots: 64, events: modelEvents, work: time.Second, interval: modelGap,
 			store: s, record: r.record,
 		}
 		if err := e.start(engineAddress(3 + i)); err != nil {
