--- a/review/rig-2/client_test.go
+++ b/review/rig-2/client_test.go
@@ -91,7 +91,7 @@
 	for _, each := range lines {
 		fmt.Fprintf(&text, "%8.3f  %s\n", each.at.Sub(r.begun).Seconds(), each.text)
 	}
-	return os.WriteFile(path, []byte(text.String()), 0o600)
+	return os.WriteFile(path, []byte(text.String()), 0o644)
 }
 
 // call is a request of a client.
--- a/review/rig-2/kept_test.go
+++ b/review/rig-2/kept_test.go
@@ -32,7 +32,9 @@
 			return
 		case <-time.After(pause):
 		}
-		k.send(of)
+		if k.send(of) != nil {
+			time.Sleep(time.Second) // an entry that has ended is back by then
+		}
 	}
 }
 
@@ -58,7 +60,7 @@
 	return text.String()
 }
 
-func (k *keptClient) send(c call) {
+func (k *keptClient) send(c call) (err error) {
 	k.sent++
 	a := &attempt{id: fmt.Sprintf("%s-%05d", k.prefix, k.sent), kind: c.kind, entry: k.entry.name, sent: time.Now(), kept: k.answered > 0}
 	defer func() {
@@ -67,10 +69,11 @@
 		if a.err != nil {
 			k.close()
 		}
+		err = a.err
 	}()
 	if k.conn == nil {
 		if k.conn, a.err = net.DialTimeout("tcp", k.entry.callers, time.Second); a.err != nil {
-			return
+			return a.err
 		}
 		k.reader = bufio.NewReader(k.conn)
 	}
@@ -81,6 +84,7 @@
 	if a.closes {
 		k.close()
 	}
+	return a.err
 }
 
 // readAnswer sends the request on a connection and reads the whole answer.
