--- /dev/null
+++ b/review/rig-3/entries_test.go
@@ -0,0 +1,129 @@
+//go:build review
+
+package rig
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+func check(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "the case could not run:", err)
+		endEntries()
+		os.Exit(exitUnable)
+	}
+}
+
+// freeAddress returns a loopback address with a port that is free now.
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	check(err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// entryProcess is an entry of the system, a process with the command of the deploy file.
+type entryProcess struct {
+	name, zone                    string
+	front, control, ready, admin  string
+	settingsFile, binary, logFile string
+	environment                   []string
+	command                       *exec.Cmd
+	exited                        chan struct{}
+	misses                        int
+	isOut                         bool
+}
+
+var allEntries []*entryProcess
+
+func endEntries() {
+	for _, e := range allEntries {
+		e.kill()
+	}
+}
+
+// newEntries prepares entries with the settings of deploy/settings.yaml.tmpl.
+func newEntries(directory, storeAddress string, zones []string, environment []string) []*entryProcess {
+	var entries []*entryProcess
+	for i, zone := range zones {
+		e := &entryProcess{
+			name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone, front: freeAddress(), control: freeAddress(), ready: freeAddress(), admin: freeAddress(),
+			binary: os.Getenv("RIG_BINARY"), environment: environment,
+		}
+		e.settingsFile = filepath.Join(directory, e.name+".yaml")
+		e.logFile = filepath.Join(directory, e.name+".log")
+		entries = append(entries, e)
+	}
+	var seeds []string
+	for _, e := range entries[:min(3, len(entries))] {
+		seeds = append(seeds, fmt.Sprintf("%q", e.control))
+	}
+	for _, e := range entries {
+		text := fmt.Sprintf(`name: %q
+availabilityZone: %q
+interface: passthrough
+callerAddress: %q
+peerAddress: %q
+adminAddress: %q
+platform:
+  url: "http://%s"
+passthrough:
+  readyAddress: %q
+  seeds: [%s]
+  retryRatio: 0.8
+  retrySlack: 150
+  retryWindow: 10s
+  stopGrace: 8s
+  linkMbps: 200.0
+`, e.name, e.zone, e.front, e.control, e.admin, storeAddress, e.ready, strings.Join(seeds, ","))
+		check(os.WriteFile(e.settingsFile, []byte(text), 0o600))
+	}
+	allEntries = append(allEntries, entries...)
+	return entries
+}
+
+func (e *entryProcess) start() {
+	log, err := os.OpenFile(e.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	check(err)
+	defer log.Close()
+	e.command = exec.Command(e.binary, "run", "--settings", e.settingsFile)
+	e.command.Stdout, e.command.Stderr = log, log
+	e.command.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}, e.environment...)
+	check(e.command.Start())
+	exited := make(chan struct{})
+	e.exited = exited
+	command := e.command
+	go func() { _ = command.Wait(); close(exited) }()
+}
+
+// kill ends the process with SIGKILL.
+func (e *entryProcess) kill() {
+	if e.command == nil || e.command.Process == nil {
+		return
+	}
+	_ = e.command.Process.Kill()
+	<-e.exited
+}
+
+// watchReady asks once a second whether the entry is ready, as the platform does.
+func (e *entryProcess) watchReady(set func(out bool)) {
+	client := &http.Client{Timeout: 900 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	for ; ; time.Sleep(time.Second) {
+		response, err := client.Get("http://" + e.ready + "/v1/ready")
+		ready := err == nil && response.StatusCode == http.StatusOK
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		if e.misses++; ready {
+			e.misses = 0
+		}
+		set(e.misses >= 2)
+	}
+}
--- /dev/null
+++ b/review/rig-3/main_test.go
@@ -0,0 +1,42 @@
+//go:build review
+
+// Package rig holds the stand-ins and the cases of the third review. The test binary is run like any program:
+//
+//	review-rig-3 CASE FOLDER
+package rig
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitUnable = 2
+)
+
+var cases = map[string]func(folder string, trouble bool) int{
+	"early-success": earlySuccess,
+}
+
+func TestMain(*testing.M) {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: review-rig-3 CASE FOLDER")
+		os.Exit(exitUnable)
+	}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		endEntries()
+		os.Exit(exitUnable)
+	}()
+	code := cases[os.Args[1]](os.Args[2], os.Getenv("TROUBLE") != "0")
+	endEntries()
+	os.Exit(code)
+}
