--- a/review/rig-3/main_test.go
+++ b/review/rig-3/main_test.go
@@ -22,6 +22,8 @@
 
 var cases = map[string]func(folder string, trouble bool) int{
 	"early-success": earlySuccess,
+	"poison-before": poisonedPrompts(0),
+	"poison-after":  poisonedPrompts(1),
 }
 
 func TestMain(*testing.M) {
