--- a/review/rig-3/main_test.go
+++ b/review/rig-3/main_test.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]func(folder string, trouble bool) int{
 	"early-success": earlySuccess,
+	"leader-killed": leaderKilled,
 	"poison-before": poisonedPrompts(0),
 	"poison-after":  poisonedPrompts(1),
 }
