--- a/review/rig-3/changes_test.go
+++ b/review/rig-3/changes_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -21,8 +22,13 @@
 	loadLimit = 32
 )
 
-// leaderKilled orders a rollout to a version that is bad under load only. The process that writes the status is killed as the last step begins.
-func leaderKilled(folder string, trouble bool) int {
+// leaderLost orders a rollout to a version that is bad under load only. As the last step has begun, the process that writes the status
+// stands still for some time or, if that is 0, is killed and started again.
+func leaderLost(frozen time.Duration) func(folder string, trouble bool) int {
+	return func(folder string, trouble bool) int { return loseLeader(folder, trouble, frozen) }
+}
+
+func loseLeader(folder string, trouble bool, frozen time.Duration) int {
 	const service = "registre-froid"
 	record, err := os.Create(filepath.Join(folder, "record.txt"))
 	check(err)
@@ -82,7 +88,7 @@
 		go beat(e)
 	}
 	var endMu sync.Mutex
-	ended, hasKilled := "", false
+	ended, hasBegun := "", false
 	lastStep := make(chan struct{}, 1)
 	s.onStatus = func(kind, name string, text json.RawMessage) {
 		var status struct {
@@ -97,8 +103,8 @@
 		say("status of the rollout: %s", text)
 		endMu.Lock()
 		defer endMu.Unlock()
-		if status.Stage == "shift" && status.Share == 1 && !hasKilled {
-			hasKilled = true
+		if status.Stage == "shift" && status.Share == 1 && !hasBegun {
+			hasBegun = true
 			lastStep <- struct{}{}
 		}
 		if ended != "" || status.To != "v2" {
@@ -153,20 +159,28 @@
 	ordered = time.Now()
 	deadline := ordered.Add(changesDuration * time.Second)
 	say("ordered: %s to v2 within %d s", service, changesDuration)
-	var killed *entryProcess
-	var killedAt, touchAt time.Time
+	var lost *entryProcess
+	var lostAt, touchAt time.Time
 	if trouble {
 		select {
 		case <-lastStep:
-			killed = coordinator(entries, service)
+			lost = coordinator(entries, service)
 			time.Sleep(500 * time.Millisecond)
-			killed.kill()
-			killedAt = time.Now()
-			say("%s is killed, the process that last wrote to the store under a condition", killed.name)
-			time.Sleep(500 * time.Millisecond)
-			killed.start()
+			lostAt = time.Now()
+			if frozen > 0 {
+				check(lost.command.Process.Signal(syscall.SIGSTOP))
+				say("%s stands still, the process that last wrote to the store under a condition", lost.name)
+				time.Sleep(frozen)
+				check(lost.command.Process.Signal(syscall.SIGCONT))
+				say("%s goes on", lost.name)
+			} else {
+				lost.kill()
+				say("%s is killed, the process that last wrote to the store under a condition", lost.name)
+				time.Sleep(500 * time.Millisecond)
+				lost.start()
+				say("%s is started again", lost.name)
+			}
 			touchAt = time.Now().Add(stableWindow)
-			say("%s is started again", killed.name)
 		case <-finished:
 			say("the last step did not begin")
 			return exitUnable
@@ -191,7 +205,7 @@
 			continue
 		}
 		reached++
-		if r.version != "v2" || killed != nil && byID[r.id].entry == killed.name && r.at.After(killedAt) && r.at.Before(touchAt) {
+		if r.version != "v2" || lost != nil && byID[r.id].entry == lost.name && r.at.After(lostAt) && r.at.Before(touchAt) {
 			continue
 		}
 		toNew++
--- a/review/rig-3/main_test.go
+++ b/review/rig-3/main_test.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // Exit codes of a case.
@@ -22,7 +23,8 @@
 
 var cases = map[string]func(folder string, trouble bool) int{
 	"early-success": earlySuccess,
-	"leader-killed": leaderKilled,
+	"leader-killed": leaderLost(0),
+	"leader-frozen": leaderLost(2 * time.Second),
 	"poison-before": poisonedPrompts(0),
 	"poison-after":  poisonedPrompts(1),
 }
