--- a/review/rig-3/main_test.go
+++ b/review/rig-3/main_test.go
@@ -22,11 +22,12 @@
 )
 
 var cases = map[string]func(folder string, trouble bool) int{
-	"early-success": earlySuccess,
-	"leader-killed": leaderLost(0),
-	"leader-frozen": leaderLost(2 * time.Second),
-	"poison-before": poisonedPrompts(0),
-	"poison-after":  poisonedPrompts(1),
+	"upgraded-in-place": upgradedInPlace,
+	"early-success":     earlySuccess,
+	"leader-killed":     leaderLost(0),
+	"leader-frozen":     leaderLost(2 * time.Second),
+	"poison-before":     poisonedPrompts(0),
+	"poison-after":      poisonedPrompts(1),
 }
 
 func TestMain(*testing.M) {
--- a/review/rig-3/modelengine_test.go
+++ b/review/rig-3/modelengine_test.go
@@ -22,8 +22,12 @@
 // modelEngine is a stand-in of a model engine, which streams events. A prompt with the part poisonPart crashes it as it begins to write.
 type modelEngine struct {
 	name, service, zone string
-	slots, events       int
-	step                time.Duration
+	// version is that of the software. With keepsID, the engine starts again under the id that it had.
+	version       string
+	keepsID       bool
+	slots, events int
+	// prefill is the time until the first event, step that between two.
+	prefill, step time.Duration
 	// eventsBefore is the number of events that leave before a crash.
 	eventsBefore int
 	back         time.Duration
@@ -45,7 +49,13 @@
 // poisonPart is the ID of the prompt part that crashes engines.
 const poisonPart = "0badc0de"
 
-func (e *modelEngine) id() string { return fmt.Sprintf("%s-%d", e.name, e.starts) }
+// idOf returns the id of an incarnation.
+func (e *modelEngine) idOf(incarnation int) string {
+	if e.keepsID {
+		return e.name
+	}
+	return fmt.Sprintf("%s-%d", e.name, incarnation)
+}
 
 // start begins an incarnation, at the address of the one before.
 func (e *modelEngine) start() {
@@ -66,11 +76,11 @@
 	e.address, e.born, e.conns, e.down = e.listener.Addr().String(), time.Now().UnixMilli(), map[net.Conn]bool{}, false
 	e.starts++
 	e.running = 0
-	id := e.id()
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(w, r, id) }), ConnState: func(c net.Conn, state http.ConnState) {
+	incarnation, id := e.starts, e.idOf(e.starts)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { e.serve(w, r, incarnation) }), ConnState: func(c net.Conn, state http.ConnState) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if e.id() != id || e.down {
+		if e.starts != incarnation || e.down {
 			_ = c.Close()
 			return
 		}
@@ -82,23 +92,45 @@
 	listener := e.listener
 	go func() { _ = server.Serve(listener) }()
 	spec := map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": "ready", "warmup_left_ms": 0, "call_seq": 0, "born": e.born,
+		"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": e.slots, "state": "ready", "warmup_left_ms": 0, "call_seq": 0, "born": e.born,
 	}
-	e.store.put("servers", id, spec)
+	go func() { // beats, also while the store is away
+		for !e.isOver(incarnation) {
+			e.store.put("servers", id, spec)
+			time.Sleep(heartbeat / 12)
+		}
+	}()
 }
 
-// crash ends the incarnation and starts another one some seconds later. Its entry runs out after three heartbeats.
-func (e *modelEngine) crash(id string) {
+// restart ends the incarnation and starts another one, with other software, some time later.
+func (e *modelEngine) restart(version string, away time.Duration) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.id() != id || e.down {
-		return
-	}
+	e.end()
+	e.mu.Unlock()
+	time.Sleep(away)
+	e.mu.Lock()
+	e.version = version
+	e.mu.Unlock()
+	e.start()
+}
+
+// end closes all connections, as a process that ends. The caller holds mu.
+func (e *modelEngine) end() {
 	e.down = true
 	_ = e.listener.Close()
 	for c := range e.conns {
 		_ = c.Close()
 	}
+}
+
+// crash ends the incarnation and starts another one some seconds later. Its entry runs out after three heartbeats.
+func (e *modelEngine) crash(incarnation int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.starts != incarnation || e.down {
+		return
+	}
+	e.end()
 	e.crashed(time.Now())
 	go func() {
 		time.Sleep(e.back)
@@ -106,17 +138,18 @@
 	}()
 	go func() {
 		time.Sleep(3 * heartbeat)
-		e.store.expire("servers", id)
+		e.store.expire("servers", e.idOf(incarnation))
 	}()
 }
 
-func (e *modelEngine) isOver(id string) bool {
+func (e *modelEngine) isOver(incarnation int) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.id() != id || e.down
+	return e.starts != incarnation || e.down
 }
 
-func (e *modelEngine) serve(w http.ResponseWriter, r *http.Request, id string) {
+func (e *modelEngine) serve(w http.ResponseWriter, r *http.Request, incarnation int) {
+	id := e.idOf(incarnation)
 	request := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", request)
 	w.Header().Set("X-Instance-Id", id)
@@ -147,16 +180,17 @@
 		return
 	}
 	e.running++
+	version := e.version
 	e.mu.Unlock()
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if e.id() == id {
+		if e.starts == incarnation {
 			e.running--
 		}
 	}()
-	time.Sleep(300 * time.Millisecond) // the prompt is read
-	if e.isOver(id) || r.Context().Err() != nil {
+	time.Sleep(e.prefill)
+	if e.isOver(incarnation) || r.Context().Err() != nil {
 		return
 	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -164,15 +198,15 @@
 	w.Header().Set("X-Response-Signature", "signed."+request)
 	for n := last + 1; n <= e.events; n++ {
 		if poison && n-last > e.eventsBefore {
-			e.crash(id)
+			e.crash(incarnation)
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, r.URL.Path, n); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %d\n\n", n, version, r.URL.Path, n); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
 		time.Sleep(e.step)
-		if r.Context().Err() != nil || e.isOver(id) {
+		if r.Context().Err() != nil || e.isOver(incarnation) {
 			return
 		}
 	}
--- a/review/rig-3/poison_test.go
+++ b/review/rig-3/poison_test.go
@@ -35,6 +35,8 @@
 	id, entry       string
 	status, events  int
 	complete, begun bool
+	// versions counts the events by the version of the engine that made them.
+	versions map[string]int
 }
 
 // poisonedPrompts sends streams, some of which hold a part that crashes each engine that begins to write an answer on it. eventsBefore is the
@@ -55,20 +57,13 @@
 			fmt.Fprintf(record, "%8.3f s  %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, values...))
 		}
 		s := newStore()
-		s.put("config", "main", map[string]any{
-			"version": 7,
-			"routes": []map[string]any{
-				{"name": "history", "hostname": "rail.example", "path_prefix": "/history/", "kind": "streaming", "timeout_ms": 25000, "target_latency_ms": 4500, "target_gap_ms": 700, "priority": 1, "service": "guide-model", "max_attempts": 5, "stream_resume": true, "sticky": true},
-			},
-			"services": []map[string]any{{"name": "guide-model", "max_connections": 370, "engine": map[string]any{"slots": 64, "kv_capacity": 55000, "stride": 5, "models": []map[string]any{{"name": "m"}}}}},
-			"limits":   map[string]any{"max_header_bytes": 65536, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 20000},
-		})
+		s.put("config", "main", streamConfiguration())
 		var arrivals []arrival
 		var crashes []time.Time
 		zones := []string{"casa-a", "rabat-b", "fes-c"}
 		for i := range poisonEngines {
 			e := &modelEngine{
-				name: fmt.Sprintf("i-%02d", i), service: "guide-model", zone: zones[i%3], slots: 64, events: 130, step: 20 * time.Millisecond,
+				name: fmt.Sprintf("i-%02d", i), service: "guide-model", zone: zones[i%3], version: "v1", slots: 64, events: 130, prefill: 300 * time.Millisecond, step: 20 * time.Millisecond,
 				eventsBefore: eventsBefore, back: poisonEngineBack, store: s, say: say,
 				arrived: func(a arrival) { mu.Lock(); defer mu.Unlock(); arrivals = append(arrivals, a) },
 				crashed: func(at time.Time) { mu.Lock(); defer mu.Unlock(); crashes = append(crashes, at) },
@@ -174,7 +169,7 @@
 // sendStream sends a stream with the shared parts to one of the entries and reads it.
 func sendStream(entries []*entryProcess, parts string) soundStream {
 	entry := entries[rand.IntN(len(entries))]
-	a := soundStream{sent: time.Now(), id: fmt.Sprintf("%016x", rand.Uint64()), entry: entry.name}
+	a := soundStream{sent: time.Now(), id: fmt.Sprintf("%016x", rand.Uint64()), entry: entry.name, versions: map[string]int{}}
 	client := &http.Client{Timeout: 25 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	request, err := http.NewRequest(http.MethodPost, "http://"+entry.front+"/history/"+a.id, strings.NewReader("prompt "+a.id))
 	check(err)
@@ -204,6 +199,10 @@
 				a.events++
 			}
 		}
+		if text, found := strings.CutPrefix(line, "data: "); found && err == nil {
+			version, _, _ := strings.Cut(text, " ")
+			a.versions[version]++
+		}
 		if err != nil {
 			a.complete = err == io.EOF && a.events == 130
 			return a
