--- a/review/rig-3/changes_test.go
+++ b/review/rig-3/changes_test.go
@@ -141,6 +141,7 @@
 		e.start()
 	}
 	time.Sleep(6 * time.Second)
+	checkReady(entries)
 	traffic := &clients{host: "registre.example", entries: entries, kinds: []callKind{
 		{name: "entry", method: "POST", path: "/entry/", perSecond: 108, deadline: 1500 * time.Millisecond},
 		{name: "lookup", method: "GET", path: "/lookup/", perSecond: 75, deadline: 1500 * time.Millisecond, idempotent: true},
--- a/review/rig-3/earlysuccess_test.go
+++ b/review/rig-3/earlysuccess_test.go
@@ -175,6 +175,7 @@
 		e.start()
 	}
 	time.Sleep(5 * time.Second)
+	checkReady(entries)
 	traffic := &clients{host: "registre.example", entries: entries, kinds: []callKind{
 		{name: "entry", method: "POST", path: "/entry/", perSecond: 30, deadline: 1500 * time.Millisecond},
 		{name: "lookup", method: "GET", path: "/lookup/", perSecond: 20, deadline: 1500 * time.Millisecond, idempotent: true},
--- a/review/rig-3/entries_test.go
+++ b/review/rig-3/entries_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,12 +22,33 @@
 	}
 }
 
+// firstPort and ports are the range from which the entries' ports are drawn, below those of outgoing connections.
+const firstPort, ports = 15000, 16000
+
 // freeAddress returns a loopback address with a port that is free now.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var err error
+	for range 100 {
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
+			_ = listener.Close()
+			return listener.Addr().String()
+		}
+	}
 	check(err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return ""
+}
+
+// checkReady ends the case unless all entries say that they are ready.
+func checkReady(entries []*entryProcess) {
+	for _, e := range entries {
+		response, err := http.Get("http://" + e.ready + "/v1/ready")
+		check(err)
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			check(fmt.Errorf("%s is not ready: status %d", e.name, response.StatusCode))
+		}
+	}
 }
 
 // entryProcess is an entry of the system, a process with the command of the deploy file.
--- a/review/rig-3/poison_test.go
+++ b/review/rig-3/poison_test.go
@@ -75,6 +75,7 @@
 			e.start()
 		}
 		time.Sleep(6 * time.Second)
+		checkReady(entries)
 		var sounds []soundStream
 		var waiting sync.WaitGroup
 		started := time.Now()
--- a/review/rig-3/upgrade_test.go
+++ b/review/rig-3/upgrade_test.go
@@ -57,6 +57,7 @@
 		e.start()
 	}
 	time.Sleep(6 * time.Second)
+	checkReady(entries)
 	var streams []soundStream
 	var waiting sync.WaitGroup
 	started := time.Now()
