--- a/review/rig-3/entries_test.go
+++ b/review/rig-3/entries_test.go
@@ -25,12 +25,20 @@
 // firstPort and ports are the range from which the entries' ports are drawn, below those of outgoing connections.
 const firstPort, ports = 15000, 16000
 
-// freeAddress returns a loopback address with a port that is free now.
+// drawn are the ports that were drawn already.
+var drawn = map[int]bool{}
+
+// freeAddress returns a loopback address with a port that is free now, another one each time.
 func freeAddress() string {
 	var err error
 	for range 100 {
 		var listener net.Listener
-		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
+		port := firstPort + rand.IntN(ports)
+		if drawn[port] {
+			continue
+		}
+		drawn[port] = true
+		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
 			_ = listener.Close()
 			return listener.Addr().String()
 		}
