--- a/review/rig-3/changes_test.go
+++ b/review/rig-3/changes_test.go
@@ -17,8 +17,8 @@
 // Figures of the case.
 const (
 	changesEntries  = 8
-	changesDuration = 45
-	// loadLimit is the number of requests a second from which on an engine of the new version fails every other one.
+	changesDuration = 50
+	// loadLimit is the number of requests a second from which on an engine of the new version fails three of four.
 	loadLimit = 32
 )
 
@@ -67,7 +67,7 @@
 			e.fails = func(n int) bool {
 				now := time.Now()
 				recent = slices.DeleteFunc(append(recent, now), func(t time.Time) bool { return now.Sub(t) > time.Second })
-				return len(recent) > loadLimit && n%2 == 0
+				return len(recent) > loadLimit && n%4 != 0
 			}
 		}
 		e.start()
--- a/review/rig-3/entries_test.go
+++ b/review/rig-3/entries_test.go
@@ -25,21 +25,16 @@
 // firstPort and ports are the range from which the entries' ports are drawn, below those of outgoing connections.
 const firstPort, ports = 15000, 16000
 
-// drawn are the ports that were drawn already.
-var drawn = map[int]bool{}
+// reserved are the listeners that hold addresses until their entry starts.
+var reserved = map[string]net.Listener{}
 
-// freeAddress returns a loopback address with a port that is free now, another one each time.
+// freeAddress returns a loopback address and reserves it.
 func freeAddress() string {
 	var err error
 	for range 100 {
 		var listener net.Listener
-		port := firstPort + rand.IntN(ports)
-		if drawn[port] {
-			continue
-		}
-		drawn[port] = true
-		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
-			_ = listener.Close()
+		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
+			reserved[listener.Addr().String()] = listener
 			return listener.Addr().String()
 		}
 	}
@@ -120,6 +115,12 @@
 }
 
 func (e *entryProcess) start() {
+	for _, address := range []string{e.front, e.control, e.ready, e.admin} {
+		if listener := reserved[address]; listener != nil {
+			_ = listener.Close()
+			delete(reserved, address)
+		}
+	}
 	log, err := os.OpenFile(e.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
 	defer log.Close()
