--- a/review/rig-3/changes_test.go
+++ b/review/rig-3/changes_test.go
@@ -17,18 +17,25 @@
 // Figures of the case.
 const (
 	changesEntries  = 8
-	changesDuration = 50
-	// loadLimit is the number of requests a second from which on an engine of the new version fails three of four.
+	changesDuration = 70
+	// loadLimit is the number of requests a second from which on an engine of the new version fails some of them.
 	loadLimit = 32
 )
 
 // leaderLost orders a rollout to a version that is bad under load only. As the last step has begun, the process that writes the status
-// stands still for some time or, if that is 0, is killed and started again.
-func leaderLost(frozen time.Duration) func(folder string, trouble bool) int {
-	return func(folder string, trouble bool) int { return loseLeader(folder, trouble, frozen) }
+// stands still for some time or, if that is 0, is killed and started again, as many times. One of soundOf requests beyond the load limit is
+// answered well.
+func leaderLost(frozen time.Duration, times, soundOf int) func(folder string, trouble bool) int {
+	return func(folder string, trouble bool) int { return loseLeader(folder, trouble, frozen, times, soundOf) }
 }
 
-func loseLeader(folder string, trouble bool, frozen time.Duration) int {
+// outOfTouch is a time in which a machine is not in touch.
+type outOfTouch struct {
+	entry    string
+	from, to time.Time
+}
+
+func loseLeader(folder string, trouble bool, frozen time.Duration, times, soundOf int) int {
 	const service = "registre-froid"
 	record, err := os.Create(filepath.Join(folder, "record.txt"))
 	check(err)
@@ -67,7 +74,7 @@
 			e.fails = func(n int) bool {
 				now := time.Now()
 				recent = slices.DeleteFunc(append(recent, now), func(t time.Time) bool { return now.Sub(t) > time.Second })
-				return len(recent) > loadLimit && n%4 != 0
+				return len(recent) > loadLimit && n%soundOf != 0
 			}
 		}
 		e.start()
@@ -88,8 +95,8 @@
 		go beat(e)
 	}
 	var endMu sync.Mutex
-	ended, hasBegun := "", false
-	lastStep := make(chan struct{}, 1)
+	ended, steps := "", 0
+	lastStep := make(chan struct{}, times)
 	s.onStatus = func(kind, name string, text json.RawMessage) {
 		var status struct {
 			State string  `json:"state"`
@@ -103,8 +110,8 @@
 		say("status of the rollout: %s", text)
 		endMu.Lock()
 		defer endMu.Unlock()
-		if status.Stage == "shift" && status.Share == 1 && !hasBegun {
-			hasBegun = true
+		if status.Stage == "shift" && status.Share == 1 && steps < times {
+			steps++
 			lastStep <- struct{}{}
 		}
 		if ended != "" || status.To != "v2" {
@@ -160,32 +167,34 @@
 	ordered = time.Now()
 	deadline := ordered.Add(changesDuration * time.Second)
 	say("ordered: %s to v2 within %d s", service, changesDuration)
-	var lost *entryProcess
-	var lostAt, touchAt time.Time
-	if trouble {
+	var out []outOfTouch
+	for range times {
+		if !trouble {
+			break
+		}
 		select {
 		case <-lastStep:
-			lost = coordinator(entries, service)
-			time.Sleep(500 * time.Millisecond)
-			lostAt = time.Now()
-			if frozen > 0 {
-				check(lost.command.Process.Signal(syscall.SIGSTOP))
-				say("%s stands still, the process that last wrote to the store under a condition", lost.name)
-				time.Sleep(frozen)
-				check(lost.command.Process.Signal(syscall.SIGCONT))
-				say("%s goes on", lost.name)
-			} else {
-				lost.kill()
-				say("%s is killed, the process that last wrote to the store under a condition", lost.name)
-				time.Sleep(500 * time.Millisecond)
-				lost.start()
-				say("%s is started again", lost.name)
-			}
-			touchAt = time.Now().Add(stableWindow)
 		case <-finished:
 			say("the last step did not begin")
 			return exitUnable
 		}
+		leader := coordinator(entries, service)
+		time.Sleep(500 * time.Millisecond)
+		lostAt := time.Now()
+		if frozen > 0 {
+			check(leader.command.Process.Signal(syscall.SIGSTOP))
+			say("%s stands still, the process that last wrote to the store under a condition", leader.name)
+			time.Sleep(frozen)
+			check(leader.command.Process.Signal(syscall.SIGCONT))
+			say("%s goes on", leader.name)
+		} else {
+			leader.kill()
+			say("%s is killed, the process that last wrote to the store under a condition", leader.name)
+			time.Sleep(500 * time.Millisecond)
+			leader.start()
+			say("%s is started again", leader.name)
+		}
+		out = append(out, outOfTouch{leader.name, lostAt, time.Now().Add(stableWindow)})
 	}
 	<-finished
 
@@ -206,7 +215,8 @@
 			continue
 		}
 		reached++
-		if r.version != "v2" || lost != nil && byID[r.id].entry == lost.name && r.at.After(lostAt) && r.at.Before(touchAt) {
+		isOut := slices.ContainsFunc(out, func(o outOfTouch) bool { return o.entry == byID[r.id].entry && r.at.After(o.from) && r.at.Before(o.to) })
+		if r.version != "v2" || isOut {
 			continue
 		}
 		toNew++
--- a/review/rig-3/main_test.go
+++ b/review/rig-3/main_test.go
@@ -24,8 +24,8 @@
 var cases = map[string]func(folder string, trouble bool) int{
 	"upgraded-in-place": upgradedInPlace,
 	"early-success":     earlySuccess,
-	"leader-killed":     leaderLost(0),
-	"leader-frozen":     leaderLost(2 * time.Second),
+	"leader-killed":     leaderLost(0, 2, 4),
+	"leader-frozen":     leaderLost(3*time.Second, 1, 2),
 	"poison-before":     poisonedPrompts(0),
 	"poison-after":      poisonedPrompts(1),
 }
