--- a/review/rig-3/engine_test.go
+++ b/review/rig-3/engine_test.go
@@ -29,7 +29,9 @@
 	born                                int64
 	// fails reports whether the n-th run fails.
 	fails func(n int) bool
-	log   func(run)
+	// slower returns how many times as long as usual the n-th run takes; nil for none.
+	slower func(n int) time.Duration
+	log    func(run)
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -112,9 +114,13 @@
 	e.running++
 	e.runs++
 	fails := e.fails != nil && e.fails(e.runs)
+	work := e.work
+	if e.slower != nil {
+		work *= e.slower(e.runs)
+	}
 	e.mu.Unlock()
 	done := run{at: time.Now(), id: id, engine: e.id, version: e.version, status: http.StatusOK}
-	time.Sleep(e.work)
+	time.Sleep(work)
 	e.mu.Lock()
 	e.running--
 	done.cut = e.stopped
--- a/review/rig-3/main_test.go
+++ b/review/rig-3/main_test.go
@@ -26,6 +26,10 @@
 	"early-success":     earlySuccess,
 	"leader-killed":     leaderLost(0, 2, 4),
 	"leader-frozen":     leaderLost(3*time.Second, 1, 2),
+	"bad-later":         badVersion(badDuration/2, 0.5, false),
+	"bad-early":         badVersion(badDuration/6, 0.5, false),
+	"bad-part":          badVersion(0, 0.04, false),
+	"slow-part":         badVersion(0, 0.08, true),
 	"poison-before":     poisonedPrompts(0),
 	"poison-after":      poisonedPrompts(1),
 }
