--- a/review/rig-3/earlysuccess_test.go
+++ b/review/rig-3/earlysuccess_test.go
@@ -64,7 +64,7 @@
 	record, err := os.Create(filepath.Join(folder, "record.txt"))
 	check(err)
 	defer record.Close()
-	temporary, err := os.MkdirTemp("", "review-11-")
+	temporary, err := os.MkdirTemp("", "review-early-")
 	check(err)
 	defer os.RemoveAll(temporary)
 	began := time.Now()
--- a/review/rig-3/entries_test.go
+++ b/review/rig-3/entries_test.go
@@ -63,7 +63,6 @@
 	command                       *exec.Cmd
 	exited                        chan struct{}
 	misses                        int
-	isOut                         bool
 }
 
 var allEntries []*entryProcess
--- a/review/rig-3/main_test.go
+++ b/review/rig-3/main_test.go
@@ -30,6 +30,7 @@
 	"bad-early":         badVersion(badDuration/6, 0.5, false),
 	"bad-part":          badVersion(0, 0.04, false),
 	"slow-part":         badVersion(0, 0.08, true),
+	"brittle":           brittleEnginesFall,
 	"poison-before":     poisonedPrompts(0),
 	"poison-after":      poisonedPrompts(1),
 }
