--- a/review/rig-3/entries_test.go
+++ b/review/rig-3/entries_test.go
@@ -22,18 +22,39 @@
 	}
 }
 
-// firstPort and ports are the range from which the entries' ports are drawn, below those of outgoing connections.
-const firstPort, ports = 15000, 16000
+// The entries' ports are drawn from a block of the range from firstPort, below the ports of outgoing connections. A process of the rig has
+// a block to itself, whose first port it keeps, so that cases that run at once don't take the ports of each other's entries.
+const firstPort, blocks, blockPorts = 15000, 16, 1000
+
+// block is the listener at the first port of the block of this process.
+var block net.Listener
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+
+// takeBlock finds a block that no other process of the rig has.
+func takeBlock() {
+	var err error
+	for _, i := range rand.Perm(blocks) {
+		if block, err = net.Listen("tcp", loopback(firstPort+i*blockPorts)); err == nil {
+			return
+		}
+	}
+	check(err)
+}
 
 // reserved are the listeners that hold addresses until their entry starts.
 var reserved = map[string]net.Listener{}
 
 // freeAddress returns a loopback address and reserves it.
 func freeAddress() string {
+	if block == nil {
+		takeBlock()
+	}
+	first := block.Addr().(*net.TCPAddr).Port
 	var err error
 	for range 100 {
 		var listener net.Listener
-		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
+		if listener, err = net.Listen("tcp", loopback(first+1+rand.IntN(blockPorts-1))); err == nil {
 			reserved[listener.Addr().String()] = listener
 			return listener.Addr().String()
 		}
